--- /dev/null
+++ b/document/document.go
@@ -0,0 +1,106 @@
+// Package document reads the operators' configuration document: one INI text
+// whose sections are owned by different teams.
+//
+// # Usage
+//
+//	doc, problems := document.Parse("kalimera.ini", text)
+//	if len(problems) > 0 {
+//		// every problem names file, line and what is allowed
+//	}
+//	org, ok := doc.OrganisationByKey(bearerKey)
+//
+// A Document never changes after Parse. A running request keeps the one it
+// began with.
+package document
+
+import "sort"
+
+// Document is one whole, valid configuration.
+type Document struct {
+	revision      uint64
+	policy        Policy
+	classes       map[string]*Class
+	organisations map[string]*Organisation
+	models        map[string]*Model
+	services      map[string]*Service
+	teams         map[string]*Team
+	rules         []*Rule
+	byKeyHash     map[string]*Organisation
+}
+
+// Revision returns the store revision of the document, zero for a file.
+func (d *Document) Revision() uint64 { return d.revision }
+
+// WithRevision returns a copy of the document at the given revision.
+func (d *Document) WithRevision(revision uint64) *Document {
+	c := *d
+	c.revision = revision
+	return &c
+}
+
+// Policy returns the figures that bound the routers' decisions.
+func (d *Document) Policy() Policy { return d.policy }
+
+// Class returns the class with the given name.
+func (d *Document) Class(name string) (*Class, bool) { c, ok := d.classes[name]; return c, ok }
+
+// Organisation returns the organisation with the given name.
+func (d *Document) Organisation(name string) (*Organisation, bool) {
+	o, ok := d.organisations[name]
+	return o, ok
+}
+
+// OrganisationByKey returns the organisation that holds the bearer key.
+func (d *Document) OrganisationByKey(key string) (*Organisation, bool) {
+	o, ok := d.byKeyHash[HashKey(key)]
+	return o, ok
+}
+
+// Model returns the model with the given name.
+func (d *Document) Model(name string) (*Model, bool) { m, ok := d.models[name]; return m, ok }
+
+// Service returns the plain service with the given name.
+func (d *Document) Service(name string) (*Service, bool) { s, ok := d.services[name]; return s, ok }
+
+// Team returns the operators' team with the given name.
+func (d *Document) Team(name string) (*Team, bool) { t, ok := d.teams[name]; return t, ok }
+
+// Rules returns the rules in document order. The first rule that matches
+// an organisation and a model decides.
+func (d *Document) Rules() []*Rule { return d.rules }
+
+// Classes returns all classes by rising priority number.
+func (d *Document) Classes() []*Class {
+	all := sortedValues(d.classes, func(c *Class) string { return c.name })
+	sort.SliceStable(all, func(i, j int) bool { return all[i].priority < all[j].priority })
+	return all
+}
+
+// Organisations returns all organisations by name.
+func (d *Document) Organisations() []*Organisation {
+	return sortedValues(d.organisations, func(o *Organisation) string { return o.name })
+}
+
+// Models returns all models by name.
+func (d *Document) Models() []*Model {
+	return sortedValues(d.models, func(m *Model) string { return m.name })
+}
+
+// Services returns all plain services by name.
+func (d *Document) Services() []*Service {
+	return sortedValues(d.services, func(s *Service) string { return s.name })
+}
+
+// Teams returns all teams by name.
+func (d *Document) Teams() []*Team {
+	return sortedValues(d.teams, func(t *Team) string { return t.name })
+}
+
+func sortedValues[T any](m map[string]T, name func(T) string) []T {
+	all := make([]T, 0, len(m))
+	for _, v := range m {
+		all = append(all, v)
+	}
+	sort.Slice(all, func(i, j int) bool { return name(all[i]) < name(all[j]) })
+	return all
+}
--- /dev/null
+++ b/document/keys.go
@@ -0,0 +1,23 @@
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+)
+
+// HashKey returns the form in which a key stands in the document: "sha256:" and the hash in hex.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+func (r Route) matches(method, path string) bool {
+	if r.method != "*" && r.method != method {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(r.path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return r.path == path
+}
--- /dev/null
+++ b/permit.go
@@ -0,0 +1,48 @@
+package peridotusher
+
+import "time"
+
+// Ask asks the owner of an engine for a permit to send one request to it.
+type Ask struct {
+	Request   Request
+	Engine    EngineID
+	Ingress   RouterID
+	Budget    time.Duration // time the ingress is ready to wait for an answer
+	Deputy    bool          // set when the ingress could not reach the owner
+	Displaced bool          // set when an engine of higher rank refused
+}
+
+// Answer is the owner's decision on an Ask.
+type Answer struct {
+	Granted    bool
+	Permit     PermitID
+	Engine     EngineID      // the engine granted
+	Next       EngineID      // on refusal, the candidate to ask next, or empty
+	Cause      Cause         // on refusal, why
+	RetryAfter time.Duration // on refusal with no candidate, when to come back
+	Loads      []EngineLoad  // loads that the owner knows, piggybacked
+}
+
+// Return ends a permit with the request's outcome.
+type Return struct {
+	Permit  PermitID
+	Engine  EngineID
+	Ingress RouterID
+	Verdict Verdict
+	Failed  bool
+}
+
+// HeldPermit is a permit that an ingress reports to an engine's new owner.
+type HeldPermit struct {
+	Permit PermitID
+	Ask    Ask
+}
+
+// EngineLoad is the outstanding work of one engine as its owner counts it.
+type EngineLoad struct {
+	Engine  EngineID
+	Model   string
+	Work    int // work units admitted and not returned
+	Permits int
+	Age     time.Duration // age of the count when it was sent
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,14 @@
+package peridotusher
+
+import "time"
+
+// Request is what the decisions know of one caller's request to a model.
+type Request struct {
+	ID           RequestID
+	Chat         ChatKey // empty when the request belongs to no chat
+	Organisation string
+	Model        string
+	Class        string
+	Work         int // expected outstanding work, in work units
+	Deadline     time.Time
+}
