--- /dev/null
+++ b/engines.go
@@ -0,0 +1,90 @@
+package peridotusher
+
+import (
+	"sort"
+	"sync"
+)
+
+// Engines is the table of the model engines that a router knows.
+type Engines struct {
+	mu   sync.RWMutex
+	byID map[EngineID]Engine
+}
+
+// NewEngines returns an empty table.
+func NewEngines() *Engines {
+	return &Engines{byID: map[EngineID]Engine{}}
+}
+
+// SetListed replaces the set of known engines by the platform's list. Reports
+// of engines that stay are kept. A leaving state is never taken back while
+// the engine stays in the list at the same address.
+func (t *Engines) SetListed(list []Engine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next := make(map[EngineID]Engine, len(list))
+	for _, e := range list {
+		old, ok := t.byID[e.id]
+		if ok && old.address == e.address {
+			e.report = old.report
+			e.reported = old.reported
+			if old.state != EngineLive && e.state == EngineLive {
+				e.state = old.state
+			}
+		}
+		next[e.id] = e
+	}
+	t.byID = next
+}
+
+// SetReport records an engine's own load report.
+func (t *Engines) SetReport(id EngineID, report EngineReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	e.report = report
+	e.reported = true
+	t.byID[id] = e
+}
+
+// SetState changes an engine's state.
+func (t *Engines) SetState(id EngineID, state EngineState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	e.state = state
+	t.byID[id] = e
+}
+
+// Get returns the engine with the given name.
+func (t *Engines) Get(id EngineID) (Engine, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e, ok := t.byID[id]
+	return e, ok
+}
+
+// All returns every engine by name.
+func (t *Engines) All() []Engine {
+	return t.Select(func(Engine) bool { return true })
+}
+
+// Select returns the engines that match, by name.
+func (t *Engines) Select(match func(Engine) bool) []Engine {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var selected []Engine
+	for _, e := range t.byID {
+		if match(e) {
+			selected = append(selected, e)
+		}
+	}
+	sort.Slice(selected, func(i, j int) bool { return selected[i].id < selected[j].id })
+	return selected
+}
--- a/request.go
+++ b/request.go
@@ -8,6 +8,7 @@
 	Chat         ChatKey // empty when the request belongs to no chat
 	Organisation string
 	Model        string
+	Version      string // version of the model, empty for any
 	Class        string
 	Work         int // expected outstanding work, in work units
 	Deadline     time.Time
