--- /dev/null
+++ b/caller/chat.go
@@ -0,0 +1,112 @@
+package caller
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/document"
+)
+
+// handleChat answers POST /v1/chat/completions, streamed or whole.
+func (s *Server) handleChat(w http.ResponseWriter, r *http.Request) {
+	started := s.Clock.Now()
+	call, body, class, err := s.chatCall(w, r)
+	if err != nil {
+		f := peridotusher.AsFailure(err)
+		writeFailure(w, f)
+		s.logRequest(call.Request, "", f, s.Clock.Now().Sub(started))
+		s.record(Outcome{Organisation: call.Request.Organisation, Class: call.Request.Class, Verdict: f.Verdict(), Cause: f.Cause()})
+		return
+	}
+	w.Header().Set(requestHeader, string(call.Request.ID))
+	ctx, cancel := s.withDeadline(r.Context(), call.Request.Deadline)
+	defer cancel()
+	answer := &chatAnswer{w: w, streamed: body.Stream, clock: s.Clock, started: started}
+	engine, err := s.answerChat(ctx, call, answer)
+	s.finishChat(call, class, answer, engine, err)
+}
+
+// chatCall builds the call from the request, or says what is wrong with it.
+func (s *Server) chatCall(w http.ResponseWriter, r *http.Request) (ChatCall, chatBody, *document.Class, error) {
+	call := ChatCall{Document: s.Document(), LastEventID: r.Header.Get("Last-Event-ID")}
+	call.Request.ID = s.requestID()
+	org, err := s.authenticate(r, call.Document)
+	if err != nil {
+		return call, chatBody{}, nil, err
+	}
+	call.Request.Organisation = org.Name()
+	class, err := classOf(r, call.Document, org)
+	if err != nil {
+		return call, chatBody{}, nil, err
+	}
+	call.Request.Class = class.Name()
+	call.Request.Work = class.Work()
+	call.Request.Deadline, err = s.deadlineOf(r, class.Deadline())
+	if err != nil {
+		return call, chatBody{}, nil, err
+	}
+	call.Body, err = s.readBody(w, r)
+	if err != nil {
+		return call, chatBody{}, nil, err
+	}
+	body, err := parseChatBody(call.Body)
+	if err != nil {
+		return call, body, nil, err
+	}
+	if _, ok := call.Document.Model(body.Model); !ok {
+		return call, body, nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseUnknownModel, "unknown model %q; GET /v1/models lists the models", body.Model)
+	}
+	call.Request.Model = body.Model
+	call.Request.Chat = chatKey(r, org.Name(), body)
+	return call, body, class, nil
+}
+
+// finishChat tells a failure to the caller and writes the event's log line.
+func (s *Server) finishChat(call ChatCall, class *document.Class, answer *chatAnswer, engine string, err error) {
+	took := s.Clock.Now().Sub(answer.started)
+	out := Outcome{
+		Organisation: call.Request.Organisation,
+		Class:        call.Request.Class,
+		Verdict:      peridotusher.Ran,
+		Whole:        err == nil,
+		FirstToken:   answer.firstToken,
+		Duration:     took,
+	}
+	var f *peridotusher.Failure
+	if err != nil {
+		f = peridotusher.AsFailure(err)
+		answer.fail(f)
+		out.Verdict = f.Verdict()
+		out.Cause = f.Cause()
+	}
+	out.InTime = out.Whole && took <= class.Deadline()
+	s.logRequest(call.Request, engine, f, took)
+	s.record(out)
+}
+
+func (s *Server) record(out Outcome) {
+	if s.Record != nil {
+		s.Record(out)
+	}
+}
+
+// logRequest writes the one line of a finished request.
+func (s *Server) logRequest(req peridotusher.Request, engine string, f *peridotusher.Failure, took time.Duration) {
+	entry := s.Log.WithFields(logrus.Fields{
+		"request":      req.ID,
+		"chat":         req.Chat,
+		"organisation": req.Organisation,
+		"class":        req.Class,
+		"engine":       engine,
+		"ms":           took.Milliseconds(),
+	})
+	if f == nil {
+		entry.WithField("verdict", peridotusher.Ran).Info("request answered")
+		return
+	}
+	entry.WithFields(logrus.Fields{"verdict": f.Verdict(), "cause": f.Cause(), "error": errors.UnwrapAll(f).Error()}).Warn("request failed")
+}
--- /dev/null
+++ b/caller/service.go
@@ -0,0 +1,99 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"peridotusher.example/peridotusher"
+)
+
+// headersNotPassed are the caller's headers that end at the router.
+var headersNotPassed = []string{
+	"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "X-Fencing-Token", deadlineHeader, classHeader,
+}
+
+// handleService answers calls to plain services.
+func (s *Server) handleService(w http.ResponseWriter, r *http.Request) {
+	started := s.Clock.Now()
+	call, err := s.serviceCall(w, r)
+	var answer ServiceAnswer
+	if err == nil {
+		w.Header().Set(requestHeader, string(call.ID))
+		ctx, cancel := s.withDeadline(r.Context(), call.Deadline)
+		defer cancel()
+		answer, err = s.Services.Call(ctx, call)
+	}
+	out := Outcome{Organisation: call.Organisation, Service: r.PathValue("service"), Verdict: peridotusher.Ran, Whole: err == nil}
+	fields := logrus.Fields{
+		"request":      call.ID,
+		"organisation": call.Organisation,
+		"service":      r.PathValue("service"),
+		"endpoint":     answer.Endpoint,
+		"replayed":     answer.Replayed,
+		"ms":           s.Clock.Now().Sub(started).Milliseconds(),
+	}
+	if err != nil {
+		f := peridotusher.AsFailure(err)
+		out.Verdict = f.Verdict()
+		out.Cause = f.Cause()
+		writeFailure(w, f)
+		s.Log.WithFields(fields).WithFields(logrus.Fields{"verdict": f.Verdict(), "cause": f.Cause(), "error": f.Error()}).Warn("call failed")
+	} else {
+		writeServiceAnswer(w, answer)
+		s.Log.WithFields(fields).WithFields(logrus.Fields{"verdict": peridotusher.Ran, "status": answer.Status}).Info("call answered")
+	}
+	out.Duration = s.Clock.Now().Sub(started)
+	out.InTime = out.Whole && !s.Clock.Now().After(call.Deadline)
+	s.record(out)
+}
+
+func (s *Server) serviceCall(w http.ResponseWriter, r *http.Request) (ServiceCall, error) {
+	call := ServiceCall{Document: s.Document(), ID: s.requestID(), Method: r.Method, Path: "/" + r.PathValue("path"), Query: r.URL.RawQuery, Key: r.Header.Get(keyHeader)}
+	org, err := s.authenticate(r, call.Document)
+	if err != nil {
+		return call, err
+	}
+	call.Organisation = org.Name()
+	service, ok := call.Document.Service(r.PathValue("service"))
+	if !ok {
+		return call, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseUnknownRoute, "unknown service %q", r.PathValue("service"))
+	}
+	call.Service = service
+	call.Deadline, err = s.deadlineOf(r, service.Deadline())
+	if err != nil {
+		return call, err
+	}
+	call.Header = passedHeaders(r.Header)
+	call.Body, err = s.readBody(w, r)
+	return call, err
+}
+
+// passedHeaders returns the headers that go on to the endpoint.
+func passedHeaders(h http.Header) http.Header {
+	passed := h.Clone()
+	for _, listed := range h.Values("Connection") {
+		for _, name := range strings.Split(listed, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range headersNotPassed {
+		passed.Del(name)
+	}
+	return passed
+}
+
+func writeServiceAnswer(w http.ResponseWriter, answer ServiceAnswer) {
+	for name, values := range passedHeaders(answer.Header) {
+		w.Header()[name] = values
+	}
+	w.Header().Set(verdictHeader, peridotusher.Ran.String())
+	if answer.Replayed {
+		w.Header().Set("Idempotent-Replayed", "true")
+	}
+	w.WriteHeader(answer.Status)
+	// The caller may be gone; the outcome is recorded all the same.
+	_, _ = w.Write(answer.Body)
+}
