--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/service"
+)
+
+// Defaults of Options.
+const (
+	defaultDialTimeout   = 2 * time.Second
+	defaultHeaderTimeout = 30 * time.Second
+	defaultIdleTimeout   = 30 * time.Second
+	keepTimeout          = 30 * time.Second // how long an unused connection is kept
+	idlePerEngine        = 16               // unused connections kept for each engine
+)
+
+// Options are the settings of a Client. A zero duration takes its default.
+type Options struct {
+	DialTimeout   time.Duration
+	HeaderTimeout time.Duration // wait for the answer's header
+	IdleTimeout   time.Duration // longest silence inside a stream
+	Clock         peridotusher.Clock
+}
+
+// Client talks to model engines.
+type Client struct {
+	opts      Options
+	transport *http.Transport
+	plain     *service.Client // calls with a single answer
+}
+
+// New returns a Client and a function that closes its idle connections.
+func New(opts Options) (*Client, func(), error) {
+	if opts.Clock == nil {
+		return nil, nil, errors.New("engine: Options.Clock is missing")
+	}
+	if opts.DialTimeout == 0 {
+		opts.DialTimeout = defaultDialTimeout
+	}
+	if opts.HeaderTimeout == 0 {
+		opts.HeaderTimeout = defaultHeaderTimeout
+	}
+	if opts.IdleTimeout == 0 {
+		opts.IdleTimeout = defaultIdleTimeout
+	}
+	plain, closePlain, err := service.New(service.Options{
+		DialTimeout:   opts.DialTimeout,
+		HeaderTimeout: opts.HeaderTimeout,
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
+		DisableCompression:    true,
+		IdleConnTimeout:       keepTimeout,
+		MaxIdleConnsPerHost:   idlePerEngine,
+		ResponseHeaderTimeout: opts.HeaderTimeout,
+	}
+	cleanUp := func() {
+		transport.CloseIdleConnections()
+		closePlain()
+	}
+	return &Client{opts: opts, transport: transport, plain: plain}, cleanUp, nil
+}
+
+// call sends a request with a single answer and returns the body of a success.
+func (c *Client) call(ctx context.Context, address string, r service.Request) ([]byte, error) {
+	resp, err := c.plain.Call(ctx, address, r)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status != http.StatusOK {
+		return nil, peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError,
+			"%s %s: status %d", r.Method, r.Path, resp.Status)
+	}
+	return resp.Body, nil
+}
+
+// callJSON is call with a JSON answer.
+func (c *Client) callJSON(ctx context.Context, address string, r service.Request, answer any) error {
+	body, err := c.call(ctx, address, r)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, answer); err != nil {
+		return peridotusher.FailWith(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/service/call.go
@@ -0,0 +1,179 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher"
+)
+
+// Headers of a call and its answer.
+const (
+	headerKey     = "Idempotency-Key"
+	headerFence   = "X-Fencing-Token"
+	headerVerdict = "X-Verdict"
+)
+
+// Request is one call to a plain service.
+type Request struct {
+	Method     string
+	Path       string
+	Query      string // encoded, without the question mark
+	Header     http.Header
+	Body       []byte
+	Idempotent bool         // the call may be repeated
+	Fence      uint64       // fencing number, zero for none
+	Key        string       // idempotency key, empty for none
+	Check      func() error // runs right before the first byte is written; an error aborts the call
+}
+
+// Response is a whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call sends one request and reads its whole answer. The error is a
+// *peridotusher.Failure. When only the body was cut, the Response holds the
+// part that arrived.
+func (c *Client) Call(ctx context.Context, address string, r Request) (Response, error) {
+	req, err := r.build(ctx, address)
+	if err != nil {
+		return Response{}, peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseBadRequest, err)
+	}
+	resp, written, err := c.send(req, r)
+	if err != nil {
+		return Response{}, sendFailure(ctx, written, err)
+	}
+	defer resp.Body.Close()
+	if f := Refusal(resp); f != nil {
+		return Response{}, f
+	}
+	body, err := c.readBody(resp.Body)
+	answer := Response{Status: resp.StatusCode, Header: resp.Header, Body: body}
+	if err != nil {
+		return answer, bodyFailure(ctx, resp.StatusCode, err)
+	}
+	return answer, nil
+}
+
+// build returns the HTTP request. It has no GetBody, so that the transport
+// can't send the body twice.
+func (r Request) build(ctx context.Context, address string) (*http.Request, error) {
+	u := url.URL{Scheme: "http", Host: address, Path: r.Path, RawQuery: r.Query}
+	req, err := http.NewRequestWithContext(ctx, r.Method, u.String(), bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	if r.Header != nil {
+		req.Header = r.Header.Clone()
+	}
+	if r.Key != "" {
+		req.Header.Set(headerKey, r.Key)
+	}
+	if r.Fence != 0 {
+		req.Header.Set(headerFence, strconv.FormatUint(r.Fence, 10))
+	}
+	return req, nil
+}
+
+// send returns the answer's header, or an error and whether the request may
+// have been written.
+func (c *Client) send(req *http.Request, r Request) (*http.Response, bool, error) {
+	if r.Idempotent && r.Check == nil {
+		return c.sendPooled(req)
+	}
+	t, g := c.fresh(r.Check)
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return nil, g.close(err), err
+	}
+	return resp, true, nil
+}
+
+// sendPooled sends an idempotent request on a connection that may be reused.
+func (c *Client) sendPooled(req *http.Request) (*http.Response, bool, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	resp, err := c.pooled.RoundTrip(req)
+	return resp, connected.Load(), err
+}
+
+// readBody reads the body up to the answer limit.
+func (c *Client) readBody(body io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, c.opts.AnswerLimit+1))
+	if err != nil {
+		return b, err
+	}
+	if int64(len(b)) > c.opts.AnswerLimit {
+		return nil, errors.Newf("answer is longer than %d bytes", c.opts.AnswerLimit)
+	}
+	return b, nil
+}
+
+// Refusal returns the Failure of an answer by which an endpoint says that it
+// refused the request before running it, else nil.
+func Refusal(resp *http.Response) *peridotusher.Failure {
+	status := resp.StatusCode
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return nil
+	}
+	if resp.Header.Get(headerVerdict) != peridotusher.NotRun.String() {
+		return nil
+	}
+	f := peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "endpoint refused with status %d", status)
+	return f.WithRetryAfter(RetryAfter(resp.Header))
+}
+
+// RetryAfter returns the delay of a Retry-After header in seconds, or zero.
+func RetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// sendFailure is the Failure of a call without an answer.
+func sendFailure(ctx context.Context, written bool, err error) *peridotusher.Failure {
+	verdict := peridotusher.NotRun
+	if written {
+		verdict = peridotusher.MayHaveRun
+	}
+	return peridotusher.FailWith(verdict, CauseOf(ctx, peridotusher.CauseEndpointLost), err)
+}
+
+// bodyFailure is the Failure of an answer that was cut after its header. Only
+// a status of success shows that the call ran.
+func bodyFailure(ctx context.Context, status int, err error) *peridotusher.Failure {
+	verdict := peridotusher.MayHaveRun
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		verdict = peridotusher.Ran
+	}
+	return peridotusher.FailWith(verdict, CauseOf(ctx, peridotusher.CauseEndpointLost), err)
+}
+
+// CauseOf returns the cause of a failed exchange: the context's if it ended,
+// else the given one.
+func CauseOf(ctx context.Context, otherwise peridotusher.Cause) peridotusher.Cause {
+	switch ctx.Err() {
+	case nil:
+		return otherwise
+	case context.DeadlineExceeded:
+		return peridotusher.CauseDeadline
+	default:
+		return peridotusher.CauseCallerGone
+	}
+}
--- /dev/null
+++ b/service/client.go
@@ -0,0 +1,79 @@
+package service
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of Options.
+const (
+	defaultDialTimeout   = 2 * time.Second
+	defaultHeaderTimeout = 30 * time.Second
+	defaultIdleTimeout   = 10 * time.Second
+	defaultAnswerLimit   = 16 << 20 // bytes
+)
+
+// Options are the settings of a Client. A zero field takes its default.
+type Options struct {
+	DialTimeout   time.Duration
+	HeaderTimeout time.Duration // wait for the answer's header after the request was written
+	IdleTimeout   time.Duration // how long an unused connection is kept
+	AnswerLimit   int64         // largest answer body in bytes
+}
+
+// Client calls plain services.
+type Client struct {
+	opts   Options
+	dialer net.Dialer
+	pooled *http.Transport // for idempotent calls only
+}
+
+// New returns a Client and a function that closes its idle connections.
+func New(opts Options) (*Client, func(), error) {
+	if opts.DialTimeout < 0 || opts.HeaderTimeout < 0 || opts.IdleTimeout < 0 || opts.AnswerLimit < 0 {
+		return nil, nil, errors.New("service: negative option")
+	}
+	if opts.DialTimeout == 0 {
+		opts.DialTimeout = defaultDialTimeout
+	}
+	if opts.HeaderTimeout == 0 {
+		opts.HeaderTimeout = defaultHeaderTimeout
+	}
+	if opts.IdleTimeout == 0 {
+		opts.IdleTimeout = defaultIdleTimeout
+	}
+	if opts.AnswerLimit == 0 {
+		opts.AnswerLimit = defaultAnswerLimit
+	}
+	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout}}
+	c.pooled = &http.Transport{
+		DialContext:           c.dialer.DialContext,
+		DisableCompression:    true,
+		IdleConnTimeout:       opts.IdleTimeout,
+		ResponseHeaderTimeout: opts.HeaderTimeout,
+	}
+	return c, c.pooled.CloseIdleConnections, nil
+}
+
+// fresh returns a transport for a single call that may not be repeated, and
+// the guard of its connection.
+func (c *Client) fresh(check func() error) (*http.Transport, *guard) {
+	g := &guard{check: check}
+	t := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := c.dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &guardedConn{Conn: conn, guard: g}, nil
+		},
+		DisableCompression:    true,
+		DisableKeepAlives:     true,
+		ResponseHeaderTimeout: c.opts.HeaderTimeout,
+	}
+	return t, g
+}
