Configuration document and settings: parse, check, reference

The document and the settings share a strict INI reader that reports every problem with its line. Parse returns no document if there is any problem.

--- a/document/document.go
+++ b/document/document.go
@@ -13,11 +13,18 @@
 // began with.
 package document
 
-import "sort"
+import (
+	"sort"
+
+	"peridotusher.example/peridotusher/ini"
+)
 
 // Document is one whole, valid configuration.
 type Document struct {
 	revision      uint64
+	file          *ini.File
+	sections      map[string]*ini.Section
+	owners        *owners
 	policy        Policy
 	classes       map[string]*Class
 	organisations map[string]*Organisation
--- a/document/keys.go
+++ b/document/keys.go
@@ -6,10 +6,12 @@
 	"strings"
 )
 
+const hashPrefix = "sha256:"
+
 // HashKey returns the form in which a key stands in the document: "sha256:" and the hash in hex.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
-	return "sha256:" + hex.EncodeToString(sum[:])
+	return hashPrefix + hex.EncodeToString(sum[:])
 }
 
 func (r Route) matches(method, path string) bool {
--- /dev/null
+++ b/document/parse.go
@@ -0,0 +1,96 @@
+package document
+
+import (
+	"peridotusher.example/peridotusher/ini"
+)
+
+// Parse reads a whole document. It returns no document if there is any problem.
+func Parse(name string, text []byte) (*Document, []ini.Problem) {
+	file, problems := ini.Read(name, text)
+	d := newDocument(file)
+	problems = append(problems, file.Decode(d.kinds())...)
+	if len(problems) == 0 {
+		problems = newCheck(d).run()
+	}
+	if len(problems) > 0 {
+		ini.Sort(problems)
+		return nil, problems
+	}
+	return d, nil
+}
+
+// Kinds returns the kinds of section that a document may hold.
+func Kinds() []string {
+	return []string{"policy", "class", "organisation", "model", "service", "rule", "team"}
+}
+
+func newDocument(file *ini.File) *Document {
+	d := &Document{
+		file:          file,
+		sections:      make(map[string]*ini.Section, len(file.Sections())),
+		classes:       map[string]*Class{},
+		organisations: map[string]*Organisation{},
+		models:        map[string]*Model{},
+		services:      map[string]*Service{},
+		teams:         map[string]*Team{},
+		byKeyHash:     map[string]*Organisation{},
+		owners:        newOwners(),
+	}
+	ini.Defaults(policyFields, &d.policy)
+	for _, s := range file.Sections() {
+		d.sections[s.Header()] = s
+	}
+	return d
+}
+
+func (d *Document) kinds() map[string]ini.Kind {
+	return map[string]ini.Kind{
+		"policy":       {Decode: d.decodePolicy},
+		"class":        {Named: true, Decode: d.decodeClass},
+		"organisation": {Named: true, Decode: d.decodeOrganisation},
+		"model":        {Named: true, Decode: d.decodeModel},
+		"service":      {Named: true, Decode: d.decodeService},
+		"rule":         {Named: true, Decode: d.decodeRule},
+		"team":         {Named: true, Decode: d.decodeTeam},
+	}
+}
+
+func (d *Document) decodePolicy(s *ini.Section) []ini.Problem {
+	return ini.Fill(s, policyFields, &d.policy)
+}
+
+func (d *Document) decodeClass(s *ini.Section) []ini.Problem {
+	c := &Class{name: s.Name()}
+	d.classes[c.name] = c
+	return ini.Fill(s, classFields, c)
+}
+
+func (d *Document) decodeOrganisation(s *ini.Section) []ini.Problem {
+	o := &Organisation{name: s.Name()}
+	d.organisations[o.name] = o
+	return ini.Fill(s, organisationFields, o)
+}
+
+func (d *Document) decodeModel(s *ini.Section) []ini.Problem {
+	m := &Model{name: s.Name()}
+	d.models[m.name] = m
+	return ini.Fill(s, modelFields, m)
+}
+
+func (d *Document) decodeService(s *ini.Section) []ini.Problem {
+	v := &Service{name: s.Name()}
+	d.services[v.name] = v
+	return ini.Fill(s, serviceFields, v)
+}
+
+func (d *Document) decodeRule(s *ini.Section) []ini.Problem {
+	r := &Rule{name: s.Name()}
+	d.rules = append(d.rules, r)
+	return ini.Fill(s, ruleFields, r)
+}
+
+func (d *Document) decodeTeam(s *ini.Section) []ini.Problem {
+	t := &Team{name: s.Name()}
+	d.teams[t.name] = t
+	return ini.Fill(s, teamFields, t)
+}
--- /dev/null
+++ b/document/parsers.go
@@ -0,0 +1,128 @@
+package document
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/ini"
+)
+
+const percent = 100
+
+var errForm = errors.New("is not valid")
+
+// keyHash returns a parser of key hashes as HashKey gives them.
+func keyHash() ini.Parser[string] {
+	const hexDigits = 64
+	return ini.NewParser("sha256: and 64 hex digits a-f in lower case", func(text string) (string, error) {
+		digits, ok := strings.CutPrefix(text, hashPrefix)
+		if !ok || len(digits) != hexDigits || strings.ToLower(digits) != digits {
+			return "", errForm
+		}
+		if _, err := hex.DecodeString(digits); err != nil {
+			return "", errForm
+		}
+		return text, nil
+	})
+}
+
+// replica returns a parser of IP:port@zone.
+func replica() ini.Parser[Replica] {
+	return ini.NewParser("IP:port@zone", func(text string) (Replica, error) {
+		address, zone, ok := strings.Cut(text, "@")
+		if !ok || zone == "" || strings.ContainsAny(zone, " @") {
+			return Replica{}, errForm
+		}
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return Replica{}, errForm
+		}
+		return Replica{address: address, zone: zone}, nil
+	})
+}
+
+// route returns a parser of a method and a path pattern.
+func route() ini.Parser[Route] {
+	return ini.NewParser("METHOD /path, a method or *, and a path that may end in *", func(text string) (Route, error) {
+		method, path, ok := strings.Cut(text, " ")
+		if !ok || !validMethod(method) || !validPath(path) {
+			return Route{}, errForm
+		}
+		return Route{method: method, path: path}, nil
+	})
+}
+
+func validMethod(method string) bool {
+	if method == "*" {
+		return true
+	}
+	return method != "" && strings.Trim(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
+}
+
+func validPath(path string) bool {
+	return strings.HasPrefix(path, "/") && onlyTrailingStar(path) && !strings.ContainsAny(path, " \t?#")
+}
+
+func onlyTrailingStar(s string) bool {
+	return !strings.Contains(strings.TrimSuffix(s, "*"), "*")
+}
+
+// pattern returns a parser of section patterns such as "organisation shop-*".
+func pattern() ini.Parser[string] {
+	allowed := "a section's header, which may end in *; its kind is one of " + strings.Join(Kinds(), ", ")
+	return ini.NewParser(allowed, func(text string) (string, error) {
+		if text == "*" {
+			return text, nil
+		}
+		kind, name, named := strings.Cut(text, " ")
+		known := contains(Kinds(), kind)
+		if !known || named == (kind == "policy") || !onlyTrailingStar(name) || strings.Contains(name, " ") {
+			return "", errForm
+		}
+		return text, nil
+	})
+}
+
+// versions returns a parser of versions with shares that sum to 100.
+func versions() ini.Parser[[]Version] {
+	allowed := "a comma list, each item: version:share; the shares are from 0 to 100 and sum to 100"
+	return ini.NewParser(allowed, func(text string) ([]Version, error) {
+		var list []Version
+		seen := map[string]bool{}
+		sum := 0
+		for _, part := range strings.Split(text, ",") {
+			v, err := parseVersion(strings.TrimSpace(part))
+			if err != nil {
+				return nil, err
+			}
+			if seen[v.name] {
+				return nil, errors.Newf("names %s twice", v.name)
+			}
+			seen[v.name] = true
+			sum += v.share
+			list = append(list, v)
+		}
+		if sum != percent {
+			return nil, errors.Newf("has shares that sum to %d", sum)
+		}
+		return list, nil
+	})
+}
+
+func parseVersion(text string) (Version, error) {
+	name, digits, ok := strings.Cut(text, ":")
+	if !ok || name == "" || strings.Contains(name, " ") {
+		return Version{}, errForm
+	}
+	share, err := strconv.Atoi(digits)
+	if err != nil {
+		return Version{}, errForm
+	}
+	if share < 0 || share > percent {
+		return Version{}, errors.New("has a share out of range")
+	}
+	return Version{name: name, share: share}, nil
+}
--- /dev/null
+++ b/document/reference.go
@@ -0,0 +1,20 @@
+package document
+
+import (
+	"strings"
+
+	"peridotusher.example/peridotusher/ini"
+)
+
+// Reference returns the tables of every section kind's keys in Markdown.
+func Reference() string {
+	return strings.Join([]string{
+		ini.Reference("policy", policyFields),
+		ini.Reference("class NAME", classFields),
+		ini.Reference("organisation NAME", organisationFields),
+		ini.Reference("model NAME", modelFields),
+		ini.Reference("service NAME", serviceFields),
+		ini.Reference("rule NAME", ruleFields),
+		ini.Reference("team NAME", teamFields),
+	}, "\n")
+}
--- /dev/null
+++ b/document/sections.go
@@ -0,0 +1,34 @@
+package document
+
+// Text returns the whole text of the document.
+func (d *Document) Text() string { return d.file.Text() }
+
+// Sections returns the headers of all sections in document order, without their brackets.
+func (d *Document) Sections() []string {
+	headers := make([]string, 0, len(d.file.Sections()))
+	for _, s := range d.file.Sections() {
+		headers = append(headers, s.Header())
+	}
+	return headers
+}
+
+// Section returns the raw text of the section with the given header, such as
+// "class chat". The comment lines directly above the header belong to it. The
+// texts of all sections, joined in order, are the document's text.
+func (d *Document) Section(header string) (string, bool) {
+	s, ok := d.sections[header]
+	if !ok {
+		return "", false
+	}
+	return s.Text(), true
+}
+
+// OwnerOf returns the name of the team that owns the section with the given
+// header. The section need not exist yet.
+func (d *Document) OwnerOf(header string) (string, bool) {
+	teams := d.owners.of(header)
+	if len(teams) == 0 {
+		return "", false
+	}
+	return teams[0], true
+}
--- a/document/types.go
+++ b/document/types.go
@@ -66,7 +66,7 @@
 // Deadline returns the time within which the whole answer is due.
 func (c *Class) Deadline() time.Duration { return c.deadline }
 
-// FirstToken returns the time within which the first token is due.
+// FirstToken returns the time within which the first token is due, zero for no limit.
 func (c *Class) FirstToken() time.Duration { return c.firstToken }
 
 // Work returns the work units that one request of the class counts for.
@@ -141,7 +141,7 @@
 // Fencing returns whether the model's engines check the fencing number of an order.
 func (m *Model) Fencing() Fencing { return m.fencing }
 
-// Versions returns the versions to serve, with their shares.
+// Versions returns the versions to serve, with their shares, empty for the version that an engine runs.
 func (m *Model) Versions() []Version { return m.versions }
 
 // Adapters returns the adapters to load.
--- /dev/null
+++ b/ini/table.go
@@ -0,0 +1,151 @@
+package ini
+
+import (
+	"sort"
+	"strings"
+)
+
+// Kind says how the sections of one kind are read.
+type Kind struct {
+	// Named is set if the header holds a name after the kind.
+	Named bool
+	// Decode reads one section and returns its problems.
+	Decode func(s *Section) []Problem
+}
+
+// Decode reads every section by its kind and reports unknown sections.
+func (f *File) Decode(kinds map[string]Kind) []Problem {
+	var problems []Problem
+	for _, s := range f.sections {
+		k, ok := kinds[s.Kind()]
+		switch {
+		case !ok:
+			problems = append(problems, s.Problem("", "the section is unknown", kindNames(kinds)))
+		case k.Named && s.Name() == "":
+			problems = append(problems, s.Problem("", "the section has no name", "["+s.Kind()+" name]"))
+		case !k.Named && s.Name() != "":
+			problems = append(problems, s.Problem("", "the section takes no name", "["+s.Kind()+"]"))
+		default:
+			problems = append(problems, k.Decode(s)...)
+		}
+	}
+	return problems
+}
+
+func kindNames(kinds map[string]Kind) string {
+	names := make([]string, 0, len(kinds))
+	for name := range kinds {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return strings.Join(names, ", ")
+}
+
+// Field describes one key of a section kind that fills a T.
+type Field[T any] struct {
+	// Name is the key's name.
+	Name string
+	// Default is the value of an absent key. Without it the T is left as it is.
+	Default string
+	// Required is set if the key may not be absent.
+	Required bool
+	// Text says what the key means, with its unit.
+	Text string
+	// Value reads the value and sets it.
+	Value Value[T]
+}
+
+// Value reads a value into its place in a T.
+type Value[T any] struct {
+	allowed string
+	set     func(target *T, text string) error
+}
+
+// Allowed returns which values may stand there.
+func (v Value[T]) Allowed() string { return v.allowed }
+
+// Of returns the Value that reads with the parser into the place that at returns.
+func Of[T, V any](p Parser[V], at func(target *T) *V) Value[T] {
+	set := func(target *T, text string) error {
+		v, err := p.parse(text)
+		if err != nil {
+			return err
+		}
+		*at(target) = v
+		return nil
+	}
+	return Value[T]{allowed: p.allowed, set: set}
+}
+
+// Fill sets the target from the section's keys and the defaults, and reports
+// unknown keys, missing keys and wrong values.
+func Fill[T any](s *Section, fields []Field[T], target *T) []Problem {
+	problems := fillDefaults(s, fields, target)
+	for _, k := range s.keys {
+		i := indexOf(fields, k.name)
+		if i < 0 {
+			problems = append(problems, s.Problem(k.name, "the key is unknown", fieldNames(fields)))
+			continue
+		}
+		if err := fields[i].Value.set(target, k.value); err != nil {
+			message := quote(k.value) + " " + err.Error()
+			problems = append(problems, s.Problem(k.name, message, fields[i].Value.allowed))
+		}
+	}
+	return problems
+}
+
+// Defaults sets the target from the defaults, as for a section that is absent.
+func Defaults[T any](fields []Field[T], target *T) {
+	for _, field := range fields {
+		if field.Default != "" {
+			mustSet(field, target)
+		}
+	}
+}
+
+func fillDefaults[T any](s *Section, fields []Field[T], target *T) []Problem {
+	var problems []Problem
+	for _, field := range fields {
+		switch {
+		case s.has(field.Name):
+		case field.Required:
+			problems = append(problems, s.Problem(field.Name, "the key is missing", field.Value.allowed))
+		case field.Default != "":
+			mustSet(field, target)
+		}
+	}
+	return problems
+}
+
+func mustSet[T any](field Field[T], target *T) {
+	if err := field.Value.set(target, field.Default); err != nil {
+		panic("ini: the default of " + field.Name + " is not valid: " + err.Error())
+	}
+}
+
+func (s *Section) has(key string) bool {
+	for _, k := range s.keys {
+		if k.name == key {
+			return true
+		}
+	}
+	return false
+}
+
+func indexOf[T any](fields []Field[T], name string) int {
+	for i := range fields {
+		if fields[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func fieldNames[T any](fields []Field[T]) string {
+	names := make([]string, len(fields))
+	for i, field := range fields {
+		names[i] = field.Name
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"net/netip"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/ini"
+)
+
+// check finds the problems between keys.
+func (s *Settings) check(file *ini.File) []ini.Problem {
+	var problems []ini.Problem
+	for _, section := range file.Sections() {
+		if section.Header() == "peer" {
+			problems = append(problems, s.peer.check(section)...)
+		}
+	}
+	return problems
+}
+
+func (p Peer) check(section *ini.Section) []ini.Problem {
+	var problems []ini.Problem
+	if netip.MustParseAddrPort(p.advertise).Addr().IsUnspecified() {
+		problems = append(problems, section.Problem("advertise", "other routers can't reach the address "+p.advertise, "an IP of this host, with its port"))
+	}
+	named := 0
+	for _, path := range []string{p.cert, p.key, p.ca} {
+		if path != "" {
+			named++
+		}
+	}
+	const all = 3
+	switch {
+	case named > 0 && named < all:
+		problems = append(problems, section.Problem("cert", "only some of cert, key and ca are named", "all three, or none"))
+	case named == all && p.plain:
+		problems = append(problems, section.Problem("plain", "certificates are named too", "no with certificates"))
+	case named == 0 && !p.plain && !p.loopback():
+		problems = append(problems, section.Problem("plain", "plain TCP would leave this host", "yes, or cert, key and ca"))
+	}
+	return problems
+}
+
+func (p Peer) loopback() bool {
+	return isLoopback(p.listen) && isLoopback(p.advertise)
+}
+
+func isLoopback(address string) bool {
+	return netip.MustParseAddrPort(address).Addr().IsLoopback()
+}
+
+// CheckFile reads a file as settings or as a configuration document, told
+// apart by its sections, and returns its problems.
+func CheckFile(path string) ([]ini.Problem, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the file to check")
+	}
+	if isSettings(path, text) {
+		_, problems := Parse(path, text)
+		return problems, nil
+	}
+	_, problems := document.Parse(path, text)
+	return problems, nil
+}
+
+// isSettings returns whether more sections are of the settings' kinds than of a document's.
+func isSettings(path string, text []byte) bool {
+	own := map[string]bool{}
+	for _, t := range (&Settings{}).tables() {
+		own[t.name] = true
+	}
+	other := map[string]bool{}
+	for _, kind := range document.Kinds() {
+		other[kind] = true
+	}
+	file, _ := ini.Read(path, text)
+	score := 0
+	for _, section := range file.Sections() {
+		switch {
+		case own[section.Kind()]:
+			score++
+		case other[section.Kind()]:
+			score--
+		}
+	}
+	return score > 0
+}
