--- a/engine.go
+++ b/engine.go
@@ -80,3 +80,9 @@
 	}
 	return false
 }
+
+// WithState returns a copy of the engine in the given state.
+func (e Engine) WithState(state EngineState) Engine {
+	e.state = state
+	return e
+}
--- /dev/null
+++ b/entry/host.go
@@ -0,0 +1,190 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/engine"
+	"peridotusher.example/peridotusher/operator"
+	"peridotusher.example/peridotusher/peer"
+	"peridotusher.example/peridotusher/service"
+)
+
+// Host is one router process.
+type Host struct {
+	Name     string
+	Zone     string
+	Caller   net.Listener
+	Operator net.Listener
+	Peer     net.Listener
+	Address  string // where peers reach this router, the Peer listener's address if empty
+	Prefix   string // prefix of the store's keys
+	Store    Store
+	Hosts    HostList
+	Limits   caller.Limits
+	Drain    time.Duration // longest graceful shutdown
+	Clock    peridotusher.Clock
+	Log      logrus.FieldLogger
+	Seed     uint64
+
+	current atomic.Pointer[document.Document]
+	members *peridotusher.Members
+	engines *peridotusher.Engines
+	ledger  *peridotusher.Ledger
+	owner   *peridotusher.Owner
+	ingress *peridotusher.Ingress
+	node    *peer.Node
+	models  *engine.Client
+	plain   *service.Client
+	metrics *operator.Metrics
+}
+
+// Run serves until ctx ends and the requests in flight have been answered.
+func (h *Host) Run(ctx context.Context) error {
+	closeClients, err := h.build()
+	if err != nil {
+		return err
+	}
+	defer closeClients()
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return h.node.Run(background) })
+	group.Go(func() error { return h.watchDocument(background) })
+	group.Go(func() error { return h.watchHosts(background) })
+	group.Go(func() error { return h.pollLoads(background) })
+	group.Go(func() error { return h.operatorServer().Run(background) })
+	group.Go(func() error {
+		defer stopBackground()
+		return h.serveCallers(ctx, background)
+	})
+	err = group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Document returns the configuration in force, nil before the first.
+func (h *Host) Document() *document.Document { return h.current.Load() }
+
+// serveCallers serves until ctx ends or a part of the host fails.
+func (h *Host) serveCallers(ctx, background context.Context) error {
+	serving, stopServing := context.WithCancel(ctx)
+	defer stopServing()
+	stop := context.AfterFunc(background, stopServing)
+	defer stop()
+	announce := context.AfterFunc(serving, func() { h.announceLeaving(background) })
+	defer announce()
+	server := &caller.Server{
+		Listener: h.Caller,
+		Chats:    &chats{host: h},
+		Services: &services{host: h},
+		Document: h.Document,
+		Clock:    h.Clock,
+		Log:      h.Log,
+		NewID:    uuid.NewString,
+		Limits:   h.Limits,
+		Drain:    h.Drain,
+		Record:   h.metrics.Record,
+	}
+	h.Log.WithFields(logrus.Fields{"router": h.Name, "zone": h.Zone, "callers": h.Caller.Addr()}).Info("router started")
+	err := server.Run(serving)
+	h.Log.WithFields(logrus.Fields{"router": h.Name, "in_flight": server.InFlight()}).Info("router stopped")
+	return err
+}
+
+func (h *Host) announceLeaving(ctx context.Context) {
+	if err := h.node.Leaving(ctx); err != nil {
+		h.Log.WithError(err).Warn("leaving notice not sent")
+	}
+}
+
+// build fills the tables and the clients.
+func (h *Host) build() (func(), error) {
+	address := h.Address
+	if address == "" {
+		address = h.Peer.Addr().String()
+	}
+	self := peridotusher.NewMember(peridotusher.RouterID(h.Name), peridotusher.Zone(h.Zone), address, uint64(h.Clock.Now().UnixNano()))
+	h.members = peridotusher.NewMembers(self, h.Clock)
+	h.engines = peridotusher.NewEngines()
+	h.ledger = peridotusher.NewLedger()
+	h.metrics = operator.NewMetrics()
+	placer := &peridotusher.Placer{Engines: h.engines}
+	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
+	h.node = &peer.Node{
+		Self:     self,
+		Listener: h.Peer,
+		Members:  h.members,
+		Permits:  h.owner,
+		Loads:    h.ledger,
+		Sink:     loadSink{host: h},
+		Revision: revisionSource{host: h},
+		Clock:    h.Clock,
+		Log:      h.Log,
+		Seed:     h.Seed,
+	}
+	h.ingress = &peridotusher.Ingress{
+		Self:      self.ID(),
+		Ownership: h.members,
+		Engines:   h.engines,
+		Placer:    placer,
+		Local:     h.owner,
+		Peers:     h.node,
+		Clock:     h.Clock,
+	}
+	return h.buildClients()
+}
+
+func (h *Host) buildClients() (func(), error) {
+	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock})
+	if err != nil {
+		return nil, err
+	}
+	plain, closePlain, err := service.New(service.Options{})
+	if err != nil {
+		closeModels()
+		return nil, err
+	}
+	h.models = models
+	h.plain = plain
+	return func() {
+		closeModels()
+		closePlain()
+	}, nil
+}
+
+func (h *Host) operatorServer() *operator.Server {
+	return &operator.Server{Listener: h.Operator, Metrics: h.metrics}
+}
+
+// loadSink takes the loads that other owners report.
+type loadSink struct{ host *Host }
+
+// SetLoads implements peer.LoadSink.
+func (s loadSink) SetLoads(_ peridotusher.RouterID, loads []peridotusher.EngineLoad) {
+	s.host.ledger.SetRemote(s.host.Clock.Now(), loads)
+}
+
+// revisionSource tells the revision of the configuration in force.
+type revisionSource struct{ host *Host }
+
+// Revision implements peer.RevisionSource.
+func (s revisionSource) Revision() uint64 {
+	doc := s.host.Document()
+	if doc == nil {
+		return 0
+	}
+	return doc.Revision()
+}
