--- /dev/null
+++ b/hosts/client.go
@@ -0,0 +1,144 @@
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	defaultInterval = 2 * time.Second
+	defaultTimeout  = 2 * time.Second
+	maxListBytes    = 64 << 20
+	jitter          = 0.25 // share of the interval by which a pause may differ
+)
+
+// Client reads the list. Set its fields before the first call.
+type Client struct {
+	URL      string
+	Interval time.Duration      // mean pause between two reads; 2 s when zero
+	Timeout  time.Duration      // limit of one read; 2 s when zero
+	Changed  func([]Host)       // gets each list that differs from the one before
+	Rand     func() float64     // random numbers in [0, 1); math/rand/v2 when nil
+	HTTP     *http.Client       // http.DefaultClient when nil
+	Log      logrus.FieldLogger // the standard logger when nil
+}
+
+// targetGroup is the wire type of hosts that share their labels.
+type targetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// List reads the hosts, sorted by name. Malformed hosts are logged and left out.
+func (c *Client) List(ctx context.Context) ([]Host, error) {
+	groups, err := c.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var list []Host
+	for _, group := range groups {
+		for _, target := range group.Targets {
+			host, err := NewHost(target, group.Labels)
+			if err != nil {
+				c.log().WithError(err).Warn("malformed host left out")
+				continue
+			}
+			list = append(list, host)
+		}
+	}
+	slices.SortFunc(list, func(a, b Host) int {
+		if n := strings.Compare(a.Name(), b.Name()); n != 0 {
+			return n
+		}
+		return strings.Compare(a.address, b.address)
+	})
+	return list, nil
+}
+
+// read fetches and decodes the list.
+func (c *Client) read(ctx context.Context) ([]targetGroup, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "host list")
+	}
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "host list")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("host list: status %d", resp.StatusCode)
+	}
+	var groups []targetGroup
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&groups); err != nil {
+		return nil, errors.Wrap(err, "host list")
+	}
+	return groups, nil
+}
+
+// Run reads the list again and again until ctx is done. A read that fails
+// leaves the last list in force.
+func (c *Client) Run(ctx context.Context) error {
+	var last []Host
+	known := false
+	for {
+		list, err := c.List(ctx)
+		switch {
+		case err != nil && ctx.Err() == nil:
+			c.log().WithError(err).Warn("host list not read")
+		case err == nil && (!known || !slices.EqualFunc(last, list, Host.Equal)):
+			last, known = list, true
+			c.Changed(list)
+		}
+		timer := time.NewTimer(c.pause())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+	}
+}
+
+// pause returns the time until the next read.
+func (c *Client) pause() time.Duration {
+	interval := c.Interval
+	if interval == 0 {
+		interval = defaultInterval
+	}
+	random := c.Rand
+	if random == nil {
+		random = rand.Float64
+	}
+	factor := 1 - jitter + 2*jitter*random()
+	return time.Duration(factor * float64(interval))
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP == nil {
+		return http.DefaultClient
+	}
+	return c.HTTP
+}
+
+func (c *Client) log() logrus.FieldLogger {
+	if c.Log == nil {
+		return logrus.StandardLogger()
+	}
+	return c.Log
+}
--- /dev/null
+++ b/standin/hosts.go
@@ -0,0 +1,125 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/hosts"
+)
+
+// Hosts stands in for the platform's list of live and leaving hosts.
+type Hosts struct {
+	Listener net.Listener
+	Clock    peridotusher.Clock // the wall clock when nil
+	Lag      time.Duration      // age of the list that is served
+
+	mu       sync.Mutex
+	versions []hostsVersion // in order of time
+	calls    int
+	down     bool
+}
+
+// hostsVersion is the list as it was from a time on.
+type hostsVersion struct {
+	from  time.Time
+	hosts map[string]hosts.Host
+}
+
+// hostsGroup is the wire type of a host.
+type hostsGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Run serves the list at every path until ctx is done.
+func (s *Hosts) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /", s.serve)
+	return platformServe(ctx, s.Listener, mux)
+}
+
+// Set adds the host or replaces the one of its name.
+func (s *Hosts) Set(h hosts.Host) {
+	s.change(func(list map[string]hosts.Host) { list[h.Name()] = h })
+}
+
+// SetState sets the state of the named host, if there is one.
+func (s *Hosts) SetState(name string, state hosts.State) {
+	s.change(func(list map[string]hosts.Host) {
+		if h, ok := list[name]; ok {
+			list[name] = h.WithState(state)
+		}
+	})
+}
+
+// Remove removes the named host.
+func (s *Hosts) Remove(name string) {
+	s.change(func(list map[string]hosts.Host) { delete(list, name) })
+}
+
+// SetDown makes the server refuse every request.
+func (s *Hosts) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Calls returns the number of requests that arrived.
+func (s *Hosts) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// change adds a version of the list.
+func (s *Hosts) change(edit func(map[string]hosts.Host)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := map[string]hosts.Host{}
+	if n := len(s.versions); n > 0 {
+		list = maps.Clone(s.versions[n-1].hosts)
+	}
+	edit(list)
+	s.versions = append(s.versions, hostsVersion{platformNow(s.Clock), list})
+}
+
+// serve answers with the list as it was before the lag.
+func (s *Hosts) serve(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	down := s.down
+	list := s.visibleLocked()
+	s.mu.Unlock()
+	if down {
+		http.Error(w, "host list unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	groups := []hostsGroup{}
+	for _, name := range slices.Sorted(maps.Keys(list)) {
+		h := list[name]
+		groups = append(groups, hostsGroup{[]string{h.Address()}, h.Labels()})
+	}
+	platformAnswer(w, http.StatusOK, groups)
+}
+
+// visibleLocked returns the list that callers see and forgets older ones.
+func (s *Hosts) visibleLocked() map[string]hosts.Host {
+	seen := platformNow(s.Clock).Add(-s.Lag)
+	visible := -1
+	for i, v := range s.versions {
+		if !v.from.After(seen) {
+			visible = i
+		}
+	}
+	if visible < 0 {
+		return nil
+	}
+	s.versions = s.versions[visible:]
+	return s.versions[0].hosts
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+)
+
+// platformServe answers requests on l until ctx is done, then cuts them.
+func platformServe(ctx context.Context, l net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		return server.Close()
+	})
+	return group.Wait()
+}
+
+// platformNow reads the clock, or the wall clock if there is none.
+func platformNow(c peridotusher.Clock) time.Time {
+	if c == nil {
+		return time.Now()
+	}
+	return c.Now()
+}
+
+// platformAnswer writes v as JSON.
+func platformAnswer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that is gone needs no answer.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// platformLimited answers that the rate limit was exceeded.
+func platformLimited(w http.ResponseWriter, retryAfter time.Duration) {
+	seconds := int((retryAfter + time.Second - 1) / time.Second)
+	w.Header().Set("Retry-After", strconv.Itoa(max(seconds, 1)))
+	platformAnswer(w, http.StatusTooManyRequests, struct {
+		Message string `json:"message"`
+	}{"too many requests"})
+}
