peer: sessions between routers over yamux and protobuf

Routers need calls to each other that fail at once when there is no session, heartbeats that feed Members, and a permit that no large message delays. One session per pair holds a stream for permits and one for all else; envelopes carry a kind, so other packages add kinds with Node.Handle.

--- /dev/null
+++ b/peer/connect.go
@@ -0,0 +1,192 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"peridotusher.example/peridotusher"
+)
+
+// errStaleIncarnation means that a later process of the same router is known.
+var errStaleIncarnation = errors.New("a later incarnation of the router is known")
+
+// accept serves the connections of other routers until the listener closes.
+func (n *Node) accept(ctx context.Context) error {
+	for {
+		conn, err := n.Listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			n.Log.WithError(err).Warn("connection not accepted")
+			wait(ctx, n.Heartbeat)
+			continue
+		}
+		if n.TLS != nil {
+			conn = tls.Server(conn, n.TLS)
+		}
+		n.group.Go(func() error {
+			_ = n.connect(ctx, conn, false, nil)
+			return nil
+		})
+	}
+}
+
+// wait returns after d or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// dialMissing dials the members that have no session and whose backoff is over.
+func (n *Node) dialMissing(ctx context.Context) {
+	members := n.Members.All()
+	n.dials.keep(members)
+	for _, m := range members {
+		if m.ID() == n.Self.ID() || n.connected(m) || !n.dials.begin(m.Address()) {
+			continue
+		}
+		n.group.Go(func() error {
+			n.dial(ctx, m)
+			return nil
+		})
+	}
+}
+
+// connected reports whether there is a session with the member, or with the
+// router that answered at its address.
+func (n *Node) connected(m peridotusher.Member) bool {
+	if _, ok := n.sessions.get(m.ID()); ok {
+		return true
+	}
+	_, ok := n.sessions.get(n.dials.routerAt(m.Address()))
+	return ok
+}
+
+// dial connects to a member and serves the session until it ends.
+func (n *Node) dial(ctx context.Context, m peridotusher.Member) {
+	dialer := net.Dialer{Timeout: n.Timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", m.Address())
+	if err != nil {
+		n.dials.failed(m.Address(), err)
+		if errors.Is(err, syscall.ECONNREFUSED) && !n.connected(m) {
+			n.Members.Suspect(m.ID())
+		}
+		return
+	}
+	if n.TLS != nil {
+		conn = tls.Client(conn, clientTLS(n.TLS, m.Address()))
+	}
+	err = n.connect(ctx, conn, true, func(id peridotusher.RouterID) { n.dials.succeeded(m.Address(), id) })
+	if err != nil {
+		n.dials.failed(m.Address(), err)
+	}
+}
+
+// clientTLS returns the configuration with the name that the peer must prove.
+func clientTLS(cfg *tls.Config, address string) *tls.Config {
+	if cfg.ServerName != "" {
+		return cfg
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return cfg
+	}
+	named := cfg.Clone()
+	named.ServerName = host
+	return named
+}
+
+// connect makes a session of a connection and serves it until it ends. The
+// error is nil once the session was up.
+func (n *Node) connect(ctx context.Context, conn net.Conn, dialled bool, up func(peridotusher.RouterID)) error {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer conn.Close()
+	counted := newCountedConn(conn, n.traffic, n.Clock)
+	shaken, peer, err := n.handshake(counted, dialled)
+	if err != nil {
+		n.Log.WithError(err).WithField("address", conn.RemoteAddr()).Warn("handshake failed")
+		return err
+	}
+	if !n.Members.Heard(peer) {
+		return errStaleIncarnation
+	}
+	mux, streams, err := n.openStreams(shaken, dialled)
+	if err != nil {
+		return err
+	}
+	s := n.newSession(peer, dialled, counted)
+	added := n.sessions.add(s)
+	if up != nil {
+		up(peer.ID())
+	}
+	if !added {
+		return mux.Close()
+	}
+	defer n.sessions.remove(s)
+	if ctx.Err() != nil {
+		s.close(ctx.Err())
+	}
+	log := n.Log.WithField("peer", peer.ID()).WithField("zone", peer.Zone())
+	log.Info("session up")
+	err = s.run(mux, streams)
+	log.WithField("cause", err).Info("session down")
+	return nil
+}
+
+// newSession returns a session whose messages this node handles.
+func (n *Node) newSession(peer peridotusher.Member, dialled bool, conn *countedConn) *session {
+	dialer := peer.ID()
+	if dialled {
+		dialer = n.Self.ID()
+	}
+	s := newSession(peer, dialer, conn, n.traffic)
+	s.receive = n.receive
+	s.orphan = n.returnOrphan
+	return s
+}
+
+// openStreams starts yamux. The dialling side opens the streams, in the order
+// of the lanes.
+func (n *Node) openStreams(conn net.Conn, dialled bool) (*yamux.Session, []*yamux.Stream, error) {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = n.Timeout
+	cfg.LogOutput = io.Discard
+	start := yamux.Server
+	if dialled {
+		start = yamux.Client
+	}
+	mux, err := start(conn, cfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	next := mux.AcceptStream
+	if dialled {
+		next = mux.OpenStream
+	}
+	streams := make([]*yamux.Stream, laneCount)
+	for i := range streams {
+		streams[i], err = next()
+		if err != nil {
+			_ = mux.Close()
+			return nil, nil, err
+		}
+	}
+	return mux, streams, nil
+}
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/cockroachdb/errors"
+	"peridotusher.example/peridotusher"
+)
+
+// The protocol versions of this program.
+const (
+	protocolVersion = 1
+	oldestVersion   = 1
+)
+
+// maxHelloBytes bounds the first message of a connection.
+const maxHelloBytes = 4 << 10
+
+// errSelfDialled means that an address leads back to this router.
+var errSelfDialled = errors.New("address leads back to this router")
+
+// bufferedConn reads a connection through a buffer.
+type bufferedConn struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (c *bufferedConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
+// handshake exchanges Hellos and returns the connection to go on with and the
+// router at its other end. Both sides send theirs before they judge, so that
+// each can say which of them must be upgraded.
+func (n *Node) handshake(conn net.Conn, dialled bool) (net.Conn, peridotusher.Member, error) {
+	var none peridotusher.Member
+	if err := conn.SetDeadline(time.Now().Add(n.Timeout)); err != nil {
+		return nil, none, err
+	}
+	buffered := &bufferedConn{Conn: conn, r: bufio.NewReader(conn)}
+	hello, err := n.exchange(buffered, dialled)
+	if err != nil {
+		return nil, none, err
+	}
+	if err := n.checkVersion(hello); err != nil {
+		return nil, none, err
+	}
+	id := peridotusher.RouterID(hello.GetRouter())
+	if id == n.Self.ID() {
+		return nil, none, errSelfDialled
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, none, err
+	}
+	zone := peridotusher.Zone(hello.GetZone())
+	return buffered, peridotusher.NewMember(id, zone, hello.GetAddress(), hello.GetIncarnation()), nil
+}
+
+// exchange sends this router's Hello and reads the peer's. The dialling side
+// sends first.
+func (n *Node) exchange(conn *bufferedConn, dialled bool) (*Hello, error) {
+	own := &Hello{
+		Version:     n.version,
+		Oldest:      n.oldest,
+		Router:      string(n.Self.ID()),
+		Zone:        string(n.Self.Zone()),
+		Address:     n.Self.Address(),
+		Incarnation: n.Self.Incarnation(),
+	}
+	if dialled {
+		if _, err := protodelim.MarshalTo(conn, own); err != nil {
+			return nil, err
+		}
+	}
+	hello := &Hello{}
+	read := protodelim.UnmarshalOptions{MaxSize: maxHelloBytes}
+	if err := read.UnmarshalFrom(conn.r, hello); err != nil {
+		return nil, err
+	}
+	if !dialled {
+		if _, err := protodelim.MarshalTo(conn, own); err != nil {
+			return nil, err
+		}
+	}
+	return hello, nil
+}
+
+// checkVersion compares the versions of both sides.
+func (n *Node) checkVersion(hello *Hello) error {
+	if hello.GetVersion() >= n.oldest && n.version >= hello.GetOldest() {
+		return nil
+	}
+	return &VersionError{
+		peer:        peridotusher.RouterID(hello.GetRouter()),
+		selfVersion: n.version,
+		selfOldest:  n.oldest,
+		peerVersion: hello.GetVersion(),
+		peerOldest:  hello.GetOldest(),
+	}
+}
--- /dev/null
+++ b/peer/kind.go
@@ -0,0 +1,32 @@
+package peer
+
+// Kind names a type of message. Each kind has one handler.
+type Kind uint32
+
+// The kinds of this package. Other packages take numbers from KindOther on.
+const (
+	KindHeartbeat Kind = 1
+	KindLeaving   Kind = 2
+	KindAsk       Kind = 3
+	KindReturn    Kind = 4
+	KindReport    Kind = 5
+	KindOther     Kind = 16
+)
+
+// lane selects one of the streams of a session.
+type lane int
+
+// The lanes, in the order in which their streams are opened.
+const (
+	controlLane lane = iota
+	permitLane
+	laneCount
+)
+
+// lane returns the stream that carries messages of the kind.
+func (k Kind) lane() lane {
+	if k == KindAsk || k == KindReturn {
+		return permitLane
+	}
+	return controlLane
+}
--- /dev/null
+++ b/peer/permit.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cockroachdb/errors"
+	"peridotusher.example/peridotusher"
+)
+
+// errNoPermits answers routers that ask a node without a PermitHandler.
+var errNoPermits = errors.New("router gives no permits")
+
+// PermitHandler decides on permits for the engines that this router owns.
+type PermitHandler interface {
+	Ask(ctx context.Context, ask peridotusher.Ask) peridotusher.Answer
+	Return(r peridotusher.Return)
+	Report(from peridotusher.RouterID, held []peridotusher.HeldPermit)
+}
+
+// Ask asks a router for a permit. This router's own asks are not sent.
+func (n *Node) Ask(ctx context.Context, to peridotusher.RouterID, ask peridotusher.Ask) (peridotusher.Answer, error) {
+	if to == n.Self.ID() && n.Permits != nil {
+		return n.Permits.Ask(ctx, ask), nil
+	}
+	var reply AnswerPermit
+	if err := n.Call(ctx, to, KindAsk, n.askToWire(ask), &reply); err != nil {
+		return peridotusher.Answer{}, err
+	}
+	return answerFromWire(&reply), nil
+}
+
+// Return ends a permit at the router that gave it and waits for its confirmation.
+func (n *Node) Return(ctx context.Context, to peridotusher.RouterID, r peridotusher.Return) error {
+	if to == n.Self.ID() && n.Permits != nil {
+		n.Permits.Return(r)
+		return nil
+	}
+	return n.Call(ctx, to, KindReturn, returnToWire(r), nil)
+}
+
+// Report tells an engine's new owner which permits this router holds and waits
+// for its confirmation.
+func (n *Node) Report(ctx context.Context, to peridotusher.RouterID, held []peridotusher.HeldPermit) error {
+	if to == n.Self.ID() && n.Permits != nil {
+		n.Permits.Report(to, held)
+		return nil
+	}
+	msg := &HeldPermits{}
+	for _, h := range held {
+		msg.Permits = append(msg.Permits, &HeldPermit{Permit: string(h.Permit), Ask: n.askToWire(h.Ask)})
+	}
+	return n.Call(ctx, to, KindReport, msg, nil)
+}
+
+// handleAsk decides on another router's ask.
+func (n *Node) handleAsk(ctx context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg AskPermit
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Permits == nil {
+		return nil, errNoPermits
+	}
+	answer := n.Permits.Ask(ctx, n.askFromWire(&msg))
+	return proto.Marshal(answerToWire(answer))
+}
+
+// returnOrphan gives a permit back whose ask was given up before the answer came.
+func (n *Node) returnOrphan(s *session, e *Envelope) {
+	var answer AnswerPermit
+	if Kind(e.GetKind()) != KindAsk || proto.Unmarshal(e.GetBody(), &answer) != nil || !answer.GetGranted() {
+		return
+	}
+	body, err := proto.Marshal(&ReturnPermit{
+		Permit:  answer.GetPermit(),
+		Engine:  answer.GetEngine(),
+		Ingress: string(n.Self.ID()),
+		Verdict: uint32(peridotusher.NotRun),
+	})
+	if err == nil {
+		err = s.offer(&Envelope{Kind: uint32(KindReturn), Body: body})
+	}
+	if err != nil {
+		n.Log.WithError(err).WithField("peer", s.peer.ID()).Warn("late permit not returned")
+	}
+}
+
+// handleReturn ends a permit.
+func (n *Node) handleReturn(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg ReturnPermit
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Permits == nil {
+		return nil, errNoPermits
+	}
+	n.Permits.Return(returnFromWire(&msg))
+	return nil, nil
+}
+
+// handleReport takes the permits that another router holds.
+func (n *Node) handleReport(_ context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg HeldPermits
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Permits == nil {
+		return nil, errNoPermits
+	}
+	held := make([]peridotusher.HeldPermit, 0, len(msg.GetPermits()))
+	for _, p := range msg.GetPermits() {
+		held = append(held, peridotusher.HeldPermit{
+			Permit: peridotusher.PermitID(p.GetPermit()),
+			Ask:    n.askFromWire(p.GetAsk()),
+		})
+	}
+	n.Permits.Report(from, held)
+	return nil, nil
+}
+
+// askToWire converts an ask. Its deadline travels as the time that remains.
+func (n *Node) askToWire(a peridotusher.Ask) *AskPermit {
+	msg := &AskPermit{
+		Request:      string(a.Request.ID),
+		Chat:         string(a.Request.Chat),
+		Organisation: a.Request.Organisation,
+		Model:        a.Request.Model,
+		Class:        a.Request.Class,
+		Work:         int64(a.Request.Work),
+		Engine:       string(a.Engine),
+		Ingress:      string(a.Ingress),
+		Budget:       a.Budget.Microseconds(),
+		Deputy:       a.Deputy,
+		Displaced:    a.Displaced,
+	}
+	if !a.Request.Deadline.IsZero() {
+		msg.Remaining = proto.Int64(a.Request.Deadline.Sub(n.now()).Microseconds())
+	}
+	return msg
+}
+
+// askFromWire converts an ask that arrived.
+func (n *Node) askFromWire(msg *AskPermit) peridotusher.Ask {
+	request := peridotusher.Request{
+		ID:           peridotusher.RequestID(msg.GetRequest()),
+		Chat:         peridotusher.ChatKey(msg.GetChat()),
+		Organisation: msg.GetOrganisation(),
+		Model:        msg.GetModel(),
+		Class:        msg.GetClass(),
+		Work:         int(msg.GetWork()),
+	}
+	if msg != nil && msg.Remaining != nil {
+		request.Deadline = n.now().Add(microseconds(msg.GetRemaining()))
+	}
+	return peridotusher.Ask{
+		Request:   request,
+		Engine:    peridotusher.EngineID(msg.GetEngine()),
+		Ingress:   peridotusher.RouterID(msg.GetIngress()),
+		Budget:    microseconds(msg.GetBudget()),
+		Deputy:    msg.GetDeputy(),
+		Displaced: msg.GetDisplaced(),
+	}
+}
+
+// answerToWire converts an answer.
+func answerToWire(a peridotusher.Answer) *AnswerPermit {
+	return &AnswerPermit{
+		Granted:    a.Granted,
+		Permit:     string(a.Permit),
+		Engine:     string(a.Engine),
+		Next:       string(a.Next),
+		Cause:      string(a.Cause),
+		RetryAfter: a.RetryAfter.Microseconds(),
+		Loads:      loadsToWire(a.Loads),
+	}
+}
+
+// answerFromWire converts an answer that arrived.
+func answerFromWire(msg *AnswerPermit) peridotusher.Answer {
+	return peridotusher.Answer{
+		Granted:    msg.GetGranted(),
+		Permit:     peridotusher.PermitID(msg.GetPermit()),
+		Engine:     peridotusher.EngineID(msg.GetEngine()),
+		Next:       peridotusher.EngineID(msg.GetNext()),
+		Cause:      peridotusher.Cause(msg.GetCause()),
+		RetryAfter: microseconds(msg.GetRetryAfter()),
+		Loads:      loadsFromWire(msg.GetLoads()),
+	}
+}
+
+// returnToWire converts a return.
+func returnToWire(r peridotusher.Return) *ReturnPermit {
+	return &ReturnPermit{
+		Permit:  string(r.Permit),
+		Engine:  string(r.Engine),
+		Ingress: string(r.Ingress),
+		Verdict: uint32(r.Verdict),
+		Failed:  r.Failed,
+	}
+}
+
+// returnFromWire converts a return that arrived. An unknown verdict promises
+// least.
+func returnFromWire(msg *ReturnPermit) peridotusher.Return {
+	verdict := peridotusher.MayHaveRun
+	if v := msg.GetVerdict(); v <= uint32(peridotusher.Ran) {
+		verdict = peridotusher.Verdict(v)
+	}
+	return peridotusher.Return{
+		Permit:  peridotusher.PermitID(msg.GetPermit()),
+		Engine:  peridotusher.EngineID(msg.GetEngine()),
+		Ingress: peridotusher.RouterID(msg.GetIngress()),
+		Verdict: verdict,
+		Failed:  msg.GetFailed(),
+	}
+}
+
+// now returns the node's time.
+func (n *Node) now() time.Time {
+	n.once.Do(n.init)
+	return n.Clock.Now()
+}
+
+// microseconds returns the duration of a count that travelled.
+func microseconds(count int64) time.Duration {
+	return time.Duration(count) * time.Microsecond
+}
--- /dev/null
+++ b/peer/table.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"peridotusher.example/peridotusher"
+)
+
+// sessionTable holds one session for each connected router.
+type sessionTable struct {
+	self peridotusher.RouterID
+
+	mu       sync.Mutex
+	sessions map[peridotusher.RouterID]*session
+}
+
+func newSessionTable(self peridotusher.RouterID) *sessionTable {
+	return &sessionTable{self: self, sessions: make(map[peridotusher.RouterID]*session)}
+}
+
+// add registers a session and closes the one that it replaces. It reports false
+// when the present one stays.
+func (t *sessionTable) add(s *session) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, ok := t.sessions[s.peer.ID()]
+	if ok && !replaces(s, old) {
+		return false
+	}
+	t.sessions[s.peer.ID()] = s
+	if ok {
+		old.close(errReplaced)
+	}
+	return true
+}
+
+// replaces reports whether a new session takes the place of an old one to the
+// same router. Both routers come to the same decision: the later process wins,
+// then the session dialled by the smaller ID, then the newer session.
+func replaces(s, old *session) bool {
+	if s.peer.Incarnation() != old.peer.Incarnation() {
+		return s.peer.Incarnation() > old.peer.Incarnation()
+	}
+	return s.dialer <= old.dialer
+}
+
+// remove takes a session out, unless another has taken its place.
+func (t *sessionTable) remove(s *session) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sessions[s.peer.ID()] == s {
+		delete(t.sessions, s.peer.ID())
+	}
+}
+
+// get returns the session with a router.
+func (t *sessionTable) get(id peridotusher.RouterID) (*session, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.sessions[id]
+	return s, ok
+}
+
+// all returns the present sessions.
+func (t *sessionTable) all() []*session {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Values(t.sessions))
+}
+
+// closeSilent closes the sessions on which nothing arrived for the timeout.
+func (t *sessionTable) closeSilent(now time.Time, timeout time.Duration) {
+	for _, s := range t.all() {
+		if now.Sub(s.silentSince()) >= timeout {
+			s.close(errSilent)
+		}
+	}
+}
+
+// closeAll closes every session.
+func (t *sessionTable) closeAll() {
+	for _, s := range t.all() {
+		s.close(errSessionClosed)
+	}
+}
--- /dev/null
+++ b/peer/traffic.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"maps"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotusher.example/peridotusher"
+)
+
+// KindCount counts the messages of one kind in one direction.
+type KindCount struct {
+	Messages uint64
+	Bytes    uint64
+}
+
+// Counts is a copy of a node's traffic counters. The byte totals are those of
+// the connections, with the overhead of yamux but not of TLS or TCP.
+type Counts struct {
+	Sent          map[Kind]KindCount
+	Received      map[Kind]KindCount
+	SentBytes     uint64
+	ReceivedBytes uint64
+}
+
+// traffic counts messages by kind and bytes in total.
+type traffic struct {
+	sentBytes, receivedBytes atomic.Uint64
+
+	mu             sync.Mutex
+	sent, received map[Kind]KindCount
+}
+
+func newTraffic() *traffic {
+	return &traffic{sent: make(map[Kind]KindCount), received: make(map[Kind]KindCount)}
+}
+
+// addSent counts one message that was written.
+func (t *traffic) addSent(kind Kind, size int) { t.add(t.sent, kind, size) }
+
+// addReceived counts one message that was read.
+func (t *traffic) addReceived(kind Kind, size int) { t.add(t.received, kind, size) }
+
+func (t *traffic) add(m map[Kind]KindCount, kind Kind, size int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := m[kind]
+	c.Messages++
+	c.Bytes += uint64(size)
+	m[kind] = c
+}
+
+// counts returns a copy of the counters.
+func (t *traffic) counts() Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Counts{
+		Sent:          maps.Clone(t.sent),
+		Received:      maps.Clone(t.received),
+		SentBytes:     t.sentBytes.Load(),
+		ReceivedBytes: t.receivedBytes.Load(),
+	}
+}
+
+// countedConn counts the bytes of a connection and keeps the time of its last
+// read.
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+	clock   peridotusher.Clock
+	read    atomic.Pointer[time.Time]
+}
+
+func newCountedConn(conn net.Conn, t *traffic, clock peridotusher.Clock) *countedConn {
+	c := &countedConn{Conn: conn, traffic: t, clock: clock}
+	now := clock.Now()
+	c.read.Store(&now)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	k, err := c.Conn.Read(p)
+	c.traffic.receivedBytes.Add(uint64(k))
+	if k > 0 {
+		now := c.clock.Now()
+		c.read.Store(&now)
+	}
+	return k, err
+}
+
+// lastRead returns the time at which bytes last arrived.
+func (c *countedConn) lastRead() time.Time { return *c.read.Load() }
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	k, err := c.Conn.Write(p)
+	c.traffic.sentBytes.Add(uint64(k))
+	return k, err
+}
