--- a/document/check.go
+++ b/document/check.go
@@ -10,10 +10,19 @@
 // check finds the problems between sections and fills the document's indexes.
 type check struct {
 	document *Document
+	// broken holds the sections with problems of their own. They aren't
+	// checked, since their values are incomplete.
+	broken   map[string]bool
 	problems []ini.Problem
 }
 
-func newCheck(d *Document) *check { return &check{document: d} }
+func newCheck(d *Document, problems []ini.Problem) *check {
+	c := &check{document: d, broken: map[string]bool{}}
+	for _, p := range problems {
+		c.broken[p.Section()] = true
+	}
+	return c
+}
 
 func (c *check) run() []ini.Problem {
 	c.classes()
@@ -33,6 +42,9 @@
 	smallest := c.smallestModel()
 	for _, class := range c.document.Classes() {
 		header := "class " + class.name
+		if c.broken[header] {
+			continue
+		}
 		if class.firstToken >= class.deadline {
 			c.report(header, "first", "the first token is due no earlier than the whole answer",
 				fmt.Sprintf("less than the deadline of %v", class.deadline))
@@ -49,6 +61,9 @@
 	var smallest *Model
 	fewest := math.MaxInt
 	for _, m := range c.document.Models() {
+		if c.broken["model "+m.name] {
+			continue
+		}
 		if m.slots < fewest {
 			smallest, fewest = m, m.slots
 		}
@@ -60,6 +75,9 @@
 	classes := c.document.Classes()
 	for _, o := range c.document.Organisations() {
 		header := "organisation " + o.name
+		if c.broken[header] {
+			continue
+		}
 		for _, name := range o.classes {
 			c.exists(header, "classes", "class", name)
 		}
@@ -97,6 +115,9 @@
 
 func (c *check) services() {
 	for _, s := range c.document.Services() {
+		if c.broken["service "+s.name] {
+			continue
+		}
 		seen := map[string]bool{}
 		for _, r := range s.replicas {
 			if seen[r.address] {
@@ -111,6 +132,9 @@
 	last := ""
 	for _, r := range c.document.rules {
 		header := "rule " + r.name
+		if c.broken[header] {
+			continue
+		}
 		for _, name := range r.organisations {
 			c.exists(header, "organisations", "organisation", name)
 		}
@@ -129,6 +153,9 @@
 func (c *check) teams() {
 	byKey := map[string]string{}
 	for _, t := range c.document.Teams() {
+		if c.broken["team "+t.name] {
+			continue
+		}
 		if first, ok := byKey[t.keyHash]; ok {
 			c.report("team "+t.name, "key", "the team "+first+" has the same key", "a key of one team")
 		}
--- a/document/fields.go
+++ b/document/fields.go
@@ -133,8 +133,9 @@
 	{
 		Name:     "keys",
 		Required: true,
+		Secret:   true,
 		Text:     "Hashes of the bearer keys.",
-		Value:    ini.Of(ini.List(keyHash()), func(o *Organisation) *[]string { return &o.keyHashes }),
+		Value:    ini.Of(ini.List(KeyHashParser()), func(o *Organisation) *[]string { return &o.keyHashes }),
 	},
 	{
 		Name:    "rate",
--- a/document/fields_endpoint.go
+++ b/document/fields_endpoint.go
@@ -107,8 +107,9 @@
 	{
 		Name:     "key",
 		Required: true,
+		Secret:   true,
 		Text:     "Hash of the team's key.",
-		Value:    ini.Of(keyHash(), func(t *Team) *string { return &t.keyHash }),
+		Value:    ini.Of(KeyHashParser(), func(t *Team) *string { return &t.keyHash }),
 	},
 	{
 		Name:     "sections",
--- a/document/parse.go
+++ b/document/parse.go
@@ -9,9 +9,7 @@
 	file, problems := ini.Read(name, text)
 	d := newDocument(file)
 	problems = append(problems, file.Decode(d.kinds())...)
-	if len(problems) == 0 {
-		problems = newCheck(d).run()
-	}
+	problems = append(problems, newCheck(d, problems).run()...)
 	if len(problems) > 0 {
 		ini.Sort(problems)
 		return nil, problems
--- a/document/parsers.go
+++ b/document/parsers.go
@@ -15,8 +15,8 @@
 
 var errForm = errors.New("is not valid")
 
-// keyHash returns a parser of key hashes as HashKey gives them.
-func keyHash() ini.Parser[string] {
+// KeyHashParser returns a parser of key hashes as HashKey gives them.
+func KeyHashParser() ini.Parser[string] {
 	const hexDigits = 64
 	return ini.NewParser("sha256: and 64 hex digits a-f in lower case", func(text string) (string, error) {
 		digits, ok := strings.CutPrefix(text, hashPrefix)
--- a/ini/table.go
+++ b/ini/table.go
@@ -49,6 +49,8 @@
 	Default string
 	// Required is set if the key may not be absent.
 	Required bool
+	// Secret is set if no message may repeat the value.
+	Secret bool
 	// Text says what the key means, with its unit.
 	Text string
 	// Value reads the value and sets it.
@@ -88,13 +90,20 @@
 			continue
 		}
 		if err := fields[i].Value.set(target, k.value); err != nil {
-			message := quote(k.value) + " " + err.Error()
-			problems = append(problems, s.Problem(k.name, message, fields[i].Value.allowed))
+			problems = append(problems, s.Problem(k.name, fields[i].message(k.value, err), fields[i].Value.allowed))
 		}
 	}
 	return problems
 }
 
+// message returns what is wrong with the value.
+func (f Field[T]) message(value string, err error) string {
+	if f.Secret {
+		return "the value is not valid"
+	}
+	return quote(value) + " " + err.Error()
+}
+
 // Defaults sets the target from the defaults, as for a section that is absent.
 func Defaults[T any](fields []Field[T], target *T) {
 	for _, field := range fields {
--- a/settings/check.go
+++ b/settings/check.go
@@ -10,11 +10,16 @@
 	"peridotusher.example/peridotusher/ini"
 )
 
-// check finds the problems between keys.
-func (s *Settings) check(file *ini.File) []ini.Problem {
+// check finds the problems between keys. A section with earlier problems
+// isn't checked, since its values are incomplete.
+func (s *Settings) check(file *ini.File, earlier []ini.Problem) []ini.Problem {
+	broken := map[string]bool{}
+	for _, p := range earlier {
+		broken[p.Section()] = true
+	}
 	var problems []ini.Problem
 	for _, section := range file.Sections() {
-		if section.Header() == "peer" {
+		if section.Header() == "peer" && !broken["peer"] {
 			problems = append(problems, s.peer.check(section)...)
 		}
 	}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/ini"
 )
 
@@ -93,8 +94,9 @@
 	{
 		Name:     "key",
 		Required: true,
-		Text:     "Key of the operators who may edit every section.",
-		Value:    ini.Of(secret(), func(o *Operator) *string { return &o.key }),
+		Secret:   true,
+		Text:     "Hash of the key of the operators who may edit every section.",
+		Value:    ini.Of(document.KeyHashParser(), func(o *Operator) *string { return &o.key }),
 	},
 }
 
@@ -189,6 +191,7 @@
 	{
 		Name:     "secret",
 		Required: true,
+		Secret:   true,
 		Text:     "Secret that signs event ids, the same in the whole fleet.",
 		Value:    ini.Of(secret(), func(s *Stream) *string { return &s.secret }),
 	},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,9 +58,7 @@
 	tables := s.tables()
 	problems = append(problems, file.Decode(kinds(tables))...)
 	problems = append(problems, missing(file, tables)...)
-	if len(problems) == 0 {
-		problems = s.check(file)
-	}
+	problems = append(problems, s.check(file, problems)...)
 	if len(problems) > 0 {
 		ini.Sort(problems)
 		return nil, problems
--- a/settings/types.go
+++ b/settings/types.go
@@ -63,8 +63,8 @@
 // Listen returns the address for operators.
 func (o Operator) Listen() string { return o.listen }
 
-// Key returns the key of the operators who may edit every section.
-func (o Operator) Key() string { return o.key }
+// KeyHash returns the hash, as document.HashKey gives it, of the key of the operators who may edit every section.
+func (o Operator) KeyHash() string { return o.key }
 
 // Peer holds the settings of the links to other routers.
 type Peer struct {
