--- a/hosts/client.go
+++ b/hosts/client.go
@@ -17,18 +17,22 @@
 const (
 	defaultInterval = 2 * time.Second
 	defaultTimeout  = 2 * time.Second
+	idleConnTimeout = 30 * time.Second
 	maxListBytes    = 64 << 20
 	jitter          = 0.25 // share of the interval by which a pause may differ
 )
 
+// direct is the HTTP client of Clients that name none; it uses no proxy.
+var direct = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnTimeout}}
+
 // Client reads the list. Set its fields before the first call.
 type Client struct {
 	URL      string
 	Interval time.Duration      // mean pause between two reads; 2 s when zero
 	Timeout  time.Duration      // limit of one read; 2 s when zero
-	Changed  func([]Host)       // gets each list that differs from the one before
+	Changed  func([]Host)       // gets each list that differs from the one before; Run needs it
 	Rand     func() float64     // random numbers in [0, 1); math/rand/v2 when nil
-	HTTP     *http.Client       // http.DefaultClient when nil
+	HTTP     *http.Client       // one without a proxy when nil
 	Log      logrus.FieldLogger // the standard logger when nil
 }
 
@@ -131,7 +135,7 @@
 
 func (c *Client) client() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return direct
 	}
 	return c.HTTP
 }
--- /dev/null
+++ b/hosts/client_test.go
@@ -0,0 +1,142 @@
+package hosts_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/hosts"
+	"peridotusher.example/peridotusher/standin"
+)
+
+// start runs the server for the test's duration and returns its URL.
+func start(t *testing.T, server *standin.Hosts) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server.Listener = listener
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return server.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	return "http://" + listener.Addr().String() + "/hosts"
+}
+
+// host returns a live engine in zone a.
+func host(t *testing.T, name, address string) hosts.Host {
+	t.Helper()
+	labels := map[string]string{"name": name, "kind": "engine", "zone": "a", "state": "live", "model": "sizer"}
+	h, err := hosts.NewHost(address, labels)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func TestListLags(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Unix(1000, 0)
+	advance := func(d time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		now = now.Add(d)
+	}
+	clock := peridotusher.ClockFunc(func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	})
+	server := &standin.Hosts{Clock: clock, Lag: 3 * time.Second}
+	client := &hosts.Client{URL: start(t, server)}
+	check := func(when string, want ...string) {
+		t.Helper()
+		list, err := client.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []string
+		for _, h := range list {
+			got = append(got, fmt.Sprint(h.Name(), " ", h.Kind(), " ", h.Zone(), " ", h.Address(), " ", h.State(), " ", h.Label("model")))
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", when, diff)
+		}
+	}
+	server.Set(host(t, "b", "192.0.2.2:80"))
+	server.Set(host(t, "a", "192.0.2.1:80"))
+	advance(2 * time.Second)
+	check("before the lag")
+	advance(time.Second)
+	server.SetState("a", hosts.StateLeaving)
+	server.Remove("b")
+	check("after the lag", "a engine a 192.0.2.1:80 live sizer", "b engine a 192.0.2.2:80 live sizer")
+	advance(3 * time.Second)
+	check("after another lag", "a engine a 192.0.2.1:80 leaving sizer")
+}
+
+func TestNewHostRefusesMalformedHosts(t *testing.T) {
+	tests := []struct{ address, name, state string }{
+		{"host.example:80", "a", "live"},
+		{"192.0.2.1", "a", "live"},
+		{"192.0.2.1:80", "", "live"},
+		{"192.0.2.1:80", "a", "gone"},
+	}
+	for _, test := range tests {
+		labels := map[string]string{"name": test.name, "state": test.state}
+		if h, err := hosts.NewHost(test.address, labels); err == nil {
+			t.Errorf("NewHost(%+v) = %+v, want an error", test, h)
+		}
+	}
+}
+
+func TestRunKeepsTheListThroughAnOutage(t *testing.T) {
+	server := &standin.Hosts{}
+	server.Set(host(t, "a", "192.0.2.1:80"))
+	lists := make(chan []hosts.Host)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	client := &hosts.Client{
+		URL:      start(t, server),
+		Interval: time.Millisecond,
+		Changed: func(list []hosts.Host) {
+			select {
+			case lists <- list:
+			case <-ctx.Done():
+			}
+		},
+	}
+	var group errgroup.Group
+	group.Go(func() error { return client.Run(ctx) })
+	want := []hosts.Host{host(t, "a", "192.0.2.1:80")}
+	if diff := cmp.Diff(want, <-lists); diff != "" {
+		t.Errorf("first list (-want +got):\n%s", diff)
+	}
+	server.SetDown(true)
+	for calls := server.Calls(); server.Calls() < calls+3 && ctx.Err() == nil; {
+		time.Sleep(time.Millisecond)
+	}
+	server.Set(host(t, "b", "192.0.2.2:80"))
+	server.SetDown(false)
+	want = append(want, host(t, "b", "192.0.2.2:80"))
+	if diff := cmp.Diff(want, <-lists); diff != "" {
+		t.Errorf("list after the outage (-want +got):\n%s", diff)
+	}
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
