--- a/caller/server.go
+++ b/caller/server.go
@@ -103,6 +103,7 @@
 	Log      logrus.FieldLogger
 	NewID    func() string
 	Limits   Limits
+	Settle   time.Duration // how long a stopping server stays open until the balancer has noticed
 	Drain    time.Duration // longest wait for requests in flight
 	Record   func(Outcome)
 
@@ -110,7 +111,8 @@
 	inFlight atomic.Int64
 }
 
-// Run serves until ctx ends, then ends what is in flight and returns.
+// Run serves until ctx ends. It then fails the readiness check, waits for the
+// balancer to notice, takes nothing new, ends what is in flight and returns.
 func (s *Server) Run(ctx context.Context) error {
 	httpServer := &http.Server{
 		Handler:           s.Handler(),
@@ -129,6 +131,7 @@
 	group.Go(func() error {
 		<-ctx.Done()
 		s.stopping.Store(true)
+		time.Sleep(s.Settle)
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
 		return httpServer.Shutdown(drainCtx)
@@ -154,6 +157,9 @@
 // limited refuses a request beyond the limit of concurrent requests.
 func (s *Server) limited(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		defer s.inFlight.Add(-1)
 		if n := s.inFlight.Add(1); s.Limits.Concurrent > 0 && n > int64(s.Limits.Concurrent) {
 			f := peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "this entry host has too many requests in flight")
--- /dev/null
+++ b/cmd/peridotusher/main.go
@@ -0,0 +1,63 @@
+// Command peridotusher runs and operates a router fleet for returning chats.
+//
+// # Usage
+//
+//	peridotusher demo
+//	peridotusher serve --settings router.ini
+//	peridotusher check FILE
+//
+// Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// The exit codes.
+const (
+	exitFailure = 1
+	exitInvalid = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, os.Args))
+}
+
+// run runs one command and returns its exit code.
+func run(ctx context.Context, args []string) int {
+	root := &cli.Command{
+		Name:                  "peridotusher",
+		Usage:                 "a router fleet for returning chats",
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return cli.Exit(err, exitInvalid)
+		},
+		Commands: []*cli.Command{
+			demoCommand(),
+			serveCommand(),
+			checkCommand(),
+		},
+	}
+	err := root.Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	if text := err.Error(); text != "" {
+		fmt.Fprintln(os.Stderr, text)
+	}
+	var exit cli.ExitCoder
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/cmd/peridotusher/serve.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"peridotusher.example/peridotusher/entry"
+	"peridotusher.example/peridotusher/settings"
+)
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run one router until SIGTERM",
+		Description: "SIGTERM ends the requests in flight and exits with 0.\n" +
+			"Example: peridotusher serve --settings router.ini",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this process", Required: true},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			cfg, problems := settings.Load(cmd.String("settings"))
+			if len(problems) > 0 {
+				for _, p := range problems {
+					fmt.Fprintln(cmd.Root().ErrWriter, p)
+				}
+				return cli.Exit("", exitInvalid)
+			}
+			return serve(ctx, cfg)
+		},
+	}
+}
+
+// serve runs a router with the settings until ctx ends.
+func serve(ctx context.Context, cfg *settings.Settings) error {
+	log := logrus.New()
+	level, err := logrus.ParseLevel(cfg.Router().Log())
+	if err != nil {
+		return cli.Exit(err, exitInvalid)
+	}
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	host, cleanup, err := entry.New(cfg, log)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	host.Caller, err = net.Listen("tcp", cfg.Caller().Listen())
+	if err != nil {
+		return err
+	}
+	host.Operator, err = net.Listen("tcp", cfg.Operator().Listen())
+	if err != nil {
+		return err
+	}
+	host.Peer, err = net.Listen("tcp", cfg.Peer().Listen())
+	if err != nil {
+		return err
+	}
+	return host.Run(ctx)
+}
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,252 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/entry"
+	"peridotusher.example/peridotusher/examples"
+	"peridotusher.example/peridotusher/hosts"
+	"peridotusher.example/peridotusher/standin"
+	"peridotusher.example/peridotusher/store"
+)
+
+// The size and speed of the demo's fleet.
+const (
+	routersPerZone  = 2
+	enginesPerZone  = 7
+	engineSlots     = 8
+	tokenTime       = 5 * time.Millisecond
+	prefillPerToken = 20 * time.Microsecond
+	cacheTokens     = 100_000
+	reportLag       = 200 * time.Millisecond
+	listLag         = 500 * time.Millisecond
+	listInterval    = 200 * time.Millisecond
+	settleTime      = 500 * time.Millisecond
+	drainTime       = 10 * time.Second
+	readyInterval   = 50 * time.Millisecond
+)
+
+var zones = []string{"a", "b", "c"}
+
+// fleet is everything that the demo runs.
+type fleet struct {
+	group    *errgroup.Group
+	log      logrus.FieldLogger
+	seed     uint64
+	clock    peridotusher.Clock
+	started  time.Time
+	store    *standin.Store
+	hosts    *standin.Hosts
+	hostsURL string
+	engines  []*standin.Engine
+	services []*standin.Service
+	routers  []*router
+}
+
+// router is one running entry.Host.
+type router struct {
+	name string
+	url  string
+	host *entry.Host
+	stop context.CancelFunc
+}
+
+// newFleet starts the stand-ins and the routers in the group.
+func newFleet(ctx context.Context, group *errgroup.Group, log logrus.FieldLogger, seed uint64) (*fleet, error) {
+	f := &fleet{group: group, log: log, seed: seed, clock: peridotusher.ClockFunc(time.Now), started: time.Now()}
+	storeListener, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	f.store = &standin.Store{Listener: storeListener, Clock: f.clock}
+	group.Go(func() error { return f.store.Run(ctx) })
+	hostsListener, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	f.hosts = &standin.Hosts{Listener: hostsListener, Clock: f.clock, Lag: listLag}
+	f.hostsURL = "http://" + hostsListener.Addr().String() + "/"
+	group.Go(func() error { return f.hosts.Run(ctx) })
+	for _, zone := range zones {
+		if err := f.startEndpoints(ctx, zone); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.writeDocument(ctx, storeListener.Addr().String()); err != nil {
+		return nil, err
+	}
+	for _, zone := range zones {
+		for n := 1; n <= routersPerZone; n++ {
+			if err := f.startRouter(ctx, zone, n, storeListener.Addr().String()); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+func (f *fleet) startEndpoints(ctx context.Context, zone string) error {
+	for n := 1; n <= enginesPerZone; n++ {
+		listener, err := listen()
+		if err != nil {
+			return err
+		}
+		e := &standin.Engine{
+			Name:            fmt.Sprintf("engine-%s%d", zone, n),
+			Zone:            zone,
+			Listener:        listener,
+			Clock:           f.clock,
+			Seed:            f.seed,
+			Models:          []standin.EngineModel{{Model: "stylist", Version: "v1"}, {Model: "stylist", Version: "v2"}},
+			Slots:           engineSlots,
+			TokenTime:       tokenTime,
+			PrefillPerToken: prefillPerToken,
+			CacheTokens:     cacheTokens,
+			LoadLag:         reportLag,
+			EventLag:        reportLag,
+		}
+		f.engines = append(f.engines, e)
+		f.group.Go(func() error { return e.Run(ctx) })
+		if err := f.list(e.Name, hosts.KindEngine, zone, listener); err != nil {
+			return err
+		}
+	}
+	listener, err := listen()
+	if err != nil {
+		return err
+	}
+	s := &standin.Service{Name: "profiles-" + zone, Zone: zone, Listener: listener}
+	if len(f.services) > 0 {
+		s.Shared = f.services[0]
+	}
+	f.services = append(f.services, s)
+	f.group.Go(func() error { return s.Run(ctx) })
+	return nil
+}
+
+// list adds a host to the platform's list.
+func (f *fleet) list(name string, kind hosts.Kind, zone string, listener net.Listener) error {
+	host, err := hosts.NewHost(listener.Addr().String(), map[string]string{
+		"name": name, "kind": string(kind), "zone": zone, "state": string(hosts.StateLive),
+	})
+	if err != nil {
+		return err
+	}
+	f.hosts.Set(host)
+	return nil
+}
+
+// writeDocument puts the sample configuration into the store.
+func (f *fleet) writeDocument(ctx context.Context, address string) error {
+	client, closeClient, err := store.New(store.Config{Addresses: []string{address}})
+	if err != nil {
+		return err
+	}
+	defer closeClient()
+	var replicas []string
+	for _, s := range f.services {
+		replicas = append(replicas, s.Listener.Addr().String()+"@"+s.Zone)
+	}
+	text := examples.WithReplicas(examples.Kalimera, strings.Join(replicas, ", "))
+	_, err = client.CompareAndSwap(ctx, "config/document", 0, text, store.NoLease)
+	return err
+}
+
+func (f *fleet) startRouter(ctx context.Context, zone string, n int, storeAddress string) error {
+	var listeners [3]net.Listener
+	for i := range listeners {
+		l, err := listen()
+		if err != nil {
+			return err
+		}
+		listeners[i] = l
+	}
+	client, closeClient, err := store.New(store.Config{Addresses: []string{storeAddress}})
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("router-%s%d", zone, n)
+	host := &entry.Host{
+		Name:          name,
+		Zone:          zone,
+		Caller:        listeners[0],
+		Operator:      listeners[1],
+		Peer:          listeners[2],
+		Store:         client,
+		HostsURL:      f.hostsURL,
+		HostsInterval: listInterval,
+		Limits:        caller.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, Concurrent: 1000, HeaderTimeout: 5 * time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: time.Minute},
+		Settle:        settleTime,
+		Drain:         drainTime,
+		Clock:         f.clock,
+		Log:           f.log.WithField("router", name),
+		Seed:          f.seed + uint64(len(f.routers)),
+	}
+	ctx, stop := context.WithCancel(ctx)
+	f.routers = append(f.routers, &router{name: name, url: "http://" + listeners[0].Addr().String(), host: host, stop: stop})
+	f.group.Go(func() error {
+		defer closeClient()
+		defer f.hosts.Remove(name)
+		return host.Run(ctx)
+	})
+	return f.list(name, hosts.KindRouter, zone, listeners[2])
+}
+
+// waitReady waits until every router is ready and sees the whole fleet.
+func (f *fleet) waitReady(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		if f.allReady(ctx) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "waiting for the routers")
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+func (f *fleet) allReady(ctx context.Context) bool {
+	for _, r := range f.routers {
+		if !r.ready(ctx) || r.host.LiveMembers() < len(f.routers) || r.host.ReadyEngines() < len(f.engines) {
+			return false
+		}
+	}
+	return true
+}
+
+// ready asks the router's readiness check, as a balancer does.
+func (r *router) ready(ctx context.Context) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// leave marks an engine as leaving in the platform's list.
+func (f *fleet) leave(e *standin.Engine) {
+	f.hosts.SetState(e.Name, hosts.StateLeaving)
+}
+
+func listen() (net.Listener, error) {
+	return net.Listen("tcp", "127.0.0.1:0")
+}
--- /dev/null
+++ b/demo/traffic.go
@@ -0,0 +1,130 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// The traffic of one run.
+const (
+	chats        = 60
+	turnsPerChat = 8
+	labels       = 120
+	reports      = 8
+	saves        = 60
+	chatTokens   = 40
+	labelTokens  = 8
+	reportTokens = 300
+	chatPause    = 400 * time.Millisecond
+	labelPause   = 50 * time.Millisecond
+)
+
+// organisations are the sample configuration's callers.
+var organisations = []string{"shop-athina", "shop-pireas", "shop-elefsina", "shop-marousi", "shop-glyfada"}
+
+// traffic sends the requests and gathers their results.
+type traffic struct {
+	fleet *fleet
+	seed  uint64
+
+	mu      sync.Mutex
+	results []result
+	keys    []string
+}
+
+func newTraffic(f *fleet, seed uint64) *traffic {
+	return &traffic{fleet: f, seed: seed}
+}
+
+// run sends everything, while stops runs, and returns the counts.
+func (t *traffic) run(ctx context.Context, stops func() error) summary {
+	var group errgroup.Group
+	for n := range chats {
+		group.Go(func() error { t.chat(ctx, n); return nil })
+	}
+	for n := range reports {
+		group.Go(func() error { t.report(ctx, n); return nil })
+	}
+	group.Go(func() error { t.labels(ctx); return nil })
+	group.Go(func() error { t.saves(ctx); return nil })
+	group.Go(stops)
+	err := group.Wait()
+	return summary{results: t.results, keys: t.keys, stopError: err}
+}
+
+// chat sends the turns of one returning chat with pauses between them.
+func (t *traffic) chat(ctx context.Context, n int) {
+	c := t.client(n)
+	messages := []message{{Role: "system", Content: "You advise on sizes."}}
+	for turn := range turnsPerChat {
+		messages = append(messages, message{Role: "user", Content: fmt.Sprintf("chat %d turn %d: does size %d fit?", n, turn, 36+turn)})
+		r := c.complete(ctx, completion{Class: "chat", Chat: fmt.Sprintf("chat-%d", n), Messages: messages, Tokens: chatTokens, Stream: n%2 == 0})
+		t.add(r)
+		messages = append(messages, message{Role: "assistant", Content: r.text})
+		if !c.pause(ctx, chatPause) {
+			return
+		}
+	}
+}
+
+// report sends one long request.
+func (t *traffic) report(ctx context.Context, n int) {
+	c := t.client(chats + n)
+	messages := []message{{Role: "user", Content: fmt.Sprintf("report %d on the whole catalogue", n)}}
+	t.add(c.complete(ctx, completion{Class: "report", Messages: messages, Tokens: reportTokens, Stream: true}))
+}
+
+// labels sends short requests one after the other.
+func (t *traffic) labels(ctx context.Context) {
+	c := t.client(chats + reports)
+	for n := range labels {
+		messages := []message{{Role: "user", Content: fmt.Sprintf("label %d", n)}}
+		t.add(c.complete(ctx, completion{Class: "label", Messages: messages, Tokens: labelTokens}))
+		if !c.pause(ctx, labelPause) {
+			return
+		}
+	}
+}
+
+// saves sends each non-idempotent call twice with one key, through different
+// routers, and fetches what was saved.
+func (t *traffic) saves(ctx context.Context) {
+	c := t.client(chats + reports + 1)
+	for n := range saves {
+		key := fmt.Sprintf("save-%d-%d", t.seed, n)
+		path := fmt.Sprintf("/services/profiles/profiles/%d", n)
+		body := fmt.Sprintf(`{"chest":%d}`, 80+n)
+		t.addKey(key)
+		t.add(c.call(ctx, "POST", path, body, key, body))
+		t.add(c.call(ctx, "POST", path, body, key, body))
+		t.add(c.call(ctx, "GET", path, "", "", body))
+		if !c.pause(ctx, labelPause) {
+			return
+		}
+	}
+}
+
+func (t *traffic) client(n int) *client {
+	return &client{
+		routers: t.fleet.routers,
+		key:     "kalimera-" + organisations[n%len(organisations)] + "-example-key",
+		rand:    rand.New(rand.NewPCG(t.seed, uint64(n))),
+	}
+}
+
+func (t *traffic) add(r result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.results = append(t.results, r)
+}
+
+func (t *traffic) addKey(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.keys = append(t.keys, key)
+}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -62,10 +62,10 @@
 		return 0, nil, peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseStoreDown, err)
 	}
 	swap, err := s.host.Store.CompareAndSwap(ctx, key, 0, value, 0)
-	if err == nil && swap.Swapped {
-		return swap.Revision, nil, nil
+	if err == nil && swap.Swapped() {
+		return swap.Revision(), nil, nil
 	}
-	entry := swap.Current
+	entry := swap.Current()
 	if err != nil {
 		// The answer may have been lost after the write.
 		if entry, err = s.host.Store.Get(ctx, key); err != nil || !entry.Exists() {
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -10,7 +10,7 @@
 //		Operator: operatorListener,
 //		Peer:     peerListener,
 //		Store:    storeClient,
-//		Hosts:    hostsClient,
+//		HostsURL: "http://192.0.2.7/hosts",
 //	}
 //	err := host.Run(ctx)
 //
--- a/entry/host.go
+++ b/entry/host.go
@@ -22,22 +22,25 @@
 
 // Host is one router process.
 type Host struct {
-	Name     string
-	Zone     string
-	Caller   net.Listener
-	Operator net.Listener
-	Peer     net.Listener
-	Address  string // where peers reach this router, the Peer listener's address if empty
-	Prefix   string // prefix of the store's keys
-	Store    Store
-	Hosts    HostList
-	Limits   caller.Limits
-	Drain    time.Duration // longest graceful shutdown
-	Clock    peridotusher.Clock
-	Log      logrus.FieldLogger
-	Seed     uint64
+	Name          string
+	Zone          string
+	Caller        net.Listener
+	Operator      net.Listener
+	Peer          net.Listener
+	Address       string // where peers reach this router, the Peer listener's address if empty
+	Prefix        string // prefix of the store's keys
+	Store         Store
+	HostsURL      string // the platform's list of hosts
+	HostsInterval time.Duration
+	Limits        caller.Limits
+	Settle        time.Duration // time for the balancer to notice a stop
+	Drain         time.Duration // longest graceful shutdown
+	Clock         peridotusher.Clock
+	Log           logrus.FieldLogger
+	Seed          uint64
 
 	current atomic.Pointer[document.Document]
+	built   atomic.Bool
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
@@ -56,6 +59,7 @@
 		return err
 	}
 	defer closeClients()
+	h.built.Store(true)
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
@@ -95,6 +99,7 @@
 		Log:      h.Log,
 		NewID:    uuid.NewString,
 		Limits:   h.Limits,
+		Settle:   h.Settle,
 		Drain:    h.Drain,
 		Record:   h.metrics.Record,
 	}
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -7,32 +7,21 @@
 	"peridotusher.example/peridotusher/hosts"
 )
 
-// The kinds of host in the platform's list.
-const (
-	kindRouter = "router"
-	kindEngine = "engine"
-
-	stateLeaving = "leaving"
-)
-
-// HostList gives the platform's lagging list of hosts.
-type HostList interface {
-	Run(ctx context.Context, changed func([]hosts.Host)) error
-}
-
 // watchHosts fills the tables of members and engines from the platform's list.
 func (h *Host) watchHosts(ctx context.Context) error {
-	return h.Hosts.Run(ctx, func(list []hosts.Host) {
+	client := &hosts.Client{URL: h.HostsURL, Interval: h.HostsInterval, Log: h.Log}
+	client.Changed = func(list []hosts.Host) {
 		h.members.Propose(listedMembers(list))
 		h.engines.SetListed(listedEngines(list))
-	})
+	}
+	return client.Run(ctx)
 }
 
 func listedMembers(list []hosts.Host) []peridotusher.Member {
 	var members []peridotusher.Member
 	for _, host := range list {
-		if host.Kind() == kindRouter {
-			members = append(members, peridotusher.NewMember(peridotusher.RouterID(host.Name()), peridotusher.Zone(host.Zone()), host.Address(), 0))
+		if host.Kind() == hosts.KindRouter {
+			members = append(members, peridotusher.NewMember(peridotusher.RouterID(host.Name()), host.Zone(), host.Address(), 0))
 		}
 	}
 	return members
@@ -41,11 +30,11 @@
 func listedEngines(list []hosts.Host) []peridotusher.Engine {
 	var engines []peridotusher.Engine
 	for _, host := range list {
-		if host.Kind() != kindEngine {
+		if host.Kind() != hosts.KindEngine {
 			continue
 		}
-		e := peridotusher.NewEngine(peridotusher.EngineID(host.Name()), peridotusher.Zone(host.Zone()), host.Address())
-		if host.State() == stateLeaving {
+		e := peridotusher.NewEngine(peridotusher.EngineID(host.Name()), host.Zone(), host.Address())
+		if host.State() == hosts.StateLeaving {
 			e = e.WithState(peridotusher.EngineLeaving)
 		}
 		engines = append(engines, e)
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,39 @@
+package entry
+
+import (
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/peer"
+)
+
+// LiveMembers returns the number of routers that this one hears, itself included.
+func (h *Host) LiveMembers() int {
+	if !h.built.Load() {
+		return 0
+	}
+	live := 0
+	for _, m := range h.members.All() {
+		if m.State() == peridotusher.MemberLive {
+			live++
+		}
+	}
+	return live
+}
+
+// ReadyEngines returns the number of engines that have reported their load.
+func (h *Host) ReadyEngines() int {
+	if !h.built.Load() {
+		return 0
+	}
+	return len(h.engines.Select(func(e peridotusher.Engine) bool {
+		_, reported := e.Report()
+		return reported && e.State() == peridotusher.EngineLive
+	}))
+}
+
+// ControlCounts returns the bytes exchanged with other routers.
+func (h *Host) ControlCounts() peer.Counts {
+	if !h.built.Load() {
+		return peer.Counts{}
+	}
+	return h.node.Counts()
+}
--- /dev/null
+++ b/faultproxy/proxy.go
@@ -0,0 +1,280 @@
+package faultproxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	chunkBytes  = 32 << 10
+	queueChunks = 64
+	dialTimeout = 2 * time.Second
+	stallCheck  = 5 * time.Millisecond
+)
+
+// Proxy passes connections on to a target.
+type Proxy struct {
+	Listener net.Listener
+	Target   string
+	Seed     uint64
+
+	fault    atomic.Pointer[Fault]
+	bytes    atomic.Int64
+	mu       sync.Mutex
+	rand     *rand.Rand
+	conns    map[*link]struct{}
+	accepted int
+}
+
+// link is one connection through the proxy.
+type link struct {
+	client net.Conn
+	server net.Conn
+	silent [FromTarget + 1]atomic.Bool // by direction
+}
+
+// Run passes connections until ctx ends.
+func (p *Proxy) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() {
+		// A listener that is closed already needs no closing.
+		_ = p.Listener.Close()
+		p.Cut()
+	})
+	defer stop()
+	group.Go(func() error {
+		for {
+			conn, err := p.Listener.Accept()
+			if err != nil {
+				if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+					return nil
+				}
+				return err
+			}
+			group.Go(func() error {
+				p.serve(ctx, conn)
+				return nil
+			})
+		}
+	})
+	return group.Wait()
+}
+
+// Address returns the address that clients dial.
+func (p *Proxy) Address() string { return p.Listener.Addr().String() }
+
+// Set replaces the fault.
+func (p *Proxy) Set(f Fault) { p.fault.Store(&f) }
+
+// Heal takes every fault away. Silenced connections stay silent.
+func (p *Proxy) Heal() { p.fault.Store(nil) }
+
+// Cut resets every open connection.
+func (p *Proxy) Cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.conns {
+		l.reset()
+	}
+}
+
+// SilenceOpen swallows all further bytes of the open connections. New
+// connections work.
+func (p *Proxy) SilenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.conns {
+		l.silent[ToTarget].Store(true)
+		l.silent[FromTarget].Store(true)
+	}
+}
+
+// Bytes returns the number of bytes passed in both directions.
+func (p *Proxy) Bytes() int64 { return p.bytes.Load() }
+
+// Accepted returns the number of connections passed on.
+func (p *Proxy) Accepted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
+func (p *Proxy) current() Fault {
+	if f := p.fault.Load(); f != nil {
+		return *f
+	}
+	return Fault{}
+}
+
+func (p *Proxy) serve(ctx context.Context, client net.Conn) {
+	if p.current().Refuse {
+		reset(client)
+		return
+	}
+	server, err := net.DialTimeout("tcp", p.Target, dialTimeout)
+	if err != nil {
+		reset(client)
+		return
+	}
+	l := &link{client: client, server: server}
+	p.add(l)
+	defer p.remove(l)
+	if ctx.Err() != nil {
+		return
+	}
+	var group errgroup.Group
+	group.Go(func() error { p.pump(ctx, l, server, client, ToTarget); return nil })
+	group.Go(func() error { p.pump(ctx, l, client, server, FromTarget); return nil })
+	// The pumps report no errors.
+	_ = group.Wait()
+}
+
+// chunk is a piece of data with the time at which it may go on.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// pump copies one direction: a reader queues chunks, a writer sends each when due.
+func (p *Proxy) pump(ctx context.Context, l *link, dst, src net.Conn, way Direction) {
+	queue := make(chan chunk, queueChunks)
+	var group errgroup.Group
+	group.Go(func() error { p.read(ctx, src, queue); return nil })
+	p.write(ctx, l, dst, queue, way)
+	// A writer that gave up leaves the reader with a closed connection.
+	for range queue {
+		continue
+	}
+	_ = group.Wait()
+}
+
+func (p *Proxy) read(ctx context.Context, src net.Conn, queue chan<- chunk) {
+	defer close(queue)
+	for {
+		buf := make([]byte, chunkBytes)
+		n, err := src.Read(buf)
+		if n > 0 {
+			select {
+			case queue <- chunk{data: buf[:n], due: time.Now().Add(p.delay())}:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *Proxy) write(ctx context.Context, l *link, dst net.Conn, queue <-chan chunk, way Direction) {
+	var passed int64
+	for c := range queue {
+		if !p.waitDue(ctx, c, way) {
+			l.reset()
+			return
+		}
+		f := p.current()
+		if f.Silent && f.hits(way) {
+			l.silent[way].Store(true)
+		}
+		if l.silent[way].Load() {
+			continue
+		}
+		data := c.data
+		cut := false
+		if f.CutAfter > 0 && f.hits(way) && passed+int64(len(data)) > f.CutAfter {
+			data = data[:max(f.CutAfter-passed, 0)]
+			cut = true
+		}
+		n, err := dst.Write(data)
+		passed += int64(n)
+		p.bytes.Add(int64(n))
+		if err != nil || cut {
+			l.reset()
+			return
+		}
+	}
+	closeWrite(dst)
+}
+
+// waitDue waits until the chunk is due and no stall holds it back.
+func (p *Proxy) waitDue(ctx context.Context, c chunk, way Direction) bool {
+	wait := time.Until(c.due)
+	for {
+		f := p.current()
+		stalled := f.Stall && f.hits(way)
+		if wait <= 0 && !stalled {
+			return ctx.Err() == nil
+		}
+		if wait <= 0 {
+			wait = stallCheck
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+			wait = 0
+		}
+	}
+}
+
+func (p *Proxy) delay() time.Duration {
+	f := p.current()
+	if f.Jitter <= 0 {
+		return f.Delay
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rand == nil {
+		p.rand = rand.New(rand.NewPCG(p.Seed, 0))
+	}
+	return f.Delay + time.Duration(p.rand.Int64N(int64(f.Jitter)))
+}
+
+func (p *Proxy) add(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns == nil {
+		p.conns = map[*link]struct{}{}
+	}
+	p.conns[l] = struct{}{}
+	p.accepted++
+}
+
+func (p *Proxy) remove(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, l)
+	_ = l.client.Close()
+	_ = l.server.Close()
+}
+
+func (l *link) reset() {
+	reset(l.client)
+	reset(l.server)
+}
+
+// reset closes the connection so that the other end sees a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// A connection that is closed already needs no reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func closeWrite(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// The other direction may go on, or the connection is closed already.
+		_ = tcp.CloseWrite()
+	}
+}
--- /dev/null
+++ b/faultproxy/proxy_test.go
@@ -0,0 +1,138 @@
+package faultproxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+)
+
+const patience = 10 * time.Second
+
+// startEcho runs a proxy in front of a server that sends back what it gets.
+func startEcho(t *testing.T) *Proxy {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	target := listen(t)
+	group.Go(func() error {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return nil
+			}
+			group.Go(func() error {
+				_, err := io.Copy(conn, conn)
+				conn.Close()
+				return err
+			})
+		}
+	})
+	p := &Proxy{Listener: listen(t), Target: target.Addr().String(), Seed: 1}
+	group.Go(func() error { return p.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		target.Close()
+		// The echo ends with the reset that the proxy sends.
+		_ = group.Wait()
+	})
+	return p
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// echo sends text and returns what comes back before the patience ends.
+func echo(t *testing.T, conn net.Conn, text string, limit time.Duration) (string, error) {
+	t.Helper()
+	if _, err := conn.Write([]byte(text)); err != nil {
+		return "", err
+	}
+	conn.SetReadDeadline(time.Now().Add(limit))
+	buf := make([]byte, len(text))
+	n, err := io.ReadFull(conn, buf)
+	return string(buf[:n]), err
+}
+
+func TestPassesBytes(t *testing.T) {
+	p := startEcho(t)
+	p.Set(Fault{Delay: time.Millisecond, Jitter: time.Millisecond})
+	got, err := echo(t, dial(t, p), "hello", patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff("hello", got); diff != "" {
+		t.Errorf("echo (-want +got):\n%s", diff)
+	}
+}
+
+func TestSilenceOpenLeavesNewConnectionsAlone(t *testing.T) {
+	p := startEcho(t)
+	old := dial(t, p)
+	if _, err := echo(t, old, "one", patience); err != nil {
+		t.Fatal(err)
+	}
+	p.SilenceOpen()
+	if got, err := echo(t, old, "two", 50*time.Millisecond); err == nil {
+		t.Errorf("silent connection answered %q", got)
+	}
+	if _, err := echo(t, dial(t, p), "three", patience); err != nil {
+		t.Errorf("new connection: %v", err)
+	}
+}
+
+func TestCutAfterBytes(t *testing.T) {
+	p := startEcho(t)
+	p.Set(Fault{CutAfter: 3, Way: FromTarget})
+	got, err := echo(t, dial(t, p), "hello", patience)
+	if err == nil {
+		t.Fatalf("connection was not cut; got %q", got)
+	}
+}
+
+func TestRefuseAndHeal(t *testing.T) {
+	p := startEcho(t)
+	p.Set(Fault{Refuse: true})
+	if got, err := echo(t, dial(t, p), "hello", patience); err == nil {
+		t.Errorf("refused connection answered %q", got)
+	}
+	p.Heal()
+	if _, err := echo(t, dial(t, p), "hello", patience); err != nil {
+		t.Errorf("healed proxy: %v", err)
+	}
+}
+
+func TestStallHoldsBytesBack(t *testing.T) {
+	p := startEcho(t)
+	conn := dial(t, p)
+	p.Set(Fault{Stall: true, Way: ToTarget})
+	if got, err := echo(t, conn, "hello", 50*time.Millisecond); err == nil {
+		t.Errorf("stalled connection answered %q", got)
+	}
+	p.Heal()
+	conn.SetReadDeadline(time.Now().Add(patience))
+	buf := make([]byte, 5)
+	if _, err := io.ReadFull(conn, buf); err != nil {
+		t.Errorf("healed connection: %v", err)
+	}
+}
--- a/ledger.go
+++ b/ledger.go
@@ -65,6 +65,19 @@
 	return true
 }
 
+// Adopt records a permit that a former owner gave. It is counted even beyond
+// the bound, because its request is already running.
+func (l *Ledger) Adopt(h HeldPermit, expires time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := l.entry(h.Ask.Engine, h.Ask.Request.Model)
+	if _, known := entry.permits[h.Permit]; known {
+		return
+	}
+	entry.permits[h.Permit] = heldPermit{work: h.Ask.Request.Work, expires: expires}
+	entry.work += h.Ask.Request.Work
+}
+
 // Return ends a permit. A permit that is unknown or already returned is
 // ignored; Return reports whether it was known.
 func (l *Ledger) Return(engine EngineID, id PermitID) bool {
--- a/owner.go
+++ b/owner.go
@@ -48,6 +48,18 @@
 	o.Ledger.Return(r.Engine, r.Permit)
 }
 
+// Report takes over the permits that an ingress holds of a former owner.
+func (o *Owner) Report(_ RouterID, held []HeldPermit) {
+	doc := o.Document()
+	if doc == nil {
+		return
+	}
+	expires := o.Clock.Now().Add(doc.Policy().PermitExpiry())
+	for _, h := range held {
+		o.Ledger.Adopt(h, expires)
+	}
+}
+
 func (o *Owner) refuse(ask Ask, ranking []Engine, room Room) Answer {
 	answer := Answer{Cause: CauseOverloaded, RetryAfter: overloadRetryAfter, Loads: o.Ledger.Loads()}
 	for _, e := range ranking {
