Stand-ins of model engines and plain services, tests of their clients

Cause: the clients' verdicts need endpoints that fail at each point and count what they ran. Change: standin.Engine batches, caches prefixes, resumes and cancels streams and takes orders; standin.Service counts runs by key. A stream is resumed also before its first event, by the offset -1. Streams use a connection of their own, as a kept one may have gone silent.

--- a/engine/chat.go
+++ b/engine/chat.go
@@ -21,6 +21,7 @@
 	headerRequest  = "X-Request-Id"
 	headerDeadline = "X-Deadline-Ms"
 	headerVersion  = "X-Model-Version"
+	headerWork     = "X-Work-Units"
 	headerStream   = "X-Stream-Id"
 	headerLast     = "Last-Event-ID"
 )
@@ -127,6 +128,9 @@
 		left := max(call.Request.Deadline.Sub(c.opts.Clock.Now()), 0)
 		req.Header.Set(headerDeadline, strconv.FormatInt(int64(left/time.Millisecond), 10))
 	}
+	if call.Request.Work > 0 {
+		req.Header.Set(headerWork, strconv.Itoa(call.Request.Work))
+	}
 	if call.Version != "" {
 		req.Header.Set(headerVersion, call.Version)
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -18,8 +18,6 @@
 	defaultDialTimeout   = 2 * time.Second
 	defaultHeaderTimeout = 30 * time.Second
 	defaultIdleTimeout   = 30 * time.Second
-	keepTimeout          = 30 * time.Second // how long an unused connection is kept
-	idlePerEngine        = 16               // unused connections kept for each engine
 )
 
 // Options are the settings of a Client. A zero duration takes its default.
@@ -33,7 +31,7 @@
 // Client talks to model engines.
 type Client struct {
 	opts      Options
-	transport *http.Transport
+	transport *http.Transport // a fresh connection for each stream, as a kept one may have gone silent
 	plain     *service.Client // calls with a single answer
 }
 
@@ -61,15 +59,10 @@
 	transport := &http.Transport{
 		DialContext:           (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
 		DisableCompression:    true,
-		IdleConnTimeout:       keepTimeout,
-		MaxIdleConnsPerHost:   idlePerEngine,
+		DisableKeepAlives:     true,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
 	}
-	cleanUp := func() {
-		transport.CloseIdleConnections()
-		closePlain()
-	}
-	return &Client{opts: opts, transport: transport, plain: plain}, cleanUp, nil
+	return &Client{opts: opts, transport: transport, plain: plain}, closePlain, nil
 }
 
 // call sends a request with a single answer and returns the body of a success.
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -18,6 +18,6 @@
 //		}
 //	}
 //
-// After a Failure of Next, call Chat again with the id of the last event as
+// After a Failure of Next, call Chat again with the stream's LastEventID as
 // Call.LastEventID.
 package engine
--- a/engine/events.go
+++ b/engine/events.go
@@ -93,6 +93,9 @@
 	}
 }
 
+// beforeFirst is the offset by which a stream is resumed from its beginning.
+const beforeFirst = -1
+
 // parseID splits an event id into its stream and offset.
 func parseID(id string) (stream string, offset int, err error) {
 	i := strings.LastIndexByte(id, ':')
@@ -100,7 +103,7 @@
 		return "", 0, errors.Newf("event id %q names no stream", id)
 	}
 	offset, err = strconv.Atoi(id[i+1:])
-	if err != nil || offset < 0 {
+	if err != nil || offset < beforeFirst {
 		return "", 0, errors.Newf("event id %q has no offset", id)
 	}
 	return id[:i], offset, nil
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -4,7 +4,7 @@
 	"context"
 	"io"
 	"net/http"
-	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +67,7 @@
 		return nil, call.fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, err)
 	}
 	s.idle = time.AfterFunc(c.opts.IdleTimeout, func() { cancel(errIdle) })
+	s.idle.Stop()
 	s.events = newEventReader(resp.Body, func() { s.idle.Reset(c.opts.IdleTimeout) })
 	return s, nil
 }
@@ -87,7 +88,7 @@
 	if s.id != "" && s.id != stream {
 		return errors.Wrapf(ErrCrossed, "answer of stream %q", s.id)
 	}
-	s.id, s.next, s.began = stream, offset+1, true
+	s.id, s.next, s.began = stream, offset+1, offset > beforeFirst
 	return nil
 }
 
@@ -98,11 +99,10 @@
 	if s.err != nil {
 		return Event{}, s.err
 	}
+	s.idle.Reset(s.client.opts.IdleTimeout)
 	event, err := s.read()
-	if err != nil {
-		s.err = err
-		s.idle.Stop()
-	}
+	s.idle.Stop()
+	s.err = err
 	return event, err
 }
 
@@ -170,6 +170,16 @@
 // ID returns the stream's id, empty while the engine has not named it.
 func (s *Stream) ID() string { return s.id }
 
+// LastEventID returns the id by which the stream can be resumed after the
+// events that Next has returned, none included. It is empty while the engine
+// has not named the stream.
+func (s *Stream) LastEventID() string {
+	if s.id == "" {
+		return ""
+	}
+	return s.id + ":" + strconv.Itoa(s.next-1)
+}
+
 // Cancel tells the engine to stop the stream and to free its work.
 func (s *Stream) Cancel(ctx context.Context) error {
 	if s.id == "" {
@@ -181,7 +191,7 @@
 // CancelStream tells the engine to stop the stream of the given id. A stream
 // that the engine no longer knows counts as cancelled.
 func (c *Client) CancelStream(ctx context.Context, address, id string) error {
-	r := service.Request{Method: http.MethodDelete, Path: "/v1/streams/" + url.PathEscape(id), Idempotent: true}
+	r := service.Request{Method: http.MethodDelete, Path: "/v1/streams/" + id, Idempotent: true}
 	resp, err := c.plain.Call(ctx, address, r)
 	if err != nil {
 		return err
--- a/service/call.go
+++ b/service/call.go
@@ -26,7 +26,7 @@
 // Request is one call to a plain service.
 type Request struct {
 	Method     string
-	Path       string
+	Path       string // unescaped
 	Query      string // encoded, without the question mark
 	Header     http.Header
 	Body       []byte
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,157 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+)
+
+// Defaults of an Engine.
+const (
+	engineDefaultSlots = 8
+	engineDefaultGrace = 10 * time.Second
+	engineReapInterval = 50 * time.Millisecond
+)
+
+// EngineModel is a model version that an Engine serves.
+type EngineModel struct {
+	Model   string
+	Version string
+}
+
+// Engine is a model engine that batches continuously and caches prompt
+// prefixes. Its answers are made of the request itself, see EngineAnswer.
+type Engine struct {
+	Name            string
+	Zone            string
+	Listener        net.Listener
+	Clock           peridotusher.Clock
+	Seed            uint64
+	Models          []EngineModel // loaded at the start; an empty list serves every model
+	Slots           int           // work units that run at once
+	TokenTime       time.Duration // time of one step of the batch
+	PrefillPerToken time.Duration // added to a step for each uncached prompt token
+	CacheTokens     int           // size of the prefix cache
+	LoadLag         time.Duration // age of the load report
+	EventLag        time.Duration // delay of a cache event
+	EventGap        float64       // probability that a cache event is lost
+	ChecksFence     bool          // refuse an order with an old fencing number
+	LoadTime        time.Duration // time to load a model version
+	Grace           time.Duration // how long a stream without a reader is kept
+
+	once   sync.Once
+	wake   chan struct{}
+	server *http.Server
+
+	mu     sync.Mutex
+	faults engineFaults
+	conns  map[net.Conn]struct{}
+	runs   map[string]*engineRun // by stream id
+	queue  []*engineRun          // waiting, in the order of arrival
+	batch  []*engineRun
+	count  int // streams begun
+	cache  engineCache
+	orders engineOrders
+	loads  []engineSample
+	stats  EngineStats
+}
+
+// prepare fills in the defaults and the tables.
+func (e *Engine) prepare() {
+	if e.Slots == 0 {
+		e.Slots = engineDefaultSlots
+	}
+	if e.Grace == 0 {
+		e.Grace = engineDefaultGrace
+	}
+	if e.Clock == nil {
+		e.Clock = peridotusher.ClockFunc(time.Now)
+	}
+	e.wake = make(chan struct{}, 1)
+	e.conns = make(map[net.Conn]struct{})
+	e.runs = make(map[string]*engineRun)
+	e.faults.slow = 1
+	e.cache.init(e.Seed, e.CacheTokens, e.EventGap)
+	e.orders.init(e.Models, e.Clock.Now())
+	e.stats.Runs = make(map[string]int)
+	e.server = &http.Server{Handler: e.routes(), ConnState: e.trackConn}
+}
+
+// Run serves until ctx ends. A crash by SetCrashed does not end it.
+func (e *Engine) Run(ctx context.Context) error {
+	e.once.Do(e.prepare)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := e.server.Serve(e.Listener)
+		if errors.Is(err, http.ErrServerClosed) || e.crashed() {
+			return nil
+		}
+		return err
+	})
+	group.Go(func() error {
+		e.loop(ctx)
+		return e.server.Close()
+	})
+	return group.Wait()
+}
+
+// routes returns the engine's own mux.
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /cache/events", e.serveCacheEvents)
+	mux.HandleFunc("POST /cache/export", e.serveExport)
+	mux.HandleFunc("POST /cache/import", e.serveImport)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("GET /orders", e.serveState)
+	return e.withSilence(mux)
+}
+
+// loop runs the batch until ctx ends.
+func (e *Engine) loop(ctx context.Context) {
+	ticker := time.NewTicker(engineReapInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		pause, busy := e.admit()
+		if !busy {
+			select {
+			case <-ctx.Done():
+			case <-e.wake:
+			case <-ticker.C:
+			}
+			continue
+		}
+		engineSleep(ctx, pause)
+		e.step()
+	}
+}
+
+// engineSleep waits for d or until ctx ends.
+func engineSleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// wakeLoop tells the loop that a request has arrived.
+func (e *Engine) wakeLoop() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/standin/engine_orders.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// engineOrder is the body of POST /orders.
+type engineOrder struct {
+	ID      string `json:"id"`
+	Fence   uint64 `json:"fence"`
+	Kind    string `json:"kind"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Adapter string `json:"adapter"`
+	Role    string `json:"role"`
+}
+
+// engineOrderAnswer is the answer of POST /orders.
+type engineOrderAnswer struct {
+	Applied  bool   `json:"applied"`
+	Repeated bool   `json:"repeated"`
+	Refused  bool   `json:"refused"`
+	Fence    uint64 `json:"fence"`
+}
+
+// engineVersion is a model version on the wire.
+type engineVersion struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Ready   bool   `json:"ready"`
+}
+
+// engineState is the answer of GET /orders.
+type engineState struct {
+	Versions []engineVersion `json:"versions"`
+	Adapters []string        `json:"adapters"`
+	Role     string          `json:"role"`
+	Leaving  bool            `json:"leaving"`
+	Fence    uint64          `json:"fence"`
+	Orders   []string        `json:"orders"`
+}
+
+// engineLoaded is a model version that is ready from a point in time on.
+type engineLoaded struct {
+	EngineModel
+	ready time.Time
+}
+
+// engineOrders is what the orders have led to. The Engine's mu guards it.
+type engineOrders struct {
+	any      bool // serves every model
+	loaded   []engineLoaded
+	adapters []string
+	role     string
+	leaving  bool
+	fence    uint64
+	applied  []string
+}
+
+// init takes the models that are loaded at the start.
+func (o *engineOrders) init(models []EngineModel, now time.Time) {
+	o.any = len(models) == 0
+	for _, m := range models {
+		o.loaded = append(o.loaded, engineLoaded{m, now})
+	}
+}
+
+// serves returns whether a new request to the model can run.
+func (o *engineOrders) serves(model, version string, now time.Time) bool {
+	if o.leaving {
+		return false
+	}
+	if o.any {
+		return true
+	}
+	return slices.ContainsFunc(o.loaded, func(l engineLoaded) bool {
+		return l.Model == model && (version == "" || l.Version == version) && !l.ready.After(now)
+	})
+}
+
+// take applies an order unless it is old or repeated.
+func (o *engineOrders) take(order engineOrder, checks bool, ready time.Time) engineOrderAnswer {
+	if slices.Contains(o.applied, order.ID) {
+		return engineOrderAnswer{Repeated: true, Fence: o.fence}
+	}
+	if checks && order.Fence < o.fence {
+		return engineOrderAnswer{Refused: true, Fence: o.fence}
+	}
+	o.fence = max(o.fence, order.Fence)
+	o.apply(order, ready)
+	o.applied = append(o.applied, order.ID)
+	return engineOrderAnswer{Applied: true, Fence: o.fence}
+}
+
+// apply changes what the engine serves.
+func (o *engineOrders) apply(order engineOrder, ready time.Time) {
+	model := EngineModel{order.Model, order.Version}
+	isModel := func(l engineLoaded) bool { return l.EngineModel == model }
+	isAdapter := func(a string) bool { return a == order.Adapter }
+	switch order.Kind {
+	case "load":
+		if !slices.ContainsFunc(o.loaded, isModel) {
+			o.loaded = append(o.loaded, engineLoaded{model, ready})
+		}
+	case "unload":
+		o.loaded = slices.DeleteFunc(o.loaded, isModel)
+	case "adapter":
+		if !slices.ContainsFunc(o.adapters, isAdapter) {
+			o.adapters = append(o.adapters, order.Adapter)
+		}
+	case "unadapter":
+		o.adapters = slices.DeleteFunc(o.adapters, isAdapter)
+	case "role":
+		o.role = order.Role
+	case "leave":
+		o.leaving = true
+	}
+}
+
+// versions returns the loaded versions as they stand at now.
+func (o *engineOrders) versions(now time.Time) []engineVersion {
+	versions := []engineVersion{}
+	for _, l := range o.loaded {
+		versions = append(versions, engineVersion{l.Model, l.Version, !l.ready.After(now)})
+	}
+	return versions
+}
+
+// serveOrder takes one order.
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engineOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.ID == "" {
+		http.Error(w, "not an order", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	answer := e.orders.take(order, e.ChecksFence, e.Clock.Now().Add(e.LoadTime))
+	e.mu.Unlock()
+	fmt.Fprint(w, engineJSON(answer))
+}
+
+// serveState reads back what the orders have led to.
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	state := engineState{
+		Versions: e.orders.versions(e.Clock.Now()),
+		Adapters: slices.Clone(e.orders.adapters),
+		Role:     e.orders.role,
+		Leaving:  e.orders.leaving,
+		Fence:    e.orders.fence,
+		Orders:   slices.Clone(e.orders.applied),
+	}
+	e.mu.Unlock()
+	fmt.Fprint(w, engineJSON(state))
+}
--- /dev/null
+++ b/standin/engine_run.go
@@ -0,0 +1,177 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+)
+
+// engineRun is one chat completion and its events. The Engine's mu guards it.
+type engineRun struct {
+	stream   string
+	request  string
+	chat     string
+	model    string
+	hash     string
+	priority int
+	work     int
+	prompt   int // tokens
+	limit    int // tokens to generate
+	cached   int // prompt tokens found in the cache
+
+	tokens  int
+	events  []string // data of each event, by offset
+	ended   bool     // no event will follow
+	stopped bool     // cancelled, so there is no end mark
+	changed chan struct{}
+	readers int
+	idleAt  time.Time // when the last reader left
+}
+
+// notify wakes the run's readers.
+func (r *engineRun) notify() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// stop ends the run without an end mark.
+func (r *engineRun) stop() {
+	if !r.ended {
+		r.ended, r.stopped = true, true
+	}
+	r.notify()
+}
+
+// generate adds the next token, and after the last one the end of the answer.
+func (r *engineRun) generate() {
+	r.events = append(r.events, r.chunk(engineToken(r.request, r.hash, r.tokens, r.limit), ""))
+	r.tokens++
+	if r.tokens == r.limit {
+		r.events = append(r.events, r.chunk("", "length"), r.usage())
+		r.ended = true
+	}
+	r.notify()
+}
+
+// engineToken returns token i of n of an answer.
+func engineToken(request, hash string, i, n int) string {
+	mark := fmt.Sprintf("r=%s h=%s", request, hash)
+	switch {
+	case n == 1:
+		return mark + " end"
+	case i == 0:
+		return mark
+	case i == n-1:
+		return " " + mark + " end"
+	default:
+		return fmt.Sprintf(" %d", i)
+	}
+}
+
+// admit moves waiting runs into the batch, lowest priority number first, and
+// returns the time of the next step. It also drops streams that nobody reads.
+func (e *Engine) admit() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reap()
+	prefill := 0
+	for {
+		run := e.takeNext()
+		if run == nil {
+			break
+		}
+		run.cached = e.cache.lookup(run.chat, run.prompt)
+		e.stats.HitTokens += run.cached
+		e.stats.MissTokens += run.prompt - run.cached
+		e.stats.Runs[run.request]++
+		e.stats.Order = append(e.stats.Order, run.request)
+		prefill += run.prompt - run.cached
+		e.batch = append(e.batch, run)
+	}
+	e.sample()
+	pause := e.TokenTime + time.Duration(prefill)*e.PrefillPerToken
+	return time.Duration(float64(pause) * e.faults.slow), len(e.batch) > 0
+}
+
+// takeNext removes and returns the next waiting run that fits into the batch, else nil.
+func (e *Engine) takeNext() *engineRun {
+	best := -1
+	for i, run := range e.queue {
+		if best < 0 || run.priority < e.queue[best].priority {
+			best = i
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	run := e.queue[best]
+	if len(e.batch) > 0 && engineWork(e.batch)+run.work > e.Slots {
+		return nil
+	}
+	e.queue = append(e.queue[:best], e.queue[best+1:]...)
+	return run
+}
+
+// engineWork returns the sum of the runs' work units.
+func engineWork(runs []*engineRun) int {
+	sum := 0
+	for _, run := range runs {
+		sum += run.work
+	}
+	return sum
+}
+
+// step generates one token for each run of the batch.
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	left := e.batch[:0]
+	for _, run := range e.batch {
+		if run.ended {
+			continue
+		}
+		run.generate()
+		if !run.ended {
+			left = append(left, run)
+			continue
+		}
+		e.stats.Completed++
+		e.cache.store(run.chat, run.prompt+run.tokens, e.Clock.Now())
+	}
+	e.batch = left
+	e.sample()
+}
+
+// cancelRun stops a run and frees its work.
+func (e *Engine) cancelRun(run *engineRun) {
+	if run.ended {
+		return
+	}
+	run.stop()
+	e.stats.Cancelled++
+	e.queue = engineWithout(e.queue, run)
+	e.batch = engineWithout(e.batch, run)
+	e.sample()
+}
+
+// engineWithout returns runs without the given one.
+func engineWithout(runs []*engineRun, gone *engineRun) []*engineRun {
+	var left []*engineRun
+	for _, run := range runs {
+		if run != gone {
+			left = append(left, run)
+		}
+	}
+	return left
+}
+
+// reap cancels and forgets the streams that had no reader for the grace time.
+func (e *Engine) reap() {
+	now := e.Clock.Now()
+	for id, run := range e.runs {
+		if run.readers > 0 || now.Sub(run.idleAt) < e.Grace {
+			continue
+		}
+		e.cancelRun(run)
+		delete(e.runs, id)
+	}
+}
