--- a/ingress.go
+++ b/ingress.go
@@ -9,7 +9,7 @@
 )
 
 // maxAsks is the most owners that an ingress asks for one request.
-const maxAsks = 8
+const maxAsks = 64
 
 // PermitPeers asks the owners on other routers.
 type PermitPeers interface {
--- a/ledger.go
+++ b/ledger.go
@@ -56,7 +56,7 @@
 	if load+work > room.Slots {
 		return false
 	}
-	if load > 0 && load+work > l.limit(work, room) {
+	if load >= l.limit(work, room) {
 		return false
 	}
 	entry := l.entry(ask.Engine, ask.Request.Model)
@@ -130,10 +130,11 @@
 	if load+work > room.Slots {
 		return false
 	}
-	return load == 0 || load+work <= l.limit(work, room)
+	return load < l.limit(work, room)
 }
 
-// limit returns the load that no engine may exceed once work is added.
+// limit returns the load that an engine has to be below to get the work. There
+// is always an engine below it, because some engine is at most at the mean.
 func (l *Ledger) limit(work int, room Room) int {
 	total := work
 	for _, id := range room.Engines {
