--- a/service/service_test.go
+++ b/service/service_test.go
@@ -237,3 +237,26 @@
 		})
 	}
 }
+
+func TestReplicasShareDocuments(t *testing.T) {
+	first := &standin.Service{}
+	second := &standin.Service{Shared: first}
+	firstAddress, secondAddress := start(t, first), start(t, second)
+	client := newClient(t, service.Options{})
+	if _, err := client.Call(testContext(t), secondAddress, save()); err != nil {
+		t.Fatal(err)
+	}
+	fetch := service.Request{Method: http.MethodGet, Path: "/profiles/7", Idempotent: true}
+	for _, address := range []string{firstAddress, secondAddress} {
+		response, err := client.Call(testContext(t), address, fetch)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff("waist 70", string(response.Body)); diff != "" {
+			t.Errorf("document (-want +got):\n%s", diff)
+		}
+	}
+	if first.Stats().Keys["k1"] != 0 || second.Stats().Keys["k1"] != 1 {
+		t.Errorf("runs %v and %v, want the save counted at the second replica only", first.Stats().Keys, second.Stats().Keys)
+	}
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -21,15 +21,17 @@
 	Name        string
 	Zone        string
 	Listener    net.Listener
-	ChecksFence bool // refuse a call with an old fencing number
-
-	mu        sync.Mutex
-	documents map[string][]byte // by path
-	keys      map[string]int    // runs by idempotency key
-	paths     map[string]int    // runs by path
-	fence     uint64
-	running   int
-	faults    serviceFaults
+	ChecksFence bool     // refuse a call with an old fencing number
+	Shared      *Service // replica whose documents this one reads and writes, nil for its own
+
+	documents serviceDocuments
+
+	mu      sync.Mutex     // taken before the documents' mu
+	keys    map[string]int // runs by idempotency key
+	paths   map[string]int // runs by path
+	fence   uint64
+	running int
+	faults  serviceFaults
 }
 
 // serviceFaults are the calls still to fail.
@@ -203,8 +205,7 @@
 
 // apply fetches or saves the document of the call's path.
 func (s *Service) apply(r *http.Request, body []byte) (int, []byte) {
-	if s.documents == nil {
-		s.documents = make(map[string][]byte)
+	if s.keys == nil {
 		s.keys = make(map[string]int)
 		s.paths = make(map[string]int)
 	}
@@ -212,13 +213,21 @@
 	if key := r.Header.Get("Idempotency-Key"); key != "" {
 		s.keys[key]++
 	}
-	if r.Method == http.MethodGet {
-		document, ok := s.documents[r.URL.Path]
-		if !ok {
-			return http.StatusNotFound, nil
-		}
-		return http.StatusOK, document
+	if r.Method != http.MethodGet {
+		s.store().save(r.URL.Path, body)
+		return http.StatusOK, body
+	}
+	document, ok := s.store().fetch(r.URL.Path)
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, document
+}
+
+// store returns the documents that the replica serves.
+func (s *Service) store() *serviceDocuments {
+	if s.Shared != nil {
+		return s.Shared.store()
 	}
-	s.documents[r.URL.Path] = body
-	return http.StatusOK, body
+	return &s.documents
 }
