--- a/document/owners.go
+++ b/document/owners.go
@@ -1,6 +1,9 @@
 package document
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // owners finds the teams that own a section, by exact headers and by prefixes.
 type owners struct {
@@ -32,18 +35,9 @@
 // unique appends the names that list does not hold yet.
 func unique(list, names []string) []string {
 	for _, name := range names {
-		if !contains(list, name) {
+		if !slices.Contains(list, name) {
 			list = append(list, name)
 		}
 	}
 	return list
 }
-
-func contains(list []string, name string) bool {
-	for _, l := range list {
-		if l == name {
-			return true
-		}
-	}
-	return false
-}
--- a/document/parsers.go
+++ b/document/parsers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -78,7 +79,7 @@
 			return text, nil
 		}
 		kind, name, named := strings.Cut(text, " ")
-		known := contains(Kinds(), kind)
+		known := slices.Contains(Kinds(), kind)
 		if !known || named == (kind == "policy") || !onlyTrailingStar(name) || strings.Contains(name, " ") {
 			return "", errForm
 		}
--- a/document/types.go
+++ b/document/types.go
@@ -1,6 +1,9 @@
 package document
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Policy holds the figures that bound the routers' decisions.
 type Policy struct {
@@ -274,13 +277,5 @@
 
 // listed returns whether name is in list; an empty list holds every name.
 func listed(list []string, name string) bool {
-	if len(list) == 0 {
-		return true
-	}
-	for _, l := range list {
-		if l == name {
-			return true
-		}
-	}
-	return false
+	return len(list) == 0 || slices.Contains(list, name)
 }
--- a/ini/read.go
+++ b/ini/read.go
@@ -68,9 +68,7 @@
 		s.scanLine(offset, strings.TrimSpace(text[offset:end]))
 		offset = end
 	}
-	if s.section != nil {
-		s.section.end = len(text)
-	}
+	s.endSection(len(text))
 	if len(s.file.sections) > 0 {
 		s.file.sections[0].start = 0
 	}
@@ -103,7 +101,8 @@
 	s.skip = true
 	header, ok := strings.CutSuffix(line[1:], "]")
 	if !ok || !validHeader(header) {
-		s.section = s.endSection(start)
+		s.endSection(start)
+		s.section = nil
 		s.report("", "the header "+line+" is not valid", "[kind] or [kind name]; a kind is a-z, a name is letters, digits and . _ - / :")
 		return
 	}
@@ -122,12 +121,11 @@
 	s.copyLine(line)
 }
 
-// endSection ends the present section at the offset and returns nil for the next.
-func (s *scanner) endSection(offset int) *Section {
+// endSection ends the present section, if any, at the offset.
+func (s *scanner) endSection(offset int) {
 	if s.section != nil {
 		s.section.end = offset
 	}
-	return nil
 }
 
 func (s *scanner) scanKey(line string) {
