--- a/doc.go
+++ b/doc.go
@@ -12,8 +12,8 @@
 // Fill the tables, then ask for a ranking and a permit:
 //
 //	engines := peridotusher.NewEngines()
-//	members := peridotusher.NewMembers(self)
-//	owner, ok := members.OwnerOf(engine)
+//	members := peridotusher.NewMembers(self, clock)
+//	owner, ok := members.OwnerOf(engine, zone)
 //
 // # Lock order
 //
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -123,9 +123,6 @@
 		n.Log.WithError(err).WithField("address", conn.RemoteAddr()).Warn("handshake failed")
 		return err
 	}
-	if !n.Members.Heard(peer) {
-		return errStaleIncarnation
-	}
 	mux, streams, err := n.openStreams(shaken, dialled)
 	if err != nil {
 		return err
@@ -139,6 +136,10 @@
 		return mux.Close()
 	}
 	defer n.sessions.remove(s)
+	if !n.Members.Heard(peer) {
+		_ = mux.Close()
+		return errStaleIncarnation
+	}
 	if ctx.Err() != nil {
 		s.close(ctx.Err())
 	}
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -10,9 +10,9 @@
 	"peridotusher.example/peridotusher"
 )
 
-// PeerView is what another router last said of its own state.
-type PeerView struct {
-	View     uint64 // version of its table of members
+// View is what another router last said of its own state.
+type View struct {
+	Members  uint64 // version of its table of members
 	Revision uint64 // configuration revision in force there
 }
 
@@ -76,7 +76,7 @@
 		s.close(errStaleIncarnation)
 		return
 	}
-	s.setView(PeerView{View: msg.GetView(), Revision: msg.GetRevision()})
+	s.setView(View{Members: msg.GetView(), Revision: msg.GetRevision()})
 	if n.Sink != nil {
 		n.Sink.SetLoads(s.peer.ID(), loadsFromWire(msg.GetLoads()))
 	}
@@ -104,9 +104,9 @@
 }
 
 // Peers returns what each connected router last said of its own state.
-func (n *Node) Peers() map[peridotusher.RouterID]PeerView {
+func (n *Node) Peers() map[peridotusher.RouterID]View {
 	n.once.Do(n.init)
-	views := make(map[peridotusher.RouterID]PeerView)
+	views := make(map[peridotusher.RouterID]View)
 	for _, s := range n.sessions.all() {
 		views[s.peer.ID()] = s.lastView()
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"peridotusher.example/peridotusher"
@@ -39,7 +40,7 @@
 	closed  bool
 	nextID  uint64
 	pending map[uint64]chan *Envelope
-	view    PeerView
+	view    View
 }
 
 func newSession(peer peridotusher.Member, dialer peridotusher.RouterID, conn *countedConn, t *traffic) *session {
@@ -89,7 +90,7 @@
 		if err := read.UnmarshalFrom(buffered, e); err != nil {
 			return err
 		}
-		s.traffic.addReceived(Kind(e.GetKind()), proto.Size(e))
+		s.traffic.addReceived(Kind(e.GetKind()), protowire.SizeBytes(proto.Size(e)))
 		if e.GetReply() {
 			s.deliver(e)
 		} else {
@@ -201,14 +202,14 @@
 func (s *session) silentSince() time.Time { return s.conn.lastRead() }
 
 // setView keeps what the peer said of its own state.
-func (s *session) setView(v PeerView) {
+func (s *session) setView(v View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view = v
 }
 
 // lastView returns what the peer last said of its own state.
-func (s *session) lastView() PeerView {
+func (s *session) lastView() View {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.view
