--- a/members.go
+++ b/members.go
@@ -231,6 +231,21 @@
 	return all
 }
 
+// Targets returns every member with the address to dial, by ID. While the
+// platform's list names a member, its listed address goes before the one that
+// the member advertises, because it may be specific to this zone.
+func (t *Members) Targets() []Member {
+	all := t.All()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, m := range all {
+		if listed, ok := t.listed[m.id]; ok {
+			all[i].address = listed.address
+		}
+	}
+	return all
+}
+
 // Get returns the member with the ID.
 func (t *Members) Get(id RouterID) (Member, bool) {
 	t.mu.Lock()
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -54,7 +54,7 @@
 
 // dialMissing dials the members that have no session and whose backoff is over.
 func (n *Node) dialMissing(ctx context.Context) {
-	members := n.Members.All()
+	members := n.Members.Targets()
 	n.dials.keep(members)
 	for _, m := range members {
 		if m.ID() == n.Self.ID() || n.connected(m) || !n.dials.begin(m.Address()) {
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -31,6 +31,12 @@
 		Text:    "Level of the log.",
 		Value:   ini.Of(ini.OneOf("debug", "info", "warn", "error"), func(r *Router) *string { return &r.log }),
 	},
+	{
+		Name:    "settle",
+		Default: "2s",
+		Text:    "Time that a stopping router stays open until the balancer has noticed.",
+		Value:   ini.Of(ini.Duration(0, maxDuration), func(r *Router) *time.Duration { return &r.settle }),
+	},
 	{
 		Name:    "drain",
 		Default: "60s",
--- a/settings/types.go
+++ b/settings/types.go
@@ -4,10 +4,11 @@
 
 // Router holds the settings of the process itself.
 type Router struct {
-	name  string
-	zone  string
-	log   string
-	drain time.Duration
+	name   string
+	zone   string
+	log    string
+	settle time.Duration
+	drain  time.Duration
 }
 
 // Name returns the name of the router, one of its kind in the fleet.
@@ -19,6 +20,9 @@
 // Log returns the level of the log.
 func (r Router) Log() string { return r.log }
 
+// Settle returns how long a stopping router stays open until the balancer has noticed.
+func (r Router) Settle() time.Duration { return r.settle }
+
 // Drain returns the time of the longest graceful shutdown.
 func (r Router) Drain() time.Duration { return r.drain }
 
--- /dev/null
+++ b/testbed/options.go
@@ -0,0 +1,65 @@
+package testbed
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/standin"
+)
+
+// Options describe a bed. A zero field takes its default.
+type Options struct {
+	Binary          string   // the peridotusher program, see Build
+	Dir             string   // folder for settings and logs
+	Zones           []string // a, b and c
+	RoutersPerZone  int      // 2
+	ExtraRouters    int      // routers beyond that, one to a zone in turn
+	EnginesPerZone  int      // 7
+	ServicesPerZone int      // 1
+	Models          []standin.EngineModel
+	Document        []byte                // examples.Kalimera with this bed's service replicas
+	Seed            uint64                // 1
+	ZoneDelay       time.Duration         // one way between zones
+	ZoneJitter      time.Duration         // added to it
+	ListLag         time.Duration         // 500 ms
+	Engine          func(*standin.Engine) // changes an engine before it starts
+	Service         func(*standin.Service)
+	Settings        func(router string) string // INI text appended to a router's settings
+	Args            func(router string) []string
+}
+
+func (o Options) withDefaults() Options {
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"a", "b", "c"}
+	}
+	setDefault(&o.RoutersPerZone, 2)
+	setDefault(&o.EnginesPerZone, 7)
+	setDefault(&o.ServicesPerZone, 1)
+	setDefault(&o.Seed, 1)
+	setDefault(&o.ListLag, 500*time.Millisecond)
+	if len(o.Models) == 0 {
+		o.Models = []standin.EngineModel{{Model: "stylist", Version: "v1"}, {Model: "stylist", Version: "v2"}}
+	}
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Build compiles the peridotusher program into dir and returns its path.
+func Build(ctx context.Context, dir string) (string, error) {
+	binary := filepath.Join(dir, "peridotusher")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", binary, "peridotusher.example/peridotusher/cmd/peridotusher")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", errors.Wrapf(err, "go build: %s", out)
+	}
+	return binary, nil
+}
