--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -71,9 +71,7 @@
 }
 
 func TestNewerHeartbeatReplacesTheWaitingOne(t *testing.T) {
-	done := make(chan struct{})
-	counters := newTraffic()
-	o := newOutbox(done, counters)
+	o := newOutbox(nil, newTraffic())
 	o.replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: []byte("old")})
 	o.replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: []byte("new")})
 	f := <-o.heartbeat
