--- a/document/types.go
+++ b/document/types.go
@@ -1,6 +1,9 @@
 package document
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Policy holds the figures that bound the routers' decisions.
 type Policy struct {
@@ -66,7 +69,7 @@
 // Deadline returns the time within which the whole answer is due.
 func (c *Class) Deadline() time.Duration { return c.deadline }
 
-// FirstToken returns the time within which the first token is due.
+// FirstToken returns the time within which the first token is due, zero for no limit.
 func (c *Class) FirstToken() time.Duration { return c.firstToken }
 
 // Work returns the work units that one request of the class counts for.
@@ -141,7 +144,7 @@
 // Fencing returns whether the model's engines check the fencing number of an order.
 func (m *Model) Fencing() Fencing { return m.fencing }
 
-// Versions returns the versions to serve, with their shares.
+// Versions returns the versions to serve, with their shares, empty for the version that an engine runs.
 func (m *Model) Versions() []Version { return m.versions }
 
 // Adapters returns the adapters to load.
@@ -274,13 +277,5 @@
 
 // listed returns whether name is in list; an empty list holds every name.
 func listed(list []string, name string) bool {
-	if len(list) == 0 {
-		return true
-	}
-	for _, l := range list {
-		if l == name {
-			return true
-		}
-	}
-	return false
+	return len(list) == 0 || slices.Contains(list, name)
 }
--- /dev/null
+++ b/entry/hosts.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"context"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/hosts"
+)
+
+// watchHosts fills the tables of members and engines from the platform's list.
+func (h *Host) watchHosts(ctx context.Context) error {
+	client := &hosts.Client{URL: h.HostsURL, Interval: h.HostsInterval, Log: h.Log}
+	client.Changed = func(list []hosts.Host) {
+		h.members.Propose(listedMembers(list))
+		h.engines.SetListed(listedEngines(list))
+	}
+	return client.Run(ctx)
+}
+
+func listedMembers(list []hosts.Host) []peridotusher.Member {
+	var members []peridotusher.Member
+	for _, host := range list {
+		if host.Kind() == hosts.KindRouter {
+			members = append(members, peridotusher.NewMember(peridotusher.RouterID(host.Name()), host.Zone(), host.Address(), 0))
+		}
+	}
+	return members
+}
+
+func listedEngines(list []hosts.Host) []peridotusher.Engine {
+	var engines []peridotusher.Engine
+	for _, host := range list {
+		if host.Kind() != hosts.KindEngine {
+			continue
+		}
+		e := peridotusher.NewEngine(peridotusher.EngineID(host.Name()), host.Zone(), host.Address())
+		if host.State() == hosts.StateLeaving {
+			e = e.WithState(peridotusher.EngineLeaving)
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
--- a/owner.go
+++ b/owner.go
@@ -1,74 +1,92 @@
 package peridotusher
 
-// maxRanks bounds the rankings that are kept for one version of the table.
-const maxRanks = 1 << 16
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
 
-// rankKey names the ranking of routers for one engine of a zone.
-type rankKey struct {
-	engine EngineID
-	zone   Zone
+	"peridotusher.example/peridotusher/document"
+)
+
+// overloadRetryAfter is the delay told to a caller when every engine is full.
+const overloadRetryAfter = time.Second
+
+// Owner gives permits for the engines that this router owns.
+type Owner struct {
+	Self     RouterID
+	Placer   *Placer
+	Ledger   *Ledger
+	Document func() *document.Document
+	Clock    Clock
+
+	issued atomic.Uint64
 }
 
-// OwnerOf returns the router that gives the permits for an engine of the zone.
-//
-// It is the first of the engine's ranking: the live routers of the zone in
-// rendezvous order, then the live routers of the other zones, then the leaving
-// ones. A zone without a live router is thus served by the other zones, and a
-// fleet that is stopping still gives permits to its last requests.
-func (t *Members) OwnerOf(engine EngineID, zone Zone) (RouterID, bool) {
-	return t.ranked(engine, zone, 0)
+// Ask decides on a permit. A refusal names the next candidate that has room.
+func (o *Owner) Ask(_ context.Context, ask Ask) Answer {
+	doc := o.Document()
+	if doc == nil {
+		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
+	}
+	ranking, err := o.Placer.Ranking(doc, ask.Request)
+	if err != nil {
+		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
+	}
+	room := o.room(doc, ask.Request, ranking)
+	now := o.Clock.Now()
+	id := PermitID(fmt.Sprintf("%s-%d", o.Self, o.issued.Add(1)))
+	expires := now.Add(doc.Policy().PermitExpiry())
+	if inRanking(ranking, ask.Engine) && o.Ledger.Admit(now, id, ask, expires, room) {
+		return Answer{Granted: true, Permit: id, Engine: ask.Engine, Loads: o.Ledger.Loads()}
+	}
+	return o.refuse(ask, ranking, room)
 }
 
-// DeputyOf returns the second router of the ranking of OwnerOf, which is the
-// owner once the present one is gone.
-func (t *Members) DeputyOf(engine EngineID, zone Zone) (RouterID, bool) {
-	return t.ranked(engine, zone, 1)
+// Return ends a permit.
+func (o *Owner) Return(r Return) {
+	o.Ledger.Return(r.Engine, r.Permit)
 }
 
-// ranked returns the router at a place of the engine's ranking.
-func (t *Members) ranked(engine EngineID, zone Zone, place int) (RouterID, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	key := rankKey{engine, zone}
-	rank, ok := t.ranks[key]
-	if !ok {
-		rank = t.rank(key)
-		if len(t.ranks) >= maxRanks {
-			clear(t.ranks)
-		}
-		t.ranks[key] = rank
+// Report takes over the permits that an ingress holds of a former owner.
+func (o *Owner) Report(_ RouterID, held []HeldPermit) {
+	doc := o.Document()
+	if doc == nil {
+		return
 	}
-	if place >= len(rank) {
-		return "", false
+	expires := o.Clock.Now().Add(doc.Policy().PermitExpiry())
+	for _, h := range held {
+		o.Ledger.Adopt(h, expires)
 	}
-	return rank[place], true
 }
 
-// rank computes the first routers of an engine's ranking.
-func (t *Members) rank(key rankKey) []RouterID {
-	const places = 2
-	var near, far, leaving []Weighted
-	for id, e := range t.members {
-		candidate := Weighted{Name: string(id), Weight: 1}
-		switch {
-		case e.state == MemberLeaving:
-			leaving = append(leaving, candidate)
-		case e.state != MemberLive:
-			continue
-		case e.zone == key.zone:
-			near = append(near, candidate)
-		default:
-			far = append(far, candidate)
+func (o *Owner) refuse(ask Ask, ranking []Engine, room Room) Answer {
+	answer := Answer{Cause: CauseOverloaded, RetryAfter: overloadRetryAfter, Loads: o.Ledger.Loads()}
+	for _, e := range ranking {
+		if e.ID() != ask.Engine && o.Ledger.Fits(e.ID(), ask.Request.Work, room) {
+			answer.Next = e.ID()
+			return answer
 		}
 	}
-	var rank []RouterID
-	for _, group := range [][]Weighted{near, far, leaving} {
-		for _, name := range Rank(string(key.engine), group) {
-			rank = append(rank, RouterID(name))
-		}
-		if len(rank) >= places {
-			return rank[:places]
+	return answer
+}
+
+func (o *Owner) room(doc *document.Document, req Request, ranking []Engine) Room {
+	room := Room{Bound: doc.Policy().Bound()}
+	if model, ok := doc.Model(req.Model); ok {
+		room.Slots = model.Slots()
+	}
+	for _, e := range ranking {
+		room.Engines = append(room.Engines, e.ID())
+	}
+	return room
+}
+
+func inRanking(ranking []Engine, id EngineID) bool {
+	for _, e := range ranking {
+		if e.ID() == id {
+			return true
 		}
 	}
-	return rank
+	return false
 }
