--- a/demo/demo.go
+++ b/demo/demo.go
@@ -67,8 +67,7 @@
 	router.stop()
 	engine := f.engines[0]
 	d.say("taking engine %s out of service", engine.Name)
-	f.leave(engine)
-	return nil
+	return f.retire(ctx, engine)
 }
 
 func (d *Demo) say(format string, args ...any) {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -34,6 +34,7 @@
 	listInterval    = 200 * time.Millisecond
 	settleTime      = 500 * time.Millisecond
 	drainTime       = 10 * time.Second
+	idleBeforeStop  = 2 * time.Second
 	readyInterval   = 50 * time.Millisecond
 )
 
@@ -49,11 +50,17 @@
 	store    *standin.Store
 	hosts    *standin.Hosts
 	hostsURL string
-	engines  []*standin.Engine
+	engines  []*engine
 	services []*standin.Service
 	routers  []*router
 }
 
+// engine is one stand-in engine that can be stopped alone.
+type engine struct {
+	*standin.Engine
+	stop context.CancelFunc
+}
+
 // router is one running entry.Host.
 type router struct {
 	name string
@@ -116,8 +123,9 @@
 			LoadLag:         reportLag,
 			EventLag:        reportLag,
 		}
-		f.engines = append(f.engines, e)
-		f.group.Go(func() error { return e.Run(ctx) })
+		engineCtx, stop := context.WithCancel(ctx)
+		f.engines = append(f.engines, &engine{Engine: e, stop: stop})
+		f.group.Go(func() error { return e.Run(engineCtx) })
 		if err := f.list(e.Name, hosts.KindEngine, zone, listener); err != nil {
 			return err
 		}
@@ -242,9 +250,22 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// leave marks an engine as leaving in the platform's list.
-func (f *fleet) leave(e *standin.Engine) {
+// retire lists an engine as leaving and stops it once it has had no work for a while.
+func (f *fleet) retire(ctx context.Context, e *engine) error {
 	f.hosts.SetState(e.Name, hosts.StateLeaving)
+	idleSince := time.Now()
+	for time.Since(idleSince) < idleBeforeStop {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readyInterval):
+		}
+		if stats := e.Stats(); stats.Running+stats.Waiting > 0 {
+			idleSince = time.Now()
+		}
+	}
+	e.stop()
+	return nil
 }
 
 func listen() (net.Listener, error) {
--- a/engine.go
+++ b/engine.go
@@ -46,13 +46,14 @@
 	zone     Zone
 	address  string
 	state    EngineState
+	weight   float64
 	report   EngineReport
 	reported bool
 }
 
 // NewEngine returns a live engine that has not reported yet.
 func NewEngine(id EngineID, zone Zone, address string) Engine {
-	return Engine{id: id, zone: zone, address: address}
+	return Engine{id: id, zone: zone, address: address, weight: 1}
 }
 
 // ID returns the engine's name.
@@ -67,6 +68,9 @@
 // State returns whether the engine may get new work.
 func (e Engine) State() EngineState { return e.state }
 
+// Weight returns the engine's share of new chats, 1 for a full share.
+func (e Engine) Weight() float64 { return e.weight }
+
 // Report returns the engine's last load report and whether there is one.
 func (e Engine) Report() (EngineReport, bool) { return e.report, e.reported }
 
--- a/engines.go
+++ b/engines.go
@@ -28,6 +28,7 @@
 		if ok && old.address == e.address {
 			e.report = old.report
 			e.reported = old.reported
+			e.weight = old.weight
 			if old.state != EngineLive && e.state == EngineLive {
 				e.state = old.state
 			}
@@ -62,6 +63,18 @@
 	t.byID[id] = e
 }
 
+// SetWeight changes an engine's share of new chats.
+func (t *Engines) SetWeight(id EngineID, weight float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	e.weight = weight
+	t.byID[id] = e
+}
+
 // Get returns the engine with the given name.
 func (t *Engines) Get(id EngineID) (Engine, bool) {
 	t.mu.RLock()
--- a/placer.go
+++ b/placer.go
@@ -77,7 +77,7 @@
 	weighted := make([]Weighted, 0, len(engines))
 	for _, e := range engines {
 		byName[string(e.ID())] = e
-		weighted = append(weighted, Weighted{Name: string(e.ID()), Weight: 1})
+		weighted = append(weighted, Weighted{Name: string(e.ID()), Weight: e.Weight()})
 	}
 	ranked := make([]Engine, 0, len(engines))
 	for _, name := range Rank(key, weighted) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -21,7 +21,7 @@
 		t.Fatalf("problems:\n%s", lines(problems))
 	}
 	want := &Settings{
-		router: Router{name: "router-a-1", zone: "a", log: "info", drain: time.Minute},
+		router: Router{name: "router-a-1", zone: "a", log: "info", settle: 2 * time.Second, drain: time.Minute},
 		caller: Caller{
 			listen: "127.0.0.1:8000", header: 16384, body: 4194304, concurrent: 4096,
 			read: 5 * time.Second, bodytime: 30 * time.Second, idle: time.Minute,
