Stricter checks of revisions and prefixes in the store's tests

Cause: two faults put into a scratch copy passed the tests: a revision that rises with a failed swap, and a prefix whose end lies too far. Change: the tests check both; a watch in a test ends after a minute of silence.

--- a/store/start_test.go
+++ b/store/start_test.go
@@ -62,6 +62,7 @@
 	client, cleanup, err := store.New(store.Config{
 		Addresses: addresses,
 		Timeout:   generous,
+		WatchIdle: generous,
 		Rand:      func() float64 { return 0 },
 	})
 	if err != nil {
--- a/store/swap_test.go
+++ b/store/swap_test.go
@@ -21,8 +21,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got := fmt.Sprint(swap.Swapped(), string(swap.Current().Value()), swap.Current().Revision())
-		if diff := cmp.Diff(fmt.Sprint(false, "2", second), got); diff != "" {
+		got := fmt.Sprint(swap.Swapped(), string(swap.Current().Value()), swap.Current().Revision(), swap.Revision())
+		if diff := cmp.Diff(fmt.Sprint(false, "2", second, second), got); diff != "" {
 			t.Errorf("expect %d (-want +got):\n%s", expect, diff)
 		}
 	}
@@ -56,7 +56,7 @@
 	if swap, err = client.CompareAndSwapMany(t.Context(), right, puts); err != nil || !swap.Swapped() {
 		t.Fatalf("right compare: %+v, %v", swap, err)
 	}
-	put(t, client, "l", 0, "outside the prefix")
+	put(t, client, "k0", 0, "outside the prefix")
 	entries, revision, err := client.List(t.Context(), "k/")
 	if err != nil {
 		t.Fatal(err)
