Policies to compare with, the emptiest engine for requests without a chat

The key placement in [policy] chooses one; the package policies holds them. The class key chat says whether requests belong to chats; those that do not go to the engine with the least known work. Permit times and peer bytes are shown to operators.

--- a/document/fields.go
+++ b/document/fields.go
@@ -76,6 +76,19 @@
 		Text:    "Largest outcome recorded for replay, in bytes.",
 		Value:   ini.Of(ini.Int(0, maxOutcomeBytes), func(p *Policy) *int { return &p.outcomeLimit }),
 	},
+	{
+		Name:    "placement",
+		Default: string(PlacementBounded),
+		Text:    "How an engine is chosen; all but bounded serve comparisons and do not bound an engine's load.",
+		Value: ini.Of(ini.OneOf(PlacementBounded, PlacementRendezvous, PlacementRandom, PlacementRoundRobin, PlacementTwoChoices),
+			func(p *Policy) *Placement { return &p.placement }),
+	},
+	{
+		Name:    "patience",
+		Default: "250ms",
+		Text:    "Time that a returning chat waits for the engine that holds its prefix before it moves.",
+		Value:   ini.Of(ini.Duration(0, time.Minute), func(p *Policy) *time.Duration { return &p.patience }),
+	},
 }
 
 var classFields = []ini.Field[Class]{
@@ -115,6 +128,12 @@
 		Text:    "Share of requests that are due whole and in time.",
 		Value:   ini.Of(ini.Percent(0, 100), func(c *Class) *float64 { return &c.objective }),
 	},
+	{
+		Name:    "chat",
+		Default: "yes",
+		Text:    "Whether requests of the class belong to returning chats; those that do not go to the emptiest engines.",
+		Value:   ini.Of(ini.Bool(), func(c *Class) *bool { return &c.chats }),
+	},
 }
 
 var organisationFields = []ini.Field[Organisation]{
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -59,12 +59,13 @@
 	policy := Policy{
 		bound: 1.25, permitExpiry: 30e9, ownerTimeout: 100e6, queueLength: 64, placementRecords: 100000,
 		retryBudget: 0.1, hedgePercentile: 0.95, idleTimeout: 5e9, claimWindow: 3600e9, outcomeLimit: 16384,
+		placement: PlacementBounded, patience: 250e6,
 	}
 	if diff := cmp.Diff(policy, doc.Policy(), cmp.AllowUnexported(Policy{})); diff != "" {
 		t.Errorf("policy (-want +got):\n%s", diff)
 	}
 	chat, _ := doc.Class("chat")
-	want := &Class{name: "chat", deadline: 30e9, firstToken: 500e6, work: 1, maxTokens: 1024, objective: 0.99}
+	want := &Class{name: "chat", deadline: 30e9, firstToken: 500e6, work: 1, maxTokens: 1024, objective: 0.99, chats: true}
 	if diff := cmp.Diff(want, chat, cmp.AllowUnexported(Class{})); diff != "" {
 		t.Errorf("class (-want +got):\n%s", diff)
 	}
--- a/document/types.go
+++ b/document/types.go
@@ -17,6 +17,8 @@
 	idleTimeout      time.Duration
 	claimWindow      time.Duration
 	outcomeLimit     int
+	placement        Placement
+	patience         time.Duration
 }
 
 // Bound returns the multiple of the mean load that no engine may exceed.
@@ -49,6 +51,24 @@
 // OutcomeLimit returns the size in bytes of the largest outcome recorded for replay.
 func (p Policy) OutcomeLimit() int { return p.outcomeLimit }
 
+// Placement returns how an engine is chosen for a request.
+func (p Policy) Placement() Placement { return p.placement }
+
+// Patience returns how long a returning chat waits for a place on the engine that holds its prefix.
+func (p Policy) Patience() time.Duration { return p.patience }
+
+// Placement names a way to choose an engine for a request.
+type Placement string
+
+// The ways to choose an engine. All but the first do not bound an engine's load.
+const (
+	PlacementBounded    Placement = "bounded"
+	PlacementRendezvous Placement = "rendezvous"
+	PlacementRandom     Placement = "random"
+	PlacementRoundRobin Placement = "roundrobin"
+	PlacementTwoChoices Placement = "twochoices"
+)
+
 // Class is a kind of request with its priority and deadline.
 type Class struct {
 	name       string
@@ -58,6 +78,7 @@
 	work       int
 	maxTokens  int
 	objective  float64
+	chats      bool
 }
 
 // Name returns the class's name.
@@ -81,6 +102,9 @@
 // Objective returns the share of requests, from 0 to 1, that are due whole and in time.
 func (c *Class) Objective() float64 { return c.objective }
 
+// Chats returns whether requests of the class belong to returning chats.
+func (c *Class) Chats() bool { return c.chats }
+
 // Organisation is a customer of the system.
 type Organisation struct {
 	name              string
--- a/entry/host.go
+++ b/entry/host.go
@@ -17,6 +17,7 @@
 	"peridotusher.example/peridotusher/engine"
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
+	"peridotusher.example/peridotusher/policies"
 	"peridotusher.example/peridotusher/service"
 )
 
@@ -126,7 +127,7 @@
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
 	h.metrics = operator.NewMetrics()
-	placer := &peridotusher.Placer{Engines: h.engines}
+	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
 	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
 		Self:     self,
@@ -148,7 +149,9 @@
 		Local:     h.owner,
 		Peers:     h.node,
 		Clock:     h.Clock,
+		Record:    h.metrics.Permit,
 	}
+	h.measurePeers()
 	return h.buildClients()
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -37,3 +37,10 @@
 	}
 	return h.node.Counts()
 }
+
+// measurePeers shows the bytes exchanged with other routers to the operators.
+func (h *Host) measurePeers() {
+	h.metrics.Gauge(`peridotusher_peer_bytes{direction="sent"}`, func() float64 { return float64(h.node.Counts().SentBytes) })
+	h.metrics.Gauge(`peridotusher_peer_bytes{direction="received"}`, func() float64 { return float64(h.node.Counts().ReceivedBytes) })
+	h.metrics.Gauge("peridotusher_permits_held", func() float64 { return float64(len(h.ingress.Held())) })
+}
--- a/ingress.go
+++ b/ingress.go
@@ -32,6 +32,7 @@
 	Local     *Owner
 	Peers     PermitPeers
 	Clock     Clock
+	Record    func(took time.Duration, asks int) // nil records nothing
 
 	mu   sync.Mutex
 	held map[PermitID]HeldPermit
@@ -56,10 +57,14 @@
 // Acquire obtains a permit for the request, trying the engines of its ranking
 // except those in avoid. The error is a Failure with the verdict NotRun.
 func (in *Ingress) Acquire(ctx context.Context, doc *document.Document, req Request, avoid map[EngineID]bool) (*Permit, error) {
+	if class, ok := doc.Class(req.Class); ok && !class.Chats() {
+		req.Chat = ""
+	}
 	ranking, err := in.Placer.Ranking(doc, req)
 	if err != nil {
 		return nil, err
 	}
+	started := in.Clock.Now()
 	target, ok := nextEngine(ranking, avoid, "")
 	if !ok {
 		return nil, Fail(NotRun, CauseNoEndpoint, "every engine for model %q has been tried", req.Model)
@@ -74,6 +79,7 @@
 		ask := Ask{Request: req, Engine: target.ID(), Ingress: in.Self, Budget: req.Deadline.Sub(in.Clock.Now()), Displaced: n > 0}
 		answer, owner, err := in.ask(ctx, doc, target, ask)
 		if err == nil && answer.Granted {
+			in.record(in.Clock.Now().Sub(started), n+1)
 			return in.hold(answer, owner, target, ask), nil
 		}
 		last = answer
@@ -181,3 +187,9 @@
 	}
 	return first, found
 }
+
+func (in *Ingress) record(took time.Duration, asks int) {
+	if in.Record != nil {
+		in.Record(took, asks)
+	}
+}
--- a/ledger.go
+++ b/ledger.go
@@ -40,9 +40,10 @@
 
 // Room describes what bounds one engine's load.
 type Room struct {
-	Bound   float64    // multiple of the mean load
-	Slots   int        // work units that the engine can run at once
-	Engines []EngineID // live engines that serve the same model
+	Bound     float64    // multiple of the mean load
+	Slots     int        // work units that the engine can run at once
+	Engines   []EngineID // live engines that serve the same model
+	Unbounded bool       // set by the placements that bound nothing
 }
 
 // Admit records a permit if the engine's load stays within the bound and the
@@ -53,10 +54,7 @@
 	l.expire(now, ask.Engine)
 	work := ask.Request.Work
 	load := l.work(ask.Engine)
-	if load+work > room.Slots {
-		return false
-	}
-	if load >= l.limit(work, room) {
+	if !l.fits(load, work, room) {
 		return false
 	}
 	entry := l.entry(ask.Engine, ask.Request.Model)
@@ -126,11 +124,14 @@
 func (l *Ledger) Fits(engine EngineID, work int, room Room) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	load := l.work(engine)
-	if load+work > room.Slots {
-		return false
+	return l.fits(l.work(engine), work, room)
+}
+
+func (l *Ledger) fits(load, work int, room Room) bool {
+	if room.Unbounded {
+		return true
 	}
-	return load < l.limit(work, room)
+	return load+work <= room.Slots && load < l.limit(work, room)
 }
 
 // limit returns the load that an engine has to be below to get the work. There
--- a/owner.go
+++ b/owner.go
@@ -72,6 +72,9 @@
 }
 
 func (o *Owner) room(doc *document.Document, req Request, ranking []Engine) Room {
+	if !o.Placer.Bounded(doc) {
+		return Room{Unbounded: true}
+	}
 	room := Room{Bound: doc.Policy().Bound()}
 	if model, ok := doc.Model(req.Model); ok {
 		room.Slots = model.Slots()
--- a/placer.go
+++ b/placer.go
@@ -1,14 +1,36 @@
 package peridotusher
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"peridotusher.example/peridotusher/document"
 )
 
+// Policy orders the engines that may serve a request, best first.
+type Policy interface {
+	Order(req Request, engines []Engine) []Engine
+	Bounded() bool
+}
+
+// LoadView gives the outstanding work of an engine as far as it is known.
+type LoadView interface {
+	Work(engine EngineID) int
+}
+
 // Placer ranks the engines that may serve a request.
 type Placer struct {
-	Engines *Engines
+	Engines  *Engines
+	Loads    LoadView                      // nil ranks requests without a chat by hash alone
+	Policies map[document.Placement]Policy // baselines to compare the default with
+}
+
+// Bounded returns whether the placement in force bounds an engine's load.
+func (p *Placer) Bounded(doc *document.Document) bool {
+	policy, ok := p.Policies[doc.Policy().Placement()]
+	return !ok || policy.Bounded()
 }
 
 // Version returns the version of the model that a chat runs on: its hash
@@ -28,6 +50,22 @@
 // Ranking returns the engines that may serve the request, best first. The
 // error says why there is none.
 func (p *Placer) Ranking(doc *document.Document, req Request) ([]Engine, error) {
+	ready, err := p.Candidates(doc, req)
+	if err != nil {
+		return nil, err
+	}
+	if policy, ok := p.Policies[doc.Policy().Placement()]; ok {
+		return policy.Order(req, ready), nil
+	}
+	if req.Chat == "" {
+		return p.emptiestFirst(rankEngines(string(req.ID), ready)), nil
+	}
+	return rankEngines(string(req.Chat), ready), nil
+}
+
+// Candidates returns the engines that may serve the request, by name. The
+// error says why there is none.
+func (p *Placer) Candidates(doc *document.Document, req Request) ([]Engine, error) {
 	rule := matchingRule(doc, req)
 	allowed := p.Engines.Select(func(e Engine) bool {
 		if e.State() != EngineLive {
@@ -42,7 +80,7 @@
 	if len(ready) == 0 {
 		return nil, Fail(NotRun, CauseNoEndpoint, "no live model engine may serve model %q for organisation %q", req.Model, req.Organisation)
 	}
-	return rankEngines(rankingKey(req), ready), nil
+	return ready, nil
 }
 
 func matchingRule(doc *document.Document, req Request) *document.Rule {
@@ -64,14 +102,22 @@
 	return ready
 }
 
-// rankingKey returns what a request is placed by: its chat, or itself.
-func rankingKey(req Request) string {
-	if req.Chat != "" {
-		return string(req.Chat)
+// emptiestFirst orders the engines by load and keeps their order among equals.
+func (p *Placer) emptiestFirst(engines []Engine) []Engine {
+	if p.Loads == nil {
+		return engines
+	}
+	work := make(map[EngineID]int, len(engines))
+	for _, e := range engines {
+		work[e.ID()] = p.Loads.Work(e.ID())
 	}
-	return string(req.ID)
+	slices.SortStableFunc(engines, func(a, b Engine) int { return cmp.Compare(work[a.ID()], work[b.ID()]) })
+	return engines
 }
 
+// RankEngines orders the engines for key by weighted rendezvous, best first.
+func RankEngines(key string, engines []Engine) []Engine { return rankEngines(key, engines) }
+
 func rankEngines(key string, engines []Engine) []Engine {
 	byName := make(map[string]Engine, len(engines))
 	weighted := make([]Weighted, 0, len(engines))
