loadtest: a fleet of real routers under load and faults, measured at engines and callers

Scenarios steady, surge, churn, flap, owner-crash, zone-cut, stale-lists, store-outage and links; policies ours and four baselines; one key=value line.

--- /dev/null
+++ b/loadtest/run.go
@@ -0,0 +1,199 @@
+package loadtest
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/examples"
+	"peridotusher.example/peridotusher/standin"
+	"peridotusher.example/peridotusher/testbed"
+)
+
+// The fleet of a run.
+const (
+	routers        = 8
+	zones          = 3
+	enginesPerZone = 7
+	zoneDelay      = 3 * time.Millisecond
+	zoneJitter     = time.Millisecond
+	tokenTime      = 10 * time.Millisecond
+	prefillToken   = 100 * time.Microsecond
+	cacheTokens    = 60_000
+	reportLag      = 300 * time.Millisecond
+	eventGap       = 0.05
+	warmUp         = 8 * time.Second
+	idleConns      = 512
+	callerTimeout  = 2 * time.Minute
+)
+
+// Test is one run of the load tool.
+type Test struct {
+	Scenario  Scenario
+	Placement document.Placement
+	Seed      uint64
+	Duration  time.Duration // measured time, after the warm-up
+	Rate      float64       // requests a second of each router
+	Dir       string        // folder for the program, settings and logs
+	Binary    string        // the router program; built into Dir if empty
+}
+
+// Run runs the fleet and returns what was measured.
+func (t *Test) Run(ctx context.Context) (*Report, error) {
+	binary := t.Binary
+	if binary == "" {
+		var err error
+		if binary, err = testbed.Build(ctx, t.Dir); err != nil {
+			return nil, err
+		}
+	}
+	bed, stop, err := testbed.Start(ctx, t.options(binary))
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	return t.measure(ctx, bed)
+}
+
+func (t *Test) options(binary string) testbed.Options {
+	lag := 500 * time.Millisecond
+	if t.Scenario == StaleLists {
+		lag = staleLag
+	}
+	return testbed.Options{
+		Binary:         binary,
+		Dir:            t.Dir,
+		RoutersPerZone: routers / zones,
+		ExtraRouters:   routers % zones,
+		EnginesPerZone: enginesPerZone,
+		Document:       t.document(),
+		Seed:           t.Seed,
+		ZoneDelay:      zoneDelay,
+		ZoneJitter:     zoneJitter,
+		ListLag:        lag,
+		Engine: func(e *standin.Engine) {
+			e.TokenTime = tokenTime
+			e.PrefillPerToken = prefillToken
+			e.CacheTokens = cacheTokens
+			e.LoadLag = reportLag
+			e.EventLag = reportLag
+			e.EventGap = eventGap
+		},
+	}
+}
+
+var policyHeader = regexp.MustCompile(`(?m)^\[policy\]$`)
+
+// document returns the sample configuration with the placement of the run.
+func (t *Test) document() []byte {
+	placement := []byte("[policy]\nplacement = " + string(t.Placement))
+	return policyHeader.ReplaceAll(bytes.Clone(examples.Kalimera), placement)
+}
+
+// measure runs the traffic and the faults.
+func (t *Test) measure(ctx context.Context, bed *testbed.Bed) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var surge atomic.Bool
+	source := &traffic{
+		bed:     bed,
+		seed:    t.Seed,
+		rate:    t.Rate * routers,
+		results: &results{},
+		cache:   newOracle(),
+		http:    &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idleConns}},
+	}
+	if t.Scenario == Surge {
+		source.surge = surge.Load
+	}
+	f := &faults{bed: bed, rand: rand.New(rand.NewPCG(t.Seed, 2)), length: t.Duration, surge: surge.Store}
+	for _, e := range bed.Engines {
+		f.mark(e.Name, true)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { source.run(ctx); return nil })
+	wait(ctx, warmUp)
+	run := &measurement{test: t, bed: bed, traffic: source, faults: f}
+	group.Go(func() error { return run.collect(ctx, cancel) })
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	return run.report(), nil
+}
+
+// measurement is the readings of one run.
+type measurement struct {
+	test    *Test
+	bed     *testbed.Bed
+	traffic *traffic
+	faults  *faults
+
+	start, end    time.Time
+	before, after []usage
+	storeBefore   standin.StoreCalls
+	storeAfter    standin.StoreCalls
+	hitsBefore    cacheCount
+	hitsAfter     cacheCount
+}
+
+// collect takes readings at the start and the end of the measured time.
+func (m *measurement) collect(ctx context.Context, stop func()) error {
+	defer stop()
+	m.start = time.Now()
+	m.before = m.usages(ctx)
+	m.storeBefore = m.bed.Store.Calls()
+	m.hitsBefore = countCache(m.bed)
+	scenario, endScenario := context.WithTimeout(ctx, m.test.Duration)
+	defer endScenario()
+	if err := m.faults.run(scenario, m.test.Scenario); err != nil {
+		return err
+	}
+	<-scenario.Done()
+	m.end = time.Now()
+	m.after = m.usages(ctx)
+	m.storeAfter = m.bed.Store.Calls()
+	m.hitsAfter = countCache(m.bed)
+	return ctx.Err()
+}
+
+// usages reads every router; one that does not answer counts nothing.
+func (m *measurement) usages(ctx context.Context) []usage {
+	list := make([]usage, len(m.bed.Routers))
+	for i, r := range m.bed.Routers {
+		if u, err := usageOf(ctx, r); err == nil {
+			list[i] = u
+		}
+	}
+	return list
+}
+
+// cacheCount sums the engines' counts of prompt tokens.
+type cacheCount struct {
+	hits   int
+	misses int
+}
+
+func countCache(bed *testbed.Bed) cacheCount {
+	var c cacheCount
+	for _, e := range bed.Engines {
+		stats := e.Stats()
+		c.hits += stats.HitTokens
+		c.misses += stats.MissTokens
+	}
+	return c
+}
+
+// parsed returns the run's configuration.
+func (t *Test) parsed() *document.Document {
+	doc, _ := document.Parse("loadtest", t.document())
+	return doc
+}
+
+func (t *Test) bound() float64 { return t.parsed().Policy().Bound() }
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -180,11 +180,11 @@
 	engine := &Engine{Engine: e, Stop: stop}
 	b.Engines = append(b.Engines, engine)
 	b.group.Go(func() error { return e.Run(ctx) })
-	return engine, b.list(e.Name, hosts.KindEngine, zone, l.Addr().String())
+	return engine, b.List(e.Name, hosts.KindEngine, zone, l.Addr().String())
 }
 
-// list names a host in every zone's list, at the address that is right there.
-func (b *Bed) list(name string, kind hosts.Kind, zone, address string) error {
+// List names a host in every zone's list, at the address that is right there.
+func (b *Bed) List(name string, kind hosts.Kind, zone, address string) error {
 	for from, list := range b.Lists {
 		seen, err := b.Links.address(from, zone, name, address)
 		if err != nil {
--- a/testbed/router.go
+++ b/testbed/router.go
@@ -69,7 +69,7 @@
 	if err := r.writeSettings(addresses); err != nil {
 		return nil, err
 	}
-	if err := b.list(name, hosts.KindRouter, zone, r.Peer); err != nil {
+	if err := b.List(name, hosts.KindRouter, zone, r.Peer); err != nil {
 		return nil, err
 	}
 	return r, r.Start()
