--- a/document/check.go
+++ b/document/check.go
@@ -81,25 +81,43 @@
 		for _, name := range o.classes {
 			c.exists(header, "classes", "class", name)
 		}
-		c.defaultClass(o, classes)
-		c.keys(o)
+		c.keys(c.withDefaultClass(o, classes))
 	}
 }
 
-func (c *check) defaultClass(o *Organisation, classes []*Class) {
+// withDefaultClass returns the organisation with its default class. One that
+// an earlier document holds with another class is copied.
+func (c *check) withDefaultClass(o *Organisation, classes []*Class) *Organisation {
+	name := c.defaultClass(o, classes)
+	if name == o.defaultClass {
+		return o
+	}
+	if o.defaultClass != "" {
+		copied := *o
+		o = &copied
+		c.document.organisations[o.name] = o
+	}
+	o.defaultClass = name
+	return o
+}
+
+// defaultClass returns the class of the organisation's requests that name none.
+func (c *check) defaultClass(o *Organisation, classes []*Class) string {
 	header := "organisation " + o.name
 	switch {
 	case len(classes) == 0:
 		c.report(header, "", "the document has no class", "at least one section [class name]")
-	case o.defaultClass != "":
-		c.exists(header, "class", "class", o.defaultClass)
-		if !listed(o.classes, o.defaultClass) {
-			c.report(header, "class", "the organisation may not use the class "+o.defaultClass, "one of its classes")
+		return ""
+	case o.ownClass != "":
+		c.exists(header, "class", "class", o.ownClass)
+		if !listed(o.classes, o.ownClass) {
+			c.report(header, "class", "the organisation may not use the class "+o.ownClass, "one of its classes")
 		}
+		return o.ownClass
 	case len(o.classes) > 0:
-		o.defaultClass = o.classes[0]
+		return o.classes[0]
 	default:
-		o.defaultClass = classes[0].name
+		return classes[0].name
 	}
 }
 
@@ -167,7 +185,7 @@
 }
 
 func (c *check) owners() {
-	for _, s := range c.document.file.Sections() {
+	for _, s := range c.document.order {
 		teams := c.document.owners.of(s.Header())
 		if len(teams) > 1 {
 			message := fmt.Sprintf("the teams %s and %s both own the section", teams[0], teams[1])
--- a/document/document.go
+++ b/document/document.go
@@ -22,7 +22,7 @@
 // Document is one whole, valid configuration.
 type Document struct {
 	revision      uint64
-	file          *ini.File
+	order         []*ini.Section
 	sections      map[string]*ini.Section
 	owners        *owners
 	policy        Policy
--- a/document/fields.go
+++ b/document/fields.go
@@ -157,7 +157,7 @@
 	{
 		Name:  "class",
 		Text:  "Class of a request that names none. Default: the first of classes, or the one with the lowest priority number.",
-		Value: ini.Of(ini.Name(), func(o *Organisation) *string { return &o.defaultClass }),
+		Value: ini.Of(ini.Name(), func(o *Organisation) *string { return &o.ownClass }),
 	},
 	{
 		Name:  "objective",
--- a/document/parse.go
+++ b/document/parse.go
@@ -7,8 +7,16 @@
 // Parse reads a whole document. It returns no document if there is any problem.
 func Parse(name string, text []byte) (*Document, []ini.Problem) {
 	file, problems := ini.Read(name, text)
-	d := newDocument(file)
+	d := newDocument(len(file.Sections()))
+	for _, s := range file.Sections() {
+		d.add(s)
+	}
 	problems = append(problems, file.Decode(d.kinds())...)
+	return d.checked(problems)
+}
+
+// checked runs the checks between sections. It returns no document if there is any problem.
+func (d *Document) checked(problems []ini.Problem) (*Document, []ini.Problem) {
 	problems = append(problems, newCheck(d, problems).run()...)
 	if len(problems) > 0 {
 		ini.Sort(problems)
@@ -22,10 +30,9 @@
 	return []string{"policy", "class", "organisation", "model", "service", "rule", "team"}
 }
 
-func newDocument(file *ini.File) *Document {
+func newDocument(sections int) *Document {
 	d := &Document{
-		file:          file,
-		sections:      make(map[string]*ini.Section, len(file.Sections())),
+		sections:      make(map[string]*ini.Section, sections),
 		classes:       map[string]*Class{},
 		organisations: map[string]*Organisation{},
 		models:        map[string]*Model{},
@@ -35,12 +42,15 @@
 		owners:        newOwners(),
 	}
 	ini.Defaults(policyFields, &d.policy)
-	for _, s := range file.Sections() {
-		d.sections[s.Header()] = s
-	}
 	return d
 }
 
+// add appends a section, which is decoded apart.
+func (d *Document) add(s *ini.Section) {
+	d.order = append(d.order, s)
+	d.sections[s.Header()] = s
+}
+
 func (d *Document) kinds() map[string]ini.Kind {
 	return map[string]ini.Kind{
 		"policy":       {Decode: d.decodePolicy},
--- a/document/sections.go
+++ b/document/sections.go
@@ -1,12 +1,20 @@
 package document
 
+import "strings"
+
 // Text returns the whole text of the document.
-func (d *Document) Text() string { return d.file.Text() }
+func (d *Document) Text() string {
+	var b strings.Builder
+	for _, s := range d.order {
+		b.WriteString(s.Text())
+	}
+	return b.String()
+}
 
 // Sections returns the headers of all sections in document order, without their brackets.
 func (d *Document) Sections() []string {
-	headers := make([]string, 0, len(d.file.Sections()))
-	for _, s := range d.file.Sections() {
+	headers := make([]string, 0, len(d.order))
+	for _, s := range d.order {
 		headers = append(headers, s.Header())
 	}
 	return headers
--- a/document/types.go
+++ b/document/types.go
@@ -90,6 +90,7 @@
 	requestsPerSecond float64
 	concurrent        int
 	classes           []string
+	ownClass          string // as the section says, may be empty
 	defaultClass      string
 	objective         float64
 }
--- /dev/null
+++ b/document/update_test.go
@@ -0,0 +1,124 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestUpdateEqualsParse changes, removes and adds sections, and compares the
+// result with a parse of the whole text.
+func TestUpdateEqualsParse(t *testing.T) {
+	old := parseExample(t, "kalimera")
+	organisation := "[organisation new]\nkeys = " + HashKey("new-key") + "\n\n"
+	tests := []struct {
+		name    string
+		changed map[string]string
+		removed string
+	}{
+		{name: "unchanged"},
+		{name: "changed", changed: map[string]string{"policy": "[policy]\nbound = 2\n\n"}},
+		{name: "added", changed: map[string]string{"organisation new": organisation}},
+		{name: "removed", removed: old.Organisations()[0].Name()},
+		{name: "default class", changed: map[string]string{"class aa": "[class aa]\npriority = 0\ndeadline = 1s\n"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			order, text := arrange(old, test.changed, "organisation "+test.removed)
+			want, problems := Parse("whole", []byte(text))
+			if len(problems) > 0 {
+				t.Fatal(problems)
+			}
+			got, problems := old.Update(order, test.changed)
+			if len(problems) > 0 {
+				t.Fatal(problems)
+			}
+			if diff := cmp.Diff(describe(want), describe(got)); diff != "" {
+				t.Errorf("document (-parsed +updated):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestUpdateKeepsTheOldDocument(t *testing.T) {
+	old := parseExample(t, "kalimera")
+	before := describe(old)
+	changed := map[string]string{"class aa": "[class aa]\npriority = 0\ndeadline = 1s\n"}
+	order, _ := arrange(old, changed, "")
+	if _, problems := old.Update(order, changed); len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	if diff := cmp.Diff(before, describe(old)); diff != "" {
+		t.Errorf("old document (-before +after):\n%s", diff)
+	}
+}
+
+func TestUpdateRefuses(t *testing.T) {
+	old := parseExample(t, "kalimera")
+	tests := []struct {
+		name    string
+		changed map[string]string
+		removed string
+		want    string
+	}{
+		{"value", map[string]string{"policy": "[policy]\nbound = no\n"}, "", "bound"},
+		{"other header", map[string]string{"policy": "[class chat]\n"}, "", "not that of the one section"},
+		{"two sections", map[string]string{"policy": "[policy]\n[class x]\ndeadline = 1s\n"}, "", "not that of the one section"},
+		{"reference", nil, "class chat", "there is no section [class chat]"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			order, _ := arrange(old, test.changed, test.removed)
+			doc, problems := old.Update(order, test.changed)
+			if doc != nil || !strings.Contains(fmt.Sprint(problems), test.want) {
+				t.Errorf("document %v, problems %v; want a problem with %q", doc != nil, problems, test.want)
+			}
+		})
+	}
+}
+
+// arrange returns the order and text of the document after the changes.
+func arrange(d *Document, changed map[string]string, removed string) ([]string, string) {
+	var order []string
+	var text strings.Builder
+	for _, header := range d.Sections() {
+		if header == removed {
+			continue
+		}
+		order = append(order, header)
+		section, _ := d.Section(header)
+		if replaced, ok := changed[header]; ok {
+			section = replaced
+		}
+		text.WriteString(section)
+	}
+	for header, section := range changed {
+		if _, ok := d.Section(header); !ok {
+			order = append(order, header)
+			text.WriteString(section)
+		}
+	}
+	return order, text.String()
+}
+
+// describe returns what callers see of a document.
+func describe(d *Document) []string {
+	lines := append(d.Sections(), d.Text(), fmt.Sprintf("%+v", d.Policy()))
+	for _, o := range d.Organisations() {
+		found := d.byKeyHash[o.keyHashes[0]]
+		lines = append(lines, fmt.Sprintf("%+v %t", *o, found == o))
+	}
+	for _, c := range d.Classes() {
+		lines = append(lines, fmt.Sprintf("%+v", *c))
+	}
+	for _, r := range d.Rules() {
+		lines = append(lines, fmt.Sprintf("%+v", *r))
+	}
+	for _, header := range d.Sections() {
+		owner, ok := d.OwnerOf(header)
+		lines = append(lines, fmt.Sprint(header, owner, ok))
+	}
+	return lines
+}
