callers: one library of callers that check their answers

The demo's caller moved into a package of its own, so that the fault suite, the load tool and the tests use the same checks of content and verdict. A broken stream is resumed by Last-Event-ID at any router that is ready.

--- /dev/null
+++ b/callers/caller.go
@@ -0,0 +1,102 @@
+package callers
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// Caller is one caller.
+type Caller struct {
+	Balancer *Balancer
+	Key      string // the organisation's bearer key
+	Model    string
+	Rand     *rand.Rand
+	HTTP     *http.Client // Client when nil
+}
+
+// Call is one request to a plain service.
+type Call struct {
+	Method string
+	Path   string // below the router's URL
+	Body   string
+	Key    string // the Idempotency-Key, or empty
+	Want   string // the answer's body
+}
+
+// Call sends one request to a plain service and checks the answer's body.
+func (c *Caller) Call(ctx context.Context, call Call) Result {
+	r := Result{Kind: "call", Started: time.Now()}
+	defer func() { r.Duration = time.Since(r.Started) }()
+	headers := map[string]string{}
+	if call.Key != "" {
+		headers["Idempotency-Key"] = call.Key
+	}
+	resp, err := c.send(ctx, &r, call.Method, call.Path, []byte(call.Body), headers)
+	if err != nil {
+		r.fail(err)
+		return r
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		r.refused(resp)
+		return r
+	}
+	r.Replayed = resp.Header.Get("Idempotent-Replayed") != ""
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.fail(err)
+		return r
+	}
+	r.compare(string(got), call.Want)
+	return r
+}
+
+// Pause waits around d, and returns false when ctx ends first.
+func (c *Caller) Pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d/2 + time.Duration(c.Rand.Int64N(int64(d))))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// send sends a request to a router that is ready and notes who answered.
+func (c *Caller) send(ctx context.Context, r *Result, method, path string, body []byte, headers map[string]string) (*http.Response, error) {
+	url, err := c.Balancer.Choose(ctx, c.Rand)
+	if err != nil {
+		return nil, err
+	}
+	r.Router = url
+	req, err := http.NewRequestWithContext(ctx, method, url+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.Key)
+	req.Header.Set("Content-Type", "application/json")
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.client().Do(req)
+	if err != nil {
+		return nil, err
+	}
+	r.Status = resp.StatusCode
+	if r.Request == "" {
+		r.Request = resp.Header.Get("X-Request-Id")
+	}
+	return resp, nil
+}
+
+func (c *Caller) client() *http.Client {
+	if c.HTTP == nil {
+		return Client
+	}
+	return c.HTTP
+}
--- /dev/null
+++ b/callers/chat.go
@@ -0,0 +1,142 @@
+package callers
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/standin"
+)
+
+const completionsPath = "/v1/chat/completions"
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Completion is one request to the model.
+type Completion struct {
+	Class    string    `json:"-"`
+	Resumes  int       `json:"-"` // reconnections allowed when a stream breaks
+	Model    string    `json:"model"`
+	Chat     string    `json:"prompt_cache_key,omitempty"`
+	Messages []Message `json:"messages"`
+	Tokens   int       `json:"max_tokens"`
+	Stream   bool      `json:"stream"`
+}
+
+// Complete sends the request and compares the answer with the one that a
+// stand-in engine gives to it.
+func (c *Caller) Complete(ctx context.Context, q Completion) Result {
+	r := Result{Kind: q.Class, Started: time.Now()}
+	defer func() { r.Duration = time.Since(r.Started) }()
+	q.Model = c.Model
+	body, err := json.Marshal(q)
+	if err != nil {
+		r.fail(err)
+		return r
+	}
+	if !q.Stream {
+		c.completeWhole(ctx, &r, q, body)
+		return r
+	}
+	c.completeStream(ctx, &r, q, body)
+	return r
+}
+
+func (c *Caller) completeWhole(ctx context.Context, r *Result, q Completion, body []byte) {
+	resp, err := c.send(ctx, r, http.MethodPost, completionsPath, body, map[string]string{"X-Class": q.Class})
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		r.refused(resp)
+		return
+	}
+	var answer chunk
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		r.fail(err)
+		return
+	}
+	if len(answer.Choices) == 0 {
+		r.fail(errors.New("answer without choices"))
+		return
+	}
+	r.FirstToken = time.Since(r.Started)
+	r.check(q, answer.Choices[0].Message.Content)
+}
+
+// completeStream reads the stream, and reconnects where it broke.
+func (c *Caller) completeStream(ctx context.Context, r *Result, q Completion, body []byte) {
+	s := &stream{result: r}
+	for {
+		c.readStream(ctx, s, q, body)
+		if s.ended || s.lastID == "" || r.Resumes >= q.Resumes || ctx.Err() != nil {
+			break
+		}
+		r.Resumes++
+	}
+	if s.ended {
+		r.check(q, s.text.String())
+		return
+	}
+	r.Text = s.text.String()
+	r.Crossed = !r.owns(q, r.Text)
+}
+
+// readStream sends the request, or its resumption, and reads to the end of the connection.
+func (c *Caller) readStream(ctx context.Context, s *stream, q Completion, body []byte) {
+	headers := map[string]string{"X-Class": q.Class}
+	if s.lastID != "" {
+		headers["Last-Event-ID"] = s.lastID
+	}
+	resp, err := c.send(ctx, s.result, http.MethodPost, completionsPath, body, headers)
+	if err != nil {
+		s.result.fail(err)
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		s.result.refused(resp)
+		return
+	}
+	if err := s.read(resp.Body); err != nil && !s.result.Told {
+		s.result.fail(err)
+	}
+	// The rest is read so that the connection can be used again.
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+}
+
+// check compares the text with the whole answer.
+func (r *Result) check(q Completion, text string) {
+	want, err := answerTo(r.Request, q)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	r.compare(text, want)
+}
+
+// owns returns whether the text begins the request's own answer.
+func (r *Result) owns(q Completion, text string) bool {
+	want, err := answerTo(r.Request, q)
+	return err == nil && strings.HasPrefix(want, text)
+}
+
+// answerTo returns the answer that is due to the request.
+func answerTo(request string, q Completion) (string, error) {
+	messages, err := json.Marshal(q.Messages)
+	if err != nil {
+		return "", err
+	}
+	return standin.EngineAnswer(request, messages, q.Tokens)
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"strings"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/callers"
 	"peridotusher.example/peridotusher/entry"
 	"peridotusher.example/peridotusher/examples"
 	"peridotusher.example/peridotusher/hosts"
@@ -229,25 +229,20 @@
 
 func (f *fleet) allReady(ctx context.Context) bool {
 	for _, r := range f.routers {
-		if !r.ready(ctx) || r.host.LiveMembers() < len(f.routers) || r.host.ReadyEngines() < len(f.engines) {
+		if !callers.Ready(ctx, callers.Client, r.url) || r.host.LiveMembers() < len(f.routers) || r.host.ReadyEngines() < len(f.engines) {
 			return false
 		}
 	}
 	return true
 }
 
-// ready asks the router's readiness check, as a balancer does.
-func (r *router) ready(ctx context.Context) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
+// urls returns where callers reach the routers.
+func (f *fleet) urls() []string {
+	var urls []string
+	for _, r := range f.routers {
+		urls = append(urls, r.url)
 	}
-	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return urls
 }
 
 // retire lists an engine as leaving and stops it once it has had no work for a while.
--- a/demo/summary.go
+++ b/demo/summary.go
@@ -9,11 +9,12 @@
 	"github.com/cockroachdb/errors"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/callers"
 )
 
 // summary is the closing table.
 type summary struct {
-	results   []result
+	results   []callers.Result
 	keys      []string
 	stopError error
 
@@ -40,20 +41,20 @@
 	s.control = controlRate(f)
 }
 
-func (s *summary) addResult(r result) {
+func (s *summary) addResult(r callers.Result) {
 	s.asked++
 	switch {
-	case r.whole:
+	case r.Whole:
 		s.whole++
-	case r.crossed:
+	case r.Crossed:
 		s.crossed++
-	case r.verdict == peridotusher.NotRun:
+	case r.Verdict == peridotusher.NotRun:
 		s.notRun++
 	default:
 		s.mayHaveRun++
 	}
-	if !r.whole && s.firstDetail == "" {
-		s.firstDetail = r.kind + ": " + r.detail
+	if !r.Whole && s.firstDetail == "" {
+		s.firstDetail = r.Kind + ": " + r.Detail
 	}
 }
 
--- a/demo/traffic.go
+++ b/demo/traffic.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher/callers"
 )
 
 // The traffic of one run.
@@ -29,16 +32,16 @@
 
 // traffic sends the requests and gathers their results.
 type traffic struct {
-	fleet *fleet
-	seed  uint64
+	balancer *callers.Balancer
+	seed     uint64
 
 	mu      sync.Mutex
-	results []result
+	results []callers.Result
 	keys    []string
 }
 
 func newTraffic(f *fleet, seed uint64) *traffic {
-	return &traffic{fleet: f, seed: seed}
+	return &traffic{balancer: &callers.Balancer{URLs: f.urls}, seed: seed}
 }
 
 // run sends everything, while stops runs, and returns the counts.
@@ -60,13 +63,13 @@
 // chat sends the turns of one returning chat with pauses between them.
 func (t *traffic) chat(ctx context.Context, n int) {
 	c := t.client(n)
-	messages := []message{{Role: "system", Content: "You advise on sizes."}}
+	messages := []callers.Message{{Role: "system", Content: "You advise on sizes."}}
 	for turn := range turnsPerChat {
-		messages = append(messages, message{Role: "user", Content: fmt.Sprintf("chat %d turn %d: does size %d fit?", n, turn, 36+turn)})
-		r := c.complete(ctx, completion{Class: "chat", Chat: fmt.Sprintf("chat-%d", n), Messages: messages, Tokens: chatTokens, Stream: n%2 == 0})
+		messages = append(messages, callers.Message{Role: "user", Content: fmt.Sprintf("chat %d turn %d: does size %d fit?", n, turn, 36+turn)})
+		r := c.Complete(ctx, callers.Completion{Class: "chat", Chat: fmt.Sprintf("chat-%d", n), Messages: messages, Tokens: chatTokens, Stream: n%2 == 0})
 		t.add(r)
-		messages = append(messages, message{Role: "assistant", Content: r.text})
-		if !c.pause(ctx, chatPause) {
+		messages = append(messages, callers.Message{Role: "assistant", Content: r.Text})
+		if !c.Pause(ctx, chatPause) {
 			return
 		}
 	}
@@ -75,17 +78,17 @@
 // report sends one long request.
 func (t *traffic) report(ctx context.Context, n int) {
 	c := t.client(chats + n)
-	messages := []message{{Role: "user", Content: fmt.Sprintf("report %d on the whole catalogue", n)}}
-	t.add(c.complete(ctx, completion{Class: "report", Messages: messages, Tokens: reportTokens, Stream: true}))
+	messages := []callers.Message{{Role: "user", Content: fmt.Sprintf("report %d on the whole catalogue", n)}}
+	t.add(c.Complete(ctx, callers.Completion{Class: "report", Messages: messages, Tokens: reportTokens, Stream: true}))
 }
 
 // labels sends short requests one after the other.
 func (t *traffic) labels(ctx context.Context) {
 	c := t.client(chats + reports)
 	for n := range labels {
-		messages := []message{{Role: "user", Content: fmt.Sprintf("label %d", n)}}
-		t.add(c.complete(ctx, completion{Class: "label", Messages: messages, Tokens: labelTokens}))
-		if !c.pause(ctx, labelPause) {
+		messages := []callers.Message{{Role: "user", Content: fmt.Sprintf("label %d", n)}}
+		t.add(c.Complete(ctx, callers.Completion{Class: "label", Messages: messages, Tokens: labelTokens}))
+		if !c.Pause(ctx, labelPause) {
 			return
 		}
 	}
@@ -99,25 +102,27 @@
 		key := fmt.Sprintf("save-%d-%d", t.seed, n)
 		path := fmt.Sprintf("/services/profiles/profiles/%d", n)
 		body := fmt.Sprintf(`{"chest":%d}`, 80+n)
+		save := callers.Call{Method: http.MethodPost, Path: path, Body: body, Key: key, Want: body}
 		t.addKey(key)
-		t.add(c.call(ctx, "POST", path, body, key, body))
-		t.add(c.call(ctx, "POST", path, body, key, body))
-		t.add(c.call(ctx, "GET", path, "", "", body))
-		if !c.pause(ctx, labelPause) {
+		t.add(c.Call(ctx, save))
+		t.add(c.Call(ctx, save))
+		t.add(c.Call(ctx, callers.Call{Method: http.MethodGet, Path: path, Want: body}))
+		if !c.Pause(ctx, labelPause) {
 			return
 		}
 	}
 }
 
-func (t *traffic) client(n int) *client {
-	return &client{
-		routers: t.fleet.routers,
-		key:     "kalimera-" + organisations[n%len(organisations)] + "-example-key",
-		rand:    rand.New(rand.NewPCG(t.seed, uint64(n))),
+func (t *traffic) client(n int) *callers.Caller {
+	return &callers.Caller{
+		Balancer: t.balancer,
+		Key:      "kalimera-" + organisations[n%len(organisations)] + "-example-key",
+		Model:    "stylist",
+		Rand:     rand.New(rand.NewPCG(t.seed, uint64(n))),
 	}
 }
 
-func (t *traffic) add(r result) {
+func (t *traffic) add(r callers.Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.results = append(t.results, r)
