entry: not ready before the engines were asked for their loads

A router was ready with its first configuration, before the platform's list had reached it, and refused every chat with no_endpoint_allowed until then. Ready now also needs listed engines that were asked, unless no model is configured.

--- a/caller/server.go
+++ b/caller/server.go
@@ -99,6 +99,7 @@
 	Chats    Chats
 	Services Services
 	Document func() *document.Document
+	Ready    func() bool // false while the router knows no endpoints; nil is always true
 	Clock    peridotusher.Clock
 	Log      logrus.FieldLogger
 	NewID    func() string
@@ -176,7 +177,7 @@
 
 // handleReady tells the balancer whether to send new requests here.
 func (s *Server) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if s.stopping.Load() || s.Document() == nil {
+	if s.stopping.Load() || s.Document() == nil || s.Ready != nil && !s.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -41,6 +41,7 @@
 
 	current atomic.Pointer[document.Document]
 	built   atomic.Bool
+	polled  atomic.Bool // engines were listed and asked for their loads
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
@@ -95,6 +96,7 @@
 		Chats:    &chats{host: h},
 		Services: &services{host: h},
 		Document: h.Document,
+		Ready:    h.knowsEngines,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		NewID:    uuid.NewString,
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -24,7 +24,11 @@
 	ticker := time.NewTicker(loadInterval)
 	defer ticker.Stop()
 	for {
+		listed := len(h.engines.All()) > 0
 		h.pollOnce(ctx)
+		if listed {
+			h.polled.Store(true)
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/entry/status.go
+++ b/entry/status.go
@@ -30,6 +30,16 @@
 	}))
 }
 
+// knowsEngines returns whether the router has asked the engines for their
+// loads, or needs none. Before that it would refuse every chat.
+func (h *Host) knowsEngines() bool {
+	if h.polled.Load() {
+		return true
+	}
+	doc := h.Document()
+	return doc != nil && len(doc.Models()) == 0
+}
+
 // ControlCounts returns the bytes exchanged with other routers.
 func (h *Host) ControlCounts() peer.Counts {
 	if !h.built.Load() {
