--- a/callers/caller.go
+++ b/callers/caller.go
@@ -28,8 +28,8 @@
 }
 
 // Call sends one request to a plain service and checks the answer's body.
-func (c *Caller) Call(ctx context.Context, call Call) Result {
-	r := Result{Kind: "call", Started: time.Now()}
+func (c *Caller) Call(ctx context.Context, call Call) (r Result) {
+	r = Result{Kind: "call", Started: time.Now()}
 	defer func() { r.Duration = time.Since(r.Started) }()
 	headers := map[string]string{}
 	if call.Key != "" {
--- a/callers/callers_test.go
+++ b/callers/callers_test.go
@@ -95,6 +95,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	r := c.Call(t.Context(), Call{Method: http.MethodPost, Path: "/services/profiles/1"})
+	if r.Duration <= 0 {
+		t.Errorf("duration = %v, want more than 0", r.Duration)
+	}
 	want := outcome{Told: true, Verdict: peridotusher.NotRun}
 	if diff := cmp.Diff(want, outcome{r.Whole, r.Crossed, r.Told, r.Verdict, r.Resumes}); diff != "" {
 		t.Errorf("result (-want +got):\n%s", diff)
--- a/callers/chat.go
+++ b/callers/chat.go
@@ -34,8 +34,8 @@
 
 // Complete sends the request and compares the answer with the one that a
 // stand-in engine gives to it.
-func (c *Caller) Complete(ctx context.Context, q Completion) Result {
-	r := Result{Kind: q.Class, Started: time.Now()}
+func (c *Caller) Complete(ctx context.Context, q Completion) (r Result) {
+	r = Result{Kind: q.Class, Started: time.Now()}
 	defer func() { r.Duration = time.Since(r.Started) }()
 	q.Model = c.Model
 	body, err := json.Marshal(q)
--- /dev/null
+++ b/faulttest/fault_test.go
@@ -0,0 +1,80 @@
+package faulttest
+
+import (
+	"context"
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"peridotusher.example/peridotusher/testbed"
+)
+
+var (
+	long  = flag.Bool("long", false, "run every fault alone and in pairs")
+	seed  = flag.Uint64("seed", 1, "seed of traffic and schedule")
+	pairs = flag.Int("pairs", 12, "pairs of faults that are drawn")
+)
+
+// binary is the router program under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "faulttest")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	binary, err = testbed.Build(context.Background(), dir)
+	if err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// play runs one episode and compares its violations with none.
+func play(t *testing.T, seed uint64, faults []Fault) {
+	t.Helper()
+	t.Logf("seed %d", seed)
+	e := &Episode{Binary: binary, Dir: t.TempDir(), Seed: seed, Faults: faults, Log: t.Logf}
+	broken, err := e.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range broken {
+		t.Error(b)
+	}
+}
+
+// TestShort is the part that always runs.
+func TestShort(t *testing.T) {
+	play(t, *seed, Named("engine-leaves", "router-killed"))
+}
+
+func TestAlone(t *testing.T) {
+	if !*long {
+		t.Skip("runs with -long")
+	}
+	for _, f := range Faults() {
+		t.Run(f.Name, func(t *testing.T) { play(t, *seed, []Fault{f}) })
+	}
+}
+
+func TestPairs(t *testing.T) {
+	if !*long {
+		t.Skip("runs with -long")
+	}
+	random := rand.New(rand.NewPCG(*seed, 1))
+	for range *pairs {
+		all := Faults()
+		order := random.Perm(len(all))
+		pair := []Fault{all[order[0]], all[order[1]]}
+		episodeSeed := random.Uint64()
+		t.Run(pair[0].Name+"+"+pair[1].Name, func(t *testing.T) { play(t, episodeSeed, pair) })
+	}
+}
--- a/standin/hosts.go
+++ b/standin/hosts.go
@@ -123,3 +123,14 @@
 	s.versions = s.versions[visible:]
 	return s.versions[0].hosts
 }
+
+// Get returns the named host as it was set last, whatever callers see.
+func (s *Hosts) Get(name string) (hosts.Host, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.versions) == 0 {
+		return hosts.Host{}, false
+	}
+	h, ok := s.versions[len(s.versions)-1].hosts[name]
+	return h, ok
+}
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -12,6 +12,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/examples"
+	"peridotusher.example/peridotusher/faultproxy"
 	"peridotusher.example/peridotusher/hosts"
 	"peridotusher.example/peridotusher/standin"
 	"peridotusher.example/peridotusher/store"
@@ -246,6 +247,26 @@
 	return err
 }
 
+// EditDocument changes the configuration in the store. Edits that race are
+// tried again; an error means that the edit may not have been accepted.
+func (b *Bed) EditDocument(ctx context.Context, edit func(text []byte) []byte) error {
+	client, closeClient, err := b.StoreClient()
+	if err != nil {
+		return err
+	}
+	defer closeClient()
+	for {
+		entry, err := client.Get(ctx, documentKey)
+		if err != nil {
+			return err
+		}
+		swap, err := client.CompareAndSwap(ctx, documentKey, entry.Revision(), edit(entry.Value()), store.NoLease)
+		if err != nil || swap.Swapped() {
+			return err
+		}
+	}
+}
+
 // StoreClient returns a client that reaches the store without a proxy.
 func (b *Bed) StoreClient() (*store.Client, func(), error) {
 	return store.New(store.Config{Addresses: []string{b.Store.Listener.Addr().String()}})
@@ -257,6 +278,22 @@
 // HealZone lifts CutZone. Connections that were silenced are reset.
 func (b *Bed) HealZone(zone string) { b.Links.heal(zone) }
 
+// CutPlatform silences every link between the zone and the platform.
+func (b *Bed) CutPlatform(zone string) {
+	b.Links.platform(zone, func(p *faultproxy.Proxy) {
+		p.SilenceOpen()
+		p.Set(faultproxy.Fault{Silent: true})
+	})
+}
+
+// HealPlatform lifts CutPlatform. Connections that were silenced are reset.
+func (b *Bed) HealPlatform(zone string) {
+	b.Links.platform(zone, func(p *faultproxy.Proxy) {
+		p.Heal()
+		p.Cut()
+	})
+}
+
 // WaitReady waits until every running router says that it is ready.
 func (b *Bed) WaitReady(limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(b.ctx, limit)
--- a/testbed/links.go
+++ b/testbed/links.go
@@ -87,6 +87,28 @@
 	})
 }
 
+// Restore takes the faults of the zone's links away. Their connections stay.
+func (l *Links) Restore(zone string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, p := range l.links {
+		if key.from == zone || l.ends[key] == zone {
+			p.Set(l.normal(l.ends[key]))
+		}
+	}
+}
+
+// platform calls fn with the links from the zone to the platform.
+func (l *Links) platform(zone string, fn func(*faultproxy.Proxy)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, p := range l.links {
+		if key.from == zone && l.ends[key] == platformZone {
+			fn(p)
+		}
+	}
+}
+
 func (l *Links) heal(zone string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
