--- a/engines.go
+++ b/engines.go
@@ -51,6 +51,22 @@
 	t.byID[id] = e
 }
 
+// SetFacts records what an engine has loaded, as its owner read it. The rest
+// of its report stays.
+func (t *Engines) SetFacts(id EngineID, versions []LoadedVersion, adapters []string, role string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	e.report.Versions = versions
+	e.report.Adapters = adapters
+	e.report.Role = role
+	e.reported = true
+	t.byID[id] = e
+}
+
 // SetState changes an engine's state.
 func (t *Engines) SetState(id EngineID, state EngineState) {
 	t.mu.Lock()
--- /dev/null
+++ b/entry/admission.go
@@ -0,0 +1,180 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/peer"
+)
+
+const (
+	// admissionTick is how often waits that ended are looked for.
+	admissionTick = 20 * time.Millisecond
+	// factsInterval is how often routers repeat what their engines have loaded.
+	factsInterval = 5 * time.Second
+	// renewalsPerExpiry is how often a permit is renewed during its expiry.
+	renewalsPerExpiry = 3
+	// defaultRenewal is the interval of renewals before the first configuration.
+	defaultRenewal = 10 * time.Second
+)
+
+// buildAdmission joins the owner, the ingress and the links to the other routers.
+func (h *Host) buildAdmission(placer *peridotusher.Placer) {
+	self := peridotusher.RouterID(h.Name)
+	h.owner = &peridotusher.Owner{
+		Self:       self,
+		Placer:     placer,
+		Ledger:     h.ledger,
+		Queue:      peridotusher.NewQueue(),
+		Placements: peridotusher.NewPlacements(),
+		Ownership:  h.members,
+		Peers:      h.node,
+		Document:   h.Document,
+		Clock:      h.Clock,
+	}
+	h.ingress = &peridotusher.Ingress{
+		Self:      self,
+		Ownership: h.members,
+		Engines:   h.engines,
+		Placer:    placer,
+		Local:     h.owner,
+		Peers:     h.node,
+		Clock:     h.Clock,
+		Record:    h.metrics.Permit,
+	}
+	h.node.Permits = h.owner
+	h.node.Admission = admission{host: h}
+}
+
+// runAdmission does what is due at times: waits that end, renewals, and news
+// to the other routers.
+func (h *Host) runAdmission(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return h.tickAdmission(ctx) })
+	group.Go(func() error { return h.renewPermits(ctx) })
+	group.Go(func() error { return h.spreadFacts(ctx) })
+	return group.Wait()
+}
+
+func (h *Host) tickAdmission(ctx context.Context) error {
+	return every(ctx, admissionTick, func() { h.owner.Tick() })
+}
+
+// renewPermits reports held permits at a part of their expiry, and at once
+// when the members changed.
+func (h *Host) renewPermits(ctx context.Context) error {
+	var renewed time.Time
+	var version uint64
+	return every(ctx, loadInterval, func() {
+		now := h.Clock.Now()
+		if v := h.members.Version(); v == version && now.Sub(renewed) < h.renewal() {
+			return
+		}
+		version = h.members.Version()
+		renewed = now
+		h.ingress.Renew(ctx)
+	})
+}
+
+func (h *Host) renewal() time.Duration {
+	doc := h.Document()
+	if doc == nil {
+		return defaultRenewal
+	}
+	return doc.Policy().PermitExpiry() / renewalsPerExpiry
+}
+
+// spreadFacts tells the other routers what the engines of this router have
+// loaded, when it changes, when the members change and now and then.
+func (h *Host) spreadFacts(ctx context.Context) error {
+	var sent time.Time
+	var version uint64
+	var last []peer.EngineFacts
+	return every(ctx, loadInterval, func() {
+		facts := h.facts()
+		now := h.Clock.Now()
+		v := h.members.Version()
+		if v == version && now.Sub(sent) < factsInterval && cmp.Equal(facts, last) {
+			return
+		}
+		if err := h.node.SendFacts(facts); err != nil {
+			h.Log.WithError(err).Error("engine facts not encoded")
+		}
+		version, sent, last = v, now, facts
+	})
+}
+
+// facts returns what the owned engines have loaded and which engines leave.
+func (h *Host) facts() []peer.EngineFacts {
+	var facts []peer.EngineFacts
+	for _, e := range h.engines.All() {
+		report, reported := e.Report()
+		leaving := e.State() == peridotusher.EngineLeaving
+		if !leaving && (!reported || !h.owns(e)) {
+			continue
+		}
+		facts = append(facts, peer.EngineFacts{Engine: e.ID(), Versions: report.Versions, Adapters: report.Adapters, Role: report.Role, Leaving: leaving})
+	}
+	return facts
+}
+
+// owns reports whether this router is the engine's owner.
+func (h *Host) owns(e peridotusher.Engine) bool {
+	owner, ok := h.members.OwnerOf(e.ID(), e.Zone())
+	return ok && owner == peridotusher.RouterID(h.Name)
+}
+
+// polls reports whether this router reads the engine's load: its owner does,
+// and the deputy, which may have to take over.
+func (h *Host) polls(e peridotusher.Engine) bool {
+	if h.owns(e) {
+		return true
+	}
+	deputy, ok := h.members.DeputyOf(e.ID(), e.Zone())
+	return ok && deputy == peridotusher.RouterID(h.Name)
+}
+
+// every calls fn at once and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, fn func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		fn()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// admission takes what other routers tell.
+type admission struct{ host *Host }
+
+// Granted implements peer.AdmissionHandler.
+func (a admission) Granted(ctx context.Context, answer peridotusher.Answer) {
+	a.host.ingress.Granted(ctx, answer)
+}
+
+// Placed implements peer.AdmissionHandler.
+func (a admission) Placed(chat peridotusher.ChatKey, engine peridotusher.EngineID) {
+	a.host.owner.Placed(chat, engine)
+}
+
+// SetFacts implements peer.AdmissionHandler. A leaving engine gets no new work
+// from whichever router saw it first.
+func (a admission) SetFacts(facts []peer.EngineFacts) {
+	for _, f := range facts {
+		if f.Leaving {
+			a.host.engines.SetState(f.Engine, peridotusher.EngineLeaving)
+		}
+		e, ok := a.host.engines.Get(f.Engine)
+		if ok && !a.host.owns(e) && len(f.Versions) > 0 {
+			a.host.engines.SetFacts(f.Engine, f.Versions, f.Adapters, f.Role)
+		}
+	}
+}
--- a/entry/host.go
+++ b/entry/host.go
@@ -69,6 +69,7 @@
 	group.Go(func() error { return h.watchDocument(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
+	group.Go(func() error { return h.runAdmission(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
@@ -129,13 +130,11 @@
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
 	h.metrics = operator.NewMetrics()
-	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
-	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
+	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
 	h.node = &peer.Node{
 		Self:     self,
 		Listener: h.Peer,
 		Members:  h.members,
-		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
 		Revision: revisionSource{host: h},
@@ -143,16 +142,7 @@
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
-	h.ingress = &peridotusher.Ingress{
-		Self:      self.ID(),
-		Ownership: h.members,
-		Engines:   h.engines,
-		Placer:    placer,
-		Local:     h.owner,
-		Peers:     h.node,
-		Clock:     h.Clock,
-		Record:    h.metrics.Permit,
-	}
+	h.buildAdmission(placer)
 	h.measurePeers()
 	return h.buildClients()
 }
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -19,28 +19,19 @@
 	loadWorkers = 8
 )
 
-// pollLoads asks the engines for their load reports.
+// pollLoads asks the engines that this router owns or is deputy of for their
+// load reports.
 func (h *Host) pollLoads(ctx context.Context) error {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	for {
-		listed := len(h.engines.All()) > 0
-		h.pollOnce(ctx)
-		if listed {
-			h.polled.Store(true)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
+	return every(ctx, loadInterval, func() { h.pollOnce(ctx) })
 }
 
 func (h *Host) pollOnce(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(loadWorkers)
-	for _, e := range h.engines.All() {
+	for _, e := range h.engines.Select(h.polls) {
+		if h.owns(e) {
+			h.ledger.Take(h.Clock.Now(), e.ID())
+		}
 		group.Go(func() error {
 			h.pollEngine(ctx, e)
 			return nil
@@ -58,7 +49,9 @@
 		h.Log.WithError(err).WithField("engine", e.ID()).Debug("no load report")
 		return
 	}
-	h.engines.SetReport(e.ID(), engineReport(report, h.Clock.Now()))
+	own := engineReport(report, h.Clock.Now())
+	h.engines.SetReport(e.ID(), own)
+	h.ledger.SetReported(h.Clock.Now(), e.ID(), own)
 }
 
 func engineReport(r engine.Report, now time.Time) peridotusher.EngineReport {
--- a/ingress.go
+++ b/ingress.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"peridotusher.example/peridotusher/document"
 )
 
-// maxAsks is the most owners that an ingress asks for one request.
-const maxAsks = 64
+const (
+	// maxAsks is the most owners that an ingress asks for one request.
+	maxAsks = 8
+	// grantGrace is added to an owner's stated wait for the way of its message.
+	grantGrace = 100 * time.Millisecond
+)
 
 // PermitPeers asks the owners on other routers.
 type PermitPeers interface {
 	Ask(ctx context.Context, to RouterID, ask Ask) (Answer, error)
 	Return(ctx context.Context, to RouterID, r Return) error
+	Report(ctx context.Context, to RouterID, held []HeldPermit) error
+	Placed(ctx context.Context, to RouterID, chat ChatKey, engine EngineID) error
 }
 
 // Ownership says which router owns an engine, and which takes its place.
@@ -34,26 +39,20 @@
 	Clock     Clock
 	Record    func(took time.Duration, asks int) // nil records nothing
 
-	mu   sync.Mutex
-	held map[PermitID]HeldPermit
+	grants grantTable
+	held   heldTable
 }
 
-// Permit allows one request to be sent to one engine.
-type Permit struct {
-	ingress *Ingress
-	id      PermitID
-	owner   RouterID
-	engine  Engine
-	ask     Ask
-	once    sync.Once
+// search is the walk of one request over the engines of its ranking.
+type search struct {
+	doc     *document.Document
+	req     Request
+	ranking []Engine
+	tried   map[EngineID]bool
+	asks    int
+	last    Answer
 }
 
-// Engine returns the engine that the permit names.
-func (p *Permit) Engine() Engine { return p.engine }
-
-// ID returns the permit's name.
-func (p *Permit) ID() PermitID { return p.id }
-
 // Acquire obtains a permit for the request, trying the engines of its ranking
 // except those in avoid. The error is a Failure with the verdict NotRun.
 func (in *Ingress) Acquire(ctx context.Context, doc *document.Document, req Request, avoid map[EngineID]bool) (*Permit, error) {
@@ -64,61 +63,96 @@
 	if err != nil {
 		return nil, err
 	}
+	s := &search{doc: doc, req: req, ranking: ranking, tried: map[EngineID]bool{}}
+	for id := range avoid {
+		s.tried[id] = true
+	}
 	started := in.Clock.Now()
-	target, ok := nextEngine(ranking, avoid, "")
-	if !ok {
-		return nil, Fail(NotRun, CauseNoEndpoint, "every engine for model %q has been tried", req.Model)
+	permit, err := in.walk(ctx, s)
+	if err == nil && in.Record != nil {
+		in.Record(in.Clock.Now().Sub(started), s.asks)
 	}
-	tried := map[EngineID]bool{}
-	for id := range avoid {
-		tried[id] = true
+	return permit, err
+}
+
+// walk asks for one engine after the other.
+func (in *Ingress) walk(ctx context.Context, s *search) (*Permit, error) {
+	target, ok := nextEngine(s.ranking, s.tried, "")
+	if !ok {
+		return nil, Fail(NotRun, CauseNoEndpoint, "every engine for model %q has been tried", s.req.Model)
 	}
-	var last Answer
-	for n := 0; n < maxAsks; n++ {
-		tried[target.ID()] = true
-		ask := Ask{Request: req, Engine: target.ID(), Ingress: in.Self, Budget: req.Deadline.Sub(in.Clock.Now()), Displaced: n > 0}
-		answer, owner, err := in.ask(ctx, doc, target, ask)
+	var expected EngineID // where the home engine's owner believes the chat to be
+	for ok && s.asks < maxAsks && ctx.Err() == nil {
+		answer, err := in.ask(ctx, s, target)
 		if err == nil && answer.Granted {
-			in.record(in.Clock.Now().Sub(started), n+1)
-			return in.hold(answer, owner, target, ask), nil
+			if s.asks > 1 && expected != target.ID() {
+				in.tellHome(ctx, s, target.ID())
+			}
+			return in.hold(answer, target, s.req), nil
 		}
-		last = answer
-		target, ok = nextEngine(ranking, tried, answer.Next)
-		if !ok {
-			break
+		if err == nil {
+			s.last = answer
 		}
+		if s.asks == 1 {
+			expected = answer.Next
+		}
+		target, ok = nextEngine(s.ranking, s.tried, answer.Next)
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, FailWith(NotRun, CauseCallerGone, err)
 	}
-	return nil, Fail(NotRun, CauseOverloaded, "every model engine for model %q is full", req.Model).WithRetryAfter(max(last.RetryAfter, overloadRetryAfter))
+	return nil, Fail(NotRun, CauseOverloaded, "every model engine for model %q is full", s.req.Model).WithRetryAfter(max(s.last.RetryAfter, overloadRetryAfter))
+}
+
+// ask asks for one engine and waits for a decision that follows later.
+func (in *Ingress) ask(ctx context.Context, s *search, target Engine) (Answer, error) {
+	s.tried[target.ID()] = true
+	s.asks++
+	_, more := nextEngine(s.ranking, s.tried, "")
+	ticket, grant := in.grants.open()
+	defer in.closeTicket(ctx, ticket)
+	ask := Ask{
+		Request:   s.req,
+		Engine:    target.ID(),
+		Ingress:   in.Self,
+		Ticket:    ticket,
+		Budget:    s.req.Deadline.Sub(in.Clock.Now()),
+		Home:      s.asks == 1 && s.req.Chat != "",
+		Resident:  s.last.Holds && s.last.Next == target.ID(),
+		Final:     !more || s.asks == maxAsks,
+		Displaced: s.asks > 1,
+	}
+	answer, err := in.askOwner(ctx, s.doc, target, ask)
+	if err != nil || !answer.Queued {
+		return answer, err
+	}
+	return waitGrant(ctx, grant, answer.Wait+grantGrace)
 }
 
-// ask asks the owner of the engine, and its deputy when the owner is silent.
-func (in *Ingress) ask(ctx context.Context, doc *document.Document, target Engine, ask Ask) (Answer, RouterID, error) {
+// askOwner asks the owner of the engine, and its deputy when the owner is silent.
+func (in *Ingress) askOwner(ctx context.Context, doc *document.Document, target Engine, ask Ask) (Answer, error) {
 	owner, ok := in.Ownership.OwnerOf(target.ID(), target.Zone())
 	if !ok {
 		owner = in.Self
 	}
 	answer, err := in.askRouter(ctx, doc.Policy().OwnerTimeout(), owner, ask)
 	if err == nil {
-		return answer, owner, nil
+		return answer, nil
 	}
 	deputy, ok := in.Ownership.DeputyOf(target.ID(), target.Zone())
 	if !ok || ctx.Err() != nil {
-		return Answer{}, owner, err
+		return Answer{}, err
 	}
 	ask.Deputy = true
-	answer, err = in.askRouter(ctx, doc.Policy().OwnerTimeout(), deputy, ask)
-	return answer, deputy, err
+	return in.askRouter(ctx, doc.Policy().OwnerTimeout(), deputy, ask)
 }
 
 func (in *Ingress) askRouter(ctx context.Context, timeout time.Duration, to RouterID, ask Ask) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if to == in.Self {
 		return in.Local.Ask(ctx, ask), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	answer, err := in.Peers.Ask(ctx, to, ask)
 	if err != nil {
 		return Answer{}, err
@@ -127,45 +161,19 @@
 	return answer, nil
 }
 
-func (in *Ingress) hold(answer Answer, owner RouterID, target Engine, ask Ask) *Permit {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.held == nil {
-		in.held = map[PermitID]HeldPermit{}
-	}
-	in.held[answer.Permit] = HeldPermit{Permit: answer.Permit, Ask: ask}
-	return &Permit{ingress: in, id: answer.Permit, owner: owner, engine: target, ask: ask}
-}
-
-// Held returns the permits that have not been returned.
-func (in *Ingress) Held() []HeldPermit {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	all := make([]HeldPermit, 0, len(in.held))
-	for _, h := range in.held {
-		all = append(all, h)
-	}
-	return all
-}
-
-// Done returns the permit with the request's outcome. Later calls do nothing.
-func (p *Permit) Done(ctx context.Context, verdict Verdict, failed bool) {
-	p.once.Do(func() {
-		p.ingress.release(p.id)
-		r := Return{Permit: p.id, Engine: p.engine.ID(), Ingress: p.ingress.Self, Verdict: verdict, Failed: failed}
-		if p.owner == p.ingress.Self {
-			p.ingress.Local.Return(r)
-			return
-		}
-		// An owner that cannot be reached lets the permit expire.
-		_ = p.ingress.Peers.Return(ctx, p.owner, r)
-	})
-}
-
-func (in *Ingress) release(id PermitID) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	delete(in.held, id)
+// tellHome tells the owner of the chat's home engine where the chat went.
+func (in *Ingress) tellHome(ctx context.Context, s *search, engine EngineID) {
+	if s.req.Chat == "" {
+		return
+	}
+	home := s.ranking[0]
+	owner, ok := in.Ownership.OwnerOf(home.ID(), home.Zone())
+	if !ok || owner == in.Self {
+		in.Local.Placed(s.req.Chat, engine)
+		return
+	}
+	// A record that is not updated costs the chat's next turn its prefix.
+	_ = in.Peers.Placed(ctx, owner, s.req.Chat, engine)
 }
 
 // nextEngine returns the preferred engine if it is in the ranking and was not
@@ -187,9 +195,3 @@
 	}
 	return first, found
 }
-
-func (in *Ingress) record(took time.Duration, asks int) {
-	if in.Record != nil {
-		in.Record(took, asks)
-	}
-}
--- /dev/null
+++ b/ingress_held.go
@@ -0,0 +1,117 @@
+package peridotusher
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// returnTimeout bounds the queueing of a returned permit's message.
+const returnTimeout = time.Second
+
+// heldTable holds the permits that this router has not returned.
+type heldTable struct {
+	mu      sync.Mutex
+	permits map[PermitID]*Permit
+}
+
+// Permit allows one request to be sent to one engine.
+type Permit struct {
+	ingress *Ingress
+	id      PermitID
+	owner   RouterID
+	engine  Engine
+	req     Request
+	once    sync.Once
+}
+
+// Engine returns the engine that the permit names.
+func (p *Permit) Engine() Engine { return p.engine }
+
+// ID returns the permit's name.
+func (p *Permit) ID() PermitID { return p.id }
+
+func (in *Ingress) hold(answer Answer, target Engine, req Request) *Permit {
+	p := &Permit{ingress: in, id: answer.Permit, owner: answer.Owner, engine: target, req: req}
+	in.held.mu.Lock()
+	defer in.held.mu.Unlock()
+	if in.held.permits == nil {
+		in.held.permits = map[PermitID]*Permit{}
+	}
+	in.held.permits[p.id] = p
+	return p
+}
+
+// Held returns the permits that have not been returned.
+func (in *Ingress) Held() []HeldPermit {
+	in.held.mu.Lock()
+	defer in.held.mu.Unlock()
+	all := make([]HeldPermit, 0, len(in.held.permits))
+	for _, p := range in.held.permits {
+		all = append(all, p.held())
+	}
+	return all
+}
+
+func (p *Permit) held() HeldPermit {
+	return HeldPermit{Permit: p.id, Ask: Ask{Request: p.req, Engine: p.engine.ID(), Ingress: p.ingress.Self}}
+}
+
+// Renew reports the permits that this router holds to their engines' owners.
+// It is called at a third of the permits' expiry and when an owner changed.
+func (in *Ingress) Renew(ctx context.Context) {
+	byOwner := in.heldByOwner()
+	for owner, held := range byOwner {
+		if owner == in.Self {
+			in.Local.Report(in.Self, held)
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+		// An owner that cannot be reached gets the next report.
+		_ = in.Peers.Report(ctx, owner, held)
+		cancel()
+	}
+}
+
+// heldByOwner returns the permits by the router that gave them and by the one
+// that owns their engine now.
+func (in *Ingress) heldByOwner() map[RouterID][]HeldPermit {
+	in.held.mu.Lock()
+	defer in.held.mu.Unlock()
+	byOwner := map[RouterID][]HeldPermit{}
+	for _, p := range in.held.permits {
+		byOwner[p.owner] = append(byOwner[p.owner], p.held())
+		if now, ok := in.Ownership.OwnerOf(p.engine.ID(), p.engine.Zone()); ok && now != p.owner {
+			byOwner[now] = append(byOwner[now], p.held())
+		}
+	}
+	return byOwner
+}
+
+// Done returns the permit with the request's outcome. Later calls do nothing.
+func (p *Permit) Done(ctx context.Context, verdict Verdict, failed bool) {
+	p.once.Do(func() {
+		in := p.ingress
+		in.held.mu.Lock()
+		delete(in.held.permits, p.id)
+		in.held.mu.Unlock()
+		r := Return{Permit: p.id, Engine: p.engine.ID(), Ingress: in.Self, Verdict: verdict, Failed: failed}
+		in.sendReturn(ctx, p.owner, r)
+		if now, ok := in.Ownership.OwnerOf(p.engine.ID(), p.engine.Zone()); ok && now != p.owner {
+			in.sendReturn(ctx, now, r)
+		}
+	})
+}
+
+// sendReturn returns a permit to the router that counts it.
+func (in *Ingress) sendReturn(ctx context.Context, owner RouterID, r Return) {
+	if owner == in.Self {
+		in.Local.Return(r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), returnTimeout)
+	defer cancel()
+	// An owner that cannot be reached learns it by the next report, or lets
+	// the permit expire.
+	_ = in.Peers.Return(ctx, owner, r)
+}
--- a/ledger.go
+++ b/ledger.go
@@ -6,25 +6,20 @@
 	"time"
 )
 
+const (
+	// takeoverTime is how long a new owner admits conservatively.
+	takeoverTime = 2 * time.Second
+	// remoteLifetime is the age from which another owner's count does not raise the total.
+	remoteLifetime = 5 * time.Second
+)
+
 // Ledger counts the permits of the engines that a router owns and keeps the
 // loads that other owners report of theirs.
 type Ledger struct {
 	mu     sync.Mutex
 	owned  map[EngineID]*engineLedger
 	remote map[EngineID]remoteLoad
-}
-
-// engineLedger holds the permits of one owned engine.
-type engineLedger struct {
-	model   string
-	work    int
-	permits map[PermitID]heldPermit
-}
-
-// heldPermit is one permit that has not been returned.
-type heldPermit struct {
-	work    int
-	expires time.Time
+	totals totalWindow
 }
 
 // remoteLoad is another owner's count of one of its engines.
@@ -51,63 +46,142 @@
 func (l *Ledger) Admit(now time.Time, id PermitID, ask Ask, expires time.Time, room Room) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.expire(now, ask.Engine)
-	work := ask.Request.Work
-	load := l.work(ask.Engine)
-	if !l.fits(load, work, room) {
+	entry := l.entry(now, ask.Engine, ask.Request.Model)
+	entry.expire(now)
+	if !l.fits(now, ask.Engine, ask.Request.Work, room) {
 		return false
 	}
-	entry := l.entry(ask.Engine, ask.Request.Model)
-	entry.permits[id] = heldPermit{work: work, expires: expires}
-	entry.work += work
+	entry.add(now, id, heldPermit{work: ask.Request.Work, ingress: ask.Ingress, granted: now, expires: expires})
 	return true
 }
 
-// Adopt records a permit that a former owner gave. It is counted even beyond
-// the bound, because its request is already running.
-func (l *Ledger) Adopt(h HeldPermit, expires time.Time) {
+// Adopt records or renews a permit that an ingress says it holds. It is
+// counted even beyond the bound, because its request is already running.
+func (l *Ledger) Adopt(now time.Time, h HeldPermit, expires time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	entry := l.entry(h.Ask.Engine, h.Ask.Request.Model)
-	if _, known := entry.permits[h.Permit]; known {
+	entry := l.entry(now, h.Ask.Engine, h.Ask.Request.Model)
+	if p, known := entry.permits[h.Permit]; known {
+		p.expires = expires
+		entry.permits[h.Permit] = p
+		return
+	}
+	if entry.isReturned(h.Permit) {
 		return
 	}
-	entry.permits[h.Permit] = heldPermit{work: h.Ask.Request.Work, expires: expires}
-	entry.work += h.Ask.Request.Work
+	entry.add(now, h.Permit, heldPermit{work: h.Ask.Request.Work, ingress: h.Ask.Ingress, granted: now, expires: expires})
+}
+
+// Retain ends the ingress's permits that it no longer holds, except those
+// granted after the time.
+func (l *Ledger) Retain(now time.Time, ingress RouterID, held map[PermitID]bool, before time.Time) []EngineID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var freed []EngineID
+	for engine, entry := range l.owned {
+		for id, p := range entry.permits {
+			if p.ingress == ingress && !held[id] && p.granted.Before(before) {
+				entry.remove(now, id)
+				freed = append(freed, engine)
+			}
+		}
+	}
+	return freed
 }
 
-// Return ends a permit. A permit that is unknown or already returned is
-// ignored; Return reports whether it was known.
-func (l *Ledger) Return(engine EngineID, id PermitID) bool {
+// Return ends a permit and returns how long it was out and whether it was
+// known. A permit that is unknown or already returned is ignored.
+func (l *Ledger) Return(now time.Time, engine EngineID, id PermitID) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry, ok := l.owned[engine]
 	if !ok {
-		return false
+		return 0, false
 	}
-	return entry.remove(id)
+	entry.tombstone(id)
+	held := now.Sub(entry.permits[id].granted)
+	return held, entry.remove(now, id)
 }
 
-// SetRemote records the loads that another owner counts. A load of an engine
-// with permits of this router's own is ignored.
+// SetReported corrects an owned engine's load by the engine's own report: work
+// there that no permit explains is counted as well.
+func (l *Ledger) SetReported(now time.Time, engine EngineID, report EngineReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if entry, ok := l.owned[engine]; ok {
+		entry.correct(report)
+		entry.expire(now)
+	}
+}
+
+// Hold lets the engine get no permit until the time.
+func (l *Ledger) Hold(engine EngineID, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if entry, ok := l.owned[engine]; ok {
+		entry.heldUntil = until
+	}
+}
+
+// SetRemote records the loads that other owners count. The load of an engine
+// that this router owns is ignored, as is a count older than the known one.
 func (l *Ledger) SetRemote(now time.Time, loads []EngineLoad) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, load := range loads {
-		if entry, ok := l.owned[load.Engine]; ok && len(entry.permits) > 0 {
+		if entry, ok := l.owned[load.Engine]; ok && entry.mine {
 			continue
 		}
-		l.remote[load.Engine] = remoteLoad{load: load, since: now.Add(-load.Age)}
+		since := now.Add(-load.Age)
+		if old, ok := l.remote[load.Engine]; ok && since.Before(old.since) {
+			continue
+		}
+		l.remote[load.Engine] = remoteLoad{load: load, since: since}
+	}
+}
+
+// Take makes this router the engine's owner. It does nothing if it is already.
+func (l *Ledger) Take(now time.Time, engine EngineID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(now, engine, "")
+}
+
+// SetOwned tells which engines this router owns. The counts of others are
+// dropped once their permits have ended.
+func (l *Ledger) SetOwned(owns func(EngineID) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, entry := range l.owned {
+		entry.mine = owns(id)
+		if !entry.mine && len(entry.permits) == 0 {
+			delete(l.owned, id)
+		}
+	}
+}
+
+// Sample records the other owners' total for the conservative estimate.
+func (l *Ledger) Sample(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	total := 0
+	for id, r := range l.remote {
+		if _, ok := l.owned[id]; !ok && now.Sub(r.since) < remoteLifetime {
+			total += r.load.Work
+		}
 	}
+	l.totals.add(now, total)
 }
 
-// Loads returns the loads of the engines that hold permits of this router's.
+// Loads returns the loads of the engines that this router owns.
 func (l *Ledger) Loads() []EngineLoad {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	loads := make([]EngineLoad, 0, len(l.owned))
 	for id, entry := range l.owned {
-		loads = append(loads, EngineLoad{Engine: id, Model: entry.model, Work: entry.work, Permits: len(entry.permits)})
+		if entry.mine {
+			loads = append(loads, EngineLoad{Engine: id, Model: entry.model, Work: entry.load(), Permits: len(entry.permits)})
+		}
 	}
 	return loads
 }
@@ -121,66 +195,68 @@
 
 // Fits returns whether the engine has room for the work, by this router's
 // own and reported counts.
-func (l *Ledger) Fits(engine EngineID, work int, room Room) bool {
+func (l *Ledger) Fits(now time.Time, engine EngineID, work int, room Room) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fits(l.work(engine), work, room)
+	return l.fits(now, engine, work, room)
 }
 
-func (l *Ledger) fits(load, work int, room Room) bool {
+// fits reports whether the load before the work is below the limit. There is
+// always such an engine, because some engine is at most at the mean.
+func (l *Ledger) fits(now time.Time, engine EngineID, work int, room Room) bool {
 	if room.Unbounded {
 		return true
 	}
-	return load+work <= room.Slots && load < l.limit(work, room)
+	load := l.work(engine)
+	limit := l.limit(now, work, room)
+	entry, ok := l.owned[engine]
+	if ok && now.Before(entry.heldUntil) {
+		return false
+	}
+	if ok && now.Before(entry.floorUntil) {
+		load = max(load, entry.floor)
+		limit = max(limit-1, 1)
+	}
+	return load+work <= room.Slots && load < limit
 }
 
-// limit returns the load that an engine has to be below to get the work. There
-// is always an engine below it, because some engine is at most at the mean.
-func (l *Ledger) limit(work int, room Room) int {
-	total := work
+// limit returns the load that an engine has to be below to get the work.
+func (l *Ledger) limit(now time.Time, work int, room Room) int {
+	own, others := work, 0
 	for _, id := range room.Engines {
-		total += l.work(id)
+		if entry, ok := l.owned[id]; ok {
+			own += entry.load()
+			continue
+		}
+		if r := l.remote[id]; now.Sub(r.since) < remoteLifetime {
+			others += r.load.Work
+		}
 	}
-	mean := float64(total) / float64(max(len(room.Engines), 1))
+	total := float64(own) + float64(others)*l.totals.shrink()
+	mean := total / float64(max(len(room.Engines), 1))
 	return int(math.Ceil(room.Bound * mean))
 }
 
 func (l *Ledger) work(engine EngineID) int {
-	if entry, ok := l.owned[engine]; ok {
-		return entry.work
+	if entry, ok := l.owned[engine]; ok && entry.mine {
+		return entry.load()
 	}
 	return l.remote[engine].load.Work
 }
 
-func (l *Ledger) entry(engine EngineID, model string) *engineLedger {
+// entry returns the engine's permits. A router that had none takes the engine
+// over from an owner whose last count it knows.
+func (l *Ledger) entry(now time.Time, engine EngineID, model string) *engineLedger {
 	entry, ok := l.owned[engine]
 	if !ok {
-		entry = &engineLedger{model: model, permits: map[PermitID]heldPermit{}}
+		entry = newEngineLedger(model)
 		l.owned[engine] = entry
+	}
+	if !entry.mine {
+		entry.mine = true
+		entry.floor = l.remote[engine].load.Work
+		entry.floorUntil = now.Add(takeoverTime)
 		delete(l.remote, engine)
 	}
 	return entry
 }
-
-// expire removes the engine's permits whose ingress fell silent.
-func (l *Ledger) expire(now time.Time, engine EngineID) {
-	entry, ok := l.owned[engine]
-	if !ok {
-		return
-	}
-	for id, p := range entry.permits {
-		if now.After(p.expires) {
-			entry.remove(id)
-		}
-	}
-}
-
-func (e *engineLedger) remove(id PermitID) bool {
-	p, ok := e.permits[id]
-	if !ok {
-		return false
-	}
-	e.work -= p.work
-	delete(e.permits, id)
-	return true
-}
--- /dev/null
+++ b/ledger_test.go
@@ -0,0 +1,157 @@
+package peridotusher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestBound(t *testing.T) {
+	tests := []struct {
+		name  string
+		loads []int // of the engines, the first is asked for
+		work  int
+		want  bool
+	}{
+		{"empty fleet", []int{0, 0, 0, 0}, 1, true},
+		{"one above the others", []int{1, 0, 0, 0}, 1, false},
+		{"at the mean", []int{4, 4, 4, 4}, 1, true},
+		{"at the limit", []int{5, 4, 4, 4}, 1, true},
+		{"above the limit", []int{6, 4, 4, 4}, 1, false},
+		{"large work below the mean", []int{0, 1, 1, 1}, 4, true},
+		{"large work above the mean", []int{4, 1, 1, 1}, 4, false},
+		{"no slots left", []int{8, 8, 8, 8}, 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1_000_000, 0)
+			l := NewLedger()
+			room := Room{Bound: 1.25, Slots: 8}
+			for k, load := range tt.loads {
+				room.Engines = append(room.Engines, engineName(k))
+				l.Take(now, engineName(k))
+				for p := range load {
+					l.Adopt(now, HeldPermit{Permit: PermitID(fmt.Sprintf("%d-%d", k, p)), Ask: Ask{Engine: engineName(k), Request: Request{Work: 1}}}, now.Add(time.Minute))
+				}
+			}
+			now = now.Add(takeoverTime)
+			got := l.Admit(now, "new", Ask{Engine: engineName(0), Request: Request{Work: tt.work}}, now.Add(time.Minute), room)
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("admitted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRandomInterleavings gives, returns, repeats, loses and renews permits in
+// random order. Every admission keeps the bound, and the counts are exact.
+func TestRandomInterleavings(t *testing.T) {
+	for seed := range uint64(50) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		m := &ledgerModel{ledger: NewLedger(), now: time.Unix(1_000_000, 0), out: map[PermitID]modelPermit{}}
+		m.room = Room{Bound: 1 + r.Float64(), Slots: 8}
+		for k := range 2 + r.IntN(6) {
+			m.room.Engines = append(m.room.Engines, engineName(k))
+			m.ledger.Take(m.now, engineName(k))
+		}
+		m.now = m.now.Add(takeoverTime)
+		for step := range 500 {
+			if problem := m.step(r, step); problem != "" {
+				t.Fatalf("seed %d, step %d: %s", seed, step, problem)
+			}
+		}
+	}
+}
+
+// ledgerModel is what the ledger ought to count.
+type ledgerModel struct {
+	ledger *Ledger
+	room   Room
+	now    time.Time
+	out    map[PermitID]modelPermit
+	ended  []modelPermit
+}
+
+type modelPermit struct {
+	id      PermitID
+	engine  EngineID
+	work    int
+	expires time.Time
+}
+
+func (m *ledgerModel) step(r *rand.Rand, step int) string {
+	const expiry = 10 * time.Second
+	switch r.IntN(6) {
+	case 0, 1, 2:
+		p := modelPermit{PermitID(fmt.Sprint(step)), m.room.Engines[r.IntN(len(m.room.Engines))], 1 + 3*r.IntN(2), m.now.Add(expiry)}
+		m.expire(p.engine)
+		want := m.fits(p)
+		ask := Ask{Engine: p.engine, Request: Request{Work: p.work}}
+		if got := m.ledger.Admit(m.now, p.id, ask, p.expires, m.room); got != want {
+			return fmt.Sprintf("work %d on %s admitted: %v, want %v", p.work, p.engine, got, want)
+		}
+		if want {
+			m.out[p.id] = p
+		}
+	case 3:
+		for id, p := range m.out {
+			m.ledger.Return(m.now, p.engine, id)
+			delete(m.out, id)
+			m.ended = append(m.ended, p)
+			break
+		}
+	case 4:
+		if len(m.ended) > 0 {
+			p := m.ended[r.IntN(len(m.ended))]
+			if _, known := m.ledger.Return(m.now, p.engine, p.id); known {
+				return fmt.Sprintf("permit %s was returned twice", p.id)
+			}
+		}
+	default:
+		m.now = m.now.Add(time.Duration(r.IntN(1000)) * time.Millisecond)
+		for _, e := range m.room.Engines {
+			m.expire(e)
+			m.ledger.SetReported(m.now, e, EngineReport{Sampled: m.now})
+		}
+	}
+	for _, e := range m.room.Engines {
+		if want, got := m.work(e), m.ledger.Work(e); want != got {
+			return fmt.Sprintf("work of %s is %d, want %d", e, got, want)
+		}
+	}
+	return ""
+}
+
+func (m *ledgerModel) expire(engine EngineID) {
+	for id, p := range m.out {
+		if p.engine == engine && m.now.After(p.expires) {
+			delete(m.out, id)
+			m.ended = append(m.ended, p)
+		}
+	}
+}
+
+func (m *ledgerModel) work(engine EngineID) int {
+	sum := 0
+	for _, p := range m.out {
+		if p.engine == engine {
+			sum += p.work
+		}
+	}
+	return sum
+}
+
+// fits states the bound without a division that rounds: the load n-fold is
+// below the multiple of the total, rounded up to whole work units.
+func (m *ledgerModel) fits(p modelPermit) bool {
+	total := p.work
+	for _, e := range m.room.Engines {
+		total += m.work(e)
+	}
+	load := m.work(p.engine)
+	share := m.room.Bound * (float64(total) / float64(len(m.room.Engines)))
+	return load+p.work <= m.room.Slots && float64(load) < share
+}
--- /dev/null
+++ b/ledger_totals.go
@@ -0,0 +1,43 @@
+package peridotusher
+
+import "time"
+
+// totalTime is the age up to which a total may stand in for the present one.
+const totalTime = time.Second
+
+// totalWindow keeps recent totals of the loads of other owners.
+type totalWindow struct {
+	samples []totalAt
+}
+
+// totalAt is the total at one time.
+type totalAt struct {
+	at    time.Time
+	total int
+}
+
+func (w *totalWindow) add(now time.Time, total int) {
+	w.samples = append(w.samples, totalAt{now, total})
+	old := now.Add(-totalTime)
+	for len(w.samples) > 1 && w.samples[0].at.Before(old) {
+		w.samples = w.samples[1:]
+	}
+}
+
+// shrink returns the lowest recent total as a share of the latest. A total
+// that is reported late may have fallen; admitting by the lowest of a second
+// keeps a late report from raising the limit.
+func (w *totalWindow) shrink() float64 {
+	if len(w.samples) == 0 {
+		return 1
+	}
+	latest := w.samples[len(w.samples)-1].total
+	lowest := latest
+	for _, s := range w.samples {
+		lowest = min(lowest, s.total)
+	}
+	if latest == 0 {
+		return 1
+	}
+	return float64(lowest) / float64(latest)
+}
--- a/owner.go
+++ b/owner.go
@@ -3,93 +3,207 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"peridotusher.example/peridotusher/document"
 )
 
-// overloadRetryAfter is the delay told to a caller when every engine is full.
-const overloadRetryAfter = time.Second
+const (
+	// overloadRetryAfter is the delay told to a caller when every engine is full.
+	overloadRetryAfter = time.Second
+	// refusalPause is how long an engine that refused a request gets no other.
+	refusalPause = time.Second
+	// retainGrace is the age from which a permit that its ingress does not report has ended.
+	retainGrace = 5 * time.Second
+)
+
+// OwnerPeers reaches the other routers for an owner.
+type OwnerPeers interface {
+	Ask(ctx context.Context, to RouterID, ask Ask) (Answer, error)
+	Grant(ctx context.Context, to RouterID, a Answer) error
+}
 
 // Owner gives permits for the engines that this router owns.
 type Owner struct {
-	Self     RouterID
-	Placer   *Placer
-	Ledger   *Ledger
-	Document func() *document.Document
-	Clock    Clock
+	Self       RouterID
+	Placer     *Placer
+	Ledger     *Ledger
+	Queue      *Queue
+	Placements *Placements
+	Ownership  Ownership  // nil owns every engine
+	Peers      OwnerPeers // nil relays nothing
+	Document   func() *document.Document
+	Clock      Clock
 
 	issued atomic.Uint64
+	prefix string
+	once   sync.Once
+	pumpMu sync.Mutex // held while queued asks get permits
 }
 
 // Ask decides on a permit. A refusal names the next candidate that has room.
-func (o *Owner) Ask(_ context.Context, ask Ask) Answer {
+// An ask that waits is answered as queued; its decision follows as a grant.
+func (o *Owner) Ask(ctx context.Context, ask Ask) Answer {
 	doc := o.Document()
 	if doc == nil {
 		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
 	}
-	ranking, err := o.Placer.Ranking(doc, ask.Request)
+	if answer, relayed := o.relay(ctx, doc, ask); relayed {
+		return answer
+	}
+	answer := o.decide(doc, ask)
+	answer.Owner = o.Self
+	return answer
+}
+
+// decide grants, queues or refuses.
+func (o *Owner) decide(doc *document.Document, ask Ask) Answer {
+	c, err := o.chance(doc, ask)
 	if err != nil {
 		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
 	}
-	room := o.room(doc, ask.Request, ranking)
+	if ask.Home && ask.Request.Chat != "" {
+		at, known := o.Placements.Get(ask.Request.Chat)
+		if known && at != ask.Engine && c.serves(at) {
+			return Answer{Cause: CauseOverloaded, Next: at, Holds: true, Loads: o.Ledger.Loads()}
+		}
+		ask.Resident = known && at == ask.Engine
+	}
+	if answer, ok := o.grant(doc, ask, c); ok {
+		return answer
+	}
+	if ask.Resident && c.serves(ask.Engine) && doc.Policy().Patience() > 0 {
+		return o.enqueue(doc, ask, doc.Policy().Patience(), true)
+	}
+	return o.moveOn(doc, ask, c)
+}
+
+// moveOn names another engine with room, or queues the ask when there is none.
+func (o *Owner) moveOn(doc *document.Document, ask Ask, c chance) Answer {
+	if !ask.Final {
+		if next, ok := o.next(doc, ask, c); ok {
+			o.place(doc, ask, next)
+			return Answer{Cause: CauseOverloaded, Next: next, Loads: o.Ledger.Loads()}
+		}
+	}
+	if !c.serves(ask.Engine) {
+		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
+	}
+	return o.enqueue(doc, ask, o.longestWait(ask), false)
+}
+
+// grant admits the ask unless others wait for the engine already.
+func (o *Owner) grant(doc *document.Document, ask Ask, c chance) (Answer, bool) {
+	if !c.serves(ask.Engine) || o.Queue.Len(ask.Engine) > 0 {
+		return Answer{}, false
+	}
+	return o.admit(doc, ask, c)
+}
+
+func (o *Owner) admit(doc *document.Document, ask Ask, c chance) (Answer, bool) {
 	now := o.Clock.Now()
-	id := PermitID(fmt.Sprintf("%s-%d", o.Self, o.issued.Add(1)))
-	expires := now.Add(doc.Policy().PermitExpiry())
-	if inRanking(ranking, ask.Engine) && o.Ledger.Admit(now, id, ask, expires, room) {
-		return Answer{Granted: true, Permit: id, Engine: ask.Engine, Loads: o.Ledger.Loads()}
+	id := o.newID()
+	if !o.Ledger.Admit(now, id, ask, now.Add(doc.Policy().PermitExpiry()), c.room) {
+		return Answer{}, false
+	}
+	o.place(doc, ask, ask.Engine)
+	return Answer{Granted: true, Ticket: ask.Ticket, Permit: id, Engine: ask.Engine, Loads: o.Ledger.Loads()}, true
+}
+
+// place records where the chat goes, if this router owns its home engine.
+func (o *Owner) place(doc *document.Document, ask Ask, engine EngineID) {
+	if ask.Home && ask.Request.Chat != "" {
+		o.Placements.Set(ask.Request.Chat, engine, doc.Policy().PlacementRecords())
+	}
+}
+
+// next returns the first engine of the ranking that has room.
+func (o *Owner) next(doc *document.Document, ask Ask, c chance) (EngineID, bool) {
+	ranking, err := o.Placer.Ranking(doc, ask.Request)
+	if err != nil {
+		return "", false
+	}
+	now := o.Clock.Now()
+	for _, e := range ranking {
+		if e.ID() != ask.Engine && o.Ledger.Fits(now, e.ID(), ask.Request.Work, c.room) {
+			return e.ID(), true
+		}
 	}
-	return o.refuse(ask, ranking, room)
+	return "", false
 }
 
-// Return ends a permit.
+// Return ends a permit and gives its room to those that wait.
 func (o *Owner) Return(r Return) {
-	o.Ledger.Return(r.Engine, r.Permit)
+	now := o.Clock.Now()
+	held, known := o.Ledger.Return(now, r.Engine, r.Permit)
+	if !known {
+		return
+	}
+	o.Queue.Returned(r.Engine, held)
+	if r.Failed && r.Verdict == NotRun {
+		o.Ledger.Hold(r.Engine, now.Add(refusalPause))
+	}
+	o.pump(r.Engine)
 }
 
-// Report takes over the permits that an ingress holds of a former owner.
-func (o *Owner) Report(_ RouterID, held []HeldPermit) {
+// Report takes over and renews the permits that an ingress holds. Permits of
+// the ingress that are missing have ended, and their returns were lost.
+func (o *Owner) Report(from RouterID, held []HeldPermit) {
 	doc := o.Document()
 	if doc == nil {
 		return
 	}
-	expires := o.Clock.Now().Add(doc.Policy().PermitExpiry())
+	now := o.Clock.Now()
+	expires := now.Add(doc.Policy().PermitExpiry())
+	names := make(map[PermitID]bool, len(held))
 	for _, h := range held {
-		o.Ledger.Adopt(h, expires)
+		names[h.Permit] = true
+		h.Ask.Ingress = from
+		o.Ledger.Adopt(now, h, expires)
+	}
+	for _, engine := range o.Ledger.Retain(now, from, names, now.Add(-retainGrace)) {
+		o.pump(engine)
 	}
 }
 
-func (o *Owner) refuse(ask Ask, ranking []Engine, room Room) Answer {
-	answer := Answer{Cause: CauseOverloaded, RetryAfter: overloadRetryAfter, Loads: o.Ledger.Loads()}
-	for _, e := range ranking {
-		if e.ID() != ask.Engine && o.Ledger.Fits(e.ID(), ask.Request.Work, room) {
-			answer.Next = e.ID()
-			return answer
-		}
+// Placed records where a chat went that its home engine could not take.
+func (o *Owner) Placed(chat ChatKey, engine EngineID) {
+	if doc := o.Document(); doc != nil {
+		o.Placements.Set(chat, engine, doc.Policy().PlacementRecords())
 	}
-	return answer
 }
 
-func (o *Owner) room(doc *document.Document, req Request, ranking []Engine) Room {
-	if !o.Placer.Bounded(doc) {
-		return Room{Unbounded: true}
-	}
-	room := Room{Bound: doc.Policy().Bound()}
-	if model, ok := doc.Model(req.Model); ok {
-		room.Slots = model.Slots()
-	}
-	for _, e := range ranking {
-		room.Engines = append(room.Engines, e.ID())
-	}
-	return room
+// newID returns a permit's name, which no other process or start gives.
+func (o *Owner) newID() PermitID {
+	const base = 36
+	o.once.Do(func() { o.prefix = fmt.Sprintf("%s-%s-", o.Self, strconv.FormatInt(o.Clock.Now().UnixMilli(), base)) })
+	return PermitID(o.prefix + strconv.FormatUint(o.issued.Add(1), base))
 }
 
-func inRanking(ranking []Engine, id EngineID) bool {
-	for _, e := range ranking {
-		if e.ID() == id {
-			return true
-		}
+// chance is what the decision on one ask depends on.
+type chance struct {
+	room       Room
+	candidates map[EngineID]bool
+}
+
+func (c chance) serves(engine EngineID) bool { return c.candidates[engine] }
+
+func (o *Owner) chance(doc *document.Document, ask Ask) (chance, error) {
+	candidates, err := o.Placer.Candidates(doc, ask.Request)
+	if err != nil {
+		return chance{}, err
+	}
+	c := chance{candidates: make(map[EngineID]bool, len(candidates))}
+	c.room = Room{Bound: doc.Policy().Bound(), Unbounded: !o.Placer.Bounded(doc)}
+	if model, ok := doc.Model(ask.Request.Model); ok {
+		c.room.Slots = model.Slots()
+	}
+	for _, e := range candidates {
+		c.candidates[e.ID()] = true
+		c.room.Engines = append(c.room.Engines, e.ID())
 	}
-	return false
+	return c, nil
 }
--- /dev/null
+++ b/peer/admission.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+
+	"peridotusher.example/peridotusher"
+)
+
+// EngineFacts is what an engine has loaded, as its owner read it.
+type EngineFacts struct {
+	Engine   peridotusher.EngineID
+	Versions []peridotusher.LoadedVersion
+	Adapters []string
+	Role     string
+	Leaving  bool
+}
+
+// AdmissionHandler takes what other routers tell about asks, chats and engines.
+type AdmissionHandler interface {
+	Granted(ctx context.Context, a peridotusher.Answer)
+	Placed(chat peridotusher.ChatKey, engine peridotusher.EngineID)
+	SetFacts(facts []EngineFacts)
+}
+
+// Grant tells an ingress of a late decision.
+func (n *Node) Grant(ctx context.Context, to peridotusher.RouterID, a peridotusher.Answer) error {
+	if to == n.Self.ID() && n.Admission != nil {
+		n.Admission.Granted(ctx, a)
+		return nil
+	}
+	return n.Notify(ctx, to, KindGrant, n.answerToWire(a))
+}
+
+// Placed tells the owner of a chat's home engine where the chat went.
+func (n *Node) Placed(ctx context.Context, to peridotusher.RouterID, chat peridotusher.ChatKey, engine peridotusher.EngineID) error {
+	return n.Notify(ctx, to, KindPlaced, &Placed{Chat: string(chat), Engine: string(engine)})
+}
+
+// SendFacts tells every connected router what this router's engines have loaded.
+func (n *Node) SendFacts(facts []EngineFacts) error {
+	n.once.Do(n.init)
+	body, err := proto.Marshal(factsToWire(facts))
+	if err != nil {
+		return err
+	}
+	for _, s := range n.sessions.all() {
+		if err := s.offer(&Envelope{Kind: uint32(KindFacts), Body: body}); err != nil {
+			n.Log.WithError(err).WithField("peer", s.peer.ID()).Debug("engine facts not sent")
+		}
+	}
+	return nil
+}
+
+func (n *Node) handleGrant(ctx context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg AnswerPermit
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Admission != nil {
+		n.Admission.Granted(ctx, answerFromWire(&msg, from))
+	}
+	return nil, nil
+}
+
+func (n *Node) handlePlaced(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg Placed
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Admission != nil {
+		n.Admission.Placed(peridotusher.ChatKey(msg.GetChat()), peridotusher.EngineID(msg.GetEngine()))
+	}
+	return nil, nil
+}
+
+func (n *Node) handleFacts(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg Facts
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Admission != nil {
+		n.Admission.SetFacts(factsFromWire(&msg))
+	}
+	return nil, nil
+}
+
+func factsToWire(facts []EngineFacts) *Facts {
+	msg := &Facts{}
+	for _, f := range facts {
+		e := &LoadedEngine{Engine: string(f.Engine), Adapters: f.Adapters, Role: f.Role, Leaving: f.Leaving}
+		for _, v := range f.Versions {
+			e.Versions = append(e.Versions, &LoadedVersion{Model: v.Model, Version: v.Version, Ready: v.Ready})
+		}
+		msg.Engines = append(msg.Engines, e)
+	}
+	return msg
+}
+
+func factsFromWire(msg *Facts) []EngineFacts {
+	var facts []EngineFacts
+	for _, e := range msg.GetEngines() {
+		f := EngineFacts{Engine: peridotusher.EngineID(e.GetEngine()), Adapters: e.GetAdapters(), Role: e.GetRole(), Leaving: e.GetLeaving()}
+		for _, v := range e.GetVersions() {
+			f.Versions = append(f.Versions, peridotusher.LoadedVersion{Model: v.GetModel(), Version: v.GetVersion(), Ready: v.GetReady()})
+		}
+		facts = append(facts, f)
+	}
+	return facts
+}
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -11,6 +11,13 @@
 	KindReturn    Kind = 4
 	KindReport    Kind = 5
 	KindOther     Kind = 16
+
+	// KindGrant is an owner's late decision on an ask.
+	KindGrant Kind = 16
+	// KindPlaced tells a chat's home where the chat went.
+	KindPlaced Kind = 17
+	// KindFacts tells what the sender's engines have loaded.
+	KindFacts Kind = 18
 )
 
 // lane selects one of the streams of a session.
@@ -25,7 +32,7 @@
 
 // lane returns the stream that carries messages of the kind.
 func (k Kind) lane() lane {
-	if k == KindAsk || k == KindReturn {
+	if k == KindAsk || k == KindReturn || k == KindGrant {
 		return permitLane
 	}
 	return controlLane
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestKindsOfOtherPackages(t *testing.T) {
-	const echoed, failing, unknown = KindOther, KindOther + 1, KindOther + 2
+	const echoed, failing, unknown Kind = 200, 201, 202 // no package takes these
 	a := start(t, "a", 1, listen(t, ""), nil)
 	b := start(t, "b", 1, listen(t, ""), func(n *Node) {
 		n.Handle(echoed, func(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -47,6 +47,7 @@
 	Listener  net.Listener
 	Members   *peridotusher.Members
 	Permits   PermitHandler      // nil refuses every ask
+	Admission AdmissionHandler   // nil drops late decisions, placements and facts
 	Loads     LoadSource         // nil sends no loads
 	Sink      LoadSink           // nil drops loads that arrive
 	Revision  RevisionSource     // nil sends revision zero
@@ -105,6 +106,9 @@
 		KindAsk:    n.handleAsk,
 		KindReturn: n.handleReturn,
 		KindReport: n.handleReport,
+		KindGrant:  n.handleGrant,
+		KindPlaced: n.handlePlaced,
+		KindFacts:  n.handleFacts,
 	}
 }
 
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -229,12 +229,15 @@
 			Deadline: a.clock.Now().Add(5 * time.Second),
 		},
 		Engine: "engine-1", Ingress: "a", Budget: time.Second, Deputy: true, Displaced: true,
+		Ticket: 9, Relayed: true, Home: true, Resident: true, Final: true,
 	}
 	answer, err := a.Ask(ctx, "b", ask)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(testAnswer, answer); diff != "" {
+	wantAnswer := testAnswer
+	wantAnswer.Owner = "b"
+	if diff := cmp.Diff(wantAnswer, answer); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
 	end := peridotusher.Return{Permit: "permit-1", Engine: "engine-1", Ingress: "a", Verdict: peridotusher.Ran, Failed: true}
@@ -245,6 +248,7 @@
 	if err := a.Report(ctx, "b", []peridotusher.HeldPermit{held}); err != nil {
 		t.Fatal(err)
 	}
+	eventually(t, "the return arrives", func() bool { return len(b.permits.returned()) > 0 })
 	ask.Request.Deadline = b.clock.Now().Add(5 * time.Second)
 	held.Ask = ask
 	got := []any{b.permits.asks, b.permits.returns, b.permits.held}
--- a/peer/permit.go
+++ b/peer/permit.go
@@ -29,16 +29,17 @@
 	if err := n.Call(ctx, to, KindAsk, n.askToWire(ask), &reply); err != nil {
 		return peridotusher.Answer{}, err
 	}
-	return answerFromWire(&reply), nil
+	return answerFromWire(&reply, to), nil
 }
 
-// Return ends a permit at the router that gave it and waits for its confirmation.
+// Return ends a permit at the router that gave it. It returns once the message
+// is queued; a return that is lost is made good by the next Report.
 func (n *Node) Return(ctx context.Context, to peridotusher.RouterID, r peridotusher.Return) error {
 	if to == n.Self.ID() && n.Permits != nil {
 		n.Permits.Return(r)
 		return nil
 	}
-	return n.Call(ctx, to, KindReturn, returnToWire(r), nil)
+	return n.Notify(ctx, to, KindReturn, returnToWire(r))
 }
 
 // Report tells an engine's new owner which permits this router holds and waits
@@ -65,7 +66,7 @@
 		return nil, errNoPermits
 	}
 	answer := n.Permits.Ask(ctx, n.askFromWire(&msg))
-	return proto.Marshal(answerToWire(answer))
+	return proto.Marshal(n.answerToWire(answer))
 }
 
 // returnOrphan gives a permit back whose ask was given up before the answer came.
@@ -135,6 +136,11 @@
 		Budget:       a.Budget.Microseconds(),
 		Deputy:       a.Deputy,
 		Displaced:    a.Displaced,
+		Ticket:       a.Ticket,
+		Relayed:      a.Relayed,
+		Home:         a.Home,
+		Resident:     a.Resident,
+		Final:        a.Final,
 	}
 	if !a.Request.Deadline.IsZero() {
 		msg.Remaining = proto.Int64(a.Request.Deadline.Sub(n.now()).Microseconds())
@@ -162,11 +168,19 @@
 		Budget:    microseconds(msg.GetBudget()),
 		Deputy:    msg.GetDeputy(),
 		Displaced: msg.GetDisplaced(),
+		Ticket:    msg.GetTicket(),
+		Relayed:   msg.GetRelayed(),
+		Home:      msg.GetHome(),
+		Resident:  msg.GetResident(),
+		Final:     msg.GetFinal(),
 	}
 }
 
-// answerToWire converts an answer.
-func answerToWire(a peridotusher.Answer) *AnswerPermit {
+// answerToWire converts an answer. The owner is left out when it is this router.
+func (n *Node) answerToWire(a peridotusher.Answer) *AnswerPermit {
+	if a.Owner == n.Self.ID() {
+		a.Owner = ""
+	}
 	return &AnswerPermit{
 		Granted:    a.Granted,
 		Permit:     string(a.Permit),
@@ -175,11 +189,21 @@
 		Cause:      string(a.Cause),
 		RetryAfter: a.RetryAfter.Microseconds(),
 		Loads:      loadsToWire(a.Loads),
+		Queued:     a.Queued,
+		Ticket:     a.Ticket,
+		Wait:       a.Wait.Microseconds(),
+		Owner:      string(a.Owner),
+		Holds:      a.Holds,
 	}
 }
 
-// answerFromWire converts an answer that arrived.
-func answerFromWire(msg *AnswerPermit) peridotusher.Answer {
+// answerFromWire converts an answer that arrived. It is the sender's own unless
+// it names another router.
+func answerFromWire(msg *AnswerPermit, from peridotusher.RouterID) peridotusher.Answer {
+	owner := peridotusher.RouterID(msg.GetOwner())
+	if owner == "" {
+		owner = from
+	}
 	return peridotusher.Answer{
 		Granted:    msg.GetGranted(),
 		Permit:     peridotusher.PermitID(msg.GetPermit()),
@@ -188,6 +212,11 @@
 		Cause:      peridotusher.Cause(msg.GetCause()),
 		RetryAfter: microseconds(msg.GetRetryAfter()),
 		Loads:      loadsFromWire(msg.GetLoads()),
+		Queued:     msg.GetQueued(),
+		Ticket:     msg.GetTicket(),
+		Wait:       microseconds(msg.GetWait()),
+		Owner:      owner,
+		Holds:      msg.GetHolds(),
 	}
 }
 
--- /dev/null
+++ b/placement.go
@@ -0,0 +1,127 @@
+package peridotusher
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Placements remembers which engine holds a chat's prefix, for the chats whose
+// home engine this router owns. It keeps a bounded number of records and
+// forgets the least recently used.
+type Placements struct {
+	mu      sync.Mutex
+	index   map[uint64]uint32 // record by the hash of the chat
+	records []placement
+	names   []EngineID
+	numbers map[EngineID]uint32
+	newest  uint32
+	oldest  uint32
+}
+
+// placement is one record, linked by age. Record zero is unused.
+type placement struct {
+	chat   uint64
+	engine uint32
+	newer  uint32
+	older  uint32
+}
+
+// NewPlacements returns an empty table.
+func NewPlacements() *Placements {
+	return &Placements{index: map[uint64]uint32{}, records: make([]placement, 1), numbers: map[EngineID]uint32{}}
+}
+
+// Get returns the engine that is said to hold the chat's prefix.
+func (t *Placements) Get(chat ChatKey) (EngineID, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, ok := t.index[xxhash.Sum64String(string(chat))]
+	if !ok {
+		return "", false
+	}
+	t.unlink(i)
+	t.linkNewest(i)
+	return t.names[t.records[i].engine], true
+}
+
+// Set records the engine of a chat. A limit of zero keeps no record.
+func (t *Placements) Set(chat ChatKey, engine EngineID, limit int) {
+	if limit <= 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := xxhash.Sum64String(string(chat))
+	i, ok := t.index[key]
+	switch {
+	case ok:
+		t.unlink(i)
+	case len(t.index) >= limit:
+		i = t.oldest
+		t.unlink(i)
+		delete(t.index, t.records[i].chat)
+	default:
+		t.records = append(t.records, placement{})
+		i = uint32(len(t.records) - 1)
+	}
+	t.index[key] = i
+	t.records[i].chat = key
+	t.records[i].engine = t.number(engine)
+	t.linkNewest(i)
+}
+
+// Forget removes the chat's record if it names the engine. The slot is reused
+// as the oldest one.
+func (t *Placements) Forget(chat ChatKey, engine EngineID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, ok := t.index[xxhash.Sum64String(string(chat))]
+	if !ok || t.names[t.records[i].engine] != engine {
+		return
+	}
+	t.records[i].engine = t.number("")
+}
+
+// Len returns the number of records.
+func (t *Placements) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.index)
+}
+
+func (t *Placements) number(engine EngineID) uint32 {
+	n, ok := t.numbers[engine]
+	if !ok {
+		n = uint32(len(t.names))
+		t.names = append(t.names, engine)
+		t.numbers[engine] = n
+	}
+	return n
+}
+
+func (t *Placements) unlink(i uint32) {
+	r := t.records[i]
+	if r.newer != 0 {
+		t.records[r.newer].older = r.older
+	} else {
+		t.newest = r.older
+	}
+	if r.older != 0 {
+		t.records[r.older].newer = r.newer
+	} else {
+		t.oldest = r.newer
+	}
+}
+
+func (t *Placements) linkNewest(i uint32) {
+	t.records[i].older = t.newest
+	t.records[i].newer = 0
+	if t.newest != 0 {
+		t.records[t.newest].newer = i
+	}
+	t.newest = i
+	if t.oldest == 0 {
+		t.oldest = i
+	}
+}
--- a/placer.go
+++ b/placer.go
@@ -49,6 +49,10 @@
 
 // Ranking returns the engines that may serve the request, best first. The
 // error says why there is none.
+//
+// A chat goes by its own hash. A request without a chat goes to the emptiest
+// engine if it is small; a large one goes by its class, so that large requests
+// share few engines and the chats learn to live on the others.
 func (p *Placer) Ranking(doc *document.Document, req Request) ([]Engine, error) {
 	ready, err := p.Candidates(doc, req)
 	if err != nil {
@@ -57,6 +61,9 @@
 	if policy, ok := p.Policies[doc.Policy().Placement()]; ok {
 		return policy.Order(req, ready), nil
 	}
+	if req.Chat == "" && req.Work > 1 {
+		return rankEngines(req.Class, ready), nil
+	}
 	if req.Chat == "" {
 		return p.emptiestFirst(rankEngines(string(req.ID), ready)), nil
 	}
--- a/policies/doc.go
+++ b/policies/doc.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	placer := &peridotusher.Placer{Engines: engines, Policies: policies.All(seed)}
+//	placer := &peridotusher.Placer{Engines: engines, Policies: policies.All(seed, ledger)}
 //
 // The key placement in the section [policy] of the configuration document
 // chooses one of them.
@@ -15,11 +15,11 @@
 )
 
 // All returns every policy by the name that the configuration gives it.
-func All(seed uint64) map[document.Placement]peridotusher.Policy {
+func All(seed uint64, loads peridotusher.LoadView) map[document.Placement]peridotusher.Policy {
 	return map[document.Placement]peridotusher.Policy{
 		document.PlacementRandom:     NewRandom(seed),
 		document.PlacementRoundRobin: &RoundRobin{},
-		document.PlacementTwoChoices: NewTwoChoices(seed),
+		document.PlacementTwoChoices: NewTwoChoices(seed, loads),
 		document.PlacementRendezvous: Rendezvous{},
 	}
 }
--- a/policies/policies_test.go
+++ b/policies/policies_test.go
@@ -19,7 +19,7 @@
 		engines = append(engines, peridotusher.NewEngine(peridotusher.EngineID(name), "a", ""))
 		want = append(want, name)
 	}
-	for name, policy := range All(1) {
+	for name, policy := range All(1, peridotusher.NewLedger()) {
 		for n := range 20 {
 			req := peridotusher.Request{ID: peridotusher.RequestID(fmt.Sprint(n)), Chat: "chat"}
 			var got []string
--- a/policies/twochoices.go
+++ b/policies/twochoices.go
@@ -8,16 +8,17 @@
 	"peridotusher.example/peridotusher"
 )
 
-// TwoChoices sends each request to the one of two random engines that
-// reported less work.
+// TwoChoices sends each request to the one of two random engines that has less
+// work as far as this router was told.
 type TwoChoices struct {
-	mu   sync.Mutex
-	rand *rand.Rand
+	loads peridotusher.LoadView
+	mu    sync.Mutex
+	rand  *rand.Rand
 }
 
 // NewTwoChoices returns a TwoChoices with its own source.
-func NewTwoChoices(seed uint64) *TwoChoices {
-	return &TwoChoices{rand: rand.New(rand.NewPCG(seed, 1))}
+func NewTwoChoices(seed uint64, loads peridotusher.LoadView) *TwoChoices {
+	return &TwoChoices{loads: loads, rand: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Order implements peridotusher.Policy.
@@ -26,7 +27,7 @@
 	defer p.mu.Unlock()
 	order := slices.Clone(engines)
 	p.rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	if len(order) > 1 && reported(order[1]) < reported(order[0]) {
+	if len(order) > 1 && p.loads.Work(order[1].ID()) < p.loads.Work(order[0].ID()) {
 		order[0], order[1] = order[1], order[0]
 	}
 	return order
@@ -34,9 +35,3 @@
 
 // Bounded implements peridotusher.Policy.
 func (p *TwoChoices) Bounded() bool { return false }
-
-// reported returns the work of the engine's last report.
-func reported(e peridotusher.Engine) int {
-	report, _ := e.Report()
-	return report.Work
-}
