--- /dev/null
+++ b/candidates.go
@@ -0,0 +1,102 @@
+package peridotusher
+
+import (
+	"sync"
+
+	"peridotusher.example/peridotusher/document"
+)
+
+// maxCandidateLists bounds the lists that are kept for one state of the engines.
+const maxCandidateLists = 256
+
+// candidates are the engines that may serve a kind of request, by name. They
+// are shared and never changed.
+type candidates struct {
+	engines []Engine
+	ids     []EngineID
+	byID    map[EngineID]bool
+}
+
+// serves reports whether the engine is one of the candidates.
+func (c *candidates) serves(engine EngineID) bool { return c.byID[engine] }
+
+// candidateKey is what a list of candidates depends on.
+type candidateKey struct {
+	rule    *document.Rule
+	model   string
+	version string
+}
+
+// candidateCache keeps lists of candidates until the engines or the
+// configuration change.
+type candidateCache struct {
+	mu      sync.Mutex
+	doc     *document.Document
+	engines uint64
+	lists   map[candidateKey]*candidates
+}
+
+// get returns the list that is kept for the key in the present state.
+func (c *candidateCache) get(doc *document.Document, engines uint64, key candidateKey) (*candidates, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.doc != doc || c.engines != engines || len(c.lists) >= maxCandidateLists {
+		c.doc, c.engines = doc, engines
+		c.lists = map[candidateKey]*candidates{}
+	}
+	list, ok := c.lists[key]
+	return list, ok
+}
+
+func (c *candidateCache) put(doc *document.Document, engines uint64, key candidateKey, list *candidates) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.doc == doc && c.engines == engines {
+		c.lists[key] = list
+	}
+}
+
+// list returns the engines that may serve the request. The error says
+// why there is none.
+func (p *Placer) list(doc *document.Document, req Request) (*candidates, error) {
+	key := candidateKey{matchingRule(doc, req), req.Model, req.Version}
+	version := p.Engines.Version()
+	if list, ok := p.cache.get(doc, version, key); ok {
+		return list, nil
+	}
+	list := p.candidates(key)
+	if len(list.engines) == 0 {
+		return nil, Fail(NotRun, CauseNoEndpoint, "no live model engine may serve model %q for organisation %q", req.Model, req.Organisation)
+	}
+	p.cache.put(doc, version, key, list)
+	return list, nil
+}
+
+func (p *Placer) candidates(key candidateKey) *candidates {
+	allowed := p.Engines.Select(func(e Engine) bool {
+		if e.State() != EngineLive {
+			return false
+		}
+		return key.rule == nil || key.rule.Allows(string(e.ID()), string(e.Zone()))
+	})
+	ready := serving(allowed, key.model, key.version)
+	if len(ready) == 0 {
+		ready = serving(allowed, key.model, "")
+	}
+	list := &candidates{engines: ready, byID: make(map[EngineID]bool, len(ready))}
+	for _, e := range ready {
+		list.ids = append(list.ids, e.ID())
+		list.byID[e.ID()] = true
+	}
+	return list
+}
+
+func serving(engines []Engine, model, version string) []Engine {
+	var ready []Engine
+	for _, e := range engines {
+		if e.Serves(model, version) {
+			ready = append(ready, e)
+		}
+	}
+	return ready
+}
--- a/engine.go
+++ b/engine.go
@@ -1,6 +1,10 @@
 package peridotusher
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // EngineState says whether an engine may get new work.
 type EngineState uint8
@@ -43,6 +47,7 @@
 // Engine is what a router knows of one model engine.
 type Engine struct {
 	id       EngineID
+	hash     uint64 // of the id
 	zone     Zone
 	address  string
 	state    EngineState
@@ -53,7 +58,7 @@
 
 // NewEngine returns a live engine that has not reported yet.
 func NewEngine(id EngineID, zone Zone, address string) Engine {
-	return Engine{id: id, zone: zone, address: address, weight: 1}
+	return Engine{id: id, hash: xxhash.Sum64String(string(id)), zone: zone, address: address, weight: 1}
 }
 
 // ID returns the engine's name.
--- a/engines.go
+++ b/engines.go
@@ -1,14 +1,16 @@
 package peridotusher
 
 import (
+	"slices"
 	"sort"
 	"sync"
 )
 
 // Engines is the table of the model engines that a router knows.
 type Engines struct {
-	mu   sync.RWMutex
-	byID map[EngineID]Engine
+	mu      sync.RWMutex
+	byID    map[EngineID]Engine
+	version uint64 // rises with each change that a ranking depends on
 }
 
 // NewEngines returns an empty table.
@@ -36,6 +38,24 @@
 		next[e.id] = e
 	}
 	t.byID = next
+	t.version++
+}
+
+// Version returns a number that rises with each change of the engines that may
+// serve, of their states, weights and loaded versions.
+func (t *Engines) Version() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.version
+}
+
+// put stores a changed engine.
+func (t *Engines) put(old, e Engine) {
+	same := old.state == e.state && old.weight == e.weight && slices.Equal(old.report.Versions, e.report.Versions)
+	if !same {
+		t.version++
+	}
+	t.byID[e.id] = e
 }
 
 // SetReport records an engine's own load report.
@@ -46,9 +66,10 @@
 	if !ok {
 		return
 	}
+	old := e
 	e.report = report
 	e.reported = true
-	t.byID[id] = e
+	t.put(old, e)
 }
 
 // SetFacts records what an engine has loaded, as its owner read it. The rest
@@ -60,11 +81,12 @@
 	if !ok {
 		return
 	}
+	old := e
 	e.report.Versions = versions
 	e.report.Adapters = adapters
 	e.report.Role = role
 	e.reported = true
-	t.byID[id] = e
+	t.put(old, e)
 }
 
 // SetState changes an engine's state.
@@ -75,8 +97,9 @@
 	if !ok {
 		return
 	}
+	old := e
 	e.state = state
-	t.byID[id] = e
+	t.put(old, e)
 }
 
 // SetWeight changes an engine's share of new chats.
@@ -87,8 +110,9 @@
 	if !ok {
 		return
 	}
+	old := e
 	e.weight = weight
-	t.byID[id] = e
+	t.put(old, e)
 }
 
 // Get returns the engine with the given name.
--- a/ledger.go
+++ b/ledger.go
@@ -193,6 +193,17 @@
 	return l.work(engine)
 }
 
+// Works returns the outstanding work of each engine as far as it is known.
+func (l *Ledger) Works(engines []EngineID) []int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	works := make([]int, len(engines))
+	for i, id := range engines {
+		works[i] = l.work(id)
+	}
+	return works
+}
+
 // Fits returns whether the engine has room for the work, by this router's
 // own and reported counts.
 func (l *Ledger) Fits(now time.Time, engine EngineID, work int, room Room) bool {
@@ -228,7 +239,7 @@
 			own += entry.load()
 			continue
 		}
-		if r := l.remote[id]; now.Sub(r.since) < remoteLifetime {
+		if r, ok := l.remote[id]; ok && now.Sub(r.since) < remoteLifetime {
 			others += r.load.Work
 		}
 	}
--- a/owner.go
+++ b/owner.go
@@ -185,25 +185,19 @@
 
 // chance is what the decision on one ask depends on.
 type chance struct {
-	room       Room
-	candidates map[EngineID]bool
+	*candidates
+	room Room
 }
 
-func (c chance) serves(engine EngineID) bool { return c.candidates[engine] }
-
 func (o *Owner) chance(doc *document.Document, ask Ask) (chance, error) {
-	candidates, err := o.Placer.Candidates(doc, ask.Request)
+	list, err := o.Placer.list(doc, ask.Request)
 	if err != nil {
 		return chance{}, err
 	}
-	c := chance{candidates: make(map[EngineID]bool, len(candidates))}
-	c.room = Room{Bound: doc.Policy().Bound(), Unbounded: !o.Placer.Bounded(doc)}
+	c := chance{candidates: list}
+	c.room = Room{Bound: doc.Policy().Bound(), Engines: list.ids, Unbounded: !o.Placer.Bounded(doc)}
 	if model, ok := doc.Model(ask.Request.Model); ok {
 		c.room.Slots = model.Slots()
 	}
-	for _, e := range candidates {
-		c.candidates[e.ID()] = true
-		c.room.Engines = append(c.room.Engines, e.ID())
-	}
 	return c, nil
 }
--- a/placer.go
+++ b/placer.go
@@ -1,9 +1,6 @@
 package peridotusher
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"peridotusher.example/peridotusher/document"
@@ -18,6 +15,7 @@
 // LoadView gives the outstanding work of an engine as far as it is known.
 type LoadView interface {
 	Work(engine EngineID) int
+	Works(engines []EngineID) []int
 }
 
 // Placer ranks the engines that may serve a request.
@@ -25,6 +23,8 @@
 	Engines  *Engines
 	Loads    LoadView                      // nil ranks requests without a chat by hash alone
 	Policies map[document.Placement]Policy // baselines to compare the default with
+
+	cache candidateCache
 }
 
 // Bounded returns whether the placement in force bounds an engine's load.
@@ -54,40 +54,20 @@
 // engine if it is small; a large one goes by its class, so that large requests
 // share few engines and the chats learn to live on the others.
 func (p *Placer) Ranking(doc *document.Document, req Request) ([]Engine, error) {
-	ready, err := p.Candidates(doc, req)
+	ready, err := p.list(doc, req)
 	if err != nil {
 		return nil, err
 	}
 	if policy, ok := p.Policies[doc.Policy().Placement()]; ok {
-		return policy.Order(req, ready), nil
+		return policy.Order(req, ready.engines), nil
 	}
 	if req.Chat == "" && req.Work > 1 {
-		return rankEngines(req.Class, ready), nil
+		return RankEngines(req.Class, ready.engines), nil
 	}
 	if req.Chat == "" {
-		return p.emptiestFirst(rankEngines(string(req.ID), ready)), nil
+		return p.emptiestFirst(string(req.ID), ready), nil
 	}
-	return rankEngines(string(req.Chat), ready), nil
-}
-
-// Candidates returns the engines that may serve the request, by name. The
-// error says why there is none.
-func (p *Placer) Candidates(doc *document.Document, req Request) ([]Engine, error) {
-	rule := matchingRule(doc, req)
-	allowed := p.Engines.Select(func(e Engine) bool {
-		if e.State() != EngineLive {
-			return false
-		}
-		return rule == nil || rule.Allows(string(e.ID()), string(e.Zone()))
-	})
-	ready := serving(allowed, req.Model, req.Version)
-	if len(ready) == 0 {
-		ready = serving(allowed, req.Model, "")
-	}
-	if len(ready) == 0 {
-		return nil, Fail(NotRun, CauseNoEndpoint, "no live model engine may serve model %q for organisation %q", req.Model, req.Organisation)
-	}
-	return ready, nil
+	return RankEngines(string(req.Chat), ready.engines), nil
 }
 
 func matchingRule(doc *document.Document, req Request) *document.Rule {
@@ -98,43 +78,3 @@
 	}
 	return nil
 }
-
-func serving(engines []Engine, model, version string) []Engine {
-	var ready []Engine
-	for _, e := range engines {
-		if e.Serves(model, version) {
-			ready = append(ready, e)
-		}
-	}
-	return ready
-}
-
-// emptiestFirst orders the engines by load and keeps their order among equals.
-func (p *Placer) emptiestFirst(engines []Engine) []Engine {
-	if p.Loads == nil {
-		return engines
-	}
-	work := make(map[EngineID]int, len(engines))
-	for _, e := range engines {
-		work[e.ID()] = p.Loads.Work(e.ID())
-	}
-	slices.SortStableFunc(engines, func(a, b Engine) int { return cmp.Compare(work[a.ID()], work[b.ID()]) })
-	return engines
-}
-
-// RankEngines orders the engines for key by weighted rendezvous, best first.
-func RankEngines(key string, engines []Engine) []Engine { return rankEngines(key, engines) }
-
-func rankEngines(key string, engines []Engine) []Engine {
-	byName := make(map[string]Engine, len(engines))
-	weighted := make([]Weighted, 0, len(engines))
-	for _, e := range engines {
-		byName[string(e.ID())] = e
-		weighted = append(weighted, Weighted{Name: string(e.ID()), Weight: e.Weight()})
-	}
-	ranked := make([]Engine, 0, len(engines))
-	for _, name := range Rank(key, weighted) {
-		ranked = append(ranked, byName[name])
-	}
-	return ranked
-}
