--- a/entry/admission.go
+++ b/entry/admission.go
@@ -45,6 +45,7 @@
 		Peers:     h.node,
 		Clock:     h.Clock,
 		Record:    h.metrics.Permit,
+		Limits:    &peridotusher.Limits{Self: self, Clock: h.Clock},
 	}
 	h.node.Permits = h.owner
 	h.node.Admission = admission{host: h}
@@ -57,6 +58,7 @@
 	group.Go(func() error { return h.tickAdmission(ctx) })
 	group.Go(func() error { return h.renewPermits(ctx) })
 	group.Go(func() error { return h.spreadFacts(ctx) })
+	group.Go(func() error { return h.spreadDemands(ctx) })
 	return group.Wait()
 }
 
@@ -108,6 +110,22 @@
 	})
 }
 
+// spreadDemands tells the other routers what the callers of limited
+// organisations ask for here. The end of a demand is told once.
+func (h *Host) spreadDemands(ctx context.Context) error {
+	told := false
+	return every(ctx, loadInterval, func() {
+		demands := h.ingress.Limits.Demands()
+		if len(demands) == 0 && !told {
+			return
+		}
+		told = len(demands) > 0
+		if err := h.node.SendDemands(demands); err != nil {
+			h.Log.WithError(err).Error("demands not encoded")
+		}
+	})
+}
+
 // facts returns what the owned engines have loaded and which engines leave.
 func (h *Host) facts() []peer.EngineFacts {
 	var facts []peer.EngineFacts
@@ -178,3 +196,8 @@
 		}
 	}
 }
+
+// SetDemands implements peer.AdmissionHandler.
+func (a admission) SetDemands(from peridotusher.RouterID, demands []peridotusher.Demand) {
+	a.host.ingress.Limits.SetDemands(from, demands)
+}
--- a/ingress.go
+++ b/ingress.go
@@ -38,6 +38,7 @@
 	Peers     PermitPeers
 	Clock     Clock
 	Record    func(took time.Duration, asks int) // nil records nothing
+	Limits    *Limits                            // nil sets organisations no limit
 
 	grants grantTable
 	held   heldTable
@@ -59,6 +60,29 @@
 	if class, ok := doc.Class(req.Class); ok && !class.Chats() {
 		req.Chat = ""
 	}
+	end, err := in.begin(doc, req)
+	if err != nil {
+		return nil, err
+	}
+	permit, err := in.acquire(ctx, doc, req, avoid)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	permit.end = end
+	return permit, nil
+}
+
+// begin holds the request's organisation to its limits.
+func (in *Ingress) begin(doc *document.Document, req Request) (func(), error) {
+	org, ok := doc.Organisation(req.Organisation)
+	if !ok || in.Limits == nil {
+		return func() {}, nil
+	}
+	return in.Limits.Begin(org)
+}
+
+func (in *Ingress) acquire(ctx context.Context, doc *document.Document, req Request, avoid map[EngineID]bool) (*Permit, error) {
 	ranking, err := in.Placer.Ranking(doc, req)
 	if err != nil {
 		return nil, err
--- a/ingress_held.go
+++ b/ingress_held.go
@@ -22,6 +22,7 @@
 	owner   RouterID
 	engine  Engine
 	req     Request
+	end     func() // ends the request's use of its organisation's limits
 	once    sync.Once
 }
 
@@ -91,6 +92,7 @@
 // Done returns the permit with the request's outcome. Later calls do nothing.
 func (p *Permit) Done(ctx context.Context, verdict Verdict, failed bool) {
 	p.once.Do(func() {
+		p.end()
 		in := p.ingress
 		in.held.mu.Lock()
 		delete(in.held.permits, p.id)
--- /dev/null
+++ b/limits.go
@@ -0,0 +1,212 @@
+package peridotusher
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"peridotusher.example/peridotusher/document"
+)
+
+const (
+	// demandLifetime is the age from which another router's demand does not count.
+	demandLifetime = 3 * time.Second
+	// demandTime is the time over which a router's own demand is averaged.
+	demandTime = time.Second
+	// startDemand is the demand in requests a second that every router is given,
+	// so that one without demand can begin.
+	startDemand = 0.5
+)
+
+// Demand is what one router's callers ask for one organisation.
+type Demand struct {
+	Organisation string
+	Rate         float64 // requests a second, whether admitted or not
+	Concurrent   float64 // requests in flight and lately refused
+}
+
+// Limits holds organisations to their limits over all routers. There is no
+// central counter: each router may use a share of a limit, in proportion to
+// its part of the demand that the routers tell each other.
+type Limits struct {
+	Self  RouterID
+	Clock Clock
+
+	mu     sync.Mutex
+	own    map[string]*orgUse
+	others map[RouterID]toldDemand
+}
+
+// orgUse is this router's use of one organisation's limits.
+type orgUse struct {
+	flying  int
+	tokens  float64
+	filled  time.Time
+	rate    float64 // averaged demand
+	refused float64 // averaged number of refusals for the limit of requests in flight
+	decayed time.Time
+}
+
+// toldDemand is another router's demand and when it was told.
+type toldDemand struct {
+	at   time.Time
+	list map[string]Demand
+}
+
+// Begin admits one request of the organisation, or returns a Failure with the
+// verdict NotRun. The function that it returns ends the request.
+func (l *Limits) Begin(org *document.Organisation) (func(), error) {
+	if org.RequestsPerSecond() == 0 && org.Concurrent() == 0 {
+		return func() {}, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	u := l.use(org.Name(), now)
+	u.decay(now)
+	u.rate += 1 / demandTime.Seconds()
+	if org.Concurrent() > 0 && u.flying >= l.flyingShare(org, u, now) {
+		u.refused++
+		return nil, Fail(NotRun, CauseOrgLimit, "the organisation has %d requests in flight, its limit", org.Concurrent()).WithRetryAfter(minRetryAfter)
+	}
+	if org.RequestsPerSecond() > 0 {
+		share := org.RequestsPerSecond() * l.rateShare(org.Name(), u, now)
+		if wait := u.draw(now, share); wait > 0 {
+			return nil, Fail(NotRun, CauseOrgLimit, "the organisation sends more than %g requests a second, its limit", org.RequestsPerSecond()).WithRetryAfter(min(max(wait, minRetryAfter), maxRetryAfter))
+		}
+	}
+	u.flying++
+	var once sync.Once
+	return func() { once.Do(func() { l.end(u) }) }, nil
+}
+
+func (l *Limits) end(u *orgUse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u.flying--
+}
+
+// Demands returns this router's own demand.
+func (l *Limits) Demands() []Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	var list []Demand
+	for name, u := range l.own {
+		u.decay(now)
+		d := Demand{Organisation: name, Rate: u.rate, Concurrent: float64(u.flying) + u.refused}
+		if d.Rate > startDemand || d.Concurrent > startDemand {
+			list = append(list, d)
+		}
+	}
+	slices.SortFunc(list, func(a, b Demand) int { return strings.Compare(a.Organisation, b.Organisation) })
+	return list
+}
+
+// SetDemands records another router's demand.
+func (l *Limits) SetDemands(from RouterID, list []Demand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	told := toldDemand{at: l.Clock.Now(), list: make(map[string]Demand, len(list))}
+	for _, d := range list {
+		told.list[d.Organisation] = d
+	}
+	if l.others == nil {
+		l.others = map[RouterID]toldDemand{}
+	}
+	l.others[from] = told
+}
+
+func (l *Limits) use(org string, now time.Time) *orgUse {
+	if l.own == nil {
+		l.own = map[string]*orgUse{}
+	}
+	u, ok := l.own[org]
+	if !ok {
+		u = &orgUse{filled: now, decayed: now, tokens: 1}
+		l.own[org] = u
+	}
+	return u
+}
+
+// rateShare returns this router's part of the demand.
+func (l *Limits) rateShare(org string, u *orgUse, now time.Time) float64 {
+	own := u.rate + startDemand
+	sum := own
+	for _, told := range l.others {
+		if now.Sub(told.at) < demandLifetime {
+			sum += told.list[org].Rate + startDemand
+		}
+	}
+	return own / sum
+}
+
+// flyingShare returns how many requests may be in flight here. All routers
+// with the same demands compute shares that sum to the limit.
+func (l *Limits) flyingShare(org *document.Organisation, u *orgUse, now time.Time) int {
+	demands := map[RouterID]float64{l.Self: float64(u.flying) + u.refused + startDemand}
+	for id, told := range l.others {
+		if now.Sub(told.at) < demandLifetime {
+			demands[id] = told.list[org.Name()].Concurrent + startDemand
+		}
+	}
+	return split(org.Concurrent(), demands)[l.Self]
+}
+
+// split divides the limit in proportion to the demands, by largest remainders.
+func split(limit int, demands map[RouterID]float64) map[RouterID]int {
+	type part struct {
+		id        RouterID
+		remainder float64
+	}
+	ids := slices.Sorted(maps.Keys(demands)) // the same order of additions everywhere
+	sum := 0.0
+	for _, id := range ids {
+		sum += demands[id]
+	}
+	shares := make(map[RouterID]int, len(demands))
+	parts := make([]part, 0, len(demands))
+	left := limit
+	for _, id := range ids {
+		exact := float64(limit) * demands[id] / sum
+		shares[id] = int(exact)
+		left -= shares[id]
+		parts = append(parts, part{id, exact - float64(shares[id])})
+	}
+	slices.SortFunc(parts, func(a, b part) int {
+		return cmp.Or(cmp.Compare(b.remainder, a.remainder), cmp.Compare(a.id, b.id))
+	})
+	for k := range left {
+		shares[parts[k%len(parts)].id]++
+	}
+	return shares
+}
+
+// draw takes a token, or returns the time until there is one.
+func (u *orgUse) draw(now time.Time, perSecond float64) time.Duration {
+	burst := max(perSecond, 1)
+	if elapsed := now.Sub(u.filled); elapsed > 0 {
+		u.tokens = min(u.tokens+elapsed.Seconds()*perSecond, burst)
+	}
+	u.filled = now
+	if u.tokens >= 1 {
+		u.tokens--
+		return 0
+	}
+	return time.Duration((1 - u.tokens) / max(perSecond, startDemand) * float64(time.Second))
+}
+
+// decay lets the averaged demand fade.
+func (u *orgUse) decay(now time.Time) {
+	elapsed := now.Sub(u.decayed)
+	u.decayed = now
+	if elapsed <= 0 {
+		return
+	}
+	kept := max(0, 1-elapsed.Seconds()/demandTime.Seconds())
+	u.rate *= kept
+	u.refused *= kept
+}
--- a/peer/admission.go
+++ b/peer/admission.go
@@ -22,6 +22,7 @@
 	Granted(ctx context.Context, a peridotusher.Answer)
 	Placed(chat peridotusher.ChatKey, engine peridotusher.EngineID)
 	SetFacts(facts []EngineFacts)
+	SetDemands(from peridotusher.RouterID, demands []peridotusher.Demand)
 }
 
 // Grant tells an ingress of a late decision.
@@ -40,19 +41,48 @@
 
 // SendFacts tells every connected router what this router's engines have loaded.
 func (n *Node) SendFacts(facts []EngineFacts) error {
+	return n.broadcast(KindFacts, factsToWire(facts))
+}
+
+// SendDemands tells every connected router what this router's callers ask for.
+func (n *Node) SendDemands(demands []peridotusher.Demand) error {
+	msg := &Demands{}
+	for _, d := range demands {
+		msg.Demands = append(msg.Demands, &Demand{Organisation: d.Organisation, Rate: float32(d.Rate), Concurrent: float32(d.Concurrent)})
+	}
+	return n.broadcast(KindDemands, msg)
+}
+
+// broadcast sends a message to every connected router that has a place for it.
+func (n *Node) broadcast(kind Kind, msg proto.Message) error {
 	n.once.Do(n.init)
-	body, err := proto.Marshal(factsToWire(facts))
+	body, err := proto.Marshal(msg)
 	if err != nil {
 		return err
 	}
 	for _, s := range n.sessions.all() {
-		if err := s.offer(&Envelope{Kind: uint32(KindFacts), Body: body}); err != nil {
-			n.Log.WithError(err).WithField("peer", s.peer.ID()).Debug("engine facts not sent")
+		if err := s.offer(&Envelope{Kind: uint32(kind), Body: body}); err != nil {
+			n.Log.WithError(err).WithField("peer", s.peer.ID()).Debug("message to all not sent")
 		}
 	}
 	return nil
 }
 
+func (n *Node) handleDemands(_ context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg Demands
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	var demands []peridotusher.Demand
+	for _, d := range msg.GetDemands() {
+		demands = append(demands, peridotusher.Demand{Organisation: d.GetOrganisation(), Rate: float64(d.GetRate()), Concurrent: float64(d.GetConcurrent())})
+	}
+	if n.Admission != nil {
+		n.Admission.SetDemands(from, demands)
+	}
+	return nil, nil
+}
+
 func (n *Node) handleGrant(ctx context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
 	var msg AnswerPermit
 	if err := proto.Unmarshal(body, &msg); err != nil {
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -18,6 +18,8 @@
 	KindPlaced Kind = 17
 	// KindFacts tells what the sender's engines have loaded.
 	KindFacts Kind = 18
+	// KindDemands tells what the sender's callers ask for limited organisations.
+	KindDemands Kind = 19
 )
 
 // lane selects one of the streams of a session.
--- a/peer/node.go
+++ b/peer/node.go
@@ -103,12 +103,13 @@
 	n.pool = newPool(n.Workers)
 	n.traffic = newTraffic()
 	n.handlers = map[Kind]HandlerFunc{
-		KindAsk:    n.handleAsk,
-		KindReturn: n.handleReturn,
-		KindReport: n.handleReport,
-		KindGrant:  n.handleGrant,
-		KindPlaced: n.handlePlaced,
-		KindFacts:  n.handleFacts,
+		KindAsk:     n.handleAsk,
+		KindReturn:  n.handleReturn,
+		KindReport:  n.handleReport,
+		KindGrant:   n.handleGrant,
+		KindPlaced:  n.handlePlaced,
+		KindFacts:   n.handleFacts,
+		KindDemands: n.handleDemands,
 	}
 }
 
