config: routers follow the store through few watchers and their peers

Change: two watchers a zone, a tree of deltas below them, fetches from the peer with the highest revision, alarms for a store that went back, refusals of invalid documents.

--- a/config/editor.go
+++ b/config/editor.go
@@ -246,17 +246,3 @@
 		return propose(b, head, d)
 	})
 }
-
-// replacement returns the difference that leads to the whole document.
-func (s *Snapshot) replacement(doc *document.Document, revision uint64) difference {
-	sections := map[string]*Section{}
-	for i, header := range doc.Sections() {
-		text, _ := doc.Section(header)
-		next := &Section{Header: header, Text: normalise(text), Version: revision, Position: int64(i+1) * positionGap}
-		if old := s.section(header); old.GetText() == next.GetText() {
-			next.Version, next.Team = old.GetVersion(), old.GetTeam()
-		}
-		sections[header] = next
-	}
-	return s.compare(sections)
-}
--- /dev/null
+++ b/config/source.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/peer"
+	"peridotusher.example/peridotusher/store"
+)
+
+// The defaults of a Source's fields.
+const (
+	defaultInterval = 200 * time.Millisecond
+	defaultPoll     = time.Second
+	defaultAudit    = 30 * time.Second
+	defaultTimeout  = 2 * time.Second
+	// watchersPerZone is the number of a zone's routers that watch the store.
+	watchersPerZone = 2
+)
+
+// Store is what a Source needs of the platform's key-value service.
+type Store interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
+	List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error)
+	Watch(ctx context.Context, prefix string, from store.Revision, fn func(store.Event) error) error
+}
+
+// Peers is what a Source needs of the connections to other routers.
+type Peers interface {
+	Handle(kind peer.Kind, h peer.HandlerFunc)
+	Peers() map[peridotusher.RouterID]peer.View
+	Call(ctx context.Context, to peridotusher.RouterID, kind peer.Kind, msg, reply proto.Message) error
+	Notify(ctx context.Context, to peridotusher.RouterID, kind peer.Kind, msg proto.Message) error
+}
+
+// Members is what a Source needs of the table of routers.
+type Members interface {
+	Live(zone peridotusher.Zone) []peridotusher.Member
+}
+
+// Source keeps the newest accepted document of one router. Its fields are set
+// before Register; Self, Store, Peers and Members are required.
+type Source struct {
+	Self     peridotusher.Member
+	Store    Store
+	Prefix   string // prefix of the store's keys
+	Peers    Peers
+	Members  Members
+	Adopted  func(*document.Document) // called with each document that comes into force
+	Alarm    func(Alarm)              // called when an alarm begins
+	Log      logrus.FieldLogger       // nil logs to the standard logger
+	Clock    peridotusher.Clock       // nil uses time.Now
+	Interval time.Duration            // time between two looks at the peers
+	Poll     time.Duration            // time between two reads of the head by a watcher
+	Audit    time.Duration            // mean time between two reads of the head by another router
+	Timeout  time.Duration            // limit of one call of the store or a peer
+	Rand     func() float64           // random numbers in [0, 1); math/rand/v2 when nil
+
+	current atomic.Pointer[Snapshot]
+	wake    chan struct{} // holds one token when a peer told of a change
+
+	mu     sync.Mutex
+	status Status
+}
+
+// Register adds the handlers of the messages between routers. It is called
+// before the peers run.
+func (s *Source) Register() {
+	if s.Log == nil {
+		s.Log = logrus.StandardLogger()
+	}
+	if s.Clock == nil {
+		s.Clock = peridotusher.ClockFunc(time.Now)
+	}
+	if s.Rand == nil {
+		s.Rand = rand.Float64
+	}
+	setDefault(&s.Interval, defaultInterval)
+	setDefault(&s.Poll, defaultPoll)
+	setDefault(&s.Audit, defaultAudit)
+	setDefault(&s.Timeout, defaultTimeout)
+	s.wake = make(chan struct{}, 1)
+	s.Peers.Handle(KindDelta, s.handleDelta)
+	s.Peers.Handle(KindFetch, s.handleFetch)
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Run follows the store and the peers until ctx ends.
+func (s *Source) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.followStore(ctx) })
+	group.Go(func() error { return s.followPeers(ctx) })
+	return group.Wait()
+}
+
+// Document returns the document in force, nil before the first.
+func (s *Source) Document() *document.Document {
+	if snap := s.current.Load(); snap != nil {
+		return snap.doc
+	}
+	return nil
+}
+
+// Revision returns the revision in force, zero before the first.
+func (s *Source) Revision() uint64 { return s.current.Load().Revision() }
+
+// wait returns after d, or false when ctx has ended.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/config/source_test.go
@@ -0,0 +1,403 @@
+package config
+
+import (
+	"context"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/peer"
+	"peridotusher.example/peridotusher/store"
+)
+
+const waitLimit = 20 * time.Second
+
+var errCut = errors.New("no link")
+
+// hub connects the sources of a test. It stands for the connections between
+// routers and for their tables of members.
+type hub struct {
+	mu      sync.Mutex
+	routers map[peridotusher.RouterID]*router
+}
+
+// router is one source with its connections.
+type router struct {
+	hub      *hub
+	source   *Source
+	handlers map[peer.Kind]peer.HandlerFunc
+	cut      bool
+	stop     context.CancelFunc
+}
+
+func (r *router) Handle(kind peer.Kind, h peer.HandlerFunc) { r.handlers[kind] = h }
+
+func (r *router) Peers() map[peridotusher.RouterID]peer.View {
+	views := map[peridotusher.RouterID]peer.View{}
+	for _, other := range r.hub.reachable(r) {
+		views[other.source.Self.ID()] = peer.View{Revision: other.source.Revision()}
+	}
+	delete(views, r.source.Self.ID())
+	return views
+}
+
+func (r *router) Live(zone peridotusher.Zone) []peridotusher.Member {
+	var live []peridotusher.Member
+	for _, other := range r.hub.reachable(r) {
+		if other.source.Self.Zone() == zone {
+			live = append(live, other.source.Self)
+		}
+	}
+	return live
+}
+
+func (r *router) Call(ctx context.Context, to peridotusher.RouterID, kind peer.Kind, msg, reply proto.Message) error {
+	for _, other := range r.hub.reachable(r) {
+		if other.source.Self.ID() != to {
+			continue
+		}
+		body, err := proto.Marshal(msg)
+		if err != nil {
+			return err
+		}
+		answer, err := other.handlers[kind](ctx, r.source.Self.ID(), body)
+		if err != nil || reply == nil {
+			return err
+		}
+		return proto.Unmarshal(answer, reply)
+	}
+	return errCut
+}
+
+func (r *router) Notify(ctx context.Context, to peridotusher.RouterID, kind peer.Kind, msg proto.Message) error {
+	return r.Call(ctx, to, kind, msg, nil)
+}
+
+// reachable returns the routers that r hears, itself included.
+func (h *hub) reachable(r *router) []*router {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r.cut {
+		return []*router{r}
+	}
+	var list []*router
+	for _, id := range slices.Sorted(maps.Keys(h.routers)) {
+		if other := h.routers[id]; !other.cut {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+// add runs a source on the store.
+func (h *hub) add(t *testing.T, name string, client Store) *router {
+	t.Helper()
+	r := &router{hub: h, handlers: map[peer.Kind]peer.HandlerFunc{}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r.source = &Source{
+		Self:     peridotusher.NewMember(peridotusher.RouterID(name), "a", name, 1).WithState(peridotusher.MemberLive),
+		Store:    client,
+		Prefix:   testPrefix,
+		Peers:    r,
+		Members:  r,
+		Log:      log,
+		Interval: 5 * time.Millisecond,
+		Poll:     20 * time.Millisecond,
+	}
+	r.source.Register()
+	h.mu.Lock()
+	h.routers[peridotusher.RouterID(name)] = r
+	h.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.source.Run(ctx) })
+	r.stop = func() {
+		h.mu.Lock()
+		r.cut = true
+		h.mu.Unlock()
+		cancel()
+		_ = group.Wait()
+	}
+	t.Cleanup(r.stop)
+	return r
+}
+
+// setCut cuts a router off from the others.
+func (h *hub) setCut(r *router, cut bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.cut = cut
+}
+
+// waitFor waits until the condition holds.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(waitLimit); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %s within %v", what, waitLimit)
+		}
+	}
+}
+
+func waitRevision(t *testing.T, want uint64, routers ...*router) {
+	t.Helper()
+	for _, r := range routers {
+		waitFor(t, "revision at "+string(r.source.Self.ID()), func() bool { return r.source.Revision() == want })
+	}
+}
+
+// countingStore is a store whose watches are counted and that can be cut off.
+type countingStore struct {
+	Store
+	mu      sync.Mutex
+	watches int
+	down    bool
+}
+
+func (c *countingStore) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	if c.isDown() {
+		return nil, 0, errCut
+	}
+	return c.Store.List(ctx, prefix)
+}
+
+func (c *countingStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if c.isDown() {
+		return store.Entry{}, errCut
+	}
+	return c.Store.Get(ctx, key)
+}
+
+func (c *countingStore) Watch(ctx context.Context, prefix string, from store.Revision, fn func(store.Event) error) error {
+	c.mu.Lock()
+	c.watches++
+	c.mu.Unlock()
+	return c.Store.Watch(ctx, prefix, from, fn)
+}
+
+func (c *countingStore) isDown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+func (c *countingStore) setDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = down
+}
+
+func edit(t *testing.T, e *Editor, base uint64, weight int) uint64 {
+	t.Helper()
+	text := organisation("red", 0, weight)
+	done, err := e.Apply(context.Background(), red, []Edit{{Header: "organisation red-0", Base: base, Text: text}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return done.Revision
+}
+
+// TestSpread runs ten routers, of which two watch, and kills a watcher
+// between edits.
+func TestSpread(t *testing.T) {
+	_, e, client := startEditor(t, 2)
+	h := &hub{routers: map[peridotusher.RouterID]*router{}}
+	var routers []*router
+	for n := range 10 {
+		routers = append(routers, h.add(t, "router-"+string(rune('a'+n)), client()))
+	}
+	waitRevision(t, 1, routers...)
+	watching := func() (list []*router) {
+		for _, r := range routers {
+			if !r.cut && r.source.Status().Watching {
+				list = append(list, r)
+			}
+		}
+		return list
+	}
+	waitFor(t, "two watchers", func() bool { return len(watching()) == watchersPerZone })
+	revision := edit(t, e, 1, 2)
+	waitRevision(t, revision, routers...)
+	first := watching()[0]
+	first.stop()
+	revision = edit(t, e, revision, 3)
+	living := slices.DeleteFunc(slices.Clone(routers), func(r *router) bool { return r == first })
+	waitRevision(t, revision, living...)
+	for _, r := range living {
+		o, _ := r.source.Document().Organisation("red-0")
+		if diff := cmp.Diff(3.0, o.Weight()); diff != "" {
+			t.Errorf("weight at %s (-want +got):\n%s", r.source.Self.ID(), diff)
+		}
+	}
+	waitFor(t, "two watchers again", func() bool { return len(watching()) == watchersPerZone })
+}
+
+// TestBootFromPeers starts a router that does not reach the store, and removes
+// a section later.
+func TestBootFromPeers(t *testing.T) {
+	_, e, client := startEditor(t, 1500)
+	h := &hub{routers: map[peridotusher.RouterID]*router{}}
+	first := h.add(t, "router-a", client())
+	waitRevision(t, 1, first)
+	lone := &countingStore{Store: client(), down: true}
+	second := h.add(t, "router-b", lone)
+	waitRevision(t, 1, second)
+	if diff := cmp.Diff(first.source.Document().Text(), second.source.Document().Text()); diff != "" {
+		t.Errorf("text (-first +second):\n%s", diff)
+	}
+	h.setCut(second, true)
+	kept := second.source.Document()
+	done, err := e.Apply(context.Background(), red, []Edit{{Header: "organisation red-3", Base: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitRevision(t, done.Revision, first)
+	if second.source.Document() != kept {
+		t.Error("a router that is cut off changed its document")
+	}
+	h.setCut(second, false)
+	waitRevision(t, done.Revision, second)
+	if _, ok := second.source.Document().Organisation("red-3"); ok {
+		t.Error("the removed organisation is still there")
+	}
+	if _, ok := kept.Organisation("red-3"); !ok {
+		t.Error("the document that a request holds has changed")
+	}
+	if diff := cmp.Diff("router-a", second.source.Status().Origin); diff != "" {
+		t.Errorf("origin (-want +got):\n%s", diff)
+	}
+}
+
+// TestOlderStoreIsKeptOut sets the store back, and edits it up to and over the
+// revision in force.
+func TestOlderStoreIsKeptOut(t *testing.T) {
+	s, e, client := startEditor(t, 1)
+	old := s.Snapshot()
+	h := &hub{routers: map[peridotusher.RouterID]*router{}}
+	r := h.add(t, "router-a", client())
+	revision := edit(t, e, 1, 2)
+	waitRevision(t, revision, r)
+	s.Restore(old)
+	waitFor(t, "alarm", func() bool { return r.source.Status().Alarms[AlarmRewound] == 1 })
+	o, _ := r.source.Document().Organisation("red-0")
+	if diff := cmp.Diff([]float64{2, float64(revision)}, []float64{o.Weight(), float64(r.source.Revision())}); diff != "" {
+		t.Errorf("weight and revision in force (-want +got):\n%s", diff)
+	}
+	other := newEditor(client())
+	edit(t, other, 1, 7)
+	waitFor(t, "alarm", func() bool { return r.source.Status().Alarms[AlarmDiverged] == revision })
+	if _, err := other.Replace(context.Background(), operatorKey, []byte(r.source.Document().Text()), r.source.Revision()); err != nil {
+		t.Fatal(err)
+	}
+	waitRevision(t, revision+1, r)
+	waitFor(t, "end of the alarms", func() bool { return len(r.source.Status().Alarms) == 0 })
+	o, _ = r.source.Document().Organisation("red-0")
+	if diff := cmp.Diff(2.0, o.Weight()); diff != "" {
+		t.Errorf("weight (-want +got):\n%s", diff)
+	}
+}
+
+func TestStaleReadsChangeNothing(t *testing.T) {
+	s, e, client := startEditor(t, 1)
+	h := &hub{routers: map[peridotusher.RouterID]*router{}}
+	r := h.add(t, "router-a", client())
+	waitRevision(t, 1, r)
+	s.Snapshot()
+	revision := edit(t, e, 1, 2)
+	waitRevision(t, revision, r)
+	s.ServeStale(true)
+	waitFor(t, "alarm", func() bool { return r.source.Status().Alarms[AlarmRewound] == 1 })
+	s.ServeStale(false)
+	waitFor(t, "end of the alarm", func() bool { return len(r.source.Status().Alarms) == 0 })
+	if diff := cmp.Diff(revision, r.source.Revision()); diff != "" {
+		t.Errorf("revision (-want +got):\n%s", diff)
+	}
+}
+
+func TestInvalidDocumentIsRefused(t *testing.T) {
+	_, e, client := startEditor(t, 1)
+	h := &hub{routers: map[peridotusher.RouterID]*router{}}
+	r := h.add(t, "router-a", client())
+	waitRevision(t, 1, r)
+	snap, err := e.Load(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := &Section{Header: "policy", Text: "[policy]\nunknown = 1\n", Version: 2}
+	head := &Head{Revision: 2, Generation: snap.head.GetGeneration(), Hash: snap.hashAfter(difference{changed: []*Section{bad}})}
+	writeUnchecked(t, client(), head, bad)
+	waitFor(t, "alarm", func() bool { return r.source.Status().Alarms[AlarmRefused] == 2 })
+	if diff := cmp.Diff(uint64(1), r.source.Revision()); diff != "" {
+		t.Errorf("revision (-want +got):\n%s", diff)
+	}
+}
+
+// writeUnchecked writes a section that shares no page, and the head.
+func writeUnchecked(t *testing.T, c *store.Client, head *Head, section *Section) {
+	t.Helper()
+	page, err := proto.Marshal(&Page{Sections: []*Section{section}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := proto.Marshal(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	puts := []store.Put{
+		{Key: testPrefix + pageKey(head.GetGeneration(), pageCount), Value: page},
+		{Key: testPrefix + headKey, Value: value},
+	}
+	if _, err := c.CompareAndSwapMany(context.Background(), nil, puts); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestDeltas compares what deltas lead to with the state that they come from.
+func TestDeltas(t *testing.T) {
+	_, e, _ := startEditor(t, 2)
+	ctx := context.Background()
+	load := func() *Snapshot {
+		snap, err := e.Load(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return snap
+	}
+	old := load()
+	edit(t, e, 1, 5)
+	load()
+	text := strings.Replace(string(testText(2)), organisation("blue", 1, 1), "", 1)
+	text = strings.Replace(text, organisation("red", 0, 1), organisation("red", 0, 5), 1)
+	if _, err := e.Replace(ctx, operatorKey, []byte(text), 0); err != nil {
+		t.Fatal(err)
+	}
+	now := load()
+	for _, since := range []uint64{0, 1, 2} {
+		delta := now.delta(since, "")
+		next, err := advanced(old, delta.GetHead(), old.differenceOf(delta))
+		if since == 2 {
+			if !errors.Is(err, errHash) {
+				t.Errorf("a delta since a revision that was not reached gave error %v", err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatalf("since %d: %v", since, err)
+		}
+		if diff := cmp.Diff(now.Document().Text(), next.Document().Text()); diff != "" {
+			t.Errorf("since %d, text (-want +got):\n%s", since, diff)
+		}
+	}
+}
--- /dev/null
+++ b/config/spread.go
@@ -0,0 +1,190 @@
+package config
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/peer"
+)
+
+// The kinds of the messages between routers.
+const (
+	// KindDelta tells a peer of a change.
+	KindDelta peer.Kind = 32
+	// KindFetch asks a peer for what is newer than a revision.
+	KindFetch peer.Kind = 33
+)
+
+const (
+	// fanout is the number of routers that each router tells of a change.
+	fanout = 3
+	// maxDeltaBytes bounds the sections of one message.
+	maxDeltaBytes = 128 << 10
+)
+
+// wakeSpread makes followPeers tell the others of the state in force.
+func (s *Source) wakeSpread() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// followPeers spreads what comes into force and fetches what peers have.
+func (s *Source) followPeers(ctx context.Context) error {
+	told := uint64(0)
+	ticker := time.NewTicker(s.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		case <-ticker.C:
+			s.fetchNewer(ctx)
+		}
+		if snap := s.current.Load(); snap.Revision() > told {
+			s.tell(ctx, told, snap)
+			told = snap.Revision()
+		}
+	}
+}
+
+// tell sends the change to the routers below this one in the revision's tree.
+func (s *Source) tell(ctx context.Context, since uint64, snap *Snapshot) {
+	if since == 0 {
+		return
+	}
+	delta := snap.delta(since, "")
+	if delta.GetSince() != since || delta.GetNext() != "" {
+		return // too large to push; the heartbeats tell and the peers fetch
+	}
+	for _, to := range s.children(snap.Revision()) {
+		ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+		if err := s.Peers.Notify(ctx, to, KindDelta, delta); err != nil {
+			s.Log.WithError(err).WithField("peer", to).Debug("change not sent")
+		}
+		cancel()
+	}
+}
+
+// children returns the routers that this one tells of a revision. The zone's
+// live routers stand in a tree: the watchers at its head, the others in an
+// order that differs with the revision. Each tells the next ones below it.
+func (s *Source) children(revision uint64) []peridotusher.RouterID {
+	var candidates []peridotusher.Weighted
+	for _, m := range s.Members.Live(s.Self.Zone()) {
+		candidates = append(candidates, peridotusher.Weighted{Name: string(m.ID()), Weight: 1})
+	}
+	watchers := peridotusher.Rank(headKey, candidates)
+	watchers = watchers[:min(watchersPerZone, len(watchers))]
+	order := slices.Clone(watchers)
+	for _, name := range peridotusher.Rank(strconv.FormatUint(revision, 10), candidates) {
+		if !slices.Contains(watchers, name) {
+			order = append(order, name)
+		}
+	}
+	return below(order, string(s.Self.ID()), len(watchers))
+}
+
+// below returns the names below a name in a tree with several heads.
+func below(order []string, name string, heads int) []peridotusher.RouterID {
+	at := slices.Index(order, name)
+	if at < 0 {
+		return nil
+	}
+	var children []peridotusher.RouterID
+	for i := range fanout {
+		if child := heads + at*fanout + i; child < len(order) {
+			children = append(children, peridotusher.RouterID(order[child]))
+		}
+	}
+	return children
+}
+
+// handleDelta takes a change that another router tells of.
+func (s *Source) handleDelta(_ context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
+	delta := &Delta{}
+	if err := proto.Unmarshal(body, delta); err != nil {
+		return nil, err
+	}
+	if s.Revision() < delta.GetSince() || delta.GetNext() != "" {
+		return nil, nil // followPeers fetches what is missing
+	}
+	if s.merge(from, delta) == nil {
+		s.wakeSpread()
+	}
+	return nil, nil
+}
+
+// merge puts the state that a delta leads to in force.
+func (s *Source) merge(from peridotusher.RouterID, delta *Delta) error {
+	_, err := s.adopt(string(from), delta.GetHead(), func(now *Snapshot) (*Snapshot, error) {
+		return advanced(now, delta.GetHead(), now.differenceOf(delta))
+	})
+	return err
+}
+
+// differenceOf returns the difference that the delta makes here.
+func (s *Snapshot) differenceOf(delta *Delta) difference {
+	if delta.GetSince() == 0 {
+		sections := make(map[string]*Section, len(delta.GetSections()))
+		for _, section := range delta.GetSections() {
+			sections[section.GetHeader()] = section
+		}
+		return s.compare(sections)
+	}
+	d := difference{changed: delta.GetSections()}
+	for _, r := range delta.GetRemovals() {
+		if old := s.section(r.GetHeader()); old != nil && old.GetVersion() < r.GetVersion() {
+			d.removed = append(d.removed, r.GetHeader())
+		}
+	}
+	return d
+}
+
+// delta returns what is newer than a revision, or all if the removals since
+// then are not known. It begins at the header next and is bounded in size.
+func (s *Snapshot) delta(since uint64, next string) *Delta {
+	if since < s.horizon {
+		since = 0
+	}
+	delta := &Delta{Since: since, Head: s.head}
+	if since > 0 {
+		for _, r := range s.removals {
+			if r.GetVersion() > since && s.section(r.GetHeader()) == nil {
+				delta.Removals = append(delta.Removals, r)
+			}
+		}
+	}
+	bytes := 0
+	for _, header := range s.headersFrom(next) {
+		section := s.sections[header]
+		if section.GetVersion() <= since {
+			continue
+		}
+		if bytes += len(section.GetText()) + len(header); bytes > maxDeltaBytes && len(delta.Sections) > 0 {
+			delta.Next = header
+			return delta
+		}
+		delta.Sections = append(delta.Sections, section)
+	}
+	return delta
+}
+
+// headersFrom returns the headers from next on, sorted.
+func (s *Snapshot) headersFrom(next string) []string {
+	var headers []string
+	for header := range s.sections {
+		if header >= next {
+			headers = append(headers, header)
+		}
+	}
+	slices.Sort(headers)
+	return headers
+}
