entry: the configuration comes from the store by section and from peers

Change: config.Source replaces the watch of one key; testbed and demo write the document as the platform's operators.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -14,6 +14,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/entry"
 	"peridotusher.example/peridotusher/examples"
 	"peridotusher.example/peridotusher/hosts"
@@ -36,6 +37,7 @@
 	drainTime       = 10 * time.Second
 	idleBeforeStop  = 2 * time.Second
 	readyInterval   = 50 * time.Millisecond
+	operatorKey     = "demo-operator-key"
 )
 
 var zones = []string{"a", "b", "c"}
@@ -167,7 +169,8 @@
 		replicas = append(replicas, s.Listener.Addr().String()+"@"+s.Zone)
 	}
 	text := examples.WithReplicas(examples.Kalimera, strings.Join(replicas, ", "))
-	_, err = client.CompareAndSwap(ctx, "config/document", 0, text, store.NoLease)
+	editor := &config.Editor{Store: client, Clock: f.clock}
+	_, err = editor.Replace(ctx, operatorKey, text, 0)
 	return err
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -13,7 +13,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
-	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/engine"
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
@@ -40,7 +40,7 @@
 	Log           logrus.FieldLogger
 	Seed          uint64
 
-	current atomic.Pointer[document.Document]
+	source  *config.Source
 	built   atomic.Bool
 	members *peridotusher.Members
 	engines *peridotusher.Engines
@@ -65,7 +65,7 @@
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
-	group.Go(func() error { return h.watchDocument(background) })
+	group.Go(func() error { return h.source.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
@@ -80,9 +80,6 @@
 	return err
 }
 
-// Document returns the configuration in force, nil before the first.
-func (h *Host) Document() *document.Document { return h.current.Load() }
-
 // serveCallers serves until ctx ends or a part of the host fails.
 func (h *Host) serveCallers(ctx, background context.Context) error {
 	serving, stopServing := context.WithCancel(ctx)
@@ -136,11 +133,11 @@
 		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
-		Revision: revisionSource{host: h},
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
+	h.buildSource()
 	h.ingress = &peridotusher.Ingress{
 		Self:      self.ID(),
 		Ownership: h.members,
@@ -184,15 +181,3 @@
 func (s loadSink) SetLoads(_ peridotusher.RouterID, loads []peridotusher.EngineLoad) {
 	s.host.ledger.SetRemote(s.host.Clock.Now(), loads)
 }
-
-// revisionSource tells the revision of the configuration in force.
-type revisionSource struct{ host *Host }
-
-// Revision implements peer.RevisionSource.
-func (s revisionSource) Revision() uint64 {
-	doc := s.host.Document()
-	if doc == nil {
-		return 0
-	}
-	return doc.Revision()
-}
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/examples"
 	"peridotusher.example/peridotusher/hosts"
 	"peridotusher.example/peridotusher/standin"
@@ -20,8 +21,8 @@
 const (
 	startTimeout  = 30 * time.Second
 	readyInterval = 50 * time.Millisecond
-	// documentKey is where routers find the configuration.
-	documentKey = "peridotusher/config/document"
+	// Prefix is the prefix of all keys in a bed's store.
+	Prefix = "peridotusher/"
 )
 
 // Bed is a running fleet with its surroundings.
@@ -228,21 +229,15 @@
 	return examples.WithReplicas(text, strings.Join(replicas, ", "))
 }
 
-// WriteDocument replaces the configuration in the store.
+// WriteDocument replaces the configuration in the store, as the platform's operators.
 func (b *Bed) WriteDocument(text []byte) error {
 	client, closeClient, err := b.StoreClient()
 	if err != nil {
 		return err
 	}
 	defer closeClient()
-	entry, err := client.Get(b.ctx, documentKey)
-	if err != nil {
-		return err
-	}
-	swap, err := client.CompareAndSwap(b.ctx, documentKey, entry.Revision(), text, store.NoLease)
-	if err == nil && !swap.Swapped() {
-		return errors.New("the configuration changed meanwhile")
-	}
+	editor := &config.Editor{Store: client, Prefix: Prefix, Clock: b.clock}
+	_, err = editor.Replace(b.ctx, OperatorKey, text, 0)
 	return err
 }
 
