--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -5,8 +5,10 @@
 //	peridotusher demo
 //	peridotusher serve --settings router.ini
 //	peridotusher check FILE
+//	peridotusher config --store ADDRESS get
 //
-// Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments.
+// Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments,
+// 3 conflict of edits.
 package main
 
 import (
@@ -24,6 +26,8 @@
 const (
 	exitFailure = 1
 	exitInvalid = 2
+	// exitConflict means that an edited section has changed meanwhile.
+	exitConflict = 3
 )
 
 func main() {
@@ -46,6 +50,7 @@
 			demoCommand(),
 			serveCommand(),
 			checkCommand(),
+			configCommand(),
 		},
 	}
 	err := root.Run(ctx, args)
--- a/config/edit.go
+++ b/config/edit.go
@@ -26,7 +26,7 @@
 	After  string // header of the section that a new one follows; empty for the end
 }
 
-// authorise checks the key and returns whether the editor owns the headers.
+// authorise checks the key and that the editor owns the sections that change.
 func (s *Snapshot) authorise(who Credentials, edits []Edit) error {
 	if !s.keyMatches(who) {
 		return &DeniedError{team: who.Team}
@@ -35,6 +35,9 @@
 		return nil
 	}
 	for _, e := range edits {
+		if normalise(e.Text) == s.Text(e.Header) {
+			continue
+		}
 		owner, _ := s.doc.OwnerOf(e.Header)
 		if owner != who.Team {
 			return &DeniedError{team: who.Team, header: e.Header, owner: owner}
