Planner: the next safe orders of a zone, and the versions' shares while a rollout is under way

The versions and shares of the document said what to serve, but nothing said which order to give next, and a chat whose version was ready nowhere was sent to an engine that refused it. Planner gives steps with a typed reason: waves that begin with one engine, a limit of loads at once, a soak time, a health gate on errors, first token and load, drain before unload, a floor of ready engines. ActiveShares caps a version's share by the share of ready engines.

--- a/document/fields.go
+++ b/document/fields.go
@@ -15,7 +15,7 @@
 	maxOutcomeBytes = 512 << 10
 )
 
-var policyFields = []ini.Field[Policy]{
+var policyFields = append([]ini.Field[Policy]{
 	{
 		Name:    "bound",
 		Default: "1.25",
@@ -76,7 +76,7 @@
 		Text:    "Largest outcome recorded for replay, in bytes.",
 		Value:   ini.Of(ini.Int(0, maxOutcomeBytes), func(p *Policy) *int { return &p.outcomeLimit }),
 	},
-}
+}, rolloutFields...)
 
 var classFields = []ini.Field[Class]{
 	{
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -59,8 +59,12 @@
 	policy := Policy{
 		bound: 1.25, permitExpiry: 30e9, ownerTimeout: 100e6, queueLength: 64, placementRecords: 100000,
 		retryBudget: 0.1, hedgePercentile: 0.95, idleTimeout: 5e9, claimWindow: 3600e9, outcomeLimit: 16384,
+		rollout: Rollout{
+			loads: 2, soak: 10e9, errors: 0.02, slower: 1.5, lease: 10e9, flight: 5e9, stale: 10e9,
+			warmup: 30e9, exports: 50, prefill: 20e3, copyTime: 5e3, eject: 0.2,
+		},
 	}
-	if diff := cmp.Diff(policy, doc.Policy(), cmp.AllowUnexported(Policy{})); diff != "" {
+	if diff := cmp.Diff(policy, doc.Policy(), cmp.AllowUnexported(Policy{}, Rollout{})); diff != "" {
 		t.Errorf("policy (-want +got):\n%s", diff)
 	}
 	chat, _ := doc.Class("chat")
--- a/document/types.go
+++ b/document/types.go
@@ -17,6 +17,7 @@
 	idleTimeout      time.Duration
 	claimWindow      time.Duration
 	outcomeLimit     int
+	rollout          Rollout
 }
 
 // Bound returns the multiple of the mean load that no engine may exceed.
--- a/placer.go
+++ b/placer.go
@@ -1,30 +1,20 @@
 package peridotusher
 
-import (
-	"github.com/cespare/xxhash/v2"
-
-	"peridotusher.example/peridotusher/document"
-)
+import "peridotusher.example/peridotusher/document"
 
 // Placer ranks the engines that may serve a request.
 type Placer struct {
 	Engines *Engines
 }
 
-// Version returns the version of the model that a chat runs on: its hash
-// falls into one of the versions' shares, so that a chat keeps its version.
+// Version returns the version of the model that a chat runs on, see
+// ActiveVersion.
 func (p *Placer) Version(model *document.Model, chat ChatKey) string {
-	const percent = 100
-	point := int(xxhash.Sum64String("version\x00"+string(chat)) % percent)
-	for _, v := range model.Versions() {
-		if point < v.Share() {
-			return v.Name()
-		}
-		point -= v.Share()
-	}
-	return ""
+	return ActiveVersion(model, p.Engines.Select(isLive), chat)
 }
 
+func isLive(e Engine) bool { return e.State() == EngineLive }
+
 // Ranking returns the engines that may serve the request, best first. The
 // error says why there is none.
 func (p *Placer) Ranking(doc *document.Document, req Request) ([]Engine, error) {
--- /dev/null
+++ b/plan.go
@@ -0,0 +1,167 @@
+package peridotusher
+
+import (
+	"slices"
+
+	"peridotusher.example/peridotusher/document"
+)
+
+// Planner turns the models of the document into the next safe orders to the
+// engines of one zone. Its plans follow from their input alone.
+//
+// A version of a growing share is loaded in waves, each at most as large as
+// the number of engines that are ready for it, and a wave waits until the one
+// before has been in use for a while. A version that left the document is
+// unloaded once it gets no chats and its running work has ended. No step
+// leaves a model with fewer ready engines than its minimum or its load needs.
+type Planner struct {
+	Document *document.Document
+}
+
+// modelPlan collects the plan of one model.
+type modelPlan struct {
+	policy   document.Policy
+	model    *document.Model
+	observed Observed
+	longest  longestDeadline
+	engines  []PlannedEngine // of the model in the zone, heard and live
+	all      []PlannedEngine // of the model in all zones
+	busy     map[EngineID]bool
+	ready    int // ready engines left after the steps so far
+	budget   int // orders that may be given at once
+	plan     *Plan
+}
+
+// Plan returns the next steps for the zone's engines.
+func (p *Planner) Plan(observed Observed) Plan {
+	var plan Plan
+	busy := map[EngineID]bool{}
+	idle := p.assignIdle(observed)
+	for _, model := range p.Document.Models() {
+		m := p.modelPlan(model, observed, idle)
+		m.plan = &plan
+		m.busy = busy
+		m.holdUnheard()
+		m.pause()
+		m.load()
+		m.unload()
+		m.adapt(p.wantedAdapters())
+		m.setRoles()
+	}
+	return plan
+}
+
+// assignIdle gives each live engine that holds nothing to the model that is
+// furthest below its minimum, of equals the one with the least engines.
+func (p *Planner) assignIdle(observed Observed) map[EngineID]string {
+	held := map[string]int{}
+	for _, e := range observed.Engines {
+		for _, model := range p.Document.Models() {
+			if e.State == EngineLive && e.serves(model.Name()) {
+				held[model.Name()]++
+			}
+		}
+	}
+	idle := map[EngineID]string{}
+	for _, e := range sortedEngines(observed.Engines) {
+		if !e.Heard || e.State != EngineLive || len(e.Versions) > 0 {
+			continue
+		}
+		if model := neediest(p.Document.Models(), held); model != "" {
+			idle[e.ID] = model
+			held[model]++
+		}
+	}
+	return idle
+}
+
+// neediest returns the model that an idle engine is given to.
+func neediest(models []*document.Model, held map[string]int) string {
+	best := ""
+	shortage := 0
+	for _, m := range models {
+		if len(m.Versions()) == 0 {
+			continue
+		}
+		short := m.MinReplicas() - held[m.Name()]
+		better := short > shortage || short == shortage && held[m.Name()] < held[best]
+		if best == "" || better {
+			best, shortage = m.Name(), short
+		}
+	}
+	return best
+}
+
+func (p *Planner) modelPlan(model *document.Model, observed Observed, idle map[EngineID]string) *modelPlan {
+	m := &modelPlan{policy: p.Document.Policy(), model: model, observed: observed, longest: longestOf(p.Document)}
+	m.budget = m.policy.Rollout().Loads()
+	for _, e := range sortedEngines(observed.Engines) {
+		if e.State != EngineLive || !e.serves(model.Name()) && idle[e.ID] != model.Name() {
+			continue
+		}
+		m.all = append(m.all, e)
+		if e.Heard && e.ready(model.Name(), anyVersion) {
+			m.ready++
+		}
+		if e.Zone == observed.Zone && e.Heard {
+			m.engines = append(m.engines, e)
+		}
+	}
+	for _, e := range m.engines {
+		if e.loading(model.Name()) {
+			m.budget--
+		}
+	}
+	return m
+}
+
+// wantedAdapters returns the adapters that any model lists.
+func (p *Planner) wantedAdapters() map[string]bool {
+	wanted := map[string]bool{}
+	for _, model := range p.Document.Models() {
+		for _, a := range model.Adapters() {
+			wanted[a] = true
+		}
+	}
+	return wanted
+}
+
+// step adds a step unless the engine has one already.
+func (m *modelPlan) step(s Step) bool {
+	if m.busy[s.Engine] {
+		return false
+	}
+	s.Model = m.model.Name()
+	m.busy[s.Engine] = true
+	m.plan.Steps = append(m.plan.Steps, s)
+	return true
+}
+
+func (m *modelPlan) hold(h Hold) {
+	h.Model = m.model.Name()
+	m.plan.Holds = append(m.plan.Holds, h)
+}
+
+// holdUnheard names the zone's engines that get no orders.
+func (m *modelPlan) holdUnheard() {
+	for _, e := range m.all {
+		if e.Zone == m.observed.Zone && !e.Heard {
+			m.hold(Hold{Engine: e.ID, Reason: ReasonUnheard})
+		}
+	}
+}
+
+func (m *modelPlan) version(name string) ModelVersion {
+	return ModelVersion{m.model.Name(), name}
+}
+
+func anyVersion(string) bool { return true }
+
+func sortedEngines(engines []PlannedEngine) []PlannedEngine {
+	return slices.SortedFunc(slices.Values(engines), func(a, b PlannedEngine) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+}
--- /dev/null
+++ b/plan_health.go
@@ -0,0 +1,81 @@
+package peridotusher
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"peridotusher.example/peridotusher/document"
+)
+
+// minHealthRequests is the number of requests from which a version's health
+// is compared.
+const minHealthRequests = 20
+
+// Health is what the routers saw of a version's recent requests.
+type Health struct {
+	Requests   int
+	Errors     int
+	FirstToken time.Duration // mean time to the first token
+}
+
+// ErrorShare returns the share of failed requests.
+func (h Health) ErrorShare() float64 {
+	if h.Requests == 0 {
+		return 0
+	}
+	return float64(h.Errors) / float64(h.Requests)
+}
+
+// plus returns the health of both sets of requests.
+func (h Health) plus(o Health) Health {
+	sum := Health{Requests: h.Requests + o.Requests, Errors: h.Errors + o.Errors}
+	if sum.Requests > 0 {
+		total := h.FirstToken*time.Duration(h.Requests) + o.FirstToken*time.Duration(o.Requests)
+		sum.FirstToken = total / time.Duration(sum.Requests)
+	}
+	return sum
+}
+
+// gate returns why the version's rollout has to pause, or an empty text. The
+// version is compared with the model's other versions; without enough requests
+// to those, its errors alone count.
+func gate(policy document.Rollout, of ModelVersion, health map[ModelVersion]Health) string {
+	h := health[of]
+	if h.Requests < minHealthRequests {
+		return ""
+	}
+	var others Health
+	for v, o := range health {
+		if v.Model == of.Model && v.Version != of.Version {
+			others = others.plus(o)
+		}
+	}
+	if h.ErrorShare() > others.ErrorShare()+policy.Errors() {
+		return fmt.Sprintf("errors %.1f%% against %.1f%%", 100*h.ErrorShare(), 100*others.ErrorShare())
+	}
+	if others.Requests < minHealthRequests {
+		return ""
+	}
+	if limit := time.Duration(policy.Slower() * float64(others.FirstToken)); h.FirstToken > limit {
+		return fmt.Sprintf("first token after %v against %v", h.FirstToken, others.FirstToken)
+	}
+	return ""
+}
+
+// overloaded returns the first engine whose work is beyond its slots and
+// beyond the multiple of the load bound that pauses a rollout.
+func overloaded(policy document.Policy, model *document.Model, engines []PlannedEngine) (PlannedEngine, bool) {
+	total := 0
+	for _, e := range engines {
+		total += e.Work
+	}
+	mean := float64(total+1) / float64(max(len(engines), 1))
+	limit := policy.Rollout().Slower() * math.Ceil(policy.Bound()*mean)
+	for _, e := range engines {
+		if e.Work > model.Slots() && float64(e.Work) > limit {
+			return e, true
+		}
+	}
+	return PlannedEngine{}, false
+}
--- /dev/null
+++ b/plan_state.go
@@ -0,0 +1,81 @@
+package peridotusher
+
+import "time"
+
+// HeldVersion is a version that an engine holds, as read back from it.
+type HeldVersion struct {
+	Model   string
+	Version string
+	Ready   bool
+	Running int  // requests that run on the version
+	Counted bool // whether the engine reports Running
+}
+
+// PlannedEngine is what the planner knows of one engine.
+type PlannedEngine struct {
+	ID       EngineID
+	Zone     Zone
+	State    EngineState
+	Heard    bool // whether the state was read back a moment ago
+	Versions []HeldVersion
+	Adapters []string
+	Role     string
+	Work     int // outstanding work units
+}
+
+// held returns the version if the engine holds it.
+func (e PlannedEngine) held(model, version string) (HeldVersion, bool) {
+	for _, v := range e.Versions {
+		if v.Model == model && v.Version == version {
+			return v, true
+		}
+	}
+	return HeldVersion{}, false
+}
+
+// ready returns whether the engine can serve a version of the model.
+func (e PlannedEngine) ready(model string, allow func(version string) bool) bool {
+	for _, v := range e.Versions {
+		if v.Model == model && v.Ready && allow(v.Version) {
+			return true
+		}
+	}
+	return false
+}
+
+// loading returns whether the engine is loading a version of the model.
+func (e PlannedEngine) loading(model string) bool {
+	for _, v := range e.Versions {
+		if v.Model == model && !v.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// serves returns whether the engine holds a version of the model, ready or not.
+func (e PlannedEngine) serves(model string) bool {
+	for _, v := range e.Versions {
+		if v.Model == model {
+			return true
+		}
+	}
+	return false
+}
+
+// ModelVersion names a version of a model.
+type ModelVersion struct {
+	Model   string
+	Version string
+}
+
+// Observed is the state that a plan is made from.
+type Observed struct {
+	Now     time.Time
+	Zone    Zone                       // the zone whose engines get orders
+	Engines []PlannedEngine            // of all zones
+	Grown   map[ModelVersion]time.Time // when an engine last became ready
+	Quiet   map[ModelVersion]time.Time // since when the version has had no share of the chats
+	Health  map[ModelVersion]Health
+	Paused  map[ModelVersion]string // versions paused before, with the cause
+}
--- /dev/null
+++ b/rollout_progress.go
@@ -0,0 +1,114 @@
+package peridotusher
+
+import (
+	"fmt"
+	"maps"
+	"time"
+
+	"peridotusher.example/peridotusher/document"
+)
+
+// Progress remembers when the versions of the models last changed, for the
+// waits of a rollout. One goroutine uses it.
+type Progress struct {
+	ready  map[ModelVersion]int
+	grown  map[ModelVersion]time.Time
+	quiet  map[ModelVersion]time.Time
+	paused map[ModelVersion]string
+	wanted map[string]string // versions and shares of each model
+}
+
+// NewProgress returns an empty Progress.
+func NewProgress() *Progress {
+	return &Progress{
+		ready:  map[ModelVersion]int{},
+		grown:  map[ModelVersion]time.Time{},
+		quiet:  map[ModelVersion]time.Time{},
+		paused: map[ModelVersion]string{},
+		wanted: map[string]string{},
+	}
+}
+
+// Observe takes the engines of all zones as they stand now.
+func (p *Progress) Observe(now time.Time, doc *document.Document, zone Zone, engines []Engine) {
+	for _, model := range doc.Models() {
+		p.observeEdits(model)
+		p.observeGrowth(now, model, zone, engines)
+		p.observeShares(now, model, engines)
+	}
+}
+
+// observeEdits lifts the pauses of a model whose versions were edited.
+func (p *Progress) observeEdits(model *document.Model) {
+	wanted := versionsText(model)
+	if p.wanted[model.Name()] == wanted {
+		return
+	}
+	p.wanted[model.Name()] = wanted
+	maps.DeleteFunc(p.paused, func(of ModelVersion, _ string) bool { return of.Model == model.Name() })
+}
+
+func (p *Progress) observeGrowth(now time.Time, model *document.Model, zone Zone, engines []Engine) {
+	var near []Engine
+	for _, e := range engines {
+		if e.Zone() == zone {
+			near = append(near, e)
+		}
+	}
+	counts := readyVersions(model.Name(), near)
+	for version, n := range counts {
+		of := ModelVersion{model.Name(), version}
+		if n > p.ready[of] {
+			p.grown[of] = now
+		}
+		p.ready[of] = n
+	}
+	for of := range p.ready {
+		if of.Model == model.Name() && counts[of.Version] == 0 {
+			delete(p.ready, of)
+		}
+	}
+}
+
+func (p *Progress) observeShares(now time.Time, model *document.Model, engines []Engine) {
+	shares := map[string]int{}
+	for _, s := range ActiveShares(model, engines) {
+		shares[s.Version] += s.Share
+	}
+	for _, e := range engines {
+		for _, v := range e.report.Versions {
+			of := ModelVersion{v.Model, v.Version}
+			if v.Model != model.Name() {
+				continue
+			}
+			if shares[v.Version] > 0 {
+				delete(p.quiet, of)
+			} else if _, ok := p.quiet[of]; !ok {
+				p.quiet[of] = now
+			}
+		}
+	}
+}
+
+// Pause keeps a version's rollout paused until the model's versions are edited.
+func (p *Progress) Pause(pauses []Pause) {
+	for _, pause := range pauses {
+		p.paused[pause.ModelVersion] = pause.Cause
+	}
+}
+
+// Fill copies what is remembered into the state for a plan.
+func (p *Progress) Fill(o *Observed) {
+	o.Grown = maps.Clone(p.grown)
+	o.Quiet = maps.Clone(p.quiet)
+	o.Paused = maps.Clone(p.paused)
+}
+
+// versionsText returns a model's versions and shares as text.
+func versionsText(model *document.Model) string {
+	text := ""
+	for _, v := range model.Versions() {
+		text += fmt.Sprintf("%s:%d,", v.Name(), v.Share())
+	}
+	return text
+}
