Order-giver: one router of a zone gives its engines the planned orders

Nothing gave orders. The zone's first or second choice takes a lease of the store; the revision of its key is the fencing number. Each round reads the engines' state back, plans and orders, so that a lost, late or stale order is put right by the next round. Routers report what they saw of the engines to the zone's leaders, for the health gate. The stand-in engine counts orders and the version of each request, cuts requests whose version is unloaded, and can lose the answers to orders.

--- a/engine/load.go
+++ b/engine/load.go
@@ -13,6 +13,7 @@
 	Model   string `json:"model"`
 	Version string `json:"version"`
 	Ready   bool   `json:"ready"`
+	Running *int   `json:"running"` // requests that run on it, nil if the engine does not count them
 }
 
 // loadAnswer is the answer of GET /load.
--- a/engine/plain_test.go
+++ b/engine/plain_test.go
@@ -65,7 +65,7 @@
 			if diff := cmp.Diff(tt.orders, state.Orders()); diff != "" {
 				t.Errorf("orders (-want +got):\n%s", diff)
 			}
-			versions := []engine.LoadedVersion{{Model: "m", Version: "v2"}}
+			versions := []engine.LoadedVersion{{Model: "m", Version: "v2", Running: new(int)}}
 			if diff := cmp.Diff(versions, state.Versions()); diff != "" {
 				t.Errorf("versions (-want +got):\n%s", diff)
 			}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -53,6 +53,7 @@
 
 func (c *chats) send(ctx context.Context, call caller.ChatCall, permit *peridotusher.Permit) (caller.ChatStream, error) {
 	class, _ := call.Document.Class(call.Request.Class)
+	watch := c.host.watchEngine(call.Request, permit.Engine().ID())
 	stream, err := c.host.models.Chat(ctx, permit.Engine().Address(), engine.Call{
 		Request:  call.Request,
 		Body:     call.Body,
@@ -60,9 +61,10 @@
 		Version:  call.Request.Version,
 	})
 	if err != nil {
+		watch.end(err)
 		return nil, err
 	}
-	return &chatStream{ctx: ctx, permit: permit, stream: stream}, nil
+	return &chatStream{ctx: ctx, permit: permit, stream: stream, watch: watch}, nil
 }
 
 // chatStream is one answer from an engine under its permit.
@@ -70,6 +72,7 @@
 	ctx    context.Context
 	permit *peridotusher.Permit
 	stream *engine.Stream
+	watch  *engineWatch
 	whole  bool
 	failed bool
 }
@@ -83,8 +86,10 @@
 	}
 	if err != nil {
 		s.failed = true
+		s.watch.end(err)
 		return caller.ChatEvent{}, err
 	}
+	s.watch.token()
 	return caller.ChatEvent{Data: event.Data()}, nil
 }
 
@@ -101,5 +106,6 @@
 		_ = s.stream.Cancel(ctx)
 	}
 	_ = s.stream.Close()
+	s.watch.end(nil)
 	s.permit.Done(ctx, peridotusher.Ran, s.failed)
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -30,7 +30,9 @@
 	Address       string // where peers reach this router, the Peer listener's address if empty
 	Prefix        string // prefix of the store's keys
 	Store         Store
-	HostsURL      string // the platform's list of hosts
+	Leases        Leases  // nil gives no orders
+	Weights       Weights // nil gives no orders
+	HostsURL      string  // the platform's list of hosts
 	HostsInterval time.Duration
 	Limits        caller.Limits
 	Settle        time.Duration // time for the balancer to notice a stop
@@ -50,6 +52,7 @@
 	models  *engine.Client
 	plain   *service.Client
 	metrics *operator.Metrics
+	health  *healthBook
 }
 
 // Run serves until ctx ends and the requests in flight have been answered.
@@ -67,6 +70,8 @@
 	group.Go(func() error { return h.watchDocument(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
+	group.Go(func() error { return h.runOrders(background) })
+	group.Go(func() error { return h.reportHealth(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
@@ -126,6 +131,7 @@
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
 	h.metrics = operator.NewMetrics()
+	h.health = newHealthBook(h.Clock)
 	placer := &peridotusher.Placer{Engines: h.engines}
 	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
@@ -140,6 +146,7 @@
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
+	h.node.HandleHealth(healthHandler{host: h})
 	h.ingress = &peridotusher.Ingress{
 		Self:      self.ID(),
 		Ownership: h.members,
--- a/entry/new.go
+++ b/entry/new.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,8 +10,12 @@
 	"peridotusher.example/peridotusher/caller"
 	"peridotusher.example/peridotusher/settings"
 	"peridotusher.example/peridotusher/store"
+	"peridotusher.example/peridotusher/weights"
 )
 
+// weightsTimeout bounds one call to the weight store.
+const weightsTimeout = 2 * time.Second
+
 // New returns a host with the settings and a function that closes its
 // clients. The listeners are to be set before Run.
 func New(cfg *settings.Settings, log logrus.FieldLogger) (*Host, func(), error) {
@@ -18,12 +23,19 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	reserver, closeWeights := weights.New(strings.TrimSuffix(cfg.Weights().URL(), "/"), weightsTimeout)
+	cleanup := func() {
+		closeStore()
+		closeWeights()
+	}
 	host := &Host{
 		Name:          cfg.Router().Name(),
 		Zone:          cfg.Router().Zone(),
 		Address:       cfg.Peer().Advertise(),
 		Prefix:        cfg.Store().Prefix() + "/",
 		Store:         client,
+		Leases:        client,
+		Weights:       reserver,
 		HostsURL:      cfg.Hosts().URL(),
 		HostsInterval: cfg.Hosts().Every(),
 		Settle:        cfg.Router().Settle(),
@@ -39,5 +51,5 @@
 			IdleTimeout:   cfg.Caller().Idle(),
 		},
 	}
-	return host, closeStore, nil
+	return host, cleanup, nil
 }
--- /dev/null
+++ b/entry/outlier_report.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/peer"
+)
+
+const (
+	// healthInterval is the time between two reports on the engines.
+	healthInterval = 2 * time.Second
+	// healthTimeout bounds the wait for the answer to a report.
+	healthTimeout = time.Second
+)
+
+// reportHealth tells the routers that do each zone's common work what this
+// router saw of the zone's engines, and takes over their verdicts.
+func (h *Host) reportHealth(ctx context.Context) error {
+	return every(ctx, healthInterval, h.reportOnce)
+}
+
+func (h *Host) reportOnce(ctx context.Context) {
+	byZone := map[peridotusher.Zone][]peridotusher.EngineOutcome{}
+	for _, e := range h.engines.All() {
+		byZone[e.Zone()] = nil
+	}
+	for _, o := range h.health.take() {
+		if e, ok := h.engines.Get(o.Engine); ok {
+			byZone[e.Zone()] = append(byZone[e.Zone()], o)
+		}
+	}
+	for zone, outcomes := range byZone {
+		first, second := h.zoneLeaders(zone)
+		h.reportTo(ctx, first, outcomes, true)
+		if second != first && len(outcomes) > 0 {
+			h.reportTo(ctx, second, outcomes, false)
+		}
+	}
+}
+
+// reportTo reports to one router and, if told to, takes over its verdict.
+func (h *Host) reportTo(ctx context.Context, to peridotusher.RouterID, outcomes []peridotusher.EngineOutcome, adopt bool) {
+	if to == "" {
+		return
+	}
+	if to == peridotusher.RouterID(h.Name) {
+		h.health.receive(outcomes)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, healthTimeout)
+	defer cancel()
+	verdict, err := h.node.ReportOutcomes(ctx, to, outcomes)
+	if err != nil {
+		h.Log.WithError(err).WithField("router", to).Debug("health of engines not reported")
+		return
+	}
+	if adopt {
+		h.adoptVerdict(verdict)
+	}
+}
+
+// healthHandler takes the reports of other routers.
+type healthHandler struct{ host *Host }
+
+// Outcomes implements peer.HealthHandler.
+func (s healthHandler) Outcomes(_ peridotusher.RouterID, outcomes []peridotusher.EngineOutcome) peer.EngineVerdict {
+	s.host.health.receive(outcomes)
+	return s.host.engineVerdict()
+}
+
+// engineVerdict returns the standing of the zone's engines.
+func (h *Host) engineVerdict() peer.EngineVerdict {
+	verdict := peer.EngineVerdict{Weights: map[peridotusher.EngineID]float64{}}
+	for _, e := range h.engines.All() {
+		if string(e.Zone()) != h.Zone {
+			continue
+		}
+		if e.State() == peridotusher.EngineEjected {
+			verdict.Ejected = append(verdict.Ejected, e.ID())
+		}
+		if e.Weight() < 1 {
+			verdict.Weights[e.ID()] = e.Weight()
+		}
+	}
+	return verdict
+}
+
+// adoptVerdict takes over the standing of another zone's engines.
+func (h *Host) adoptVerdict(_ peer.EngineVerdict) {}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,53 @@
+package peridotusher
+
+import "time"
+
+// OutcomeKey names what an EngineOutcome counts.
+type OutcomeKey struct {
+	Engine  EngineID
+	Model   string
+	Version string
+	Class   string
+}
+
+// EngineOutcome counts the requests of one class to one version at an engine.
+type EngineOutcome struct {
+	OutcomeKey
+	Requests   int
+	Errors     int
+	Answered   int           // requests with a first token
+	FirstToken time.Duration // summed over the answered requests
+}
+
+// Plus returns the sum of two outcomes of the same key.
+func (o EngineOutcome) Plus(p EngineOutcome) EngineOutcome {
+	o.OutcomeKey = p.OutcomeKey
+	o.Requests += p.Requests
+	o.Errors += p.Errors
+	o.Answered += p.Answered
+	o.FirstToken += p.FirstToken
+	return o
+}
+
+// health returns the outcome without its class and engine.
+func (o EngineOutcome) health() Health {
+	h := Health{Requests: o.Requests, Errors: o.Errors}
+	if o.Answered > 0 {
+		h.FirstToken = o.FirstToken / time.Duration(o.Answered)
+	}
+	return h
+}
+
+// VersionHealth sums the outcomes of each version.
+func VersionHealth(outcomes []EngineOutcome) map[ModelVersion]Health {
+	sums := map[ModelVersion]EngineOutcome{}
+	for _, o := range outcomes {
+		of := ModelVersion{o.Model, o.Version}
+		sums[of] = sums[of].Plus(o)
+	}
+	health := map[ModelVersion]Health{}
+	for of, sum := range sums {
+		health[of] = sum.health()
+	}
+	return health
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -81,6 +81,8 @@
 	e.cache.init(e.Seed, e.CacheTokens, e.EventGap)
 	e.orders.init(e.Models, e.Clock.Now())
 	e.stats.Runs = make(map[string]int)
+	e.stats.Versions = make(map[string]string)
+	e.stats.Orders = make(map[string]int)
 	e.server = &http.Server{Handler: e.routes(), ConnState: e.trackConn}
 }
 
--- a/standin/engine_chat.go
+++ b/standin/engine_chat.go
@@ -77,6 +77,8 @@
 	if e.faults.refuse || e.faults.crashed || !e.orders.serves(run.model, version, e.Clock.Now()) {
 		return false
 	}
+	run.version = e.orders.version(run.model, version, e.Clock.Now())
+	e.stats.Versions[run.request] = run.version
 	e.count++
 	run.stream = fmt.Sprintf("%s-%x-%d", e.Name, e.Seed, e.count)
 	e.runs[run.stream] = run
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -16,6 +16,8 @@
 	slow     float64
 	load     *EngineLoadOverride
 	cross    int
+
+	loseOrders int // orders whose answers get lost
 }
 
 // EngineLoadOverride replaces figures of an Engine's load report.
@@ -79,6 +81,11 @@
 	e.change(func(f *engineFaults) { f.cross = n })
 }
 
+// LoseOrderAnswers makes the engine apply the next n orders without an answer.
+func (e *Engine) LoseOrderAnswers(n int) {
+	e.change(func(f *engineFaults) { f.loseOrders = n })
+}
+
 // change edits the faults and tells the writers of streams.
 func (e *Engine) change(edit func(*engineFaults)) {
 	e.once.Do(e.prepare)
--- a/standin/engine_load.go
+++ b/standin/engine_load.go
@@ -48,6 +48,11 @@
 	MissTokens int // prompt tokens computed
 	Completed  int
 	Cancelled  int
+	Cut        int               // requests cancelled because their version was unloaded
+	Versions   map[string]string // version that each request id ran on
+	Orders     map[string]int    // orders applied, by kind
+	Repeated   int               // orders that had been applied before
+	Refused    int               // orders with an old fencing number
 	Steps      []EngineStep
 }
 
@@ -58,6 +63,8 @@
 	defer e.mu.Unlock()
 	stats := e.stats
 	stats.Runs = maps.Clone(e.stats.Runs)
+	stats.Versions = maps.Clone(e.stats.Versions)
+	stats.Orders = maps.Clone(e.stats.Orders)
 	stats.Order = slices.Clone(e.stats.Order)
 	stats.Steps = slices.Clone(e.stats.Steps)
 	stats.Running = len(e.batch)
@@ -65,6 +72,18 @@
 	return stats
 }
 
+// count adds the answer to an order.
+func (s *EngineStats) count(answer engineOrderAnswer, kind string) {
+	switch {
+	case answer.Applied:
+		s.Orders[kind]++
+	case answer.Repeated:
+		s.Repeated++
+	case answer.Refused:
+		s.Refused++
+	}
+}
+
 // sample records the load after a change. The caller holds e.mu.
 func (e *Engine) sample() {
 	now := e.Clock.Now()
@@ -100,7 +119,7 @@
 		Running:  step.Running,
 		Waiting:  step.Waiting,
 		Work:     step.Work,
-		Versions: e.orders.versions(now),
+		Versions: e.versions(now),
 		Adapters: slices.Clone(e.orders.adapters),
 		Role:     e.orders.role,
 		Cached:   e.cache.used,
--- a/standin/engine_orders.go
+++ b/standin/engine_orders.go
@@ -32,6 +32,7 @@
 	Model   string `json:"model"`
 	Version string `json:"version"`
 	Ready   bool   `json:"ready"`
+	Running int    `json:"running"`
 }
 
 // engineState is the answer of GET /orders.
@@ -61,6 +62,16 @@
 	applied  []string
 }
 
+// version returns the version that a new request to the model runs on.
+func (o *engineOrders) version(model, version string, now time.Time) string {
+	for _, l := range o.loaded {
+		if version == "" && l.Model == model && !l.ready.After(now) {
+			return l.Version
+		}
+	}
+	return version
+}
+
 // init takes the models that are loaded at the start.
 func (o *engineOrders) init(models []EngineModel, now time.Time) {
 	o.any = len(models) == 0
@@ -125,11 +136,35 @@
 func (o *engineOrders) versions(now time.Time) []engineVersion {
 	versions := []engineVersion{}
 	for _, l := range o.loaded {
-		versions = append(versions, engineVersion{l.Model, l.Version, !l.ready.After(now)})
+		versions = append(versions, engineVersion{Model: l.Model, Version: l.Version, Ready: !l.ready.After(now)})
 	}
 	return versions
 }
 
+// versions returns the loaded versions with the requests that run on each.
+// The caller holds e.mu.
+func (e *Engine) versions(now time.Time) []engineVersion {
+	versions := e.orders.versions(now)
+	for _, run := range e.runs {
+		for i := range versions {
+			if !run.ended && versions[i].Model == run.model && versions[i].Version == run.version {
+				versions[i].Running++
+			}
+		}
+	}
+	return versions
+}
+
+// stopRuns cuts the requests that run on a version which is unloaded.
+func (e *Engine) stopRuns(model EngineModel) {
+	for _, run := range e.runs {
+		if run.model == model.Model && run.version == model.Version && !run.ended {
+			e.cancelRun(run)
+			e.stats.Cut++
+		}
+	}
+}
+
 // serveOrder takes one order.
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order engineOrder
@@ -139,7 +174,18 @@
 	}
 	e.mu.Lock()
 	answer := e.orders.take(order, e.ChecksFence, e.Clock.Now().Add(e.LoadTime))
+	if answer.Applied && order.Kind == "unload" {
+		e.stopRuns(EngineModel{order.Model, order.Version})
+	}
+	e.stats.count(answer, order.Kind)
+	lost := e.faults.loseOrders > 0
+	if lost {
+		e.faults.loseOrders--
+	}
 	e.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
 	fmt.Fprint(w, engineJSON(answer))
 }
 
@@ -147,7 +193,7 @@
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	state := engineState{
-		Versions: e.orders.versions(e.Clock.Now()),
+		Versions: e.versions(e.Clock.Now()),
 		Adapters: slices.Clone(e.orders.adapters),
 		Role:     e.orders.role,
 		Leaving:  e.orders.leaving,
--- a/standin/engine_run.go
+++ b/standin/engine_run.go
@@ -11,6 +11,7 @@
 	request  string
 	chat     string
 	model    string
+	version  string
 	hash     string
 	priority int
 	work     int
