--- a/entry/loads.go
+++ b/entry/loads.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
@@ -54,7 +55,13 @@
 		h.Log.WithError(err).WithField("engine", e.ID()).Debug("no load report")
 		return
 	}
-	h.engines.SetReport(e.ID(), engineReport(report, h.Clock.Now()))
+	now := h.Clock.Now()
+	taken := engineReport(report, now)
+	if doc := h.Document(); doc != nil && !taken.Possible(now, doc) {
+		h.Log.WithFields(logrus.Fields{"engine": e.ID(), "work": taken.Work}).Debug("impossible load report")
+		return
+	}
+	h.engines.SetReport(e.ID(), taken)
 }
 
 func engineReport(r engine.Report, now time.Time) peridotusher.EngineReport {
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -161,11 +161,12 @@
 func (g *orderGiver) plan(doc *document.Document, states map[peridotusher.EngineID]engine.State) peridotusher.Plan {
 	now := g.clock.Now()
 	live := g.table.Select(func(e peridotusher.Engine) bool { return e.State() == peridotusher.EngineLive })
-	g.progress.Observe(now, doc, g.zone, live)
+	planned := g.planned(now, doc.Policy().Rollout().Stale(), states)
+	g.progress.Observe(now, doc, g.zone, planned, live)
 	observed := peridotusher.Observed{
 		Now:     now,
 		Zone:    g.zone,
-		Engines: g.planned(now, doc.Policy().Rollout().Stale(), states),
+		Engines: planned,
 		Health:  g.health(),
 	}
 	g.progress.Fill(&observed)
--- a/plan_test.go
+++ b/plan_test.go
@@ -202,7 +202,7 @@
 				t.Fatalf("the rollout of %s does not end: %v", version, state)
 			}
 			now = now.Add(time.Second)
-			progress.Observe(now, doc, "a", planTable(state))
+			progress.Observe(now, doc, "a", state, planTable(state))
 			observed := Observed{Now: now, Zone: "a", Engines: state}
 			progress.Fill(&observed)
 			plan := (&Planner{Document: doc}).Plan(observed)
--- a/rollout_progress.go
+++ b/rollout_progress.go
@@ -29,11 +29,12 @@
 	}
 }
 
-// Observe takes the engines of all zones as they stand now.
-func (p *Progress) Observe(now time.Time, doc *document.Document, zone Zone, engines []Engine) {
+// Observe takes the engines of all zones as they stand now: as they are
+// planned with, and as requests are placed on them.
+func (p *Progress) Observe(now time.Time, doc *document.Document, zone Zone, planned []PlannedEngine, engines []Engine) {
 	for _, model := range doc.Models() {
 		p.observeEdits(model)
-		p.observeGrowth(now, model, zone, engines)
+		p.observeGrowth(now, model, zone, planned)
 		p.observeShares(now, model, engines)
 	}
 }
@@ -48,14 +49,15 @@
 	maps.DeleteFunc(p.paused, func(of ModelVersion, _ string) bool { return of.Model == model.Name() })
 }
 
-func (p *Progress) observeGrowth(now time.Time, model *document.Model, zone Zone, engines []Engine) {
-	var near []Engine
-	for _, e := range engines {
-		if e.Zone() == zone {
-			near = append(near, e)
+func (p *Progress) observeGrowth(now time.Time, model *document.Model, zone Zone, planned []PlannedEngine) {
+	counts := map[string]int{}
+	for _, e := range planned {
+		for _, v := range e.Versions {
+			if e.Zone == zone && v.Model == model.Name() && v.Ready {
+				counts[v.Version]++
+			}
 		}
 	}
-	counts := readyVersions(model.Name(), near)
 	for version, n := range counts {
 		of := ModelVersion{model.Name(), version}
 		if n > p.ready[of] {
--- a/standin/engine_load.go
+++ b/standin/engine_load.go
@@ -51,6 +51,7 @@
 	Cut        int               // requests cancelled because their version was unloaded
 	Versions   map[string]string // version that each request id ran on
 	Orders     map[string]int    // orders applied, by kind
+	Fences     []uint64          // fencing numbers of the orders applied, in their order
 	Repeated   int               // orders that had been applied before
 	Refused    int               // orders with an old fencing number
 	Steps      []EngineStep
@@ -65,6 +66,7 @@
 	stats.Runs = maps.Clone(e.stats.Runs)
 	stats.Versions = maps.Clone(e.stats.Versions)
 	stats.Orders = maps.Clone(e.stats.Orders)
+	stats.Fences = slices.Clone(e.stats.Fences)
 	stats.Order = slices.Clone(e.stats.Order)
 	stats.Steps = slices.Clone(e.stats.Steps)
 	stats.Running = len(e.batch)
@@ -73,10 +75,11 @@
 }
 
 // count adds the answer to an order.
-func (s *EngineStats) count(answer engineOrderAnswer, kind string) {
+func (s *EngineStats) count(answer engineOrderAnswer, order engineOrder) {
 	switch {
 	case answer.Applied:
-		s.Orders[kind]++
+		s.Orders[order.Kind]++
+		s.Fences = append(s.Fences, order.Fence)
 	case answer.Repeated:
 		s.Repeated++
 	case answer.Refused:
--- a/standin/engine_orders.go
+++ b/standin/engine_orders.go
@@ -177,7 +177,7 @@
 	if answer.Applied && order.Kind == "unload" {
 		e.stopRuns(EngineModel{order.Model, order.Version})
 	}
-	e.stats.count(answer, order.Kind)
+	e.stats.count(answer, order)
 	lost := e.faults.loseOrders > 0
 	if lost {
 		e.faults.loseOrders--
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -117,6 +117,9 @@
 		return err
 	}
 	b.Weights = &standin.Weights{Listener: l, Clock: b.clock, PerSecond: 10, Burst: 10}
+	if b.opts.Weights != nil {
+		b.opts.Weights(b.Weights)
+	}
 	b.group.Go(func() error { return b.Weights.Run(b.ctx) })
 	for _, zone := range b.opts.Zones {
 		if l, err = listen(); err != nil {
--- a/testbed/options.go
+++ b/testbed/options.go
@@ -28,6 +28,7 @@
 	ListLag         time.Duration         // 500 ms
 	Engine          func(*standin.Engine) // changes an engine before it starts
 	Service         func(*standin.Service)
+	Weights         func(*standin.Weights)     // changes the weight store before it starts
 	Settings        func(router string) string // INI text appended to a router's settings
 	Args            func(router string) []string
 }
--- a/testbed/router.go
+++ b/testbed/router.go
@@ -255,3 +255,6 @@
 	defer l.Close()
 	return l.Addr().String(), nil
 }
+
+// LogPath returns the file that the process logs to.
+func (r *Router) LogPath() string { return r.logPath }
