--- a/document/fields_rollout.go
+++ b/document/fields_rollout.go
@@ -1,11 +1,17 @@
 package document
 
 import (
+	"slices"
 	"time"
 
 	"peridotusher.example/peridotusher/ini"
 )
 
+// allPolicyFields returns every key of [policy].
+func allPolicyFields() []ini.Field[Policy] {
+	return slices.Concat(policyFields, rolloutFields)
+}
+
 var rolloutFields = []ini.Field[Policy]{
 	{
 		Name:    "loads",
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -63,12 +63,13 @@
 			loads: 2, soak: 10e9, errors: 0.02, slower: 1.5, lease: 10e9, flight: 5e9, stale: 10e9,
 			warmup: 30e9, exports: 50, prefill: 20e3, copyTime: 5e3, eject: 0.2,
 		},
+		placement: PlacementBounded, patience: 250e6,
 	}
 	if diff := cmp.Diff(policy, doc.Policy(), cmp.AllowUnexported(Policy{}, Rollout{})); diff != "" {
 		t.Errorf("policy (-want +got):\n%s", diff)
 	}
 	chat, _ := doc.Class("chat")
-	want := &Class{name: "chat", deadline: 30e9, firstToken: 500e6, work: 1, maxTokens: 1024, objective: 0.99}
+	want := &Class{name: "chat", deadline: 30e9, firstToken: 500e6, work: 1, maxTokens: 1024, objective: 0.99, chats: true}
 	if diff := cmp.Diff(want, chat, cmp.AllowUnexported(Class{})); diff != "" {
 		t.Errorf("class (-want +got):\n%s", diff)
 	}
--- a/entry/host.go
+++ b/entry/host.go
@@ -17,6 +17,7 @@
 	"peridotusher.example/peridotusher/engine"
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
+	"peridotusher.example/peridotusher/policies"
 	"peridotusher.example/peridotusher/service"
 )
 
@@ -43,6 +44,7 @@
 
 	current atomic.Pointer[document.Document]
 	built   atomic.Bool
+	polled  atomic.Bool // engines were listed and asked for their loads
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
@@ -101,6 +103,7 @@
 		Chats:    &chats{host: h},
 		Services: &services{host: h},
 		Document: h.Document,
+		Ready:    h.knowsEngines,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		NewID:    uuid.NewString,
@@ -133,7 +136,7 @@
 	h.ledger = peridotusher.NewLedger()
 	h.metrics = operator.NewMetrics()
 	h.health = newHealthBook(h.Clock)
-	placer := &peridotusher.Placer{Engines: h.engines}
+	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
 	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
 		Self:     self,
@@ -156,7 +159,9 @@
 		Local:     h.owner,
 		Peers:     h.node,
 		Clock:     h.Clock,
+		Record:    h.metrics.Permit,
 	}
+	h.measurePeers()
 	return h.buildClients()
 }
 
