--- a/config/editor.go
+++ b/config/editor.go
@@ -9,7 +9,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotusher.example/peridotusher"
-	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/store"
 )
 
@@ -218,31 +217,3 @@
 		Operator:   old.GetOperator(),
 	}
 }
-
-// Replace puts a whole document in the place of the present one, as the
-// platform's operators. The first one sets the operators' key. A section whose
-// text stays the same keeps its version. The revision will be higher than
-// above, so that routers that hold a higher one than a restored store take it.
-func (e *Editor) Replace(ctx context.Context, key string, text []byte, above uint64) (Accepted, error) {
-	doc, problems := document.Parse("document", text)
-	if len(problems) > 0 {
-		return Accepted{}, &InvalidError{problems: problems}
-	}
-	return e.retry(ctx, func(b base, change string) (*proposal, error) {
-		head := e.nextHead(nil, "", change)
-		head.Generation = change
-		head.Operator = document.HashKey(key)
-		if b.snapshot != nil {
-			if !b.snapshot.keyMatches(Credentials{Key: key}) {
-				return nil, &DeniedError{}
-			}
-			head = e.nextHead(b.snapshot.head, "", change)
-		}
-		head.Revision = max(head.GetRevision(), above+1)
-		d := b.snapshot.replacement(doc, head.GetRevision())
-		if d.count() == 0 && b.snapshot.Revision() > above {
-			return nil, nil
-		}
-		return propose(b, head, d)
-	})
-}
--- a/config/replace.go
+++ b/config/replace.go
@@ -1,9 +1,51 @@
 package config
 
 import (
+	"context"
+
 	"peridotusher.example/peridotusher/document"
 )
 
+// Replace puts a whole document in the place of the present one, as the
+// platform's operators. The first one sets the operators' key. A section whose
+// text stays the same keeps its version. The revision will be higher than
+// above, so that routers that hold a higher one than a restored store take it.
+func (e *Editor) Replace(ctx context.Context, key string, text []byte, above uint64) (Accepted, error) {
+	return e.rewrite(ctx, key, above, func([]byte) []byte { return text })
+}
+
+// Rewrite replaces the whole document by what edit makes of it, as the
+// platform's operators. It is called again when others edit meanwhile.
+func (e *Editor) Rewrite(ctx context.Context, key string, edit func(text []byte) []byte) (Accepted, error) {
+	return e.rewrite(ctx, key, 0, edit)
+}
+
+func (e *Editor) rewrite(ctx context.Context, key string, above uint64, edit func(text []byte) []byte) (Accepted, error) {
+	return e.retry(ctx, func(b base, change string) (*proposal, error) {
+		head := e.nextHead(nil, "", change)
+		head.Generation = change
+		head.Operator = document.HashKey(key)
+		var old []byte
+		if b.snapshot != nil {
+			if !b.snapshot.keyMatches(Credentials{Key: key}) {
+				return nil, &DeniedError{}
+			}
+			head = e.nextHead(b.snapshot.head, "", change)
+			old = []byte(b.snapshot.text())
+		}
+		doc, problems := document.Parse("document", edit(old))
+		if len(problems) > 0 {
+			return nil, &InvalidError{problems: problems}
+		}
+		head.Revision = max(head.GetRevision(), above+1)
+		d := b.snapshot.replacement(doc, head.GetRevision())
+		if d.count() == 0 && b.snapshot.Revision() > above {
+			return nil, nil
+		}
+		return propose(b, head, d)
+	})
+}
+
 // replacement returns the difference that leads to the whole document. A
 // section whose text and position stay keeps its version.
 func (s *Snapshot) replacement(doc *document.Document, revision uint64) difference {
--- a/document/parse.go
+++ b/document/parse.go
@@ -41,7 +41,7 @@
 		byKeyHash:     map[string]*Organisation{},
 		owners:        newOwners(),
 	}
-	ini.Defaults(policyFields, &d.policy)
+	ini.Defaults(allPolicyFields(), &d.policy)
 	return d
 }
 
@@ -64,7 +64,7 @@
 }
 
 func (d *Document) decodePolicy(s *ini.Section) []ini.Problem {
-	return ini.Fill(s, policyFields, &d.policy)
+	return ini.Fill(s, allPolicyFields(), &d.policy)
 }
 
 func (d *Document) decodeClass(s *ini.Section) []ini.Problem {
