--- a/engines.go
+++ b/engines.go
@@ -72,23 +72,6 @@
 	t.put(old, e)
 }
 
-// SetFacts records what an engine has loaded, as its owner read it. The rest
-// of its report stays.
-func (t *Engines) SetFacts(id EngineID, versions []LoadedVersion, adapters []string, role string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e, ok := t.byID[id]
-	if !ok {
-		return
-	}
-	old := e
-	e.report.Versions = versions
-	e.report.Adapters = adapters
-	e.report.Role = role
-	e.reported = true
-	t.put(old, e)
-}
-
 // SetState changes an engine's state.
 func (t *Engines) SetState(id EngineID, state EngineState) {
 	t.mu.Lock()
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
@@ -63,7 +63,7 @@
 }
 
 func (h *Host) tickAdmission(ctx context.Context) error {
-	return every(ctx, admissionTick, func() { h.owner.Tick() })
+	return every(ctx, admissionTick, func(context.Context) { h.owner.Tick() })
 }
 
 // renewPermits reports held permits at a part of their expiry, and at once
@@ -71,7 +71,7 @@
 func (h *Host) renewPermits(ctx context.Context) error {
 	var renewed time.Time
 	var version uint64
-	return every(ctx, loadInterval, func() {
+	return every(ctx, loadInterval, func(ctx context.Context) {
 		now := h.Clock.Now()
 		if v := h.members.Version(); v == version && now.Sub(renewed) < h.renewal() {
 			return
@@ -96,11 +96,11 @@
 	var sent time.Time
 	var version uint64
 	var last []peer.EngineFacts
-	return every(ctx, loadInterval, func() {
+	return every(ctx, loadInterval, func(ctx context.Context) {
 		facts := h.facts()
 		now := h.Clock.Now()
 		v := h.members.Version()
-		if v == version && now.Sub(sent) < factsInterval && cmp.Equal(facts, last) {
+		if v == version && now.Sub(sent) < factsInterval && sameFacts(facts, last) {
 			return
 		}
 		if err := h.node.SendFacts(facts); err != nil {
@@ -114,7 +114,7 @@
 // organisations ask for here. The end of a demand is told once.
 func (h *Host) spreadDemands(ctx context.Context) error {
 	told := false
-	return every(ctx, loadInterval, func() {
+	return every(ctx, loadInterval, func(ctx context.Context) {
 		demands := h.ingress.Limits.Demands()
 		if len(demands) == 0 && !told {
 			return
@@ -135,11 +135,18 @@
 		if !leaving && (!reported || !h.owns(e)) {
 			continue
 		}
-		facts = append(facts, peer.EngineFacts{Engine: e.ID(), Versions: report.Versions, Adapters: report.Adapters, Role: report.Role, Leaving: leaving})
+		facts = append(facts, peer.EngineFacts{Engine: e.ID(), Report: report, Age: h.Clock.Now().Sub(report.Sampled), Leaving: leaving})
 	}
 	return facts
 }
 
+// sameFacts compares what is loaded; the loads change all the time.
+func sameFacts(a, b []peer.EngineFacts) bool {
+	return slices.EqualFunc(a, b, func(x, y peer.EngineFacts) bool {
+		return x.Engine == y.Engine && x.Leaving == y.Leaving && slices.Equal(x.Report.Versions, y.Report.Versions) && slices.Equal(x.Report.Adapters, y.Report.Adapters)
+	})
+}
+
 // owns reports whether this router is the engine's owner.
 func (h *Host) owns(e peridotusher.Engine) bool {
 	owner, ok := h.members.OwnerOf(e.ID(), e.Zone())
@@ -156,20 +163,6 @@
 	return ok && deputy == peridotusher.RouterID(h.Name)
 }
 
-// every calls fn at once and then at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, fn func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		fn()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-}
-
 // admission takes what other routers tell.
 type admission struct{ host *Host }
 
@@ -191,8 +184,9 @@
 			a.host.engines.SetState(f.Engine, peridotusher.EngineLeaving)
 		}
 		e, ok := a.host.engines.Get(f.Engine)
-		if ok && !a.host.owns(e) && len(f.Versions) > 0 {
-			a.host.engines.SetFacts(f.Engine, f.Versions, f.Adapters, f.Role)
+		if ok && !a.host.polls(e) && len(f.Report.Versions) > 0 {
+			f.Report.Sampled = a.host.Clock.Now().Add(-f.Age)
+			a.host.engines.SetReport(f.Engine, f.Report)
 		}
 	}
 }
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
@@ -22,7 +23,7 @@
 // pollLoads asks the engines that this router owns or is deputy of for their
 // load reports.
 func (h *Host) pollLoads(ctx context.Context) error {
-	return every(ctx, loadInterval, func() { h.pollOnce(ctx) })
+	return every(ctx, loadInterval, h.pollOnce)
 }
 
 func (h *Host) pollOnce(ctx context.Context) {
@@ -49,9 +50,14 @@
 		h.Log.WithError(err).WithField("engine", e.ID()).Debug("no load report")
 		return
 	}
-	own := engineReport(report, h.Clock.Now())
-	h.engines.SetReport(e.ID(), own)
-	h.ledger.SetReported(h.Clock.Now(), e.ID(), own)
+	now := h.Clock.Now()
+	taken := engineReport(report, now)
+	if doc := h.Document(); doc != nil && !taken.Possible(now, doc) {
+		h.Log.WithFields(logrus.Fields{"engine": e.ID(), "work": taken.Work}).Debug("impossible load report")
+		return
+	}
+	h.engines.SetReport(e.ID(), taken)
+	h.ledger.SetReported(now, e.ID(), taken)
 }
 
 func engineReport(r engine.Report, now time.Time) peridotusher.EngineReport {
--- a/peer/admission.go
+++ b/peer/admission.go
@@ -2,19 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"peridotusher.example/peridotusher"
 )
 
-// EngineFacts is what an engine has loaded, as its owner read it.
+// EngineFacts is an engine's load report, as its owner read it.
 type EngineFacts struct {
-	Engine   peridotusher.EngineID
-	Versions []peridotusher.LoadedVersion
-	Adapters []string
-	Role     string
-	Leaving  bool
+	Engine  peridotusher.EngineID
+	Report  peridotusher.EngineReport
+	Age     time.Duration // of the report
+	Leaving bool
 }
 
 // AdmissionHandler takes what other routers tell about asks, chats and engines.
@@ -119,8 +119,8 @@
 func factsToWire(facts []EngineFacts) *Facts {
 	msg := &Facts{}
 	for _, f := range facts {
-		e := &LoadedEngine{Engine: string(f.Engine), Adapters: f.Adapters, Role: f.Role, Leaving: f.Leaving}
-		for _, v := range f.Versions {
+		e := &LoadedEngine{Engine: string(f.Engine), Adapters: f.Report.Adapters, Role: f.Report.Role, Leaving: f.Leaving, Work: int64(f.Report.Work), Age: f.Age.Microseconds()}
+		for _, v := range f.Report.Versions {
 			e.Versions = append(e.Versions, &LoadedVersion{Model: v.Model, Version: v.Version, Ready: v.Ready})
 		}
 		msg.Engines = append(msg.Engines, e)
@@ -131,9 +131,10 @@
 func factsFromWire(msg *Facts) []EngineFacts {
 	var facts []EngineFacts
 	for _, e := range msg.GetEngines() {
-		f := EngineFacts{Engine: peridotusher.EngineID(e.GetEngine()), Adapters: e.GetAdapters(), Role: e.GetRole(), Leaving: e.GetLeaving()}
+		f := EngineFacts{Engine: peridotusher.EngineID(e.GetEngine()), Leaving: e.GetLeaving(), Age: microseconds(e.GetAge())}
+		f.Report = peridotusher.EngineReport{Work: int(e.GetWork()), Adapters: e.GetAdapters(), Role: e.GetRole()}
 		for _, v := range e.GetVersions() {
-			f.Versions = append(f.Versions, peridotusher.LoadedVersion{Model: v.GetModel(), Version: v.GetVersion(), Ready: v.GetReady()})
+			f.Report.Versions = append(f.Report.Versions, peridotusher.LoadedVersion{Model: v.GetModel(), Version: v.GetVersion(), Ready: v.GetReady()})
 		}
 		facts = append(facts, f)
 	}
