Queue: an ask waits on while no engine has room, and moves when its owner changes

An ask now looks for another engine every 100 ms, an ingress leaves a former owner's queue, and a request that waited may try every engine again. A router is ready once it knows what half of the live engines have loaded, since it polls only those that it owns.

--- a/entry/host.go
+++ b/entry/host.go
@@ -44,7 +44,7 @@
 
 	source  *config.Source
 	built   atomic.Bool
-	polled  atomic.Bool // engines were listed and asked for their loads
+	learned atomic.Bool // the engines are known well enough to serve
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
--- a/entry/status.go
+++ b/entry/status.go
@@ -30,14 +30,23 @@
 	}))
 }
 
-// knowsEngines returns whether the router has asked the engines for their
-// loads, or needs none. Before that it would refuse every chat.
+// knowsEngines returns whether the router has learned what at least half of the
+// live engines have loaded, or needs none. Before that it would refuse chats or
+// place them by too few engines.
 func (h *Host) knowsEngines() bool {
-	if h.polled.Load() {
+	if h.learned.Load() {
 		return true
 	}
 	doc := h.Document()
-	return doc != nil && len(doc.Models()) == 0
+	if doc != nil && len(doc.Models()) == 0 {
+		return true
+	}
+	live := len(h.engines.Select(func(e peridotusher.Engine) bool { return e.State() == peridotusher.EngineLive }))
+	if live == 0 || 2*h.ReadyEngines() < live {
+		return false
+	}
+	h.learned.Store(true)
+	return true
 }
 
 // ControlCounts returns the bytes exchanged with other routers.
--- a/ingress.go
+++ b/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"peridotusher.example/peridotusher/document"
@@ -49,11 +50,23 @@
 	doc     *document.Document
 	req     Request
 	ranking []Engine
+	avoid   map[EngineID]bool // engines not to ask at all
 	tried   map[EngineID]bool
 	asks    int
+	refused int // asks refused at once since the last wait in a queue
+	waited  bool
 	last    Answer
 }
 
+// restart lets a request that has waited try every engine again.
+func (s *search) restart() {
+	s.refused = 0
+	s.tried = maps.Clone(s.avoid)
+	if s.tried == nil {
+		s.tried = map[EngineID]bool{}
+	}
+}
+
 // Acquire obtains a permit for the request, trying the engines of its ranking
 // except those in avoid. The error is a Failure with the verdict NotRun.
 func (in *Ingress) Acquire(ctx context.Context, doc *document.Document, req Request, avoid map[EngineID]bool) (*Permit, error) {
@@ -87,10 +100,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &search{doc: doc, req: req, ranking: ranking, tried: map[EngineID]bool{}}
-	for id := range avoid {
-		s.tried[id] = true
-	}
+	s := &search{doc: doc, req: req, ranking: ranking, avoid: avoid}
+	s.restart()
 	started := in.Clock.Now()
 	permit, err := in.walk(ctx, s)
 	if err == nil && in.Record != nil {
@@ -106,7 +117,7 @@
 		return nil, Fail(NotRun, CauseNoEndpoint, "every engine for model %q has been tried", s.req.Model)
 	}
 	var expected EngineID // where the home engine's owner believes the chat to be
-	for ok && s.asks < maxAsks && ctx.Err() == nil {
+	for ok && s.refused < maxAsks && ctx.Err() == nil {
 		answer, err := in.ask(ctx, s, target)
 		if err == nil && answer.Granted {
 			if s.asks > 1 && expected != target.ID() {
@@ -117,9 +128,13 @@
 		if err == nil {
 			s.last = answer
 		}
-		if s.asks == 1 {
+		if s.asks == 1 || s.waited {
 			expected = answer.Next
 		}
+		s.refused++
+		if s.waited {
+			s.restart()
+		}
 		target, ok = nextEngine(s.ranking, s.tried, answer.Next)
 	}
 	if err := ctx.Err(); err != nil {
@@ -133,7 +148,7 @@
 	s.tried[target.ID()] = true
 	s.asks++
 	_, more := nextEngine(s.ranking, s.tried, "")
-	ticket, grant := in.grants.open()
+	ticket, pending := in.grants.open(target)
 	defer in.closeTicket(ctx, ticket)
 	ask := Ask{
 		Request:   s.req,
@@ -143,14 +158,16 @@
 		Budget:    s.req.Deadline.Sub(in.Clock.Now()),
 		Home:      s.asks == 1 && s.req.Chat != "",
 		Resident:  s.last.Holds && s.last.Next == target.ID(),
-		Final:     !more || s.asks == maxAsks,
+		Final:     !more || s.refused == maxAsks-1,
 		Displaced: s.asks > 1,
 	}
 	answer, err := in.askOwner(ctx, s.doc, target, ask)
-	if err != nil || !answer.Queued {
+	s.waited = err == nil && answer.Queued
+	if !s.waited {
 		return answer, err
 	}
-	return waitGrant(ctx, grant, answer.Wait+grantGrace)
+	in.grants.queued(pending, answer.Owner)
+	return waitGrant(ctx, pending.decision, answer.Wait+grantGrace)
 }
 
 // askOwner asks the owner of the engine, and its deputy when the owner is silent.
--- a/ingress_grants.go
+++ b/ingress_grants.go
@@ -10,30 +10,63 @@
 type grantTable struct {
 	mu      sync.Mutex
 	last    uint64
-	waiting map[uint64]chan Answer
+	waiting map[uint64]*pendingAsk
+}
+
+// pendingAsk is one ask whose decision may follow.
+type pendingAsk struct {
+	decision chan Answer
+	engine   Engine
+	owner    RouterID // where it is queued, empty before
 }
 
 // open returns the number of a new ask and the channel of its late decision.
-func (t *grantTable) open() (uint64, <-chan Answer) {
+func (t *grantTable) open(engine Engine) (uint64, *pendingAsk) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.waiting == nil {
-		t.waiting = map[uint64]chan Answer{}
+		t.waiting = map[uint64]*pendingAsk{}
 	}
 	t.last++
-	decision := make(chan Answer, 1)
-	t.waiting[t.last] = decision
-	return t.last, decision
+	pending := &pendingAsk{decision: make(chan Answer, 1), engine: engine}
+	t.waiting[t.last] = pending
+	return t.last, pending
+}
+
+// queued records where the ask waits.
+func (t *grantTable) queued(pending *pendingAsk, owner RouterID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	pending.owner = owner
+}
+
+// recheck ends the waits at routers that are no longer the engine's owner.
+func (t *grantTable) recheck(ownership Ownership) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for ticket, pending := range t.waiting {
+		owner, ok := ownership.OwnerOf(pending.engine.ID(), pending.engine.Zone())
+		if pending.owner == "" || (ok && owner == pending.owner) {
+			continue
+		}
+		select {
+		case pending.decision <- Answer{Ticket: ticket, Cause: CauseOwnerSilent}:
+		default:
+		}
+	}
 }
 
 // close forgets an ask. It returns a decision that nobody has taken.
 func (t *grantTable) close(ticket uint64) (Answer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	decision := t.waiting[ticket]
+	pending, ok := t.waiting[ticket]
 	delete(t.waiting, ticket)
+	if !ok {
+		return Answer{}, false
+	}
 	select {
-	case answer := <-decision:
+	case answer := <-pending.decision:
 		return answer, true
 	default:
 		return Answer{}, false
@@ -44,12 +77,12 @@
 func (t *grantTable) deliver(answer Answer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	decision, ok := t.waiting[answer.Ticket]
+	pending, ok := t.waiting[answer.Ticket]
 	if !ok {
 		return false
 	}
 	select {
-	case decision <- answer:
+	case pending.decision <- answer:
 		return true
 	default:
 		return false
--- a/ingress_held.go
+++ b/ingress_held.go
@@ -60,7 +60,9 @@
 
 // Renew reports the permits that this router holds to their engines' owners.
 // It is called at a third of the permits' expiry and when an owner changed.
+// Asks that wait at a former owner go on to the next engine.
 func (in *Ingress) Renew(ctx context.Context) {
+	in.grants.recheck(in.Ownership)
 	byOwner := in.heldByOwner()
 	for owner, held := range byOwner {
 		if owner == in.Self {
--- a/ledger.go
+++ b/ledger.go
@@ -123,6 +123,14 @@
 	}
 }
 
+// Held reports whether the engine gets no permit for now.
+func (l *Ledger) Held(now time.Time, engine EngineID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, ok := l.owned[engine]
+	return ok && now.Before(entry.heldUntil)
+}
+
 // SetRemote records the loads that other owners count. The load of an engine
 // that this router owns is ignored, as is a count older than the known one.
 func (l *Ledger) SetRemote(now time.Time, loads []EngineLoad) {
--- a/owner.go
+++ b/owner.go
@@ -75,8 +75,8 @@
 	if answer, ok := o.grant(doc, ask, c); ok {
 		return answer
 	}
-	if ask.Resident && c.serves(ask.Engine) && doc.Policy().Patience() > 0 {
-		return o.enqueue(doc, ask, doc.Policy().Patience(), true)
+	if ask.Resident && c.serves(ask.Engine) && doc.Policy().Patience() > 0 && !o.Ledger.Held(o.Clock.Now(), ask.Engine) {
+		return o.enqueue(doc, ask, doc.Policy().Patience())
 	}
 	return o.moveOn(doc, ask, c)
 }
@@ -92,7 +92,7 @@
 	if !c.serves(ask.Engine) {
 		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
 	}
-	return o.enqueue(doc, ask, o.longestWait(ask), false)
+	return o.enqueue(doc, ask, queueSlice)
 }
 
 // grant admits the ask unless others wait for the engine already.
--- a/owner_queue.go
+++ b/owner_queue.go
@@ -7,28 +7,32 @@
 	"peridotusher.example/peridotusher/document"
 )
 
-// grantTimeout bounds the queueing of a grant's message.
-const grantTimeout = 100 * time.Millisecond
+const (
+	// grantTimeout bounds the queueing of a grant's message.
+	grantTimeout = 100 * time.Millisecond
+	// queueSlice is the time after which a waiting ask looks for another engine again.
+	queueSlice = 100 * time.Millisecond
+)
 
 // enqueue lets an ask wait for its engine, or refuses it at once when it
-// cannot be answered in time.
-func (o *Owner) enqueue(doc *document.Document, ask Ask, wait time.Duration, moves bool) Answer {
+// cannot be answered in time. After the first wait it may move to another
+// engine, and it goes on waiting while there is none with room.
+func (o *Owner) enqueue(doc *document.Document, ask Ask, wait time.Duration) Answer {
 	now := o.Clock.Now()
 	remaining := ask.Request.Deadline.Sub(now)
-	if !moves && o.delay(ask.Engine) > min(wait, remaining) {
+	if o.delay(ask.Engine) > remaining {
 		return o.tooLate(ask)
 	}
 	w := o.waiting(doc, ask, now)
 	w.Until = now.Add(min(wait, remaining))
-	w.Moves = moves
 	if dropped := o.Queue.Push(w, doc.Policy().QueueLength()); dropped != nil {
 		if dropped == w {
-			return o.dropped(doc, w)
+			return o.tooLate(ask)
 		}
-		o.send(dropped, o.dropped(doc, dropped))
+		o.send(dropped, o.tooLate(dropped.Ask))
 	}
 	o.pump(ask.Engine)
-	return Answer{Queued: true, Ticket: ask.Ticket, Wait: w.Until.Sub(now)}
+	return Answer{Queued: true, Ticket: ask.Ticket, Engine: ask.Engine, Wait: remaining}
 }
 
 func (o *Owner) waiting(doc *document.Document, ask Ask, now time.Time) *Waiting {
@@ -47,31 +51,38 @@
 	return o.Queue.Delay(engine, o.Ledger.Work(engine))
 }
 
-// longestWait is the time that is left to wait before the deadline.
-func (o *Owner) longestWait(ask Ask) time.Duration {
-	return ask.Request.Deadline.Sub(o.Clock.Now())
-}
-
 // tooLate refuses an ask whose turn would come after its deadline.
 func (o *Owner) tooLate(ask Ask) Answer {
 	return Answer{Cause: CauseOverloaded, Ticket: ask.Ticket, RetryAfter: o.Queue.RetryAfter(ask.Engine, o.Ledger.Work(ask.Engine)), Loads: o.Ledger.Loads()}
 }
 
-// dropped answers an ask that found no place in the queue or whose wait ended.
-func (o *Owner) dropped(doc *document.Document, w *Waiting) Answer {
-	answer := o.tooLate(w.Ask)
-	if !w.Moves {
-		return answer
-	}
+// endWait moves an ask whose wait ended to another engine, lets it wait on, or
+// refuses it at its deadline.
+func (o *Owner) endWait(doc *document.Document, w *Waiting) {
+	now := o.Clock.Now()
 	c, err := o.chance(doc, w.Ask)
-	if err != nil {
-		return answer
+	if err != nil || !now.Before(w.Ask.Request.Deadline) {
+		o.send(w, o.tooLate(w.Ask))
+		return
 	}
 	if next, ok := o.next(doc, w.Ask, c); ok {
 		o.place(doc, w.Ask, next)
+		answer := o.tooLate(w.Ask)
 		answer.Next = next
+		o.send(w, answer)
+		return
+	}
+	if !o.keeps(w.Ask.Engine, c) {
+		o.send(w, o.tooLate(w.Ask))
+		return
 	}
-	return answer
+	w.Until = now.Add(queueSlice)
+	o.Queue.Restore(w)
+}
+
+// keeps reports whether asks may still wait here for the engine.
+func (o *Owner) keeps(engine EngineID, c chance) bool {
+	return c.serves(engine) && (o.Ownership == nil || o.owns(engine))
 }
 
 // Tick ends the waits that are over and gives permits to those that wait.
@@ -89,7 +100,7 @@
 		o.pump(engine)
 	}
 	for _, w := range o.Queue.Ended(now) {
-		o.send(w, o.dropped(doc, w))
+		o.endWait(doc, w)
 	}
 }
 
@@ -127,7 +138,8 @@
 		return nil, Answer{}, false
 	}
 	c, err := o.chance(doc, w.Ask)
-	if err != nil || !c.serves(engine) {
+	if err != nil || !o.keeps(engine, c) {
+		o.Queue.EndNow(w, o.Clock.Now())
 		return nil, Answer{}, false
 	}
 	answer, ok := o.admit(doc, w.Ask, c)
--- a/queue.go
+++ b/queue.go
@@ -25,8 +25,7 @@
 	Weight   float64 // share of its organisation
 	Worth    float64 // of its organisation's requests
 	Queued   time.Time
-	Until    time.Time // when the wait ends without a permit
-	Moves    bool      // whether it goes to another engine when the wait ends
+	Until    time.Time // when it looks for another engine
 
 	tag float64 // virtual finish time of its organisation
 }
@@ -64,6 +63,14 @@
 	return e.take(e.pick(w.Queued, func(a, b int) bool { return a > b }))
 }
 
+// Restore puts an ask back that Ended took out. It keeps its place.
+func (q *Queue) Restore(w *Waiting) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.engine(w.Ask.Engine)
+	e.waiting = append(e.waiting, w)
+}
+
 // First returns the ask that goes next on the engine, without taking it.
 func (q *Queue) First(now time.Time, engine EngineID) (*Waiting, bool) {
 	q.mu.Lock()
@@ -75,6 +82,13 @@
 	return e.waiting[e.pick(now, func(a, b int) bool { return a < b })], true
 }
 
+// EndNow ends the wait of an ask at the next look.
+func (q *Queue) EndNow(w *Waiting, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	w.Until = now
+}
+
 // Take takes an ask out, and reports false when it is no longer there.
 func (q *Queue) Take(w *Waiting) bool {
 	q.mu.Lock()
