Placement: a new chat begins off a busy home, a displaced one on the emptiest of four

Chats were spread by hash alone, so engines with many chats displaced them again and again. Loads travel without model and permits, asks without what owners do not read.

--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -49,6 +49,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of traffic and faults"},
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "measured `TIME` after the warm-up"},
 			&cli.FloatFlag{Name: "rate", Value: 4.6, Usage: "requests a second of each router"},
+			&cli.DurationFlag{Name: "token", Value: 20 * time.Millisecond, Usage: "`TIME` of one step of an engine's batch"},
 			&cli.StringFlag{Name: "plot", Usage: "write a picture to `FILE`"},
 			&cli.StringFlag{Name: "dir", Usage: "keep the routers' logs in `DIR`"},
 		},
@@ -101,6 +102,7 @@
 		Seed:      cmd.Uint64("seed"),
 		Duration:  cmd.Duration("duration"),
 		Rate:      cmd.Float("rate"),
+		Token:     cmd.Duration("token"),
 		Dir:       dir,
 		Binary:    binary,
 	}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -195,3 +195,9 @@
 func (a admission) SetDemands(from peridotusher.RouterID, demands []peridotusher.Demand) {
 	a.host.ingress.Limits.SetDemands(from, demands)
 }
+
+// loadNews gives the heartbeats the loads of the owned engines.
+type loadNews struct{ ledger *peridotusher.Ledger }
+
+// Loads implements peer.LoadSource.
+func (n loadNews) Loads() []peridotusher.EngineLoad { return n.ledger.News() }
--- a/entry/host.go
+++ b/entry/host.go
@@ -139,7 +139,7 @@
 		Self:     self,
 		Listener: h.Peer,
 		Members:  h.members,
-		Loads:    h.ledger,
+		Loads:    loadNews{ledger: h.ledger},
 		Sink:     loadSink{host: h},
 		Clock:    h.Clock,
 		Log:      h.Log,
--- a/ingress.go
+++ b/ingress.go
@@ -151,11 +151,10 @@
 	ticket, pending := in.grants.open(target)
 	defer in.closeTicket(ctx, ticket)
 	ask := Ask{
-		Request:   s.req,
+		Request:   told(s.req),
 		Engine:    target.ID(),
 		Ingress:   in.Self,
 		Ticket:    ticket,
-		Budget:    s.req.Deadline.Sub(in.Clock.Now()),
 		Home:      s.asks == 1 && s.req.Chat != "",
 		Resident:  s.last.Holds && s.last.Next == target.ID(),
 		Final:     !more || s.refused == maxAsks-1,
@@ -170,6 +169,17 @@
 	return waitGrant(ctx, pending.decision, answer.Wait+grantGrace)
 }
 
+// told returns what an owner needs to know of a request. Only the order of
+// engines without a chat depends on the request's name.
+func told(req Request) Request {
+	const nameBytes = 8
+	if req.Chat != "" {
+		req.ID = ""
+	}
+	req.ID = req.ID[:min(len(req.ID), nameBytes)]
+	return req
+}
+
 // askOwner asks the owner of the engine, and its deputy when the owner is silent.
 func (in *Ingress) askOwner(ctx context.Context, doc *document.Document, target Engine, ask Ask) (Answer, error) {
 	owner, ok := in.Ownership.OwnerOf(target.ID(), target.Zone())
--- a/ledger.go
+++ b/ledger.go
@@ -194,6 +194,15 @@
 	return loads
 }
 
+// News returns the works of the engines that this router owns, as told to others.
+func (l *Ledger) News() []EngineLoad {
+	loads := l.Loads()
+	for i, load := range loads {
+		loads[i] = EngineLoad{Engine: load.Engine, Work: load.Work}
+	}
+	return loads
+}
+
 // Work returns the engine's outstanding work as far as this router knows.
 func (l *Ledger) Work(engine EngineID) int {
 	l.mu.Lock()
--- a/loadtest/run.go
+++ b/loadtest/run.go
@@ -24,7 +24,6 @@
 	enginesPerZone = 7
 	zoneDelay      = 3 * time.Millisecond
 	zoneJitter     = time.Millisecond
-	tokenTime      = 10 * time.Millisecond
 	prefillToken   = 100 * time.Microsecond
 	cacheTokens    = 60_000
 	reportLag      = 300 * time.Millisecond
@@ -41,6 +40,7 @@
 	Seed      uint64
 	Duration  time.Duration // measured time, after the warm-up
 	Rate      float64       // requests a second of each router
+	Token     time.Duration // of one step of an engine's batch
 	Dir       string        // folder for the program, settings and logs
 	Binary    string        // the router program; built into Dir if empty
 }
@@ -79,7 +79,7 @@
 		ZoneJitter:     zoneJitter,
 		ListLag:        lag,
 		Engine: func(e *standin.Engine) {
-			e.TokenTime = tokenTime
+			e.TokenTime = t.Token
 			e.PrefillPerToken = prefillToken
 			e.CacheTokens = cacheTokens
 			e.LoadLag = reportLag
--- a/owner.go
+++ b/owner.go
@@ -16,6 +16,8 @@
 	overloadRetryAfter = time.Second
 	// refusalPause is how long an engine that refused a request gets no other.
 	refusalPause = time.Second
+	// nextChoices is the number of engines with room that a displaced chat chooses from.
+	nextChoices = 4
 	// retainGrace is the age from which a permit that its ingress does not report has ended.
 	retainGrace = 5 * time.Second
 )
@@ -68,9 +70,12 @@
 	if ask.Home && ask.Request.Chat != "" {
 		at, known := o.Placements.Get(ask.Request.Chat)
 		if known && at != ask.Engine && c.serves(at) {
-			return Answer{Cause: CauseOverloaded, Next: at, Holds: true, Loads: o.Ledger.Loads()}
+			return Answer{Cause: CauseOverloaded, Next: at, Holds: true, Loads: o.Ledger.News()}
 		}
 		ask.Resident = known && at == ask.Engine
+		if !known && o.busy(ask, c) {
+			return o.moveOn(doc, ask, c)
+		}
 	}
 	if answer, ok := o.grant(doc, ask, c); ok {
 		return answer
@@ -81,12 +86,26 @@
 	return o.moveOn(doc, ask, c)
 }
 
+// busy reports whether an engine carries more than the mean, so that a chat
+// without a prefix had better begin elsewhere.
+func (o *Owner) busy(ask Ask, c chance) bool {
+	if c.room.Unbounded {
+		return false
+	}
+	works := o.Ledger.Works(c.ids)
+	total := 0
+	for _, work := range works {
+		total += work
+	}
+	return o.Ledger.Work(ask.Engine)*len(works) > total
+}
+
 // moveOn names another engine with room, or queues the ask when there is none.
 func (o *Owner) moveOn(doc *document.Document, ask Ask, c chance) Answer {
 	if !ask.Final {
 		if next, ok := o.next(doc, ask, c); ok {
 			o.place(doc, ask, next)
-			return Answer{Cause: CauseOverloaded, Next: next, Loads: o.Ledger.Loads()}
+			return Answer{Cause: CauseOverloaded, Next: next, Loads: o.Ledger.News()}
 		}
 	}
 	if !c.serves(ask.Engine) {
@@ -110,7 +129,7 @@
 		return Answer{}, false
 	}
 	o.place(doc, ask, ask.Engine)
-	return Answer{Granted: true, Ticket: ask.Ticket, Permit: id, Engine: ask.Engine, Loads: o.Ledger.Loads()}, true
+	return Answer{Granted: true, Ticket: ask.Ticket, Permit: id, Engine: ask.Engine, Loads: o.Ledger.News()}, true
 }
 
 // place records where the chat goes, if this router owns its home engine.
@@ -120,19 +139,27 @@
 	}
 }
 
-// next returns the first engine of the ranking that has room.
+// next returns the emptiest of the first engines of the ranking that have room.
 func (o *Owner) next(doc *document.Document, ask Ask, c chance) (EngineID, bool) {
 	ranking, err := o.Placer.Ranking(doc, ask.Request)
 	if err != nil {
 		return "", false
 	}
 	now := o.Clock.Now()
+	var best EngineID
+	least, seen := 0, 0
 	for _, e := range ranking {
-		if e.ID() != ask.Engine && o.Ledger.Fits(now, e.ID(), ask.Request.Work, c.room) {
-			return e.ID(), true
+		if e.ID() == ask.Engine || !o.Ledger.Fits(now, e.ID(), ask.Request.Work, c.room) {
+			continue
+		}
+		if work := o.Ledger.Work(e.ID()); seen == 0 || work < least {
+			best, least = e.ID(), work
+		}
+		if seen++; seen == nextChoices {
+			break
 		}
 	}
-	return "", false
+	return best, seen > 0
 }
 
 // Return ends a permit and gives its room to those that wait.
--- a/owner_queue.go
+++ b/owner_queue.go
@@ -53,7 +53,7 @@
 
 // tooLate refuses an ask whose turn would come after its deadline.
 func (o *Owner) tooLate(ask Ask) Answer {
-	return Answer{Cause: CauseOverloaded, Ticket: ask.Ticket, RetryAfter: o.Queue.RetryAfter(ask.Engine, o.Ledger.Work(ask.Engine)), Loads: o.Ledger.Loads()}
+	return Answer{Cause: CauseOverloaded, Ticket: ask.Ticket, RetryAfter: o.Queue.RetryAfter(ask.Engine, o.Ledger.Work(ask.Engine)), Loads: o.Ledger.News()}
 }
 
 // endWait moves an ask whose wait ended to another engine, lets it wait on, or
--- a/placer.go
+++ b/placer.go
@@ -54,7 +54,7 @@
 		return policy.Order(req, ready.engines), nil
 	}
 	if req.Chat == "" && req.Work > 1 {
-		return RankEngines(req.Class, ready.engines), nil
+		return p.packed(doc.Policy().Bound(), req, ready), nil
 	}
 	if req.Chat == "" {
 		return p.emptiestFirst(string(req.ID), ready), nil
--- a/ranking.go
+++ b/ranking.go
@@ -37,6 +37,27 @@
 	})
 }
 
+// packed orders the engines by key, those that have room by known loads first.
+func (p *Placer) packed(bound float64, req Request, ready *candidates) []Engine {
+	if p.Loads == nil {
+		return RankEngines(req.Class, ready.engines)
+	}
+	works := p.Loads.Works(ready.ids)
+	total := req.Work
+	for _, work := range works {
+		total += work
+	}
+	limit := math.Ceil(bound * float64(total) / float64(max(len(works), 1)))
+	hash := xxhash.Sum64String(req.Class)
+	return pickBest(ready.engines, func(i int) float64 {
+		score := fraction(mix(hash, ready.engines[i].hash))
+		if float64(works[i]) >= limit {
+			return score - 1
+		}
+		return score
+	})
+}
+
 // pickBest returns the engines of the highest scores, best first. Engines
 // without a share of new chats come not at all.
 func pickBest(engines []Engine, score func(i int) float64) []Engine {
