Burn: error budgets by class and organisation in bounded memory

Two rings of buckets a series (61 minutes, 73 spans of 5 minutes), at most 2048 series a router; organisations beyond that share one for each class. Reports of several routers are added up.

--- /dev/null
+++ b/burn.go
@@ -0,0 +1,130 @@
+package peridotusher
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// MaxBurnSeries bounds the series of one router. Each takes about 4 KB.
+	MaxBurnSeries = 2048
+	// OtherOrganisations stands for the organisations without a series of their own.
+	OtherOrganisations = "other"
+)
+
+// Outcome is one finished request as the service level counts it.
+type Outcome struct {
+	Organisation string
+	Class        string
+	Worth        float64 // value of a request answered whole and in time
+	Objective    float64 // share of requests due whole and in time
+	Good         bool    // answered whole and in time
+}
+
+// BurnCount adds up requests.
+type BurnCount struct {
+	Requests float64
+	Bad      float64 // not whole or not in time
+	Worth    float64
+	BadWorth float64
+}
+
+// Add returns the sum of both counts.
+func (c BurnCount) Add(d BurnCount) BurnCount {
+	return BurnCount{
+		Requests: c.Requests + d.Requests,
+		Bad:      c.Bad + d.Bad,
+		Worth:    c.Worth + d.Worth,
+		BadWorth: c.BadWorth + d.BadWorth,
+	}
+}
+
+// BurnKey names a series: an organisation's requests of one class. An empty
+// organisation stands for all of them.
+type BurnKey struct {
+	Organisation string
+	Class        string
+}
+
+// Burn counts how fast the error budgets are spent. Its memory is bounded:
+// organisations beyond the limit share one series for each class.
+type Burn struct {
+	clock   Clock
+	limit   int
+	started time.Time
+
+	mu     sync.Mutex
+	series map[BurnKey]*burnSeries
+}
+
+// burnSeries holds the counts of one key.
+type burnSeries struct {
+	objective float64
+	last      time.Time
+	minutes   burnRing // for windows up to an hour
+	spans     burnRing // for longer windows
+}
+
+// NewBurn returns an empty table of at most limit series.
+func NewBurn(clock Clock, limit int) *Burn {
+	return &Burn{clock: clock, limit: limit, started: clock.Now(), series: map[BurnKey]*burnSeries{}}
+}
+
+// Record counts one request for its class and for its organisation.
+func (b *Burn) Record(o Outcome) {
+	now := b.clock.Now()
+	count := BurnCount{Requests: 1, Worth: o.Worth}
+	if !o.Good {
+		count.Bad = 1
+		count.BadWorth = o.Worth
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, key := range []BurnKey{{Class: o.Class}, {Organisation: o.Organisation, Class: o.Class}} {
+		s := b.seriesFor(key, now)
+		// An organisation's own objective holds for its series only.
+		if key.Organisation != "" || s.objective == 0 {
+			s.objective = o.Objective
+		}
+		s.last = now
+		s.minutes.add(now, count)
+		s.spans.add(now, count)
+	}
+}
+
+// SetObjective sets a class's objective, which its series keeps.
+func (b *Burn) SetObjective(class string, objective float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seriesFor(BurnKey{Class: class}, b.clock.Now()).objective = objective
+}
+
+// seriesFor returns the key's series, or the one that it shares.
+func (b *Burn) seriesFor(key BurnKey, now time.Time) *burnSeries {
+	if s, ok := b.series[key]; ok {
+		return s
+	}
+	if key.Organisation != "" && len(b.series) >= b.limit && !b.evict(now) {
+		key.Organisation = OtherOrganisations
+		if s, ok := b.series[key]; ok {
+			return s
+		}
+	}
+	s := &burnSeries{
+		minutes: newBurnRing(burnMinute, burnMinutes),
+		spans:   newBurnRing(burnSpan, burnSpans),
+	}
+	b.series[key] = s
+	return s
+}
+
+// evict drops one organisation's series whose counts have all run out.
+func (b *Burn) evict(now time.Time) bool {
+	for key, s := range b.series {
+		if key.Organisation != "" && now.Sub(s.last) > burnSpan*burnSpans {
+			delete(b.series, key)
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/burnreport.go
@@ -0,0 +1,194 @@
+package peridotusher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// BurnPair is a short and a long window that raise one alarm together: the
+// long one shows that the budget is really being spent, the short one that it
+// still is.
+type BurnPair struct {
+	Name  string
+	Short time.Duration
+	Long  time.Duration
+	Rate  float64 // multiple of the even spending from which on the alarm is raised
+}
+
+// burnPeriod is the period that the error budget is meant for.
+const burnPeriod = 30 * 24 * time.Hour
+
+// BurnPairs returns the pairs: fast spends 2% of a 30 days' budget in an hour,
+// slow 5% in six hours.
+func BurnPairs() []BurnPair {
+	return []BurnPair{
+		{Name: "fast", Short: 5 * time.Minute, Long: time.Hour, Rate: 0.02 * float64(burnPeriod/time.Hour)},
+		{Name: "slow", Short: 30 * time.Minute, Long: 6 * time.Hour, Rate: 0.05 * float64(burnPeriod/(6*time.Hour))},
+	}
+}
+
+// BurnWindows returns the windows of the pairs, shortest first.
+func BurnWindows() []time.Duration {
+	var windows []time.Duration
+	for _, p := range BurnPairs() {
+		windows = append(windows, p.Short, p.Long)
+	}
+	slices.Sort(windows)
+	return windows
+}
+
+// BurnRow is one series of a report.
+type BurnRow struct {
+	Key       BurnKey
+	Objective float64
+	Windows   []BurnCount // in the order of BurnWindows
+	History   []BurnCount // buckets of BurnStep, oldest first; only for whole classes
+}
+
+// BurnStep is the width of a bucket of a row's history.
+const BurnStep = burnSpan
+
+// BurnReport is what one router, or several, counted.
+type BurnReport struct {
+	Started time.Time // when the youngest router began to count
+	At      time.Time
+	Rows    []BurnRow
+}
+
+// Report returns the counts up to now, classes first.
+func (b *Burn) Report() BurnReport {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	report := BurnReport{Started: b.started, At: now}
+	for key, s := range b.series {
+		row := BurnRow{Key: key, Objective: s.objective}
+		for _, w := range BurnWindows() {
+			ring := &s.minutes
+			if w > burnMinute*(burnMinutes-1) {
+				ring = &s.spans
+			}
+			row.Windows = append(row.Windows, ring.sum(now, w))
+		}
+		if key.Organisation == "" {
+			row.History = s.spans.history(now)
+		}
+		report.Rows = append(report.Rows, row)
+	}
+	sortRows(report.Rows)
+	return report
+}
+
+// MergeBurn adds up the reports of several routers.
+func MergeBurn(reports []BurnReport) BurnReport {
+	var merged BurnReport
+	index := map[BurnKey]int{}
+	for _, r := range reports {
+		if r.Started.After(merged.Started) {
+			merged.Started = r.Started
+		}
+		if r.At.After(merged.At) {
+			merged.At = r.At
+		}
+		for _, row := range r.Rows {
+			i, ok := index[row.Key]
+			if !ok {
+				i = len(merged.Rows)
+				index[row.Key] = i
+				merged.Rows = append(merged.Rows, BurnRow{Key: row.Key})
+			}
+			merged.Rows[i] = addRow(merged.Rows[i], row)
+		}
+	}
+	sortRows(merged.Rows)
+	return merged
+}
+
+func addRow(sum, row BurnRow) BurnRow {
+	sum.Objective = max(sum.Objective, row.Objective)
+	sum.Windows = addCounts(sum.Windows, row.Windows)
+	sum.History = addCounts(sum.History, row.History)
+	return sum
+}
+
+// addCounts adds up counts of the same windows, the newest of which is last.
+func addCounts(a, b []BurnCount) []BurnCount {
+	if len(a) < len(b) {
+		a, b = b, a
+	}
+	sum := slices.Clone(a)
+	for i := range b {
+		at := len(sum) - len(b) + i
+		sum[at] = sum[at].Add(b[i])
+	}
+	return sum
+}
+
+func sortRows(rows []BurnRow) {
+	slices.SortFunc(rows, func(a, b BurnRow) int {
+		if (a.Key.Organisation == "") != (b.Key.Organisation == "") {
+			return cmp.Compare(a.Key.Organisation, b.Key.Organisation)
+		}
+		return cmp.Or(cmp.Compare(a.Key.Class, b.Key.Class), cmp.Compare(a.Key.Organisation, b.Key.Organisation))
+	})
+}
+
+// Rate returns how many times as fast as evenly the budget was spent, weighted
+// by worth. It is zero without requests.
+func (c BurnCount) Rate(objective float64) float64 {
+	if c.Worth == 0 || objective >= 1 && c.BadWorth == 0 {
+		return 0
+	}
+	const smallestBudget = 1e-6 // an objective of 100% leaves none
+	return c.BadWorth / c.Worth / max(1-objective, smallestBudget)
+}
+
+// Attained returns the share of worth that was answered whole and in time.
+func (c BurnCount) Attained() float64 {
+	if c.Worth == 0 {
+		return 1
+	}
+	return 1 - c.BadWorth/c.Worth
+}
+
+// Window returns the row's count of a window.
+func (r BurnRow) Window(d time.Duration) BurnCount {
+	for i, w := range BurnWindows() {
+		if w == d && i < len(r.Windows) {
+			return r.Windows[i]
+		}
+	}
+	return BurnCount{}
+}
+
+// Alarms returns the names of the pairs that are both above their rate.
+func (r BurnRow) Alarms() []string {
+	var names []string
+	for _, p := range BurnPairs() {
+		if r.Window(p.Short).Rate(r.Objective) >= p.Rate && r.Window(p.Long).Rate(r.Objective) >= p.Rate {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// Spent returns the share of the error budget of 30 days that the longest
+// window spent.
+func (r BurnRow) Spent() float64 {
+	windows := BurnWindows()
+	longest := windows[len(windows)-1]
+	return r.Window(longest).Rate(r.Objective) * float64(longest) / float64(burnPeriod)
+}
+
+// CountsAgainst returns whether a failure of this cause spends the error
+// budget. A request that no router could have answered does not.
+func CountsAgainst(c Cause) bool {
+	switch c {
+	case CauseBadRequest, CauseBadKey, CauseUnknownModel, CauseUnknownRoute, CauseTooLarge, CauseOrgLimit,
+		CauseKeyMissing, CauseKeyReused, CauseKeyExpired, CauseKeyBusy, CauseCallerGone:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/burnring.go
@@ -0,0 +1,69 @@
+package peridotusher
+
+import "time"
+
+// The buckets of a series.
+const (
+	burnMinute  = time.Minute
+	burnMinutes = 61
+	burnSpan    = 5 * time.Minute
+	burnSpans   = 73
+)
+
+// burnRing holds the counts of the last buckets of equal width.
+type burnRing struct {
+	width   time.Duration
+	buckets []BurnCount
+	newest  int64 // number of the newest bucket since the epoch
+}
+
+func newBurnRing(width time.Duration, n int) burnRing {
+	return burnRing{width: width, buckets: make([]BurnCount, n)}
+}
+
+// number returns the bucket that a time falls into.
+func (r *burnRing) number(at time.Time) int64 {
+	return at.UnixNano() / int64(r.width)
+}
+
+// add counts into the bucket of now.
+func (r *burnRing) add(now time.Time, c BurnCount) {
+	r.advance(now)
+	b := &r.buckets[r.index(r.newest)]
+	*b = b.Add(c)
+}
+
+// advance clears the buckets between the newest one and the one of now.
+func (r *burnRing) advance(now time.Time) {
+	to := r.number(now)
+	from := max(r.newest+1, to-int64(len(r.buckets))+1)
+	for n := from; n <= to; n++ {
+		r.buckets[r.index(n)] = BurnCount{}
+	}
+	r.newest = max(r.newest, to)
+}
+
+func (r *burnRing) index(n int64) int {
+	return int(n % int64(len(r.buckets)))
+}
+
+// sum adds up the buckets of the window that ends now, the running one included.
+func (r *burnRing) sum(now time.Time, window time.Duration) BurnCount {
+	r.advance(now)
+	var sum BurnCount
+	n := min(int64(window/r.width), int64(len(r.buckets)-1))
+	for i := r.newest - n; i <= r.newest; i++ {
+		sum = sum.Add(r.buckets[r.index(i)])
+	}
+	return sum
+}
+
+// history returns the buckets, oldest first.
+func (r *burnRing) history(now time.Time) []BurnCount {
+	r.advance(now)
+	all := make([]BurnCount, 0, len(r.buckets))
+	for i := r.newest - int64(len(r.buckets)) + 1; i <= r.newest; i++ {
+		all = append(all, r.buckets[r.index(i)])
+	}
+	return all
+}
