Operators' address: status, explain, drain, burn report and metrics by organisation

Every route but /metrics needs the operators' key. A client asks one router for the others (peer message 64 gives their addresses) and adds up their answers; routers without an answer are named with what is missing.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -22,6 +22,7 @@
 	firstToken time.Duration
 	begun      bool // bytes have gone to the caller
 	whole      wholeAnswer
+	usage      tokenUsage
 }
 
 // answerChat runs the call and copies its events to the caller. It returns
@@ -51,6 +52,7 @@
 	if a.firstToken == 0 {
 		a.firstToken = a.clock.Now().Sub(a.started)
 	}
+	a.usage.read(e.Data)
 	if !a.streamed {
 		return a.whole.add(e.Data)
 	}
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -75,6 +75,8 @@
 		Whole:        err == nil,
 		FirstToken:   answer.firstToken,
 		Duration:     took,
+		PromptTokens: answer.usage.Prompt,
+		CachedTokens: answer.usage.Details.Cached,
 	}
 	var f *peridotusher.Failure
 	if err != nil {
--- a/caller/chatbody.go
+++ b/caller/chatbody.go
@@ -51,7 +51,7 @@
 	if name == "" {
 		name = openingHash(b.Messages)
 	}
-	return peridotusher.ChatKey(org + "/" + name)
+	return peridotusher.ChatKeyOf(org, name)
 }
 
 // openingHash hashes the messages up to the first that the user wrote.
--- a/caller/server.go
+++ b/caller/server.go
@@ -81,6 +81,8 @@
 	InTime       bool
 	FirstToken   time.Duration
 	Duration     time.Duration
+	PromptTokens int // as the engine counted them, zero when it did not
+	CachedTokens int // of those, the ones found in its cache
 }
 
 // Limits bounds what a caller may send.
--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -5,8 +5,14 @@
 //	peridotusher demo
 //	peridotusher serve --settings router.ini
 //	peridotusher check FILE
+//	peridotusher status
+//	peridotusher explain --org ORGANISATION --model MODEL --chat CHAT
+//	peridotusher drain ROUTER or ENGINE
+//	peridotusher report --html FILE
+//	source <(peridotusher completion bash)
 //
-// Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments.
+// Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments,
+// 3 the answer shows a problem, 4 no such name.
 package main
 
 import (
@@ -24,6 +30,8 @@
 const (
 	exitFailure = 1
 	exitInvalid = 2
+	exitProblem = 3
+	exitUnknown = 4
 )
 
 func main() {
@@ -46,6 +54,10 @@
 			demoCommand(),
 			serveCommand(),
 			checkCommand(),
+			statusCommand(),
+			explainCommand(),
+			drainCommand(),
+			reportCommand(),
 		},
 	}
 	err := root.Run(ctx, args)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -23,6 +23,11 @@
 	Out  io.Writer
 	Log  logrus.FieldLogger
 	Seed uint64
+	// Stay keeps the fleet running after the traffic until ctx ends.
+	Stay bool
+	// Settings is a folder for the settings of one more router, to be started
+	// as a process of its own. Empty writes none.
+	Settings string
 }
 
 // Run starts everything, sends the traffic, prints the table and returns an
@@ -45,13 +50,20 @@
 	group.Go(func() error {
 		defer cancel()
 		sum = t.run(ctx, func() error { return d.plannedStops(ctx, f) })
-		return nil
+		if !d.Stay || ctx.Err() != nil {
+			return nil
+		}
+		sum.count(f)
+		sum.print(d.Out)
+		return d.stay(ctx, f)
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
-	sum.count(f)
-	sum.print(d.Out)
+	if !d.Stay {
+		sum.count(f)
+		sum.print(d.Out)
+	}
 	return sum.verdict()
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -14,6 +14,7 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
 	"peridotusher.example/peridotusher/callers"
+	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/entry"
 	"peridotusher.example/peridotusher/examples"
 	"peridotusher.example/peridotusher/hosts"
@@ -35,6 +36,7 @@
 	settleTime      = 500 * time.Millisecond
 	drainTime       = 10 * time.Second
 	idleBeforeStop  = 2 * time.Second
+	storePrefix     = "peridotusher/"
 	readyInterval   = 50 * time.Millisecond
 )
 
@@ -145,7 +147,11 @@
 
 // list adds a host to the platform's list.
 func (f *fleet) list(name string, kind hosts.Kind, zone string, listener net.Listener) error {
-	host, err := hosts.NewHost(listener.Addr().String(), map[string]string{
+	return f.listAddress(name, kind, zone, listener.Addr().String())
+}
+
+func (f *fleet) listAddress(name string, kind hosts.Kind, zone, address string) error {
+	host, err := hosts.NewHost(address, map[string]string{
 		"name": name, "kind": string(kind), "zone": zone, "state": string(hosts.StateLive),
 	})
 	if err != nil {
@@ -167,7 +173,7 @@
 		replicas = append(replicas, s.Listener.Addr().String()+"@"+s.Zone)
 	}
 	text := examples.WithReplicas(examples.Kalimera, strings.Join(replicas, ", "))
-	_, err = client.CompareAndSwap(ctx, "config/document", 0, text, store.NoLease)
+	_, err = client.CompareAndSwap(ctx, storePrefix+"config/document", 0, text, store.NoLease)
 	return err
 }
 
@@ -191,6 +197,8 @@
 		Caller:        listeners[0],
 		Operator:      listeners[1],
 		Peer:          listeners[2],
+		OperatorKey:   document.HashKey(operatorKey),
+		Prefix:        storePrefix,
 		Store:         client,
 		HostsURL:      f.hostsURL,
 		HostsInterval: listInterval,
--- a/entry/host.go
+++ b/entry/host.go
@@ -29,6 +29,7 @@
 	Operator      net.Listener
 	Peer          net.Listener
 	Address       string // where peers reach this router, the Peer listener's address if empty
+	OperatorKey   string // hash of the operators' key, see document.HashKey
 	Prefix        string // prefix of the store's keys
 	Store         Store
 	HostsURL      string // the platform's list of hosts
@@ -52,10 +53,15 @@
 	models  *engine.Client
 	plain   *service.Client
 	metrics *operator.Metrics
+	burn    *peridotusher.Burn
+	started time.Time
+	stop    context.CancelFunc
 }
 
 // Run serves until ctx ends and the requests in flight have been answered.
 func (h *Host) Run(ctx context.Context) error {
+	ctx, h.stop = context.WithCancel(ctx)
+	defer h.stop()
 	closeClients, err := h.build()
 	if err != nil {
 		return err
@@ -104,7 +110,7 @@
 		Limits:   h.Limits,
 		Settle:   h.Settle,
 		Drain:    h.Drain,
-		Record:   h.metrics.Record,
+		Record:   h.record,
 	}
 	h.Log.WithFields(logrus.Fields{"router": h.Name, "zone": h.Zone, "callers": h.Caller.Addr()}).Info("router started")
 	err := server.Run(serving)
@@ -128,7 +134,7 @@
 	h.members = peridotusher.NewMembers(self, h.Clock)
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
-	h.metrics = operator.NewMetrics()
+	h.buildOperator()
 	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
 	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
@@ -143,6 +149,7 @@
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
+	h.node.ServeOperator(h.operatorAddress())
 	h.ingress = &peridotusher.Ingress{
 		Self:      self.ID(),
 		Ownership: h.members,
@@ -175,10 +182,6 @@
 	}, nil
 }
 
-func (h *Host) operatorServer() *operator.Server {
-	return &operator.Server{Listener: h.Operator, Metrics: h.metrics}
-}
-
 // loadSink takes the loads that other owners report.
 type loadSink struct{ host *Host }
 
--- a/entry/new.go
+++ b/entry/new.go
@@ -22,6 +22,7 @@
 		Name:          cfg.Router().Name(),
 		Zone:          cfg.Router().Zone(),
 		Address:       cfg.Peer().Advertise(),
+		OperatorKey:   cfg.Operator().KeyHash(),
 		Prefix:        cfg.Store().Prefix() + "/",
 		Store:         client,
 		HostsURL:      cfg.Hosts().URL(),
--- /dev/null
+++ b/entry/operate.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/operator"
+	"peridotusher.example/peridotusher/peer"
+	"peridotusher.example/peridotusher/store"
+)
+
+// operatorServer returns the server for operators.
+func (h *Host) operatorServer() *operator.Server {
+	return &operator.Server{
+		Listener: h.Operator,
+		Address:  h.operatorAddress(),
+		Metrics:  h.metrics,
+		KeyHash:  h.OperatorKey,
+		Self:     peridotusher.RouterID(h.Name),
+		Zone:     peridotusher.Zone(h.Zone),
+		Started:  h.started,
+		Members:  h.members,
+		Engines:  h.engines,
+		Ledger:   h.ledger,
+		Placer:   h.ingress.Placer,
+		Burn:     h.burn,
+		Peers:    h.node,
+		Document: h.Document,
+		Stop:     h.stop,
+	}
+}
+
+// operatorAddress returns where operators reach this router: the listener's
+// port, at the address for peers if the listener takes every address.
+func (h *Host) operatorAddress() string {
+	listen := h.Operator.Addr().String()
+	host, port, err := net.SplitHostPort(listen)
+	if err != nil || !net.ParseIP(host).IsUnspecified() {
+		return listen
+	}
+	peerHost, _, err := net.SplitHostPort(h.Address)
+	if err != nil {
+		return listen
+	}
+	return net.JoinHostPort(peerHost, port)
+}
+
+// buildOperator fills the tables that operators read.
+func (h *Host) buildOperator() {
+	h.started = h.Clock.Now()
+	h.burn = peridotusher.NewBurn(h.Clock, peridotusher.MaxBurnSeries)
+	h.metrics = operator.NewMetrics(h.Clock)
+	h.metrics.Add(h.writeFigures)
+}
+
+// record counts one finished request in the metrics and in the service level.
+func (h *Host) record(out caller.Outcome) {
+	h.metrics.Record(out)
+	doc := h.Document()
+	if doc == nil || out.Cause != "" && !peridotusher.CountsAgainst(out.Cause) {
+		return
+	}
+	org, ok := doc.Organisation(out.Organisation)
+	if !ok {
+		return
+	}
+	o := peridotusher.Outcome{Organisation: out.Organisation, Class: out.Class, Worth: org.Worth(), Good: out.Whole && out.InTime, Objective: serviceObjective}
+	if class, ok := doc.Class(out.Class); ok {
+		o.Objective = class.Objective()
+		h.burn.SetObjective(class.Name(), class.Objective())
+	} else {
+		o.Class = servicePrefix + out.Service
+		h.burn.SetObjective(o.Class, serviceObjective)
+	}
+	if org.Objective() > 0 {
+		o.Objective = org.Objective()
+	}
+	h.burn.Record(o)
+}
+
+const (
+	// serviceObjective is the share of calls to plain services that are due whole and in time.
+	serviceObjective = 0.999
+	servicePrefix    = "service "
+)
+
+// writeFigures writes the figures that are kept elsewhere.
+func (h *Host) writeFigures(w *operator.Writer) {
+	if doc := h.Document(); doc != nil {
+		w.Gauge("peridotusher_configuration_revision", float64(doc.Revision()))
+	}
+	h.writeMembers(w)
+	h.writeLoads(w)
+	counts := h.node.Counts()
+	writeKinds(w, "sent", counts.Sent)
+	writeKinds(w, "received", counts.Received)
+	if s, ok := h.Store.(interface{ Calls() store.Calls }); ok {
+		writeStoreCalls(w, s.Calls())
+	}
+}
+
+func (h *Host) writeMembers(w *operator.Writer) {
+	byState := map[peridotusher.MemberState]int{}
+	for _, m := range h.members.All() {
+		byState[m.State()]++
+	}
+	for _, state := range []peridotusher.MemberState{peridotusher.MemberProposed, peridotusher.MemberLive, peridotusher.MemberSuspect, peridotusher.MemberLeaving} {
+		w.Gauge(fmt.Sprintf(`peridotusher_members{state=%q}`, state), float64(byState[state]))
+	}
+}
+
+// writeLoads writes the permits of the owned engines and the skew over all.
+func (h *Host) writeLoads(w *operator.Writer) {
+	permits, work := 0, 0
+	for _, l := range h.ledger.Loads() {
+		permits += l.Permits
+		work += l.Work
+	}
+	w.Gauge("peridotusher_owned_permits", float64(permits))
+	w.Gauge("peridotusher_owned_work_units", float64(work))
+	most, sum, n := 0, 0, 0
+	byState := map[peridotusher.EngineState]int{}
+	for _, e := range h.engines.All() {
+		byState[e.State()]++
+		if e.State() != peridotusher.EngineLive {
+			continue
+		}
+		load := h.ledger.Work(e.ID())
+		most = max(most, load)
+		sum += load
+		n++
+	}
+	for _, state := range []peridotusher.EngineState{peridotusher.EngineLive, peridotusher.EngineLeaving, peridotusher.EngineEjected} {
+		w.Gauge(fmt.Sprintf(`peridotusher_engines{state=%q}`, state), float64(byState[state]))
+	}
+	if sum > 0 {
+		w.Gauge("peridotusher_load_skew", float64(most)*float64(n)/float64(sum))
+	}
+}
+
+func writeKinds(w *operator.Writer, direction string, kinds map[peer.Kind]peer.KindCount) {
+	for kind, c := range kinds {
+		labels := fmt.Sprintf(`{direction=%q,kind="%d"}`, direction, kind)
+		w.Counter("peridotusher_peer_messages_total"+labels, c.Messages)
+		w.Counter("peridotusher_peer_message_bytes_total"+labels, c.Bytes)
+	}
+}
+
+func writeStoreCalls(w *operator.Writer, c store.Calls) {
+	for _, call := range []struct {
+		kind string
+		n    int64
+	}{{"get", c.Get}, {"list", c.List}, {"swap", c.Swap}, {"delete", c.Delete}, {"lease", c.Lease}, {"watch", c.Watch}} {
+		w.Counter(fmt.Sprintf(`peridotusher_store_calls_total{kind=%q}`, call.kind), uint64(call.n))
+	}
+}
--- a/id.go
+++ b/id.go
@@ -17,3 +17,9 @@
 
 // PermitID names one permit to send one request to one engine.
 type PermitID string
+
+// ChatKeyOf returns the key of an organisation's chat. Chats of different
+// organisations never share one.
+func ChatKeyOf(organisation, name string) ChatKey {
+	return ChatKey(organisation + "/" + name)
+}
--- /dev/null
+++ b/operator/explain.go
@@ -0,0 +1,138 @@
+package operator
+
+import (
+	"net/http"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/document"
+)
+
+// explainBody says where a chat goes and why.
+type explainBody struct {
+	Router       string         `json:"router"`
+	Organisation string         `json:"organisation"`
+	Model        string         `json:"model"`
+	Class        string         `json:"class"`
+	Chat         string         `json:"chat"`
+	Version      string         `json:"version"`
+	Rule         string         `json:"rule"` // the rule that decides, empty for none
+	Revision     uint64         `json:"revision"`
+	Ranking      []rankedBody   `json:"ranking"`
+	Excluded     []excludedBody `json:"excluded,omitempty"`
+	Refusal      string         `json:"refusal,omitempty"` // why there is no ranking
+}
+
+// rankedBody is one engine of the ranking, best first.
+type rankedBody struct {
+	engineBody
+	Room bool `json:"room"` // the bound allows one more request
+}
+
+// excludedBody is an engine that may not serve the chat.
+type excludedBody struct {
+	Engine string `json:"engine"`
+	Reason string `json:"reason"`
+}
+
+func (s *Server) handleExplain(w http.ResponseWriter, r *http.Request) {
+	doc := s.Document()
+	if doc == nil {
+		writeError(w, http.StatusServiceUnavailable, "this router has no configuration yet")
+		return
+	}
+	query := r.URL.Query()
+	org, ok := doc.Organisation(query.Get("org"))
+	if !ok {
+		writeError(w, http.StatusNotFound, "no organisation "+query.Get("org"))
+		return
+	}
+	model, ok := doc.Model(query.Get("model"))
+	if !ok {
+		writeError(w, http.StatusNotFound, "no model "+query.Get("model"))
+		return
+	}
+	className := query.Get("class")
+	if className == "" {
+		className = org.DefaultClass()
+	}
+	class, ok := doc.Class(className)
+	if !ok {
+		writeError(w, http.StatusNotFound, "no class "+className)
+		return
+	}
+	writeJSON(w, http.StatusOK, s.explain(doc, org, model, class, query.Get("chat")))
+}
+
+func (s *Server) explain(doc *document.Document, org *document.Organisation, model *document.Model, class *document.Class, chat string) explainBody {
+	key := peridotusher.ChatKeyOf(org.Name(), chat)
+	req := peridotusher.Request{
+		Chat:         key,
+		Organisation: org.Name(),
+		Model:        model.Name(),
+		Version:      s.Placer.Version(model, key),
+		Class:        class.Name(),
+		Work:         class.Work(),
+	}
+	body := explainBody{
+		Router:       string(s.Self),
+		Organisation: org.Name(),
+		Model:        model.Name(),
+		Class:        class.Name(),
+		Chat:         chat,
+		Version:      req.Version,
+		Rule:         ruleFor(doc, req),
+		Revision:     doc.Revision(),
+	}
+	ranking, err := s.Placer.Ranking(doc, req)
+	if err != nil {
+		body.Refusal = err.Error()
+	}
+	ranked := map[peridotusher.EngineID]bool{}
+	for _, e := range ranking {
+		ranked[e.ID()] = true
+		wire := s.engine(e)
+		body.Ranking = append(body.Ranking, rankedBody{engineBody: wire, Room: wire.Work < wire.Limit})
+	}
+	for _, e := range s.Engines.All() {
+		if !ranked[e.ID()] {
+			body.Excluded = append(body.Excluded, excludedBody{Engine: string(e.ID()), Reason: exclusion(doc, req, e)})
+		}
+	}
+	return body
+}
+
+// ruleFor returns the name of the first rule that matches the request.
+func ruleFor(doc *document.Document, req peridotusher.Request) string {
+	for _, r := range doc.Rules() {
+		if r.Matches(req.Organisation, req.Model) {
+			return r.Name()
+		}
+	}
+	return ""
+}
+
+// exclusion says why an engine is not in the ranking.
+func exclusion(doc *document.Document, req peridotusher.Request, e peridotusher.Engine) string {
+	if e.State() != peridotusher.EngineLive {
+		return "is " + e.State().String()
+	}
+	for _, r := range doc.Rules() {
+		if !r.Matches(req.Organisation, req.Model) {
+			continue
+		}
+		if !r.Allows(string(e.ID()), string(e.Zone())) {
+			return "rule " + r.Name() + " does not allow it"
+		}
+		break
+	}
+	if _, reported := e.Report(); !reported {
+		return "has not reported its load"
+	}
+	if !e.Serves(req.Model, "") {
+		return "does not serve the model"
+	}
+	if !e.Serves(req.Model, req.Version) {
+		return "does not serve version " + req.Version
+	}
+	return "has no share of the traffic"
+}
--- /dev/null
+++ b/operator/routers.go
@@ -0,0 +1,66 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+)
+
+// addressWorkers is the number of routers asked for their addresses at once.
+const addressWorkers = 32
+
+// routersBody lists every router that this one knows.
+type routersBody struct {
+	Routers []routerBody `json:"routers"`
+}
+
+type routerBody struct {
+	Router  string `json:"router"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"`
+	Address string `json:"address,omitempty"` // for operators, empty when it did not say
+}
+
+func (s *Server) handleRouters(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, routersBody{Routers: s.routers(r.Context())})
+}
+
+// routers asks every member for its address.
+func (s *Server) routers(ctx context.Context) []routerBody {
+	members := s.Members.All()
+	list := make([]routerBody, len(members))
+	var group errgroup.Group
+	group.SetLimit(addressWorkers)
+	for i, m := range members {
+		group.Go(func() error {
+			list[i] = routerBody{Router: string(m.ID()), Zone: string(m.Zone()), State: m.State().String(), Address: s.addressOf(ctx, m)}
+			return nil
+		})
+	}
+	// The workers report no errors.
+	_ = group.Wait()
+	return list
+}
+
+func (s *Server) addressOf(ctx context.Context, m peridotusher.Member) string {
+	if m.ID() == s.Self {
+		return s.address()
+	}
+	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
+	defer cancel()
+	address, err := s.Peers.OperatorOf(ctx, m.ID())
+	if err != nil {
+		return ""
+	}
+	return address
+}
+
+func (s *Server) address() string {
+	if s.Address == "" {
+		return s.Listener.Addr().String()
+	}
+	return s.Address
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -2,28 +2,56 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/peer"
+)
+
+const (
+	// headerTimeout bounds the wait for an operator's request header.
+	headerTimeout = 5 * time.Second
+	// addressTimeout bounds the wait for another router's address.
+	addressTimeout = time.Second
 )
 
-// headerTimeout bounds the wait for an operator's request header.
-const headerTimeout = 5 * time.Second
+// Peers is what the server asks of the connections to other routers.
+type Peers interface {
+	Peers() map[peridotusher.RouterID]peer.View
+	OperatorOf(ctx context.Context, to peridotusher.RouterID) (string, error)
+}
 
 // Server serves operators.
 type Server struct {
 	Listener net.Listener
+	Address  string // where operators reach this router, the Listener's address if empty
 	Metrics  *Metrics
+	KeyHash  string // as document.HashKey gives it; empty refuses every key
+	Self     peridotusher.RouterID
+	Zone     peridotusher.Zone
+	Started  time.Time
+	Members  *peridotusher.Members
+	Engines  *peridotusher.Engines
+	Ledger   *peridotusher.Ledger
+	Placer   *peridotusher.Placer
+	Burn     *peridotusher.Burn
+	Peers    Peers
+	Document func() *document.Document
+	InFlight func() int
+	Stop     func() // begins the graceful shutdown
 }
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", s.handleMetrics)
-	httpServer := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	httpServer := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
 	var group errgroup.Group
 	group.Go(func() error {
 		err := httpServer.Serve(s.Listener)
@@ -39,6 +67,58 @@
 	return group.Wait()
 }
 
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", s.handleMetrics)
+	mux.HandleFunc("GET /v1/routers", s.authenticated(s.handleRouters))
+	mux.HandleFunc("GET /v1/status", s.authenticated(s.handleStatus))
+	mux.HandleFunc("GET /v1/burn", s.authenticated(s.handleBurn))
+	mux.HandleFunc("GET /v1/explain", s.authenticated(s.handleExplain))
+	mux.HandleFunc("POST /v1/drain", s.authenticated(s.handleDrain))
+	mux.HandleFunc("POST /v1/engines/{engine}/drain", s.authenticated(s.handleDrainEngine))
+	mux.HandleFunc("GET /report", s.authenticated(s.handleReport))
+	return mux
+}
+
+// authenticated refuses requests without the operators' key.
+func (s *Server) authenticated(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		key := operatorKey(r)
+		if key == "" || s.KeyHash == "" || document.HashKey(key) != s.KeyHash {
+			w.Header().Set("WWW-Authenticate", `Basic realm="operators"`)
+			writeError(w, http.StatusUnauthorized, "send the operators' key as Authorization: Bearer KEY, or as the password")
+			return
+		}
+		next(w, r)
+	}
+}
+
+// operatorKey returns the key of a request, which browsers send as a password.
+func operatorKey(r *http.Request) string {
+	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
+		return key
+	}
+	_, password, _ := r.BasicAuth()
+	return password
+}
+
 func (s *Server) handleMetrics(w http.ResponseWriter, _ *http.Request) {
-	s.Metrics.set.WritePrometheus(w)
+	s.Metrics.write(w)
+}
+
+// errorBody is the answer to a failed request.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func writeError(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, errorBody{Error: message})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The operator may be gone; there is nobody to tell.
+	_ = json.NewEncoder(w).Encode(body)
 }
