--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -83,6 +83,7 @@
 func (m *Metrics) write(w io.Writer) {
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
+	metrics.WriteFDMetrics(w)
 }
 
 const (
