--- a/operator/doc.go
+++ b/operator/doc.go
@@ -17,6 +17,7 @@
 //	POST /v1/drain                   stop this router gracefully
 //	POST /v1/engines/{engine}/drain  give an engine no new work
 //	GET  /report                     the fleet's report as one page
+//	GET  /debug/pprof/               profiles of the process
 //
 // All but /metrics need the operators' key as Authorization: Bearer KEY. A
 // Client asks one router for the others and gathers their answers.
--- a/operator/server.go
+++ b/operator/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -78,6 +79,8 @@
 	mux.HandleFunc("POST /v1/drain", s.authenticated(s.handleDrain))
 	mux.HandleFunc("POST /v1/engines/{engine}/drain", s.authenticated(s.handleDrainEngine))
 	mux.HandleFunc("GET /report", s.authenticated(s.handleReport))
+	mux.HandleFunc("GET /debug/pprof/", s.authenticated(pprof.Index))
+	mux.HandleFunc("GET /debug/pprof/profile", s.authenticated(pprof.Profile))
 	return mux
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,7 @@
 	model   = "stylist"
 	shopKey = "kalimera-shop-athina-example-key"
 	slots   = 128
+	engines = 10
 )
 
 var binary string
@@ -61,7 +62,7 @@
 }
 
 // start runs one zone with engines that take many streams at once.
-func start(t *testing.T, routers, engines int, token time.Duration) *testbed.Bed {
+func start(t *testing.T, routers, count int, token time.Duration) *testbed.Bed {
 	t.Helper()
 	text := bytes.Replace(examples.Kalimera, []byte("slots = 8"), []byte(fmt.Sprintf("slots = %d", slots)), 1)
 	text = bytes.Replace(text, []byte("deadline = 30s"), []byte("deadline = 120s"), 1)
@@ -70,7 +71,7 @@
 		Dir:            t.TempDir(),
 		Zones:          []string{"a"},
 		RoutersPerZone: routers,
-		EnginesPerZone: engines,
+		EnginesPerZone: count,
 		Document:       text,
 		Engine: func(e *standin.Engine) {
 			e.Slots = slots
@@ -100,7 +101,7 @@
 	if !*long {
 		t.Skip("runs with -long")
 	}
-	bed := start(t, 1, 10, tokenTime)
+	bed := start(t, 1, engines, tokenTime)
 	router := bed.Routers[0]
 	// The first streams fill caches and pools.
 	run(t, &Streams{URL: func(int) string { return router.URL + "/v1/chat/completions" }, Key: shopKey, Model: model, Count: 50, Tokens: 20})
