--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -10,9 +10,10 @@
 //	peridotusher drain ROUTER or ENGINE
 //	peridotusher report --html FILE
 //	source <(peridotusher completion bash)
+//	peridotusher config --store ADDRESS get
 //
 // Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments,
-// 3 the answer shows a problem, 4 no such name.
+// 3 conflict of edits, 4 the answer shows a problem, 5 no such name.
 package main
 
 import (
@@ -30,8 +31,12 @@
 const (
 	exitFailure = 1
 	exitInvalid = 2
-	exitProblem = 3
-	exitUnknown = 4
+	// exitConflict means that an edited section has changed meanwhile.
+	exitConflict = 3
+	// exitProblem means that the routers answered and something is wrong.
+	exitProblem = 4
+	// exitUnknown means that no router knows the name.
+	exitUnknown = 5
 )
 
 func main() {
@@ -58,6 +63,7 @@
 			explainCommand(),
 			drainCommand(),
 			reportCommand(),
+			configCommand(),
 		},
 	}
 	err := root.Run(ctx, args)
--- a/cmd/peridotusher/operate.go
+++ b/cmd/peridotusher/operate.go
@@ -14,11 +14,8 @@
 	"peridotusher.example/peridotusher/operator"
 )
 
-// keyVariable is the environment variable with the operators' key.
-const keyVariable = "PERIDOTUSHER_KEY"
-
 // exitCodes ends the help of every operators' command.
-const exitCodes = "\nExit codes: 0 all is well, 1 no router answered, 2 wrong arguments, 3 the answer shows a problem, 4 no such name."
+const exitCodes = "\nExit codes: 0 all is well, 1 no router answered, 2 wrong arguments, 4 the answer shows a problem, 5 no such name."
 
 // routerFlags are the flags of every command that asks routers.
 func routerFlags(more ...cli.Flag) []cli.Flag {
--- a/demo/stay.go
+++ b/demo/stay.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// operatorKey is the key of the demo's operators.
-	operatorKey = "demo-operator-key"
 	// streamSecret signs the event ids of the demo's streams.
 	streamSecret = "demo-secret-of-at-least-thirty-two-characters"
 	// extraRouter is the router that may be started as a process of its own.
--- a/entry/host.go
+++ b/entry/host.go
@@ -13,7 +13,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
-	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/engine"
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
@@ -32,7 +32,9 @@
 	OperatorKey   string // hash of the operators' key, see document.HashKey
 	Prefix        string // prefix of the store's keys
 	Store         Store
-	HostsURL      string // the platform's list of hosts
+	Leases        Leases  // nil gives no orders
+	Weights       Weights // nil gives no orders
+	HostsURL      string  // the platform's list of hosts
 	HostsInterval time.Duration
 	Limits        caller.Limits
 	Settle        time.Duration // time for the balancer to notice a stop
@@ -41,7 +43,7 @@
 	Log           logrus.FieldLogger
 	Seed          uint64
 
-	current atomic.Pointer[document.Document]
+	source  *config.Source
 	built   atomic.Bool
 	polled  atomic.Bool // engines were listed and asked for their loads
 	members *peridotusher.Members
@@ -56,6 +58,7 @@
 	burn    *peridotusher.Burn
 	started time.Time
 	stop    context.CancelFunc
+	health  *healthBook
 }
 
 // Run serves until ctx ends and the requests in flight have been answered.
@@ -72,9 +75,12 @@
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
-	group.Go(func() error { return h.watchDocument(background) })
+	group.Go(func() error { return h.source.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
+	group.Go(func() error { return h.runOrders(background) })
+	group.Go(func() error { return h.reportHealth(background) })
+	group.Go(func() error { return h.watchReports(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
@@ -87,9 +93,6 @@
 	return err
 }
 
-// Document returns the configuration in force, nil before the first.
-func (h *Host) Document() *document.Document { return h.current.Load() }
-
 // serveCallers serves until ctx ends or a part of the host fails.
 func (h *Host) serveCallers(ctx, background context.Context) error {
 	serving, stopServing := context.WithCancel(ctx)
@@ -135,6 +138,7 @@
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
 	h.buildOperator()
+	h.health = newHealthBook(h.Clock)
 	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
 	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
@@ -144,12 +148,13 @@
 		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
-		Revision: revisionSource{host: h},
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
 	h.node.ServeOperator(h.operatorAddress())
+	h.buildSource()
+	h.node.HandleHealth(healthHandler{host: h})
 	h.ingress = &peridotusher.Ingress{
 		Self:      self.ID(),
 		Ownership: h.members,
@@ -189,15 +194,3 @@
 func (s loadSink) SetLoads(_ peridotusher.RouterID, loads []peridotusher.EngineLoad) {
 	s.host.ledger.SetRemote(s.host.Clock.Now(), loads)
 }
-
-// revisionSource tells the revision of the configuration in force.
-type revisionSource struct{ host *Host }
-
-// Revision implements peer.RevisionSource.
-func (s revisionSource) Revision() uint64 {
-	doc := s.host.Document()
-	if doc == nil {
-		return 0
-	}
-	return doc.Revision()
-}
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/examples"
 	"peridotusher.example/peridotusher/faultproxy"
 	"peridotusher.example/peridotusher/hosts"
@@ -21,8 +22,8 @@
 const (
 	startTimeout  = 30 * time.Second
 	readyInterval = 50 * time.Millisecond
-	// documentKey is where routers find the configuration.
-	documentKey = "peridotusher/config/document"
+	// Prefix is the prefix of all keys in a bed's store.
+	Prefix = "peridotusher/"
 )
 
 // Bed is a running fleet with its surroundings.
@@ -118,6 +119,9 @@
 		return err
 	}
 	b.Weights = &standin.Weights{Listener: l, Clock: b.clock, PerSecond: 10, Burst: 10}
+	if b.opts.Weights != nil {
+		b.opts.Weights(b.Weights)
+	}
 	b.group.Go(func() error { return b.Weights.Run(b.ctx) })
 	for _, zone := range b.opts.Zones {
 		if l, err = listen(); err != nil {
@@ -229,21 +233,15 @@
 	return examples.WithReplicas(text, strings.Join(replicas, ", "))
 }
 
-// WriteDocument replaces the configuration in the store.
+// WriteDocument replaces the configuration in the store, as the platform's operators.
 func (b *Bed) WriteDocument(text []byte) error {
 	client, closeClient, err := b.StoreClient()
 	if err != nil {
 		return err
 	}
 	defer closeClient()
-	entry, err := client.Get(b.ctx, documentKey)
-	if err != nil {
-		return err
-	}
-	swap, err := client.CompareAndSwap(b.ctx, documentKey, entry.Revision(), text, store.NoLease)
-	if err == nil && !swap.Swapped() {
-		return errors.New("the configuration changed meanwhile")
-	}
+	editor := &config.Editor{Store: client, Prefix: Prefix, Clock: b.clock}
+	_, err = editor.Replace(b.ctx, OperatorKey, text, 0)
 	return err
 }
 
@@ -255,16 +253,9 @@
 		return err
 	}
 	defer closeClient()
-	for {
-		entry, err := client.Get(ctx, documentKey)
-		if err != nil {
-			return err
-		}
-		swap, err := client.CompareAndSwap(ctx, documentKey, entry.Revision(), edit(entry.Value()), store.NoLease)
-		if err != nil || swap.Swapped() {
-			return err
-		}
-	}
+	editor := &config.Editor{Store: client, Prefix: Prefix, Clock: b.clock}
+	_, err = editor.Rewrite(ctx, OperatorKey, edit)
+	return err
 }
 
 // StoreClient returns a client that reaches the store without a proxy.
