peridotusher plan and rollout: what would be ordered and why, and the way back

plan prints the next orders of a zone from a file or from the store and the engines themselves, and gives none. rollout start and back edit a model's versions as a team; the key previous remembers what back restores.

--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -6,6 +6,8 @@
 //	peridotusher serve --settings router.ini
 //	peridotusher check FILE
 //	peridotusher config --store ADDRESS get
+//	peridotusher plan --document FILE --state FILE
+//	peridotusher rollout --store ADDRESS back MODEL
 //
 // Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments,
 // 3 conflict of edits.
@@ -51,6 +53,8 @@
 			serveCommand(),
 			checkCommand(),
 			configCommand(),
+			planCommand(),
+			rolloutCommand(),
 		},
 	}
 	err := root.Run(ctx, args)
--- /dev/null
+++ b/cmd/peridotusher/rollout.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"peridotusher.example/peridotusher/config"
+	"peridotusher.example/peridotusher/document"
+)
+
+var (
+	versionsLine = regexp.MustCompile(`(?m)^[ \t]*versions[ \t]*=.*\n?`)
+	previousLine = regexp.MustCompile(`(?m)^[ \t]*previous[ \t]*=.*\n?`)
+)
+
+func rolloutCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "rollout",
+		Usage: "start a rollout of a model's versions, or take it back",
+		Description: "Without --team the key is that of the platform's operators.\n" +
+			"Exit codes: 0 success, 1 failure, 2 invalid document or arguments, 3 conflict.\n" +
+			"Example: peridotusher rollout --store 10.0.0.7:2379 start stylist v2:10,v1:90\n" +
+			"Example: peridotusher rollout --store 10.0.0.7:2379 back stylist",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "store", Usage: "`ADDRESS` of the key-value service, may be repeated", Required: true},
+			&cli.StringFlag{Name: "prefix", Usage: "`PREFIX` of the keys in the store", Value: "peridotusher"},
+			&cli.StringFlag{Name: "team", Usage: "`NAME` of the editing team"},
+			&cli.StringFlag{Name: "key", Usage: "`KEY` of the team", Sources: cli.EnvVars(keyVariable)},
+			&cli.DurationFlag{Name: "timeout", Usage: "longest `TIME` for the command", Value: time.Minute},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Commands: []*cli.Command{
+			{
+				Name:      "start",
+				Usage:     "serve other versions and remember the present ones",
+				ArgsUsage: "MODEL VERSION:SHARE,...",
+				Action: onStore(func(ctx context.Context, cmd *cli.Command, e *config.Editor) error {
+					if cmd.NArg() != 2 {
+						return cli.Exit("start takes a model and its versions", exitInvalid)
+					}
+					return editVersions(ctx, cmd, e, func(*document.Model) (string, error) { return cmd.Args().Get(1), nil })
+				}),
+			},
+			{
+				Name:      "back",
+				Usage:     "serve the versions from before the last rollout",
+				ArgsUsage: "MODEL",
+				Action: onStore(func(ctx context.Context, cmd *cli.Command, e *config.Editor) error {
+					if cmd.NArg() != 1 {
+						return cli.Exit("back takes a model", exitInvalid)
+					}
+					return editVersions(ctx, cmd, e, previousVersions)
+				}),
+			},
+		},
+	}
+}
+
+// previousVersions returns the versions that back restores.
+func previousVersions(m *document.Model) (string, error) {
+	if len(m.Previous()) == 0 {
+		return "", cli.Exit(fmt.Sprintf("model %s has no previous versions", m.Name()), exitInvalid)
+	}
+	return versionList(m.Previous()), nil
+}
+
+// editVersions replaces a model's versions and keeps the present ones as its
+// previous ones.
+func editVersions(ctx context.Context, cmd *cli.Command, e *config.Editor, next func(*document.Model) (string, error)) error {
+	snapshot, err := e.Load(ctx)
+	if err != nil {
+		return err
+	}
+	name := cmd.Args().First()
+	model, ok := snapshot.Document().Model(name)
+	if !ok {
+		return cli.Exit(fmt.Sprintf("there is no section [model %s]", name), exitInvalid)
+	}
+	versions, err := next(model)
+	if err != nil {
+		return err
+	}
+	header := "model " + name
+	text := withVersions(snapshot.Text(header), versions, versionList(model.Versions()))
+	edit := config.Edit{Header: header, Text: text, Base: snapshot.Version(header)}
+	return report(cmd)(e.Apply(ctx, credentials(cmd), []config.Edit{edit}))
+}
+
+// withVersions returns a model's section with other versions.
+func withVersions(section, versions, previous string) string {
+	section = previousLine.ReplaceAllString(section, "")
+	lines := "versions = " + versions + "\n"
+	if previous != "" {
+		lines += "previous = " + previous + "\n"
+	}
+	if !versionsLine.MatchString(section) {
+		return strings.TrimRight(section, "\n") + "\n" + lines
+	}
+	return versionsLine.ReplaceAllLiteralString(section, lines)
+}
+
+// versionList writes versions as the document does.
+func versionList(versions []document.Version) string {
+	var parts []string
+	for _, v := range versions {
+		parts = append(parts, fmt.Sprintf("%s:%d", v.Name(), v.Share()))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/document/fields_endpoint.go
+++ b/document/fields_endpoint.go
@@ -30,6 +30,11 @@
 		Text:  "Versions to serve with their shares of the traffic in per cent. Default: the version that an engine runs.",
 		Value: ini.Of(versions(), func(m *Model) *[]Version { return &m.versions }),
 	},
+	{
+		Name:  "previous",
+		Text:  "Versions before the last rollout, which rollout back restores. Default: none.",
+		Value: ini.Of(versions(), func(m *Model) *[]Version { return &m.previous }),
+	},
 	{
 		Name:  "adapters",
 		Text:  "Adapters to load. Default: none.",
--- a/document/types.go
+++ b/document/types.go
@@ -154,6 +154,7 @@
 	minReplicas int
 	fencing     Fencing
 	versions    []Version
+	previous    []Version
 	adapters    []string
 	role        string
 }
@@ -173,6 +174,9 @@
 // Versions returns the versions to serve, with their shares, empty for the version that an engine runs.
 func (m *Model) Versions() []Version { return m.versions }
 
+// Previous returns the versions before the last rollout, for the way back.
+func (m *Model) Previous() []Version { return m.previous }
+
 // Adapters returns the adapters to load.
 func (m *Model) Adapters() []string { return m.adapters }
 
--- a/plan_state.go
+++ b/plan_state.go
@@ -79,3 +79,19 @@
 	Health  map[ModelVersion]Health
 	Paused  map[ModelVersion]string // versions paused before, with the cause
 }
+
+// PlacedEngines returns the engines as the placement of requests sees them.
+func PlacedEngines(planned []PlannedEngine) []Engine {
+	var engines []Engine
+	for _, p := range planned {
+		if p.State != EngineLive || !p.Heard {
+			continue
+		}
+		e := NewEngine(p.ID, p.Zone, "")
+		for _, v := range p.Versions {
+			e.report.Versions = append(e.report.Versions, LoadedVersion{Model: v.Model, Version: v.Version, Ready: v.Ready})
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
