--- a/engine.go
+++ b/engine.go
@@ -37,6 +37,7 @@
 	Versions []LoadedVersion
 	Adapters []string
 	Role     string
+	Cached   int       // tokens in the prefix cache
 	Sampled  time.Time // when the engine took the sample, on the router's clock
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -75,6 +75,8 @@
 	group.Go(func() error { return h.runOrders(background) })
 	group.Go(func() error { return h.reportHealth(background) })
 	group.Go(func() error { return h.watchReports(background) })
+	group.Go(func() error { return h.careForEngines(background) })
+	group.Go(func() error { return h.warmEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -73,6 +73,7 @@
 		Work:     r.Work(),
 		Adapters: r.Adapters(),
 		Role:     r.Role(),
+		Cached:   r.CacheTokens(),
 		Sampled:  now.Add(-r.SampledAgo()),
 	}
 	for _, v := range r.Versions() {
--- a/operator/orders.go
+++ b/operator/orders.go
@@ -6,3 +6,8 @@
 func (m *Metrics) Order(event string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`peridotusher_orders_total{event=%q}`, event)).Inc()
 }
+
+// Copy counts a prefix copied from a leaving engine, or one that was not.
+func (m *Metrics) Copy(ok bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`peridotusher_prefix_copies_total{ok="%t"}`, ok)).Inc()
+}
--- /dev/null
+++ b/ordertest/leaving_test.go
@@ -0,0 +1,55 @@
+package ordertest
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"peridotusher.example/peridotusher/engine"
+	"peridotusher.example/peridotusher/standin"
+	"peridotusher.example/peridotusher/testbed"
+)
+
+// TestLeavingEngine tells an engine to leave under load. It gets no new work
+// after a while, its chats' prefixes go to the other engines, and no answer
+// is cut.
+func TestLeavingEngine(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, config{versions: "v1:100", policy: "copy = 0s\nprefill = 1ms\nexports = 200"}, testbed.Options{
+		Engine: func(e *standin.Engine) { e.EventLag = 50 * time.Millisecond },
+	})
+	traffic := startTraffic(f)
+	f.wait("cached prefixes on every engine", func() bool {
+		for _, e := range f.Engines {
+			if e.Stats().Completed < 20 {
+				return false
+			}
+		}
+		return true
+	})
+	leaving := f.Engines[0]
+	f.order(leaving, engine.Order{ID: "leave", Kind: engine.OrderLeave})
+	f.wait("imported prefixes", func() bool {
+		for _, e := range f.Engines[1:] {
+			if e.Stats().Imports > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	f.wait("the end of the work on the leaving engine", func() bool {
+		s := leaving.Stats()
+		return s.Running+s.Waiting == 0
+	})
+	traffic.stop()
+	traffic.check()
+}
+
+// order gives an engine an order that the routers did not give.
+func (f *fleet) order(e *testbed.Engine, o engine.Order) {
+	f.t.Helper()
+	result, err := f.client.Order(context.Background(), e.Listener.Addr().String(), o)
+	if err != nil || !result.Applied {
+		f.t.Fatalf("order %s at %s: %+v, %v", o.Kind, e.Name, result, err)
+	}
+}
--- a/standin/engine_cachewire.go
+++ b/standin/engine_cachewire.go
@@ -73,5 +73,6 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stats.Imports++
 	e.cache.store(blob.Chat, blob.Tokens, e.Clock.Now())
 }
--- a/standin/engine_chat.go
+++ b/standin/engine_chat.go
@@ -75,6 +75,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.refuse || e.faults.crashed || !e.orders.serves(run.model, version, e.Clock.Now()) {
+		e.stats.LastRefusal = e.Clock.Now()
 		return false
 	}
 	run.version = e.orders.version(run.model, version, e.Clock.Now())
