--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -5,12 +5,17 @@
 //	peridotusher demo
 //	peridotusher serve --settings router.ini
 //	peridotusher check FILE
+//	peridotusher status
+//	peridotusher explain --org ORGANISATION --model MODEL --chat CHAT
+//	peridotusher drain ROUTER or ENGINE
+//	peridotusher report --html FILE
+//	source <(peridotusher completion bash)
 //	peridotusher config --store ADDRESS get
 //	peridotusher plan --document FILE --state FILE
 //	peridotusher rollout --store ADDRESS back MODEL
 //
 // Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments,
-// 3 conflict of edits.
+// 3 conflict of edits, 4 the answer shows a problem, 5 no such name.
 package main
 
 import (
@@ -30,6 +35,10 @@
 	exitInvalid = 2
 	// exitConflict means that an edited section has changed meanwhile.
 	exitConflict = 3
+	// exitProblem means that the routers answered and something is wrong.
+	exitProblem = 4
+	// exitUnknown means that no router knows the name.
+	exitUnknown = 5
 )
 
 func main() {
@@ -52,6 +61,10 @@
 			demoCommand(),
 			serveCommand(),
 			checkCommand(),
+			statusCommand(),
+			explainCommand(),
+			drainCommand(),
+			reportCommand(),
 			configCommand(),
 			planCommand(),
 			rolloutCommand(),
