Claims: grouped bucket writes, outcomes, expiry and fencing numbers

One store key for each idempotency key cost two writes a call, kept no window and checked no deadline. Claims now live in buckets by time of issue (UUIDs of version 7) or by hash. The first live router in a bucket's rendezvous order writes it for all; the others send it their changes and write themselves when it is silent. Safety is the compare-and-swap's. Lost store answers are settled by reading the bucket back. Calls that did not run release their key, the rest records its outcome within the size limit. The claim's deadline is checked right before the first byte.

--- a/caller/failure.go
+++ b/caller/failure.go
@@ -69,7 +69,7 @@
 		return http.StatusTooManyRequests
 	case peridotusher.CauseKeyReused:
 		return http.StatusUnprocessableEntity
-	case peridotusher.CauseKeyBusy:
+	case peridotusher.CauseKeyBusy, peridotusher.CauseOutcomeUnknown, peridotusher.CauseOutcomeLost:
 		return http.StatusConflict
 	case peridotusher.CauseDeadline:
 		return http.StatusGatewayTimeout
--- /dev/null
+++ b/claimbucket.go
@@ -0,0 +1,173 @@
+package peridotusher
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ClaimAction is what a ClaimChange does to a claim.
+type ClaimAction uint8
+
+// The actions on a claim.
+const (
+	// ActionClaim adds a claim unless its key has one.
+	ActionClaim ClaimAction = iota + 1
+	// ActionRecord sets the state and outcome of a held claim.
+	ActionRecord
+	// ActionRelease removes a claim whose call did not run.
+	ActionRelease
+)
+
+// ClaimChange is one change to the claim of a key. Record and release apply
+// only to the claim with the same ID, so that any change may be applied again
+// after a lost answer.
+type ClaimChange struct {
+	Action ClaimAction
+	Hash   string // of the key
+	Claim  Claim
+}
+
+// ClaimResult is the outcome of a ClaimChange. Done is false when the key
+// belongs to another claim, which Present then is, or when the bucket is full.
+type ClaimResult struct {
+	Done    bool
+	Full    bool
+	Present Claim
+	Fence   uint64 // the store's revision of the bucket that holds the claim
+}
+
+// Limits of a bucket.
+const (
+	// maxBucketBytes is below the largest value of the platform's store.
+	maxBucketBytes = 768 << 10
+	// outcomeBytes is the part of a bucket that outcomes may fill; the rest is
+	// left for further claims.
+	outcomeBytes = maxBucketBytes / 2
+	// claimOverhead is an upper limit of a stored claim without its outcome.
+	claimOverhead = 320
+	// maxForgotten is the number of claims kept in a bucket after the window.
+	maxForgotten = maxBucketBytes / 8 / claimOverhead
+)
+
+// ClaimBucket is a set of claims that are written together. A bucket is not
+// changed; Apply returns the next one.
+type ClaimBucket struct {
+	claims map[string]Claim // by hash of the key
+	bytes  int              // size of the outcomes
+}
+
+// Len returns the number of claims.
+func (b ClaimBucket) Len() int { return len(b.claims) }
+
+// Get returns the claim of a key.
+func (b ClaimBucket) Get(hash string) (Claim, bool) {
+	c, ok := b.claims[hash]
+	return c, ok
+}
+
+// Apply applies the changes in their order. It returns the next bucket, the
+// result of each change, and whether the bucket differs from this one.
+func (b ClaimBucket) Apply(changes []ClaimChange, now time.Time, window time.Duration) (ClaimBucket, []ClaimResult, bool) {
+	next := ClaimBucket{claims: maps.Clone(b.claims), bytes: b.bytes}
+	if next.claims == nil {
+		next.claims = map[string]Claim{}
+	}
+	results := make([]ClaimResult, len(changes))
+	changed := false
+	for i, change := range changes {
+		did := false
+		results[i], did = next.apply(change)
+		changed = changed || did
+	}
+	if changed {
+		next.forget(now, window)
+	}
+	return next, results, changed
+}
+
+// apply applies one change and returns whether it made a difference.
+func (b *ClaimBucket) apply(change ClaimChange) (ClaimResult, bool) {
+	present, ok := b.claims[change.Hash]
+	own := ok && present.ID == change.Claim.ID
+	switch change.Action {
+	case ActionClaim:
+		if ok {
+			return ClaimResult{Done: own, Present: present}, false
+		}
+		if b.full() {
+			return ClaimResult{Full: true}, false
+		}
+		b.claims[change.Hash] = change.Claim
+		return ClaimResult{Done: true, Present: change.Claim}, true
+	case ActionRecord:
+		if !own || present.State != ClaimHeld {
+			return ClaimResult{Done: own, Present: present}, false
+		}
+		b.record(change)
+		return ClaimResult{Done: true, Present: b.claims[change.Hash]}, true
+	case ActionRelease:
+		if own && present.State == ClaimHeld {
+			delete(b.claims, change.Hash)
+			return ClaimResult{Done: true}, true
+		}
+	}
+	return ClaimResult{Done: !ok, Present: present}, false
+}
+
+// record sets a claim's outcome, without its answer if there is no room.
+func (b *ClaimBucket) record(change ClaimChange) {
+	c := b.claims[change.Hash]
+	c.State = change.Claim.State
+	c.Outcome = change.Claim.Outcome
+	if size := c.Outcome.size(); b.bytes+size > outcomeBytes {
+		c.Outcome = nil
+		c.State = ClaimRan
+	} else {
+		b.bytes += size
+	}
+	b.claims[change.Hash] = c
+}
+
+// full returns whether there is no room for a further claim.
+func (b *ClaimBucket) full() bool {
+	return b.bytes+(len(b.claims)+1)*claimOverhead > maxBucketBytes
+}
+
+// forget drops the outcomes of the claims that the window has passed, and the
+// oldest of those claims beyond a limit.
+func (b *ClaimBucket) forget(now time.Time, window time.Duration) {
+	oldest := now.Add(-window).UnixMilli()
+	var forgotten []string
+	for hash, c := range b.claims {
+		if c.Made >= oldest {
+			continue
+		}
+		b.bytes -= c.Outcome.size()
+		b.claims[hash] = Claim{ID: c.ID, State: ClaimForgotten, Made: c.Made}
+		forgotten = append(forgotten, hash)
+	}
+	if len(forgotten) <= maxForgotten {
+		return
+	}
+	slices.SortFunc(forgotten, func(x, y string) int { return int(b.claims[x].Made - b.claims[y].Made) })
+	for _, hash := range forgotten[:len(forgotten)-maxForgotten] {
+		delete(b.claims, hash)
+	}
+}
+
+// size returns an upper limit of the outcome's encoded size in bytes.
+func (o *ClaimOutcome) size() int {
+	if o == nil {
+		return 0
+	}
+	const perField, perByte = 16, 2
+	size := perField + perByte*len(o.Body)
+	for name, values := range o.Header {
+		size += perField + perByte*len(name)
+		for _, v := range values {
+			size += perField + perByte*len(v)
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/claimkey.go
@@ -0,0 +1,88 @@
+package peridotusher
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+const (
+	// claimSlot is the range of issue times whose keys share a bucket.
+	claimSlot = time.Second
+	// claimShards is the number of buckets of the keys that tell no time.
+	claimShards = 256
+	// claimHashBytes is the length of the hash that stands for a key.
+	claimHashBytes = 16
+	// claimSkew is the most by which a key's time may be ahead of the router's.
+	claimSkew = time.Minute
+)
+
+// ClaimKey identifies one non-idempotent call by the hash of its
+// organisation, service and idempotency key.
+type ClaimKey struct {
+	hash   string
+	bucket string
+	issued time.Time // zero for a key that tells no time
+}
+
+// NewClaimKey returns the claim key of an idempotency key. The time of a
+// time-ordered UUID is taken as its time of issue.
+func NewClaimKey(organisation, service, key string) ClaimKey {
+	sum := sha256.Sum256([]byte(organisation + "\x00" + service + "\x00" + key))
+	k := ClaimKey{hash: hex.EncodeToString(sum[:claimHashBytes])}
+	if issued, ok := issueTime(key); ok {
+		k.issued = issued
+		k.bucket = fmt.Sprintf("t%d", issued.UnixMilli()/claimSlot.Milliseconds())
+		return k
+	}
+	k.bucket = fmt.Sprintf("h%d", int(sum[claimHashBytes])%claimShards)
+	return k
+}
+
+// issueTime returns the time of a UUID of version 7.
+func issueTime(key string) (time.Time, bool) {
+	const version, timeBytes = 7, 6
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != version {
+		return time.Time{}, false
+	}
+	var ms int64
+	for _, b := range id[:timeBytes] {
+		ms = ms<<8 | int64(b)
+	}
+	return time.UnixMilli(ms), true
+}
+
+// Hash returns the hash that stands for the key in its bucket.
+func (k ClaimKey) Hash() string { return k.hash }
+
+// Bucket returns the name of the bucket that holds the key's claim.
+func (k ClaimKey) Bucket() string { return k.bucket }
+
+// Issued returns the key's time of issue and whether the key tells one.
+func (k ClaimKey) Issued() (time.Time, bool) { return k.issued, !k.issued.IsZero() }
+
+// Recent returns whether the key was issued so short a time before now that
+// its bucket may not exist yet.
+func (k ClaimKey) Recent(now time.Time) bool {
+	const slots = 2
+	return !k.issued.IsZero() && now.Sub(k.issued) < slots*claimSlot
+}
+
+// Admissible returns the Failure of a key that was issued outside the window
+// before now, else nil.
+func (k ClaimKey) Admissible(now time.Time, window time.Duration) *Failure {
+	if k.issued.IsZero() {
+		return nil
+	}
+	if now.Sub(k.issued) > window {
+		return Fail(MayHaveRun, CauseKeyExpired, "the Idempotency-Key was issued more than %s ago and what became of its call is forgotten; check the outcome before you send the call with a new key", window)
+	}
+	if k.issued.Sub(now) > claimSkew {
+		return Fail(NotRun, CauseBadRequest, "the Idempotency-Key is a UUID whose time is more than %s in the future; set the clock that makes your keys", claimSkew)
+	}
+	return nil
+}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -4,110 +4,118 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
-	"peridotusher.example/peridotusher/store"
+	"peridotusher.example/peridotusher/document"
 )
 
-// busyRetryAfter is told to a caller whose key is being run elsewhere.
-const busyRetryAfter = time.Second
+const (
+	// claimTimeout bounds the wait for a claim, whatever the call's deadline.
+	claimTimeout = time.Second
+	// recordTimeout bounds the wait for an outcome to be recorded before the
+	// caller gets the answer. The outcome is still written after it.
+	recordTimeout = 500 * time.Millisecond
+	// releaseTimeout bounds the wait for the record of a call that failed.
+	releaseTimeout = 100 * time.Millisecond
+)
 
-// claimRecord is the store's record of one idempotency key.
-type claimRecord struct {
-	Claim   string      `json:"claim"`
-	Content string      `json:"content"` // hash of method, path and body
-	Done    bool        `json:"done"`
-	Status  int         `json:"status,omitempty"`
-	Header  http.Header `json:"header,omitempty"`
-	Body    []byte      `json:"body,omitempty"`
+// heldClaim is a claim that this router holds for one call.
+type heldClaim struct {
+	key      peridotusher.ClaimKey
+	claim    peridotusher.Claim
+	deadline time.Time // monotonic; nothing is sent after it
+	fence    uint64
 }
 
-// callOnce claims the key in the store before it sends the call.
+// callOnce claims the key before it sends the call and records what came of
+// it. It goes on when the caller goes away, because a repeat needs the outcome.
 func (s *services) callOnce(ctx context.Context, call caller.ServiceCall) (caller.ServiceAnswer, error) {
-	key := s.claimKey(call)
-	record := claimRecord{Claim: uuid.NewString(), Content: contentHash(call)}
-	revision, existing, err := s.claim(ctx, key, record)
+	key := peridotusher.NewClaimKey(call.Organisation, call.Service.Name(), call.Key)
+	if f := key.Admissible(s.host.Clock.Now(), call.Document.Policy().ClaimWindow()); f != nil {
+		return caller.ServiceAnswer{}, f
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.Deadline.Sub(s.host.Clock.Now()))
+	defer cancel()
+	held, repeat, err := s.claim(ctx, call, key)
 	if err != nil {
 		return caller.ServiceAnswer{}, err
 	}
-	if existing != nil {
-		return repeated(*existing, record.Content)
+	if repeat != nil {
+		return caller.ServiceAnswer{Status: repeat.Status, Header: repeat.Header, Body: repeat.Body, Replayed: true}, nil
 	}
-	answer, err := s.callAny(ctx, call, serviceRequest(call, false))
-	if err != nil {
-		if peridotusher.AsFailure(err).Verdict() == peridotusher.NotRun {
-			// A claim that stays blocks the key until it expires; it never runs twice.
-			_, _ = s.host.Store.Delete(ctx, key, revision)
-		}
-		return answer, err
+	req := serviceRequest(call, false)
+	req.Check = func() error { return held.check(s.host.Clock) }
+	if call.Service.Fencing() == document.FencingChecked {
+		req.Fence = held.fence
 	}
-	record.Done = true
-	record.Status = answer.Status
-	record.Header = answer.Header
-	record.Body = answer.Body
-	s.recordOutcome(ctx, key, revision, record)
-	return answer, nil
+	answer, err := s.callAny(ctx, call, req)
+	s.settle(ctx, call, held, answer, err)
+	return answer, err
 }
 
-// claim writes the record if the key has none, and returns the present one otherwise.
-func (s *services) claim(ctx context.Context, key string, record claimRecord) (store.Revision, *claimRecord, error) {
-	value, err := json.Marshal(record)
-	if err != nil {
-		return 0, nil, peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseStoreDown, err)
-	}
-	swap, err := s.host.Store.CompareAndSwap(ctx, key, 0, value, 0)
-	if err == nil && swap.Swapped() {
-		return swap.Revision(), nil, nil
-	}
-	entry := swap.Current()
-	if err != nil {
-		// The answer may have been lost after the write.
-		if entry, err = s.host.Store.Get(ctx, key); err != nil || !entry.Exists() {
-			return 0, nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseStoreDown, "the key could not be claimed").WithRetryAfter(busyRetryAfter)
+// claim claims the call's key, or returns the outcome of the call that has it.
+func (s *services) claim(ctx context.Context, call caller.ServiceCall, key peridotusher.ClaimKey) (heldClaim, *peridotusher.ClaimOutcome, error) {
+	now := s.host.Clock.Now()
+	content := contentHash(call)
+	held := heldClaim{key: key, deadline: call.Deadline}
+	held.claim = peridotusher.NewClaim(uuid.NewString(), content, now, call.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, min(claimTimeout, call.Deadline.Sub(now)/2))
+	defer cancel()
+	result, err := s.host.claims.Change(ctx, key, held.change(peridotusher.ActionClaim))
+	switch {
+	case err != nil:
+		return held, nil, err
+	case result.Full:
+		return held, nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "too many calls with keys of the same moment").WithRetryAfter(claimRetryAfter)
+	case !result.Done:
+		outcome, f := result.Present.Repeat(content, s.host.Clock.Now())
+		if f != nil {
+			return held, nil, f
 		}
+		return held, outcome, nil
 	}
-	var present claimRecord
-	if err := json.Unmarshal(entry.Value(), &present); err != nil {
-		return 0, nil, peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseStoreDown, err)
-	}
-	if present.Claim == record.Claim {
-		return entry.Revision(), nil, nil
-	}
-	return 0, &present, nil
+	held.fence = result.Fence
+	return held, nil, nil
 }
 
-// recordOutcome keeps the answer for a repeat of the call.
-func (s *services) recordOutcome(ctx context.Context, key string, revision store.Revision, record claimRecord) {
-	value, err := json.Marshal(record)
-	if err != nil {
-		return
+// settle records what came of the call, or releases the key if it did not run.
+func (s *services) settle(ctx context.Context, call caller.ServiceCall, held heldClaim, answer caller.ServiceAnswer, err error) {
+	action, timeout := peridotusher.ActionRecord, releaseTimeout
+	switch {
+	case err == nil:
+		timeout = recordTimeout
+		held.claim.State, held.claim.Outcome = peridotusher.AnswerOutcome(answer.Status, answer.Header, answer.Body, call.Document.Policy().OutcomeLimit())
+	case peridotusher.AsFailure(err).Verdict() == peridotusher.NotRun:
+		action = peridotusher.ActionRelease
+	case peridotusher.AsFailure(err).Verdict() == peridotusher.Ran:
+		held.claim.State = peridotusher.ClaimRan
+	default:
+		held.claim.State = peridotusher.ClaimUnknown
 	}
-	if _, err := s.host.Store.CompareAndSwap(ctx, key, revision, value, 0); err != nil {
-		s.host.Log.WithError(err).Warn("outcome not recorded")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	defer cancel()
+	if _, err := s.host.claims.Change(ctx, held.key, held.change(action)); err != nil {
+		s.host.Log.WithError(err).WithField("request", call.ID).Warn("outcome not recorded yet")
 	}
 }
 
-func repeated(present claimRecord, content string) (caller.ServiceAnswer, error) {
-	if present.Content != content {
-		return caller.ServiceAnswer{}, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseKeyReused, "the Idempotency-Key was used for another call; use a new key")
-	}
-	if !present.Done {
-		return caller.ServiceAnswer{}, peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseKeyBusy, "a call with this Idempotency-Key has begun and has no recorded outcome").WithRetryAfter(busyRetryAfter)
+// check refuses to send once the deadline has passed, as after a pause of the process.
+func (h heldClaim) check(clock peridotusher.Clock) error {
+	if clock.Now().Before(h.deadline) {
+		return nil
 	}
-	return caller.ServiceAnswer{Status: present.Status, Header: present.Header, Body: present.Body, Replayed: true}, nil
+	return peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseDeadline, "the claim's deadline passed before the call was sent")
 }
 
-func (s *services) claimKey(call caller.ServiceCall) string {
-	sum := sha256.Sum256([]byte(call.Organisation + "\x00" + call.Service.Name() + "\x00" + call.Key))
-	return s.host.Prefix + "claims/" + hex.EncodeToString(sum[:])
+func (h heldClaim) change(action peridotusher.ClaimAction) peridotusher.ClaimChange {
+	return peridotusher.ClaimChange{Action: action, Hash: h.key.Hash(), Claim: h.claim}
 }
 
+// contentHash returns the hash of what makes two calls the same.
 func contentHash(call caller.ServiceCall) string {
 	h := sha256.New()
 	for _, part := range []string{call.Method, call.Path, call.Query} {
--- /dev/null
+++ b/entry/claimtable.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/store"
+)
+
+const (
+	// claimGather is the shortest time between two writes of one bucket.
+	claimGather = 15 * time.Millisecond
+	// claimKeep bounds the time for which an outcome or a release is tried.
+	claimKeep = time.Minute
+	// claimFlush bounds the writes after the router has stopped serving.
+	claimFlush = 3 * time.Second
+	// maxIdleBuckets is the number of buckets kept in memory.
+	maxIdleBuckets = 512
+)
+
+// errNoWindow means that the router has no configuration yet.
+var errNoWindow = errors.New("router does not know how long claims are kept")
+
+// ClaimStore is the part of the store that holds claims.
+type ClaimStore interface {
+	Get(ctx context.Context, key string) (store.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Swap, error)
+	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error)
+}
+
+// claimPeers sends changes to the router that writes a bucket.
+type claimPeers interface {
+	ChangeClaims(ctx context.Context, to peridotusher.RouterID, bucket string, recent bool, changes []peridotusher.ClaimChange) ([]peridotusher.ClaimResult, error)
+}
+
+// claimTable gathers the changes of claims and writes them bucket by bucket.
+//
+// The router that comes first in the rendezvous order of a bucket's name
+// writes it for all others, so that one write holds many changes. That only
+// saves writes: any router may write any bucket, because each write is a
+// compare-and-swap.
+type claimTable struct {
+	Self    peridotusher.RouterID
+	Members func() []peridotusher.Member
+	Store   ClaimStore
+	Peers   claimPeers
+	Clock   peridotusher.Clock
+	Log     logrus.FieldLogger
+	Prefix  string
+	Window  func() time.Duration
+
+	once  sync.Once
+	ended chan struct{} // closed when Run ends
+	work  context.Context
+	stop  context.CancelFunc
+	group errgroup.Group
+
+	mu     sync.Mutex
+	queues map[string]*claimQueue
+	silent map[peridotusher.RouterID]time.Time // until when a router is passed over
+	lease  claimLease
+}
+
+// claimLease is the lease that buckets are written under.
+type claimLease struct {
+	id      store.LeaseID
+	window  time.Duration
+	granted time.Time
+}
+
+// claimWaiter is one change that waits to be written.
+type claimWaiter struct {
+	ctx    context.Context // ends when nobody waits for the result
+	change peridotusher.ClaimChange
+	recent bool
+	remote bool // another router asked for it
+	queued time.Time
+	done   chan claimReply
+}
+
+type claimReply struct {
+	result peridotusher.ClaimResult
+	err    error
+}
+
+func (t *claimTable) init() {
+	t.ended = make(chan struct{})
+	t.group.Go(func() error {
+		<-t.ended
+		return nil
+	})
+	t.work, t.stop = context.WithCancel(context.Background())
+	t.queues = map[string]*claimQueue{}
+	t.silent = map[peridotusher.RouterID]time.Time{}
+}
+
+// Run waits until ctx ends and the last changes have been written.
+func (t *claimTable) Run(ctx context.Context) error {
+	t.once.Do(t.init)
+	<-ctx.Done()
+	close(t.ended)
+	flushed := time.AfterFunc(claimFlush, t.stop)
+	defer flushed.Stop()
+	err := t.group.Wait()
+	t.stop()
+	return err
+}
+
+// Change makes one change and waits for its result until ctx ends. A claim
+// that nobody waits for any more is released.
+func (t *claimTable) Change(ctx context.Context, key peridotusher.ClaimKey, change peridotusher.ClaimChange) (peridotusher.ClaimResult, error) {
+	w := t.newWaiter(ctx, key.Recent(t.Clock.Now()), change)
+	t.enqueue(key.Bucket(), w)
+	select {
+	case reply := <-w.done:
+		return reply.result, reply.err
+	case <-ctx.Done():
+		if change.Action == peridotusher.ActionClaim {
+			t.release(key.Bucket(), change)
+		}
+		return peridotusher.ClaimResult{}, claimsDown(ctx.Err())
+	}
+}
+
+// ChangeClaims implements peer.ClaimHandler: it writes the changes of another router.
+func (t *claimTable) ChangeClaims(ctx context.Context, bucket string, recent bool, changes []peridotusher.ClaimChange) ([]peridotusher.ClaimResult, error) {
+	if t.Window() <= 0 {
+		return nil, errNoWindow
+	}
+	waiters := make([]*claimWaiter, len(changes))
+	for i, change := range changes {
+		waiters[i] = t.newWaiter(ctx, recent, change)
+		waiters[i].remote = true
+	}
+	t.enqueue(bucket, waiters...)
+	results := make([]peridotusher.ClaimResult, len(changes))
+	for i, w := range waiters {
+		select {
+		case reply := <-w.done:
+			if reply.err != nil {
+				return nil, reply.err
+			}
+			results[i] = reply.result
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return results, nil
+}
+
+func (t *claimTable) newWaiter(ctx context.Context, recent bool, change peridotusher.ClaimChange) *claimWaiter {
+	return &claimWaiter{ctx: ctx, change: change, recent: recent, queued: t.Clock.Now(), done: make(chan claimReply, 1)}
+}
+
+// release gives up a claim that may have been written after its waiter left.
+func (t *claimTable) release(bucket string, claimed peridotusher.ClaimChange) {
+	claimed.Action = peridotusher.ActionRelease
+	t.enqueue(bucket, t.newWaiter(context.Background(), false, claimed))
+}
+
+// enqueue adds changes to a bucket's queue and starts its writer if it has none.
+func (t *claimTable) enqueue(bucket string, waiters ...*claimWaiter) {
+	t.once.Do(t.init)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	q, ok := t.queues[bucket]
+	if !ok {
+		t.dropIdle()
+		q = &claimQueue{table: t, name: bucket, wake: make(chan struct{}, 1)}
+		t.queues[bucket] = q
+	}
+	q.waiting = append(q.waiting, waiters...)
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	if q.active {
+		return
+	}
+	q.active = true
+	t.group.Go(func() error {
+		q.run(t.work)
+		return nil
+	})
+}
+
+// dropIdle forgets the buckets without a writer when there are many.
+func (t *claimTable) dropIdle() {
+	if len(t.queues) < maxIdleBuckets {
+		return
+	}
+	for name, q := range t.queues {
+		if !q.active {
+			delete(t.queues, name)
+		}
+	}
+}
+
+// writer returns the router that writes the bucket for all.
+func (t *claimTable) writer(bucket string) peridotusher.RouterID {
+	now := t.Clock.Now()
+	members := t.Members()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var live []peridotusher.Weighted
+	for _, m := range members {
+		if m.State() == peridotusher.MemberLive && !now.Before(t.silent[m.ID()]) {
+			live = append(live, peridotusher.Weighted{Name: string(m.ID()), Weight: 1})
+		}
+	}
+	ranking := peridotusher.Rank(bucket, live)
+	if len(ranking) == 0 {
+		return t.Self
+	}
+	return peridotusher.RouterID(ranking[0])
+}
+
+// passOver leaves a router out as a writer for a while.
+func (t *claimTable) passOver(id peridotusher.RouterID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[id] = t.Clock.Now().Add(silentWriterPause)
+}
+
+// currentLease returns the lease under which buckets are written. It ends
+// when no key of the bucket is admissible any more.
+func (t *claimTable) currentLease(ctx context.Context) (store.LeaseID, error) {
+	const factor = 2 // allows the window to be doubled
+	window := t.Window()
+	now := t.Clock.Now()
+	t.mu.Lock()
+	lease := t.lease
+	t.mu.Unlock()
+	if lease.id != store.NoLease && lease.window == window && now.Sub(lease.granted) < leaseUse {
+		return lease.id, nil
+	}
+	id, _, err := t.Store.Grant(ctx, factor*window+2*leaseUse)
+	if err != nil {
+		return store.NoLease, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lease = claimLease{id: id, window: window, granted: now}
+	return id, nil
+}
+
+// leaseUse is the time for which one lease takes further buckets.
+const leaseUse = 5 * time.Minute
+
+// claimsDown is the Failure of a change that could not be written.
+func claimsDown(err error) error {
+	retryAfter := max(peridotusher.AsFailure(err).RetryAfter(), claimRetryAfter)
+	return peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseStoreDown, err).WithRetryAfter(retryAfter)
+}
--- a/entry/document.go
+++ b/entry/document.go
@@ -21,6 +21,7 @@
 	Get(ctx context.Context, key string) (store.Entry, error)
 	CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Swap, error)
 	Delete(ctx context.Context, key string, expect store.Revision) (store.Swap, error)
+	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error)
 	Watch(ctx context.Context, prefix string, from store.Revision, fn func(store.Event) error) error
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -49,6 +49,7 @@
 	node    *peer.Node
 	models  *engine.Client
 	plain   *service.Client
+	claims  *claimTable
 	metrics *operator.Metrics
 }
 
@@ -64,6 +65,7 @@
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
+	group.Go(func() error { return h.claims.Run(background) })
 	group.Go(func() error { return h.watchDocument(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
@@ -149,6 +151,8 @@
 		Peers:     h.node,
 		Clock:     h.Clock,
 	}
+	h.claims = h.buildClaims()
+	h.node.HandleClaims(h.claims)
 	return h.buildClients()
 }
 
--- a/entry/services.go
+++ b/entry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
@@ -30,9 +31,12 @@
 
 // callAny sends the call to the replicas in turn while the verdict allows it.
 func (s *services) callAny(ctx context.Context, call caller.ServiceCall, req service.Request) (caller.ServiceAnswer, error) {
-	var last error
+	var last error = peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseNoEndpoint, "service %q has no replicas", call.Service.Name())
 	for _, replica := range s.replicas(call) {
 		response, err := s.host.plain.Call(ctx, replica.Address(), req)
+		if err == nil && req.Fence != 0 && response.Status == http.StatusPreconditionFailed {
+			return caller.ServiceAnswer{Endpoint: replica.Address()}, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseFenced, "the endpoint has run a call that was claimed later; send the call again").WithRetryAfter(claimRetryAfter)
+		}
 		if err == nil {
 			return caller.ServiceAnswer{Status: response.Status, Header: response.Header, Body: response.Body, Endpoint: replica.Address()}, nil
 		}
