--- a/engine/chat.go
+++ b/engine/chat.go
@@ -31,8 +31,32 @@
 	Request     peridotusher.Request
 	Body        []byte // the caller's chat-completions JSON
 	Priority    int
-	Version     string // model version, empty for any
-	LastEventID string // the last event received, to resume a stream
+	Version     string        // model version, empty for any
+	LastEventID string        // the last event received, to resume a stream
+	Idle        time.Duration // longest silence, the client's option if zero
+
+	cancel context.CancelCauseFunc
+}
+
+// idleTimeout returns the longest silence inside the stream.
+func (call Call) idleTimeout(opts Options) time.Duration {
+	if call.Idle > 0 {
+		return call.Idle
+	}
+	return opts.IdleTimeout
+}
+
+// headerTimeout returns the longest wait for the answer's header. A stream
+// that runs already answers without waiting for a place in the batch.
+func (call Call) headerTimeout(opts Options) time.Duration {
+	if call.Idle > 0 && call.LastEventID != "" {
+		return min(call.Idle, opts.HeaderTimeout)
+	}
+	const factor = 2
+	if call.Idle > 0 {
+		return min(factor*call.Idle, opts.HeaderTimeout)
+	}
+	return opts.HeaderTimeout
 }
 
 // Chat starts or resumes a chat completion. The error is a
@@ -44,6 +68,7 @@
 		return nil, call.fail(peridotusher.NotRun, peridotusher.CauseBadRequest, err)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
+	call.cancel = cancel
 	req, err := c.chatRequest(ctx, address, call, body)
 	if err != nil {
 		cancel(nil)
@@ -62,13 +87,19 @@
 	ctx := req.Context()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	header := time.AfterFunc(call.headerTimeout(c.opts), func() { call.cancel(errIdle) })
+	defer header.Stop()
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		verdict := peridotusher.NotRun
 		if connected.Load() {
 			verdict = peridotusher.MayHaveRun
 		}
-		return nil, call.fail(verdict, service.CauseOf(ctx, peridotusher.CauseEndpointLost), err)
+		cause := service.CauseOf(ctx, peridotusher.CauseEndpointLost)
+		if errors.Is(context.Cause(ctx), errIdle) {
+			cause = peridotusher.CauseEndpointLost
+		}
+		return nil, call.fail(verdict, cause, err)
 	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
--- a/engine/client.go
+++ b/engine/client.go
@@ -26,6 +26,7 @@
 	HeaderTimeout time.Duration // wait for the answer's header
 	IdleTimeout   time.Duration // longest silence inside a stream
 	Clock         peridotusher.Clock
+	Discarded     func(Discarded) // called for every discarded event; may be nil
 }
 
 // Client talks to model engines.
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -52,10 +52,11 @@
 	body    io.ReadCloser
 	events  *eventReader
 	idle    *time.Timer
-	id      string // empty until the engine named it
-	next    int    // offset due next
-	began   bool   // an event of this stream has arrived
-	err     error  // the first error of Next, given again by later calls
+	silence time.Duration // longest silence
+	id      string        // empty until the engine named it
+	next    int           // offset due next
+	began   bool          // an event of this stream has arrived
+	err     error         // the first error of Next, given again by later calls
 }
 
 // newStream checks that the answer belongs to the call and returns its Stream.
@@ -66,9 +67,10 @@
 		cancel(nil)
 		return nil, call.fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, err)
 	}
-	s.idle = time.AfterFunc(c.opts.IdleTimeout, func() { cancel(errIdle) })
+	s.silence = call.idleTimeout(c.opts)
+	s.idle = time.AfterFunc(s.silence, func() { cancel(errIdle) })
 	s.idle.Stop()
-	s.events = newEventReader(resp.Body, func() { s.idle.Reset(c.opts.IdleTimeout) })
+	s.events = newEventReader(resp.Body, func() { s.idle.Reset(s.silence) })
 	return s, nil
 }
 
@@ -99,35 +101,45 @@
 	if s.err != nil {
 		return Event{}, s.err
 	}
-	s.idle.Reset(s.client.opts.IdleTimeout)
+	s.idle.Reset(s.silence)
 	event, err := s.read()
 	s.idle.Stop()
 	s.err = err
 	return event, err
 }
 
-// read reads one event and checks its id.
+// read reads events until it finds the one that is due. Events of other
+// streams and events that came before are discarded and counted.
 func (s *Stream) read() (Event, error) {
-	raw, err := s.events.next()
-	if err != nil {
-		return Event{}, s.fail(err)
-	}
-	if string(raw.data) == endMark {
-		return Event{}, s.end(raw.id)
-	}
-	stream, offset, err := parseID(raw.id)
-	if err != nil {
-		return Event{}, s.failWith(peridotusher.CauseEndpointError, err)
-	}
-	if s.id == "" {
-		s.id = stream
-	}
-	if stream != s.id || offset != s.next {
-		return Event{}, s.failWith(peridotusher.CauseEndpointError, errors.Wrapf(ErrCrossed, "id %q", raw.id))
+	for {
+		raw, err := s.events.next()
+		if err != nil {
+			return Event{}, s.fail(err)
+		}
+		if string(raw.data) == endMark {
+			return Event{}, s.end(raw.id)
+		}
+		stream, offset, err := parseID(raw.id)
+		if err != nil {
+			return Event{}, s.failWith(peridotusher.CauseEndpointError, err)
+		}
+		if s.id == "" {
+			s.id = stream
+		}
+		switch {
+		case stream != s.id:
+			s.client.discard(Crossed)
+		case offset < s.next:
+			s.client.discard(Repeated)
+		case offset > s.next:
+			s.client.discard(Early)
+			return Event{}, s.failWith(peridotusher.CauseEndpointError, errors.Wrapf(ErrCrossed, "id %q", raw.id))
+		default:
+			s.next++
+			s.began = true
+			return Event{id: raw.id, stream: stream, offset: offset, data: raw.data}, nil
+		}
 	}
-	s.next++
-	s.began = true
-	return Event{id: raw.id, stream: stream, offset: offset, data: raw.data}, nil
 }
 
 // end returns io.EOF, unless the end mark carries the id of another stream.
--- a/standin/engine_answer.go
+++ b/standin/engine_answer.go
@@ -108,8 +108,8 @@
 	c := r.base()
 	c.Usage = &engineUsage{
 		Prompt:     r.prompt,
-		Completion: r.tokens,
-		Total:      r.prompt + r.tokens,
+		Completion: r.tokens - r.begun,
+		Total:      r.prompt + r.tokens - r.begun,
 		Details:    engineUsageDetails{Cached: r.cached},
 	}
 	return engineJSON(c)
--- a/standin/engine_chat.go
+++ b/standin/engine_chat.go
@@ -20,6 +20,7 @@
 	Stream    bool            `json:"stream"`
 	Priority  int             `json:"priority"`
 	Chat      string          `json:"prompt_cache_key"`
+	Continue  bool            `json:"continue_final_message"`
 }
 
 // serveChat runs or resumes a chat completion.
@@ -39,6 +40,10 @@
 		return
 	}
 	run := newEngineRun(r, body, messages)
+	if body.Continue && !run.continueFrom(messages, max(body.MaxTokens, body.MaxNew) > 0) {
+		http.Error(w, "the last message is no beginning of the answer", http.StatusBadRequest)
+		return
+	}
 	if !e.accept(run, r.Header.Get("X-Model-Version")) {
 		engineRefuse(w)
 		return
--- a/standin/engine_run.go
+++ b/standin/engine_run.go
@@ -15,7 +15,8 @@
 	priority int
 	work     int
 	prompt   int // tokens
-	limit    int // tokens to generate
+	limit    int // tokens of the whole answer
+	begun    int // tokens that another engine has generated
 	cached   int // prompt tokens found in the cache
 
 	tokens  int
--- /dev/null
+++ b/streamid.go
@@ -0,0 +1,91 @@
+package peridotusher
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// streamMACBytes is the length of the signature of an event id.
+	streamMACBytes = 16
+	// maxEventID bounds an event id that a caller sends back.
+	maxEventID = 2048
+	// eventIDFields is the number of fields of an event id.
+	eventIDFields = 8
+)
+
+// ErrEventID is in the chain of the errors of ParseEventID.
+var ErrEventID = errors.New("not an event id of this fleet")
+
+// StreamPosition says how far a caller has received a stream. It is sent to
+// the caller as the event's id, so that routers keep no state for it.
+type StreamPosition struct {
+	Engine       EngineID
+	Stream       string // the engine's name of the stream
+	Offset       int    // of the last event received from the engine
+	Base         int    // chunks of text that came from engines before
+	Organisation string
+	Request      RequestID
+	Router       RouterID // the router that sent the event
+	Permit       PermitID // the permit that the stream runs under
+}
+
+// EventID returns the signed event id of the position.
+func (p StreamPosition) EventID(secret string) string {
+	text := strings.Join([]string{
+		string(p.Engine), p.Stream, strconv.Itoa(p.Offset), strconv.Itoa(p.Base),
+		p.Organisation, string(p.Request), string(p.Router), string(p.Permit),
+	}, "\n")
+	return base64.RawURLEncoding.EncodeToString(append(streamMAC(secret, text), text...))
+}
+
+// ParseEventID returns the position of an event id that was signed with the secret.
+func ParseEventID(secret, id string) (StreamPosition, error) {
+	if len(id) > maxEventID {
+		return StreamPosition{}, ErrEventID
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(id)
+	if err != nil || len(raw) < streamMACBytes {
+		return StreamPosition{}, ErrEventID
+	}
+	text := string(raw[streamMACBytes:])
+	if !hmac.Equal(raw[:streamMACBytes], streamMAC(secret, text)) {
+		return StreamPosition{}, ErrEventID
+	}
+	return parsePosition(strings.Split(text, "\n"))
+}
+
+func parsePosition(fields []string) (StreamPosition, error) {
+	if len(fields) != eventIDFields {
+		return StreamPosition{}, ErrEventID
+	}
+	offset, err := strconv.Atoi(fields[2])
+	if err != nil || offset < 0 {
+		return StreamPosition{}, ErrEventID
+	}
+	base, err := strconv.Atoi(fields[3])
+	if err != nil || base < 0 {
+		return StreamPosition{}, ErrEventID
+	}
+	return StreamPosition{
+		Engine:       EngineID(fields[0]),
+		Stream:       fields[1],
+		Offset:       offset,
+		Base:         base,
+		Organisation: fields[4],
+		Request:      RequestID(fields[5]),
+		Router:       RouterID(fields[6]),
+		Permit:       PermitID(fields[7]),
+	}, nil
+}
+
+func streamMAC(secret, text string) []byte {
+	mac := hmac.New(sha256.New, []byte(secret))
+	mac.Write([]byte("event id\n" + text))
+	return mac.Sum(nil)[:streamMACBytes]
+}
