Streams resume at any router and go on at other engines; hedged and budgeted retries

A caller resumes by Last-Event-ID at any router, which takes the stream and its permit over from the router before.

--- a/engine/partial.go
+++ b/engine/partial.go
@@ -65,8 +65,16 @@
 	}
 }
 
-// Chunks returns the number of chunks with text.
-func (p *Partial) Chunks() int { return p.chunks }
+// Base returns the number of chunks with text that came from engines before
+// the present one.
+func (p *Partial) Base() int { return p.base }
+
+// Resume begins with an answer of which base chunks came from engines before.
+// Such an answer cannot be continued, because its text is not known here.
+func (p *Partial) Resume(base int) {
+	p.base = base
+	p.opaque = base > 0
+}
 
 // Finished returns whether the answer's text is complete.
 func (p *Partial) Finished() bool { return p.finished }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -90,7 +90,7 @@
 	if s.id != "" && s.id != stream {
 		return errors.Wrapf(ErrCrossed, "answer of stream %q", s.id)
 	}
-	s.id, s.next, s.began = stream, offset+1, offset > beforeFirst
+	s.id, s.next, s.began = stream, offset+1, offset > FromStart
 	return nil
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -17,6 +17,7 @@
 	"peridotusher.example/peridotusher/engine"
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
+	"peridotusher.example/peridotusher/policies"
 	"peridotusher.example/peridotusher/service"
 )
 
@@ -38,9 +39,11 @@
 	Clock         peridotusher.Clock
 	Log           logrus.FieldLogger
 	Seed          uint64
+	StreamSecret  string // signs event ids; streams cannot be resumed if empty
 
 	current atomic.Pointer[document.Document]
 	built   atomic.Bool
+	polled  atomic.Bool // engines were listed and asked for their loads
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
@@ -50,6 +53,8 @@
 	models  *engine.Client
 	plain   *service.Client
 	claims  *claimTable
+	streams streamTable
+	retries retries
 	metrics *operator.Metrics
 }
 
@@ -97,6 +102,7 @@
 		Chats:    &chats{host: h},
 		Services: &services{host: h},
 		Document: h.Document,
+		Ready:    h.knowsEngines,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		NewID:    uuid.NewString,
@@ -128,7 +134,7 @@
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
 	h.metrics = operator.NewMetrics()
-	placer := &peridotusher.Placer{Engines: h.engines}
+	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
 	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
 		Self:     self,
@@ -150,14 +156,15 @@
 		Local:     h.owner,
 		Peers:     h.node,
 		Clock:     h.Clock,
+		Record:    h.metrics.Permit,
 	}
-	h.claims = h.buildClaims()
-	h.node.HandleClaims(h.claims)
+	h.measurePeers()
+	h.buildAnswers()
 	return h.buildClients()
 }
 
 func (h *Host) buildClients() (func(), error) {
-	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock})
+	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock, Discarded: h.countDiscarded})
 	if err != nil {
 		return nil, err
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -30,6 +30,16 @@
 	}))
 }
 
+// knowsEngines returns whether the router has asked the engines for their
+// loads, or needs none. Before that it would refuse every chat.
+func (h *Host) knowsEngines() bool {
+	if h.polled.Load() {
+		return true
+	}
+	doc := h.Document()
+	return doc != nil && len(doc.Models()) == 0
+}
+
 // ControlCounts returns the bytes exchanged with other routers.
 func (h *Host) ControlCounts() peer.Counts {
 	if !h.built.Load() {
@@ -37,3 +47,10 @@
 	}
 	return h.node.Counts()
 }
+
+// measurePeers shows the bytes exchanged with other routers to the operators.
+func (h *Host) measurePeers() {
+	h.metrics.Gauge(`peridotusher_peer_bytes{direction="sent"}`, func() float64 { return float64(h.node.Counts().SentBytes) })
+	h.metrics.Gauge(`peridotusher_peer_bytes{direction="received"}`, func() float64 { return float64(h.node.Counts().ReceivedBytes) })
+	h.metrics.Gauge("peridotusher_permits_held", func() float64 { return float64(len(h.ingress.Held())) })
+}
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -27,3 +27,8 @@
 		m.set.GetOrCreateHistogram(name).Update(out.FirstToken.Seconds())
 	}
 }
+
+// Discarded counts one event that an engine sent out of place.
+func (m *Metrics) Discarded(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`peridotusher_stream_events_discarded_total{reason=%q}`, reason)).Inc()
+}
