--- a/document/reference.go
+++ b/document/reference.go
@@ -9,7 +9,7 @@
 // Reference returns the tables of every section kind's keys in Markdown.
 func Reference() string {
 	return strings.Join([]string{
-		ini.Reference("policy", policyFields),
+		ini.Reference("policy", allPolicyFields()),
 		ini.Reference("class NAME", classFields),
 		ini.Reference("organisation NAME", organisationFields),
 		ini.Reference("model NAME", modelFields),
--- a/document/types.go
+++ b/document/types.go
@@ -17,6 +17,7 @@
 	idleTimeout      time.Duration
 	claimWindow      time.Duration
 	outcomeLimit     int
+	rollout          Rollout
 	placement        Placement
 	patience         time.Duration
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -53,11 +53,14 @@
 		if err != nil {
 			return errors.CombineErrors(err, last)
 		}
+		watch := s.host.watchEngine(s.call.Request, permit.Engine().ID())
 		stream, err := s.send(permit, body, "")
 		if err == nil {
+			s.watch = watch
 			s.adopt(permit, stream)
 			return nil
 		}
+		watch.end(err)
 		f := peridotusher.AsFailure(err)
 		permit.Done(s.ctx, f.Verdict(), true)
 		s.avoid[permit.Engine().ID()] = true
--- a/entry/chatresume.go
+++ b/entry/chatresume.go
@@ -66,6 +66,7 @@
 // reopen opens the engine's stream and reads what the caller has already.
 func (s *chatStream) reopen(pos peridotusher.StreamPosition) error {
 	s.partial.Resume(pos.Base)
+	s.watch = s.host.watchEngine(s.call.Request, pos.Engine)
 	from := engine.FromStart
 	if pos.Base > 0 {
 		from = pos.Offset
--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -33,6 +33,7 @@
 
 	permit   *peridotusher.Permit
 	stream   *engine.Stream
+	watch    *engineWatch
 	partial  engine.Partial
 	avoid    map[peridotusher.EngineID]bool
 	key      streamKey
@@ -72,6 +73,7 @@
 		event, err := s.stream.Next()
 		if err == nil {
 			s.progress = true
+			s.watch.token()
 			s.register()
 			data := s.partial.Edit(event.Data())
 			s.partial.Add(data)
@@ -86,6 +88,7 @@
 		}
 		if err != nil {
 			s.failed = true
+			s.watch.end(err)
 			return caller.ChatEvent{}, err
 		}
 	}
@@ -131,6 +134,7 @@
 	if !ok || !s.mayRetry() {
 		return f
 	}
+	s.watch.end(lost)
 	s.leave(s.permit.Engine())
 	if err := s.start(body); err != nil {
 		return peridotusher.FailWith(ranOr(f.Verdict()), peridotusher.AsFailure(err).Cause(), errors.Wrap(err, "the engine was lost and no other one went on")).WithRetryAfter(peridotusher.AsFailure(err).RetryAfter())
@@ -185,6 +189,7 @@
 func (s *chatStream) Close() {
 	defer s.stop()
 	defer func() { s.host.streams.remove(s.key, s) }()
+	defer s.watch.end(nil)
 	if !s.whole && !s.failed {
 		s.awaitReturn()
 	}
