--- /dev/null
+++ b/answertest/main_test.go
@@ -0,0 +1,100 @@
+package answertest
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"peridotusher.example/peridotusher/examples"
+	"peridotusher.example/peridotusher/testbed"
+)
+
+var (
+	long    = flag.Bool("long", false, "run the whole of the tests under faults")
+	measure = flag.Bool("measure", false, "measure the store's writes and the added latency")
+	seed    = flag.Uint64("seed", 0, "seed of the faults, drawn if zero")
+)
+
+// binary is the router program of all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "answertest")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary, err = testbed.Build(context.Background(), dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// start starts a bed that the test stops.
+func start(t *testing.T, opts testbed.Options) *testbed.Bed {
+	t.Helper()
+	opts.Binary, opts.Dir = binary, t.TempDir()
+	if opts.EnginesPerZone == 0 {
+		opts.EnginesPerZone = 1
+	}
+	bed, stop, err := testbed.Start(context.Background(), opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	t.Cleanup(func() {
+		for _, r := range bed.Routers {
+			r.Resume()
+		}
+	})
+	return bed
+}
+
+// newRand returns the random numbers of a test and prints their seed.
+func newRand(t *testing.T) *rand.Rand {
+	t.Helper()
+	s := *seed
+	if s == 0 {
+		s = rand.Uint64()
+	}
+	t.Logf("seed %d", s)
+	return rand.New(rand.NewPCG(s, 0))
+}
+
+// document returns the example document with some keys replaced.
+func document(replacements ...string) []byte {
+	return []byte(strings.NewReplacer(replacements...).Replace(string(examples.Kalimera)))
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	const limit, pause = 20 * time.Second, 10 * time.Millisecond
+	for end := time.Now().Add(limit); !condition(); {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not come about", what)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// size returns the number of requests of a test under faults.
+func size(short, whole int) int {
+	if *long {
+		return whole
+	}
+	return short
+}
