--- a/entry/document.go
+++ b/entry/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/document"
@@ -14,6 +15,7 @@
 	List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error)
 	CompareAndSwap(ctx context.Context, key string, expect store.Revision, value []byte, lease store.LeaseID) (store.Swap, error)
 	Delete(ctx context.Context, key string, expect store.Revision) (store.Swap, error)
+	Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error)
 	Watch(ctx context.Context, prefix string, from store.Revision, fn func(store.Event) error) error
 }
 
--- a/entry/host.go
+++ b/entry/host.go
@@ -42,6 +42,7 @@
 	Clock         peridotusher.Clock
 	Log           logrus.FieldLogger
 	Seed          uint64
+	StreamSecret  string // signs event ids; streams cannot be resumed if empty
 
 	source  *config.Source
 	built   atomic.Bool
@@ -54,6 +55,9 @@
 	node    *peer.Node
 	models  *engine.Client
 	plain   *service.Client
+	claims  *claimTable
+	streams streamTable
+	retries retries
 	metrics *operator.Metrics
 	burn    *peridotusher.Burn
 	started time.Time
@@ -76,6 +80,7 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
 	group.Go(func() error { return h.source.Run(background) })
+	group.Go(func() error { return h.claims.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
 	group.Go(func() error { return h.runOrders(background) })
@@ -168,11 +173,12 @@
 		Record:    h.metrics.Permit,
 	}
 	h.measurePeers()
+	h.buildAnswers()
 	return h.buildClients()
 }
 
 func (h *Host) buildClients() (func(), error) {
-	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock})
+	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock, Discarded: h.countDiscarded})
 	if err != nil {
 		return nil, err
 	}
--- a/entry/new.go
+++ b/entry/new.go
@@ -43,6 +43,7 @@
 		Drain:         cfg.Router().Drain(),
 		Clock:         peridotusher.ClockFunc(time.Now),
 		Log:           log,
+		StreamSecret:  cfg.Stream().Secret(),
 		Limits: caller.Limits{
 			HeaderBytes:   cfg.Caller().Header(),
 			BodyBytes:     int64(cfg.Caller().Body()),
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -92,3 +92,8 @@
 	// nameIdle is the quiet time after which another organisation takes a name.
 	nameIdle = time.Hour
 )
+
+// Discarded counts one event that an engine sent out of place.
+func (m *Metrics) Discarded(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`peridotusher_stream_events_discarded_total{reason=%q}`, reason)).Inc()
+}
