--- a/entry/host.go
+++ b/entry/host.go
@@ -28,8 +28,10 @@
 	Caller        net.Listener
 	Operator      net.Listener
 	Peer          net.Listener
-	Address       string // where peers reach this router, the Peer listener's address if empty
-	Prefix        string // prefix of the store's keys
+	Address       string             // where peers reach this router, the Peer listener's address if empty
+	Prefix        string             // prefix of the store's keys
+	PeerTLS       *peer.Certificates // nil connects to peers without encryption
+	PeerPlain     bool               // plain TCP to peers may leave this host
 	Store         Store
 	Leases        Leases  // nil gives no orders
 	Weights       Weights // nil gives no orders
@@ -142,6 +144,8 @@
 		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
+		TLS:      h.PeerTLS,
+		Plain:    h.PeerPlain,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
--- a/entry/new.go
+++ b/entry/new.go
@@ -1,13 +1,16 @@
 package entry
 
 import (
+	"net/netip"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/peer"
 	"peridotusher.example/peridotusher/settings"
 	"peridotusher.example/peridotusher/store"
 	"peridotusher.example/peridotusher/weights"
@@ -16,9 +19,16 @@
 // weightsTimeout bounds one call to the weight store.
 const weightsTimeout = 2 * time.Second
 
+// errPlain refuses settings that would send plain TCP to other hosts.
+var errPlain = errors.New("[peer] has no cert, and plain = no allows plain TCP on loopback only")
+
 // New returns a host with the settings and a function that closes its
 // clients. The listeners are to be set before Run.
 func New(cfg *settings.Settings, log logrus.FieldLogger) (*Host, func(), error) {
+	certificates, err := peerCertificates(cfg.Peer())
+	if err != nil {
+		return nil, nil, err
+	}
 	client, closeStore, err := store.New(store.Config{Addresses: cfg.Store().Addresses(), Timeout: cfg.Store().Timeout()})
 	if err != nil {
 		return nil, nil, err
@@ -33,6 +43,8 @@
 		Zone:          cfg.Router().Zone(),
 		Address:       cfg.Peer().Advertise(),
 		Prefix:        cfg.Store().Prefix() + "/",
+		PeerTLS:       certificates,
+		PeerPlain:     cfg.Peer().Plain(),
 		Store:         client,
 		Leases:        client,
 		Weights:       reserver,
@@ -53,3 +65,18 @@
 	}
 	return host, cleanup, nil
 }
+
+// peerCertificates reads the certificates that the settings name, if any.
+func peerCertificates(cfg settings.Peer) (*peer.Certificates, error) {
+	if cfg.Cert() != "" {
+		return peer.LoadCertificates(cfg.Cert(), cfg.Key(), cfg.CA())
+	}
+	address, err := netip.ParseAddrPort(cfg.Advertise())
+	if err != nil {
+		return nil, err
+	}
+	if !cfg.Plain() && !address.Addr().IsLoopback() {
+		return nil, errPlain
+	}
+	return nil, nil
+}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"syscall"
@@ -32,9 +31,6 @@
 			wait(ctx, n.Heartbeat)
 			continue
 		}
-		if n.TLS != nil {
-			conn = tls.Server(conn, n.TLS)
-		}
 		n.group.Go(func() error {
 			_ = n.connect(ctx, conn, false, nil)
 			return nil
@@ -88,29 +84,12 @@
 		}
 		return
 	}
-	if n.TLS != nil {
-		conn = tls.Client(conn, clientTLS(n.TLS, m.Address()))
-	}
 	err = n.connect(ctx, conn, true, func(id peridotusher.RouterID) { n.dials.succeeded(m.Address(), id) })
 	if err != nil {
 		n.dials.failed(m.Address(), err)
 	}
 }
 
-// clientTLS returns the configuration with the name that the peer must prove.
-func clientTLS(cfg *tls.Config, address string) *tls.Config {
-	if cfg.ServerName != "" {
-		return cfg
-	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return cfg
-	}
-	named := cfg.Clone()
-	named.ServerName = host
-	return named
-}
-
 // connect makes a session of a connection and serves it until it ends. The
 // error is nil once the session was up.
 func (n *Node) connect(ctx context.Context, conn net.Conn, dialled bool, up func(peridotusher.RouterID)) error {
@@ -118,7 +97,7 @@
 	defer stop()
 	defer conn.Close()
 	counted := newCountedConn(conn, n.traffic, n.Clock)
-	shaken, peer, err := n.handshake(counted, dialled)
+	shaken, peer, err := n.shake(counted, dialled)
 	if err != nil {
 		n.Log.WithError(err).WithField("address", conn.RemoteAddr()).Warn("handshake failed")
 		return err
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -32,6 +32,21 @@
 // Read implements net.Conn.
 func (c *bufferedConn) Read(p []byte) (int, error) { return c.r.Read(p) }
 
+// shake secures a connection, exchanges Hellos on it and checks the name of the
+// peer's certificate.
+func (n *Node) shake(conn net.Conn, dialled bool) (net.Conn, peridotusher.Member, error) {
+	var none peridotusher.Member
+	secured, err := n.secure(conn, dialled)
+	if err != nil {
+		return nil, none, err
+	}
+	shaken, peer, err := n.handshake(secured, dialled)
+	if err != nil {
+		return nil, none, err
+	}
+	return shaken, peer, checkName(secured, peer.ID())
+}
+
 // handshake exchanges Hellos and returns the connection to go on with and the
 // router at its other end. Both sides send theirs before they judge, so that
 // each can say which of them must be upgraded.
--- a/peer/node.go
+++ b/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -50,7 +49,8 @@
 	Loads     LoadSource         // nil sends no loads
 	Sink      LoadSink           // nil drops loads that arrive
 	Revision  RevisionSource     // nil sends revision zero
-	TLS       *tls.Config        // nil connects without encryption
+	TLS       *Certificates      // nil connects without encryption
+	Plain     bool               // plain TCP may leave this host
 	Heartbeat time.Duration      // interval of heartbeats
 	Timeout   time.Duration      // silence after which a router is suspect
 	Clock     peridotusher.Clock // nil uses time.Now
