--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -11,12 +11,6 @@
 	"peridotusher.example/peridotusher"
 )
 
-// The protocol versions of this program.
-const (
-	protocolVersion = 1
-	oldestVersion   = 1
-)
-
 // maxHelloBytes bounds the first message of a connection.
 const maxHelloBytes = 4 << 10
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -57,6 +57,7 @@
 	Log       logrus.FieldLogger // nil logs to the standard logger
 	Workers   int                // workers that decide on asks, and as many for all else
 	Seed      uint64             // seed of the backoff's jitter
+	Version   uint32             // protocol version to speak, for tests of upgrades; zero for the newest
 
 	version, oldest uint32 // protocol versions; zero uses the constants
 
@@ -93,8 +94,11 @@
 	if n.Workers == 0 {
 		n.Workers = defaultWorkers
 	}
+	if n.Version == 0 {
+		n.Version = protocolVersion
+	}
 	if n.version == 0 {
-		n.version, n.oldest = protocolVersion, oldestVersion
+		n.version, n.oldest = n.Version, oldestPeer(features, n.Version)
 	}
 	n.sessions = newSessionTable(n.Self.ID())
 	n.dials = newDialTable(n.Clock, n.Heartbeat, rand.New(rand.NewPCG(n.Seed, 0)))
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -17,7 +17,7 @@
 }
 
 // Counts is a copy of a node's traffic counters. The byte totals are those of
-// the connections, with the overhead of yamux but not of TLS or TCP.
+// the connections, with the overhead of yamux and TLS but not of TCP.
 type Counts struct {
 	Sent          map[Kind]KindCount
 	Received      map[Kind]KindCount
