peer: heartbeats and messages keep to a byte budget

Heartbeats become rarer with the number of sessions, and the silence after which a router is suspect grows with them.

--- a/cmd/peridotusher/serve.go
+++ b/cmd/peridotusher/serve.go
@@ -20,6 +20,7 @@
 			"Example: peridotusher serve --settings router.ini",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this process", Required: true},
+			&cli.Uint32Flag{Name: "protocol", Usage: "protocol `VERSION` to speak to other routers; only for tests of upgrades", Hidden: true},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			cfg, problems := settings.Load(cmd.String("settings"))
@@ -29,13 +30,14 @@
 				}
 				return cli.Exit("", exitInvalid)
 			}
-			return serve(ctx, cfg)
+			return serve(ctx, cfg, cmd.Uint32("protocol"))
 		},
 	}
 }
 
-// serve runs a router with the settings until ctx ends.
-func serve(ctx context.Context, cfg *settings.Settings) error {
+// serve runs a router with the settings until ctx ends. It speaks the newest
+// protocol version if protocol is zero.
+func serve(ctx context.Context, cfg *settings.Settings, protocol uint32) error {
 	log := logrus.New()
 	level, err := logrus.ParseLevel(cfg.Router().Log())
 	if err != nil {
@@ -48,6 +50,7 @@
 		return err
 	}
 	defer cleanup()
+	host.PeerVersion = protocol
 	host.Caller, err = net.Listen("tcp", cfg.Caller().Listen())
 	if err != nil {
 		return err
--- a/entry/host.go
+++ b/entry/host.go
@@ -32,6 +32,8 @@
 	Prefix        string             // prefix of the store's keys
 	PeerTLS       *peer.Certificates // nil connects to peers without encryption
 	PeerPlain     bool               // plain TCP to peers may leave this host
+	PeerBudget    int                // bytes per second of control traffic; zero for no limit
+	PeerVersion   uint32             // protocol version for tests of upgrades; zero for the newest
 	Store         Store
 	Leases        Leases  // nil gives no orders
 	Weights       Weights // nil gives no orders
@@ -146,6 +148,8 @@
 		Sink:     loadSink{host: h},
 		TLS:      h.PeerTLS,
 		Plain:    h.PeerPlain,
+		Budget:   h.PeerBudget,
+		Version:  h.PeerVersion,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
--- a/entry/new.go
+++ b/entry/new.go
@@ -45,6 +45,7 @@
 		Prefix:        cfg.Store().Prefix() + "/",
 		PeerTLS:       certificates,
 		PeerPlain:     cfg.Peer().Plain(),
+		PeerBudget:    cfg.Peer().Budget(),
 		Store:         client,
 		Leases:        client,
 		Weights:       reserver,
--- a/peer/fault_test.go
+++ b/peer/fault_test.go
@@ -143,8 +143,8 @@
 			table := newSessionTable(self)
 			for _, dialer := range order {
 				conn, _ := net.Pipe()
-				counted := newCountedConn(conn, newTraffic(), newFakeClock())
-				table.add(newSession(members[other], dialer, counted, newTraffic()))
+				counted := newCountedConn(conn, newTraffic(newBudget(newFakeClock(), 0)), newFakeClock())
+				table.add(newSession(members[other], dialer, counted, newTraffic(newBudget(newFakeClock(), 0))))
 			}
 			kept, _ := table.get(other)
 			if diff := cmp.Diff(peridotusher.RouterID("a"), kept.dialer); diff != "" {
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -16,15 +16,21 @@
 	Revision uint64 // configuration revision in force there
 }
 
-// beat sends heartbeats, dials and checks for silence once per interval.
+// beat dials and checks for silence once per interval, and sends heartbeats
+// as often as the budget allows.
 func (n *Node) beat(ctx context.Context) error {
 	ticker := time.NewTicker(n.Heartbeat)
 	defer ticker.Stop()
-	for {
-		n.sessions.closeSilent(n.Clock.Now(), n.Timeout)
-		n.Members.Expire(n.Timeout)
+	stretch := 1
+	for tick := 0; ; tick++ {
+		patience := n.patience(stretch)
+		n.sessions.closeSilent(n.Clock.Now(), patience)
+		n.Members.Expire(patience)
 		n.dialMissing(ctx)
-		n.sendHeartbeats()
+		if tick%stretch == 0 {
+			stretch = n.sendHeartbeats(stretch)
+			tick = 0
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -34,16 +40,20 @@
 }
 
 // sendHeartbeats queues one heartbeat on each session. One that still waits
-// there is replaced.
-func (n *Node) sendHeartbeats() {
-	body, err := proto.Marshal(n.heartbeat())
+// there is replaced. It returns the number of ticks to the next.
+func (n *Node) sendHeartbeats(stretch int) int {
+	msg := n.heartbeat()
+	msg.Every = uint64((time.Duration(stretch) * n.Heartbeat).Microseconds())
+	body, err := proto.Marshal(msg)
 	if err != nil {
 		n.Log.WithError(err).Error("heartbeat not encoded")
-		return
+		return stretch
 	}
-	for _, s := range n.sessions.all() {
+	sessions := n.sessions.all()
+	for _, s := range sessions {
 		s.lanes[controlLane].replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: body})
 	}
+	return n.stretch(len(sessions), len(body))
 }
 
 // heartbeat returns this router's present heartbeat.
@@ -76,7 +86,7 @@
 		s.close(errStaleIncarnation)
 		return
 	}
-	s.setView(View{Members: msg.GetView(), Revision: msg.GetRevision()})
+	s.setView(View{Members: msg.GetView(), Revision: msg.GetRevision()}, microseconds(int64(msg.GetEvery())))
 	if n.Sink != nil {
 		n.Sink.SetLoads(s.peer.ID(), loadsFromWire(msg.GetLoads()))
 	}
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -71,7 +71,7 @@
 }
 
 func TestNewerHeartbeatReplacesTheWaitingOne(t *testing.T) {
-	o := newOutbox(nil, newTraffic())
+	o := newOutbox(nil, newTraffic(newBudget(newFakeClock(), 0)))
 	o.replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: []byte("old")})
 	o.replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: []byte("new")})
 	f := <-o.heartbeat
@@ -81,7 +81,7 @@
 }
 
 func TestExpiredMessageIsNotWritten(t *testing.T) {
-	o := newOutbox(nil, newTraffic())
+	o := newOutbox(nil, newTraffic(newBudget(newFakeClock(), 0)))
 	ctx, cancel := context.WithTimeout(context.Background(), 0)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
--- a/peer/node.go
+++ b/peer/node.go
@@ -57,6 +57,7 @@
 	Log       logrus.FieldLogger // nil logs to the standard logger
 	Workers   int                // workers that decide on asks, and as many for all else
 	Seed      uint64             // seed of the backoff's jitter
+	Budget    int                // bytes per second that may be sent; zero for no limit
 	Version   uint32             // protocol version to speak, for tests of upgrades; zero for the newest
 
 	version, oldest uint32 // protocol versions; zero uses the constants
@@ -104,7 +105,7 @@
 	n.dials = newDialTable(n.Clock, n.Heartbeat, rand.New(rand.NewPCG(n.Seed, 0)))
 	n.askPool = newPool(n.Workers)
 	n.pool = newPool(n.Workers)
-	n.traffic = newTraffic()
+	n.traffic = newTraffic(newBudget(n.Clock, n.Budget))
 	n.handlers = map[Kind]HandlerFunc{
 		KindAsk:    n.handleAsk,
 		KindReturn: n.handleReturn,
--- a/peer/session.go
+++ b/peer/session.go
@@ -41,6 +41,7 @@
 	nextID  uint64
 	pending map[uint64]chan *Envelope
 	view    View
+	every   time.Duration // interval of the peer's heartbeats
 }
 
 func newSession(peer peridotusher.Member, dialer peridotusher.RouterID, conn *countedConn, t *traffic) *session {
@@ -134,6 +135,9 @@
 	if len(e.GetBody()) > maxBodyBytes {
 		return errBodyTooLarge
 	}
+	if !s.traffic.admits(Kind(e.GetKind())) {
+		return errOverBudget
+	}
 	err := s.lanes[Kind(e.GetKind()).lane()].put(ctx, e)
 	if errors.Is(err, errSessionClosed) {
 		return &LinkError{router: s.peer.ID(), err: s.cause()}
@@ -201,11 +205,19 @@
 // silentSince returns the time of the last byte that arrived.
 func (s *session) silentSince() time.Time { return s.conn.lastRead() }
 
-// setView keeps what the peer said of its own state.
-func (s *session) setView(v View) {
+// setView keeps what the peer said of its own state and its next heartbeat.
+func (s *session) setView(v View, every time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view = v
+	s.every = every
+}
+
+// announced returns the interval of heartbeats that the peer keeps.
+func (s *session) announced() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.every
 }
 
 // lastView returns what the peer last said of its own state.
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -21,24 +21,46 @@
 type Counts struct {
 	Sent          map[Kind]KindCount
 	Received      map[Kind]KindCount
+	Shed          map[Kind]uint64 // messages that were not sent, to keep to the budget
 	SentBytes     uint64
 	ReceivedBytes uint64
 }
 
 // traffic counts messages by kind and bytes in total.
 type traffic struct {
+	budget                   *budget
 	sentBytes, receivedBytes atomic.Uint64
 
 	mu             sync.Mutex
 	sent, received map[Kind]KindCount
+	shed           map[Kind]uint64
 }
 
-func newTraffic() *traffic {
-	return &traffic{sent: make(map[Kind]KindCount), received: make(map[Kind]KindCount)}
+func newTraffic(b *budget) *traffic {
+	return &traffic{
+		budget:   b,
+		sent:     make(map[Kind]KindCount),
+		received: make(map[Kind]KindCount),
+		shed:     make(map[Kind]uint64),
+	}
+}
+
+// admits reports whether a message of the kind may be sent, and counts it if not.
+func (t *traffic) admits(kind Kind) bool {
+	if t.budget.admits(kind.rank()) {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shed[kind]++
+	return false
 }
 
 // addSent counts one message that was written.
-func (t *traffic) addSent(kind Kind, size int) { t.add(t.sent, kind, size) }
+func (t *traffic) addSent(kind Kind, size int) {
+	t.budget.spend(size)
+	t.add(t.sent, kind, size)
+}
 
 // addReceived counts one message that was read.
 func (t *traffic) addReceived(kind Kind, size int) { t.add(t.received, kind, size) }
@@ -59,6 +81,7 @@
 	return Counts{
 		Sent:          maps.Clone(t.sent),
 		Received:      maps.Clone(t.received),
+		Shed:          maps.Clone(t.shed),
 		SentBytes:     t.sentBytes.Load(),
 		ReceivedBytes: t.receivedBytes.Load(),
 	}
