--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -267,7 +267,10 @@
 func (b *Bed) CutZone(zone string) { b.Links.cut(zone) }
 
 // HealZone lifts CutZone. Connections that were silenced are reset.
-func (b *Bed) HealZone(zone string) { b.Links.heal(zone) }
+func (b *Bed) HealZone(zone string) { b.Links.heal(zone, true) }
+
+// HealPeers lifts CutZone except for the links to the platform.
+func (b *Bed) HealPeers(zone string) { b.Links.heal(zone, false) }
 
 // CutPlatform silences every link between the zone and the platform.
 func (b *Bed) CutPlatform(zone string) {
--- a/testbed/links.go
+++ b/testbed/links.go
@@ -109,11 +109,13 @@
 	}
 }
 
-func (l *Links) heal(zone string) {
+// heal lifts the faults of the zone's links, those to the platform only if asked.
+func (l *Links) heal(zone string, platform bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for key, p := range l.links {
-		if key.from == zone || l.ends[key] == zone {
+		touches := key.from == zone || l.ends[key] == zone
+		if touches && (platform || l.ends[key] != platformZone) {
 			p.Set(l.normal(l.ends[key]))
 			p.Cut()
 		}
--- a/testbed/router.go
+++ b/testbed/router.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -246,15 +248,19 @@
 	_ = r.cmd.Process.Signal(s)
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address that was free a moment ago. Its port
+// is below those that the system gives to outgoing connections, one of which
+// could else take it before the process listens.
 func freeAddress() (string, error) {
-	l, err := listen()
-	if err != nil {
-		return "", err
+	const firstPort, ports, attempts = 12000, 20000, 100
+	var last error
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+		last = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", last
 }
-
-// LogPath returns the file that the process logs to.
-func (r *Router) LogPath() string { return r.logPath }
