peer: a router whose connections are cut before its Hello is suspect after two; metrics of the fleet

Metrics: control bytes and shed messages by kind, configuration revision and alarms, store calls by kind.

--- a/entry/status.go
+++ b/entry/status.go
@@ -52,5 +52,6 @@
 func (h *Host) measurePeers() {
 	h.metrics.Gauge(`peridotusher_peer_bytes{direction="sent"}`, func() float64 { return float64(h.node.Counts().SentBytes) })
 	h.metrics.Gauge(`peridotusher_peer_bytes{direction="received"}`, func() float64 { return float64(h.node.Counts().ReceivedBytes) })
+	h.measureFleet()
 	h.metrics.Gauge("peridotusher_permits_held", func() float64 { return float64(len(h.ingress.Held())) })
 }
--- a/fleettest/config_test.go
+++ b/fleettest/config_test.go
@@ -62,10 +62,27 @@
 	b.inForce(key, inForceLimit, b.Routers...)
 
 	b.Store.Restore(old)
-	time.Sleep(2 * time.Second) // the watchers read the head once a second
+	b.waitRewound()
 	b.inForce(key, inForceLimit, b.Routers...)
 }
 
+// waitRewound waits until a router of each zone raises the alarm of a store
+// that was set back.
+func (b *bench) waitRewound() {
+	b.t.Helper()
+	alarmed := map[string]bool{}
+	for began := time.Now(); len(alarmed) < 3; time.Sleep(probeInterval) {
+		for _, r := range b.Routers {
+			if b.read(r)[`peridotusher_configuration_alarm{alarm="rewound"}`] > 0 {
+				alarmed[r.Zone] = true
+			}
+		}
+		if time.Since(began) > waitLimit {
+			b.t.Fatalf("alarm in the zones %v only", alarmed)
+		}
+	}
+}
+
 // TestWatcherDies kills each router of a zone in turn right after an edit.
 func TestWatcherDies(t *testing.T) {
 	b := startBench(t, func(o *testbed.Options) { o.Zones = []string{"a"}; o.RoutersPerZone = 4 })
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -13,6 +13,9 @@
 	"peridotusher.example/peridotusher"
 )
 
+// cutsToSuspect is the number of connections cut in a row that make a router suspect.
+const cutsToSuspect = 2
+
 // errStaleIncarnation means that a later process of the same router is known.
 var errStaleIncarnation = errors.New("a later incarnation of the router is known")
 
@@ -78,15 +81,24 @@
 	dialer := net.Dialer{Timeout: n.Timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", m.Address())
 	if err != nil {
-		n.dials.failed(m.Address(), err)
-		if errors.Is(err, syscall.ECONNREFUSED) && !n.connected(m) {
-			n.Members.Suspect(m.ID())
-		}
+		n.dialFailed(m, err)
 		return
 	}
 	err = n.connect(ctx, conn, true, func(id peridotusher.RouterID) { n.dials.succeeded(m.Address(), id) })
 	if err != nil {
-		n.dials.failed(m.Address(), err)
+		n.dialFailed(m, err)
+	}
+}
+
+// dialFailed records a failed dial. A router without a session is suspect when
+// its host refuses the connection, or when connections were cut before its
+// Hello a few times in a row, as by a middlebox that finds nobody behind it.
+func (n *Node) dialFailed(m peridotusher.Member, err error) {
+	failures := n.dials.failed(m.Address(), err)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	cut := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+	if (refused || cut && failures >= cutsToSuspect) && !n.connected(m) {
+		n.Members.Suspect(m.ID())
 	}
 }
 
--- a/peer/dials.go
+++ b/peer/dials.go
@@ -50,19 +50,21 @@
 	return true
 }
 
-// failed ends a dial. The next one waits for a jittered exponential backoff.
-func (t *dialTable) failed(address string, err error) {
+// failed ends a dial and returns how many failed in a row. The next one waits
+// for a jittered exponential backoff.
+func (t *dialTable) failed(address string, err error) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.states[address]
 	if !ok {
-		return
+		return 0
 	}
 	backoff := t.base << min(s.failures, maxDoublings)
 	s.next = t.clock.Now().Add(backoff/2 + time.Duration(t.jitter.Int64N(int64(backoff))))
 	s.failures++
 	s.busy = false
 	s.err = err
+	return s.failures
 }
 
 // succeeded ends a dial that a router answered.
