--- a/config/source_test.go
+++ b/config/source_test.go
@@ -158,46 +158,16 @@
 	}
 }
 
-// countingStore is a store whose watches are counted and that can be cut off.
-type countingStore struct {
+// cutStore is a store that does not answer reads.
+type cutStore struct {
 	Store
-	mu      sync.Mutex
-	watches int
-	down    bool
-}
-
-func (c *countingStore) List(ctx context.Context, prefix string) ([]store.Entry, store.Revision, error) {
-	if c.isDown() {
-		return nil, 0, errCut
-	}
-	return c.Store.List(ctx, prefix)
-}
-
-func (c *countingStore) Get(ctx context.Context, key string) (store.Entry, error) {
-	if c.isDown() {
-		return store.Entry{}, errCut
-	}
-	return c.Store.Get(ctx, key)
 }
 
-func (c *countingStore) Watch(ctx context.Context, prefix string, from store.Revision, fn func(store.Event) error) error {
-	c.mu.Lock()
-	c.watches++
-	c.mu.Unlock()
-	return c.Store.Watch(ctx, prefix, from, fn)
+func (cutStore) List(context.Context, string) ([]store.Entry, store.Revision, error) {
+	return nil, 0, errCut
 }
 
-func (c *countingStore) isDown() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.down
-}
-
-func (c *countingStore) setDown(down bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.down = down
-}
+func (cutStore) Get(context.Context, string) (store.Entry, error) { return store.Entry{}, errCut }
 
 func edit(t *testing.T, e *Editor, base uint64, weight int) uint64 {
 	t.Helper()
@@ -251,8 +221,7 @@
 	h := &hub{routers: map[peridotusher.RouterID]*router{}}
 	first := h.add(t, "router-a", client())
 	waitRevision(t, 1, first)
-	lone := &countingStore{Store: client(), down: true}
-	second := h.add(t, "router-b", lone)
+	second := h.add(t, "router-b", cutStore{client()})
 	waitRevision(t, 1, second)
 	if diff := cmp.Diff(first.source.Document().Text(), second.source.Document().Text()); diff != "" {
 		t.Errorf("text (-first +second):\n%s", diff)
--- a/testbed/router.go
+++ b/testbed/router.go
@@ -264,3 +264,6 @@
 	}
 	return "", last
 }
+
+// LogPath returns the file that the process logs to.
+func (r *Router) LogPath() string { return r.logPath }
