--- a/entry/host.go
+++ b/entry/host.go
@@ -28,9 +28,13 @@
 	Caller        net.Listener
 	Operator      net.Listener
 	Peer          net.Listener
-	Address       string // where peers reach this router, the Peer listener's address if empty
-	OperatorKey   string // hash of the operators' key, see document.HashKey
-	Prefix        string // prefix of the store's keys
+	Address       string             // where peers reach this router, the Peer listener's address if empty
+	Prefix        string             // prefix of the store's keys
+	PeerTLS       *peer.Certificates // nil connects to peers without encryption
+	PeerPlain     bool               // plain TCP to peers may leave this host
+	PeerBudget    int                // bytes per second of control traffic; zero for no limit
+	PeerVersion   uint32             // protocol version for tests of upgrades; zero for the newest
+	OperatorKey   string             // hash of the operators' key, see document.HashKey
 	Store         Store
 	Leases        Leases  // nil gives no orders
 	Weights       Weights // nil gives no orders
@@ -155,6 +159,10 @@
 		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
+		TLS:      h.PeerTLS,
+		Plain:    h.PeerPlain,
+		Budget:   h.PeerBudget,
+		Version:  h.PeerVersion,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
