--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -11,6 +11,8 @@
 //	peridotusher report --html FILE
 //	source <(peridotusher completion bash)
 //	peridotusher config --store ADDRESS get
+//	peridotusher plan --document FILE --state FILE
+//	peridotusher rollout --store ADDRESS back MODEL
 //
 // Exit codes: 0 success, 1 failure, 2 invalid settings, document or arguments,
 // 3 conflict of edits, 4 the answer shows a problem, 5 no such name.
@@ -64,6 +66,8 @@
 			drainCommand(),
 			reportCommand(),
 			configCommand(),
+			planCommand(),
+			rolloutCommand(),
 		},
 	}
 	err := root.Run(ctx, args)
--- a/entry/host.go
+++ b/entry/host.go
@@ -28,9 +28,13 @@
 	Caller        net.Listener
 	Operator      net.Listener
 	Peer          net.Listener
-	Address       string // where peers reach this router, the Peer listener's address if empty
-	OperatorKey   string // hash of the operators' key, see document.HashKey
-	Prefix        string // prefix of the store's keys
+	Address       string             // where peers reach this router, the Peer listener's address if empty
+	Prefix        string             // prefix of the store's keys
+	PeerTLS       *peer.Certificates // nil connects to peers without encryption
+	PeerPlain     bool               // plain TCP to peers may leave this host
+	PeerBudget    int                // bytes per second of control traffic; zero for no limit
+	PeerVersion   uint32             // protocol version for tests of upgrades; zero for the newest
+	OperatorKey   string             // hash of the operators' key, see document.HashKey
 	Store         Store
 	Leases        Leases  // nil gives no orders
 	Weights       Weights // nil gives no orders
@@ -42,6 +46,7 @@
 	Clock         peridotusher.Clock
 	Log           logrus.FieldLogger
 	Seed          uint64
+	StreamSecret  string // signs event ids; streams cannot be resumed if empty
 
 	source  *config.Source
 	built   atomic.Bool
@@ -54,6 +59,9 @@
 	node    *peer.Node
 	models  *engine.Client
 	plain   *service.Client
+	claims  *claimTable
+	streams streamTable
+	retries retries
 	metrics *operator.Metrics
 	burn    *peridotusher.Burn
 	started time.Time
@@ -76,11 +84,14 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
 	group.Go(func() error { return h.source.Run(background) })
+	group.Go(func() error { return h.claims.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
 	group.Go(func() error { return h.runOrders(background) })
 	group.Go(func() error { return h.reportHealth(background) })
 	group.Go(func() error { return h.watchReports(background) })
+	group.Go(func() error { return h.careForEngines(background) })
+	group.Go(func() error { return h.warmEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
@@ -148,6 +159,10 @@
 		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
+		TLS:      h.PeerTLS,
+		Plain:    h.PeerPlain,
+		Budget:   h.PeerBudget,
+		Version:  h.PeerVersion,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
@@ -166,11 +181,12 @@
 		Record:    h.metrics.Permit,
 	}
 	h.measurePeers()
+	h.buildAnswers()
 	return h.buildClients()
 }
 
 func (h *Host) buildClients() (func(), error) {
-	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock})
+	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock, Discarded: h.countDiscarded})
 	if err != nil {
 		return nil, err
 	}
