--- a/burn.go
+++ b/burn.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// MaxBurnSeries bounds the series of one router. Each takes about 4 KB.
+	// MaxBurnSeries bounds the series of one router. Each takes about 5 KB.
 	MaxBurnSeries = 2048
 	// OtherOrganisations stands for the organisations without a series of their own.
 	OtherOrganisations = "other"
@@ -53,8 +53,9 @@
 	limit   int
 	started time.Time
 
-	mu     sync.Mutex
-	series map[BurnKey]*burnSeries
+	mu      sync.Mutex
+	series  map[BurnKey]*burnSeries
+	evictAt time.Time // when series without counts are looked for again
 }
 
 // burnSeries holds the counts of one key.
@@ -119,12 +120,17 @@
 }
 
 // evict drops one organisation's series whose counts have all run out.
+// It searches once a minute at most.
 func (b *Burn) evict(now time.Time) bool {
+	if now.Before(b.evictAt) {
+		return false
+	}
 	for key, s := range b.series {
 		if key.Organisation != "" && now.Sub(s.last) > burnSpan*burnSpans {
 			delete(b.series, key)
 			return true
 		}
 	}
+	b.evictAt = now.Add(burnMinute)
 	return false
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,6 +22,9 @@
 	Goroutines  int
 	Descriptors int
 	Heap        int64 // bytes in use after the last collection
+	Sent        int64 // bytes to other routers
+	Received    int64 // bytes from other routers
+	StoreCalls  int64
 }
 
 // ReadUsage reads a router process's figures.
@@ -44,7 +47,14 @@
 		if !ok || err != nil {
 			continue
 		}
+		if strings.HasPrefix(name, "peridotusher_store_calls_total") {
+			u.StoreCalls += int64(number)
+		}
 		switch name {
+		case `peridotusher_peer_bytes{direction="sent"}`:
+			u.Sent = int64(number)
+		case `peridotusher_peer_bytes{direction="received"}`:
+			u.Received = int64(number)
 		case "process_resident_memory_bytes":
 			u.Resident = int64(number)
 		case "go_goroutines":
