--- a/streamresume.go
+++ b/streamresume.go
@@ -23,11 +23,16 @@
 		// An owner that cannot be reached counts by the engine's own report.
 		_ = peers.Report(ctx, owner, held)
 	}
-	return in.hold(Answer{Permit: id}, owner, engine, ask)
+	p := in.hold(Answer{Permit: id, Owner: owner}, engine, req)
+	p.end = func() {}
+	return p
 }
 
 // HandOver gives the permit up without ending it, because another router has
 // taken its request over. Done does nothing afterwards.
 func (p *Permit) HandOver() {
-	p.once.Do(func() { p.ingress.release(p.id) })
+	p.once.Do(func() {
+		p.end()
+		p.ingress.drop(p.id)
+	})
 }
