--- a/entry/host.go
+++ b/entry/host.go
@@ -87,6 +87,7 @@
 	group.Go(func() error { return h.claims.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
+	group.Go(func() error { return h.runAdmission(background) })
 	group.Go(func() error { return h.runOrders(background) })
 	group.Go(func() error { return h.reportHealth(background) })
 	group.Go(func() error { return h.watchReports(background) })
@@ -149,14 +150,12 @@
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
 	h.buildOperator()
+	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
 	h.health = newHealthBook(h.Clock)
-	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
-	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
 		Self:     self,
 		Listener: h.Peer,
 		Members:  h.members,
-		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
 		TLS:      h.PeerTLS,
@@ -168,18 +167,9 @@
 		Seed:     h.Seed,
 	}
 	h.node.ServeOperator(h.operatorAddress())
+	h.buildAdmission(placer)
 	h.buildSource()
 	h.node.HandleHealth(healthHandler{host: h})
-	h.ingress = &peridotusher.Ingress{
-		Self:      self.ID(),
-		Ownership: h.members,
-		Engines:   h.engines,
-		Placer:    placer,
-		Local:     h.owner,
-		Peers:     h.node,
-		Clock:     h.Clock,
-		Record:    h.metrics.Permit,
-	}
 	h.measurePeers()
 	h.buildAnswers()
 	return h.buildClients()
--- a/peer/node.go
+++ b/peer/node.go
@@ -46,6 +46,7 @@
 	Listener  net.Listener
 	Members   *peridotusher.Members
 	Permits   PermitHandler      // nil refuses every ask
+	Admission AdmissionHandler   // nil drops late decisions, placements and facts
 	Loads     LoadSource         // nil sends no loads
 	Sink      LoadSink           // nil drops loads that arrive
 	Revision  RevisionSource     // nil sends revision zero
@@ -107,9 +108,13 @@
 	n.pool = newPool(n.Workers)
 	n.traffic = newTraffic(newBudget(n.Clock, n.Budget))
 	n.handlers = map[Kind]HandlerFunc{
-		KindAsk:    n.handleAsk,
-		KindReturn: n.handleReturn,
-		KindReport: n.handleReport,
+		KindAsk:     n.handleAsk,
+		KindReturn:  n.handleReturn,
+		KindReport:  n.handleReport,
+		KindGrant:   n.handleGrant,
+		KindPlaced:  n.handlePlaced,
+		KindFacts:   n.handleFacts,
+		KindDemands: n.handleDemands,
 	}
 }
 
