--- a/entry/host.go
+++ b/entry/host.go
@@ -50,7 +50,7 @@
 
 	source  *config.Source
 	built   atomic.Bool
-	polled  atomic.Bool // engines were listed and asked for their loads
+	known   atomic.Bool // an engine's load has been known
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
--- a/entry/status.go
+++ b/entry/status.go
@@ -30,14 +30,18 @@
 	}))
 }
 
-// knowsEngines returns whether the router has asked the engines for their
-// loads, or needs none. Before that it would refuse every chat.
+// knowsEngines returns whether an engine's load has been known, or none is
+// needed. Before that the router would refuse every chat.
 func (h *Host) knowsEngines() bool {
-	if h.polled.Load() {
+	if h.known.Load() {
 		return true
 	}
 	doc := h.Document()
-	return doc != nil && len(doc.Models()) == 0
+	known := h.ReadyEngines() > 0 || doc != nil && len(doc.Models()) == 0
+	if known {
+		h.known.Store(true)
+	}
+	return known
 }
 
 // ControlCounts returns the bytes exchanged with other routers.
