--- a/hosts/client_test.go
+++ b/hosts/client_test.go
@@ -17,7 +17,7 @@
 )
 
 // start runs the server for the test's duration and returns its URL.
-func start(t *testing.T, server *standin.Hosts) string {
+func start(t testing.TB, server *standin.Hosts) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
