--- a/entry/host.go
+++ b/entry/host.go
@@ -55,6 +55,8 @@
 	plain   *service.Client
 	metrics *operator.Metrics
 	health  *healthBook
+
+	standings *standings
 }
 
 // Run serves until ctx ends and the requests in flight have been answered.
@@ -75,6 +77,7 @@
 	group.Go(func() error { return h.runOrders(background) })
 	group.Go(func() error { return h.reportHealth(background) })
 	group.Go(func() error { return h.watchReports(background) })
+	group.Go(func() error { return h.judgeEngines(background) })
 	group.Go(func() error { return h.careForEngines(background) })
 	group.Go(func() error { return h.warmEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
@@ -135,6 +138,7 @@
 	h.ledger = peridotusher.NewLedger()
 	h.metrics = operator.NewMetrics()
 	h.health = newHealthBook(h.Clock)
+	h.standings = newStandings(h.engines)
 	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
 	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
--- a/entry/outlier.go
+++ b/entry/outlier.go
@@ -111,14 +111,18 @@
 	}
 }
 
-// recent returns the outcomes of the window, summed by key.
-func (b *healthBook) recent() []peridotusher.EngineOutcome {
+// recent returns the outcomes of the window, summed by key. Those of an engine
+// from before its time of since are left out.
+func (b *healthBook) recent(since func(peridotusher.EngineID) time.Time) []peridotusher.EngineOutcome {
 	b.receive(nil)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sums := map[peridotusher.OutcomeKey]peridotusher.EngineOutcome{}
 	for _, r := range b.received {
 		for _, o := range r.outcomes {
+			if r.at.Before(since(o.Engine)) {
+				continue
+			}
 			sums[o.OutcomeKey] = sums[o.OutcomeKey].Plus(o)
 		}
 	}
@@ -131,5 +135,5 @@
 
 // versionHealth returns the recent health of each version in the zone.
 func (h *Host) versionHealth() map[peridotusher.ModelVersion]peridotusher.Health {
-	return peridotusher.VersionHealth(h.health.recent())
+	return peridotusher.VersionHealth(h.health.recent(func(peridotusher.EngineID) time.Time { return time.Time{} }))
 }
--- a/entry/outlier_report.go
+++ b/entry/outlier_report.go
@@ -33,15 +33,15 @@
 	}
 	for zone, outcomes := range byZone {
 		first, second := h.zoneLeaders(zone)
-		h.reportTo(ctx, first, outcomes, true)
+		h.reportTo(ctx, first, zone, outcomes, true)
 		if second != first && len(outcomes) > 0 {
-			h.reportTo(ctx, second, outcomes, false)
+			h.reportTo(ctx, second, zone, outcomes, false)
 		}
 	}
 }
 
 // reportTo reports to one router and, if told to, takes over its verdict.
-func (h *Host) reportTo(ctx context.Context, to peridotusher.RouterID, outcomes []peridotusher.EngineOutcome, adopt bool) {
+func (h *Host) reportTo(ctx context.Context, to peridotusher.RouterID, zone peridotusher.Zone, outcomes []peridotusher.EngineOutcome, adopt bool) {
 	if to == "" {
 		return
 	}
@@ -57,7 +57,7 @@
 		return
 	}
 	if adopt {
-		h.adoptVerdict(verdict)
+		h.standings.adopt(zone, verdict)
 	}
 }
 
@@ -67,25 +67,5 @@
 // Outcomes implements peer.HealthHandler.
 func (s healthHandler) Outcomes(_ peridotusher.RouterID, outcomes []peridotusher.EngineOutcome) peer.EngineVerdict {
 	s.host.health.receive(outcomes)
-	return s.host.engineVerdict()
+	return s.host.standings.verdict(peridotusher.Zone(s.host.Zone))
 }
-
-// engineVerdict returns the standing of the zone's engines.
-func (h *Host) engineVerdict() peer.EngineVerdict {
-	verdict := peer.EngineVerdict{Weights: map[peridotusher.EngineID]float64{}}
-	for _, e := range h.engines.All() {
-		if string(e.Zone()) != h.Zone {
-			continue
-		}
-		if e.State() == peridotusher.EngineEjected {
-			verdict.Ejected = append(verdict.Ejected, e.ID())
-		}
-		if e.Weight() < 1 {
-			verdict.Weights[e.ID()] = e.Weight()
-		}
-	}
-	return verdict
-}
-
-// adoptVerdict takes over the standing of another zone's engines.
-func (h *Host) adoptVerdict(_ peer.EngineVerdict) {}
--- a/entry/outlier_stale.go
+++ b/entry/outlier_stale.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"peridotusher.example/peridotusher"
 )
 
@@ -15,28 +17,22 @@
 // policy's time, and takes them back with the next report. Each router does so
 // for itself, since an engine may be out of reach for some routers only.
 func (h *Host) watchReports(ctx context.Context) error {
-	stale := map[peridotusher.EngineID]bool{}
-	return every(ctx, staleInterval, func(context.Context) { h.reviewReports(stale) })
+	return every(ctx, staleInterval, func(context.Context) { h.reviewReports() })
 }
 
-func (h *Host) reviewReports(stale map[peridotusher.EngineID]bool) {
+func (h *Host) reviewReports() {
 	doc := h.Document()
 	if doc == nil {
 		return
 	}
 	engines := h.engines.Select(func(e peridotusher.Engine) bool { return e.State() != peridotusher.EngineLeaving })
-	now := peridotusher.StaleEngines(h.Clock.Now(), doc.Policy().Rollout().Stale(), engines)
+	stale := peridotusher.StaleEngines(h.Clock.Now(), doc.Policy().Rollout().Stale(), engines)
 	for _, e := range engines {
-		was, is := stale[e.ID()], slices.Contains(now, e.ID())
-		switch {
-		case is && e.State() == peridotusher.EngineLive:
-			stale[e.ID()] = true
-			h.engines.SetState(e.ID(), peridotusher.EngineEjected)
-			h.Log.WithField("engine", e.ID()).Warn("engine ejected; its load report is stale")
-		case was && !is:
-			delete(stale, e.ID())
-			h.engines.SetState(e.ID(), peridotusher.EngineLive)
-			h.Log.WithField("engine", e.ID()).Info("engine taken back; it reports its load again")
+		is := slices.Contains(stale, e.ID())
+		if is == h.standings.isStale(e.ID()) {
+			continue
 		}
+		h.standings.setStale(e.ID(), is)
+		h.Log.WithFields(logrus.Fields{"engine": e.ID(), "ejected": is}).Warn("load report of engine is stale or fresh again")
 	}
 }
--- a/entry/transfer_warmup.go
+++ b/entry/transfer_warmup.go
@@ -47,7 +47,7 @@
 	w.started = true
 	for id, since := range w.joined {
 		weight := peridotusher.WarmupWeight(now.Sub(since), doc.Policy().Rollout().Warmup())
-		w.host.engines.SetWeight(id, weight)
+		w.host.standings.warmTo(id, weight)
 		if weight == 1 {
 			delete(w.joined, id)
 		}
--- a/operator/orders.go
+++ b/operator/orders.go
@@ -11,3 +11,8 @@
 func (m *Metrics) Copy(ok bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`peridotusher_prefix_copies_total{ok="%t"}`, ok)).Inc()
 }
+
+// Ruling counts a change of an engine's standing.
+func (m *Metrics) Ruling(kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`peridotusher_engine_rulings_total{kind=%q}`, kind)).Inc()
+}
--- a/ordertest/leaving_test.go
+++ b/ordertest/leaving_test.go
@@ -53,3 +53,38 @@
 		f.t.Fatalf("order %s at %s: %+v, %v", o.Kind, e.Name, result, err)
 	}
 }
+
+// TestOutliers slows one engine down, gives another an impossible load report,
+// and checks that neither gets new work until its fault is over.
+func TestOutliers(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, config{versions: "v1:100"}, testbed.Options{EnginesPerZone: 5})
+	traffic := startTraffic(f)
+	slow, wrong := f.Engines[0], f.Engines[1]
+	slow.SetSlow(20)
+	f.wait("the ejection of the slow engine", func() bool { return f.logged("ruling=eject") })
+	f.idle(slow)
+	slow.SetSlow(1)
+	f.wait("a probe of the slow engine", func() bool { return f.logged("ruling=probe") })
+	done := slow.Stats().Completed
+	f.wait("work on the slow engine", func() bool { return slow.Stats().Completed > done })
+	wrong.ReportLoad(&standin.EngineLoadOverride{Work: 100_000})
+	f.idle(wrong)
+	wrong.ReportLoad(nil)
+	done = wrong.Stats().Completed
+	f.wait("work on the engine that reports its load again", func() bool { return wrong.Stats().Completed > done })
+	traffic.stop()
+	traffic.check()
+}
+
+// idle waits until the engine has completed nothing for two seconds.
+func (f *fleet) idle(e *testbed.Engine) {
+	f.t.Helper()
+	since, done := time.Now(), -1
+	f.wait("an idle "+e.Name, func() bool {
+		if n := e.Stats().Completed; n != done {
+			since, done = time.Now(), n
+		}
+		return time.Since(since) > 2*time.Second
+	})
+}
--- /dev/null
+++ b/outlier_test.go
@@ -0,0 +1,114 @@
+package peridotusher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// zoneOutcomes returns healthy outcomes of the class for each engine.
+func zoneOutcomes(class string, engines ...EngineID) []EngineOutcome {
+	var outcomes []EngineOutcome
+	for _, id := range engines {
+		outcomes = append(outcomes, EngineOutcome{
+			OutcomeKey: OutcomeKey{Engine: id, Model: "m", Class: class},
+			Requests:   20, Answered: 20, FirstToken: 20 * 100 * time.Millisecond,
+		})
+	}
+	return outcomes
+}
+
+func judgeEngines() []Engine {
+	return planTable([]PlannedEngine{planEngine("e1", "v1"), planEngine("e2", "v1"), planEngine("e3", "v1"), planEngine("e4", "v1"), planEngine("e5", "v1")})
+}
+
+func TestJudgeEjects(t *testing.T) {
+	policy := planDocument(t, "", "").Policy().Rollout()
+	tests := []struct {
+		name   string
+		change func(o []EngineOutcome)
+		want   []Ruling
+	}{
+		{"all alike", func([]EngineOutcome) {}, nil},
+		{"errors", func(o []EngineOutcome) { o[1].Errors = 5 }, []Ruling{{"e2", RulingEject, "class chat: errors 25% against 0%"}}},
+		{"errors everywhere", func(o []EngineOutcome) {
+			for i := range o {
+				o[i].Errors = 10
+			}
+		}, nil},
+		{"slow", func(o []EngineOutcome) { o[0].FirstToken *= 4 }, []Ruling{{"e1", RulingEject, "class chat: first token after 400ms against 100ms"}}},
+		{"another class is slow by nature", func(o []EngineOutcome) { o[0].Class = "report"; o[0].FirstToken *= 4 }, nil},
+		{"too few requests", func(o []EngineOutcome) { o[0].Requests, o[0].Errors = 9, 9 }, nil},
+		{"a share of the engines only", func(o []EngineOutcome) { o[0].Errors, o[1].Errors = 20, 20 }, []Ruling{{"e1", RulingEject, "class chat: errors 100% against 25%"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			outcomes := zoneOutcomes("chat", "e1", "e2", "e3", "e4", "e5")
+			test.change(outcomes)
+			got := NewJudge(planStart, nil).Review(planStart, policy, judgeEngines(), outcomes)
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("rulings (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestJudgeProbesAndEjectsForLonger(t *testing.T) {
+	policy := planDocument(t, "", "").Policy().Rollout()
+	good := zoneOutcomes("chat", "e1", "e2", "e3", "e4", "e5")
+	bad := zoneOutcomes("chat", "e1", "e2", "e3", "e4", "e5")
+	bad[0].Errors = 20
+	judge := NewJudge(planStart, nil)
+	steps := []struct {
+		after    time.Duration
+		outcomes []EngineOutcome
+		want     []RulingKind
+	}{
+		{0, bad, []RulingKind{RulingEject}},
+		{9 * time.Second, bad, nil},
+		{10 * time.Second, good, []RulingKind{RulingProbe}},
+		{11 * time.Second, bad, []RulingKind{RulingEject}},
+		{30 * time.Second, good, nil},
+		{31 * time.Second, good, []RulingKind{RulingProbe}},
+		{60 * time.Second, good, nil},
+		{61 * time.Second, good, []RulingKind{RulingClear}},
+	}
+	for _, step := range steps {
+		var got []RulingKind
+		for _, r := range judge.Review(planStart.Add(step.after), policy, judgeEngines(), step.outcomes) {
+			got = append(got, r.Kind)
+		}
+		if diff := cmp.Diff(step.want, got); diff != "" {
+			t.Errorf("rulings after %v (-want +got):\n%s", step.after, diff)
+		}
+	}
+}
+
+func TestStaleEngines(t *testing.T) {
+	doc := planDocument(t, "slots = 8", "")
+	report := func(age time.Duration) EngineReport { return EngineReport{Sampled: planStart.Add(-age)} }
+	engines := judgeEngines()[:3]
+	for i := range engines {
+		engines[i].reported = true
+		engines[i].report.Sampled = planStart
+	}
+	engines[1].report.Sampled = planStart.Add(-10 * time.Second)
+	limit := doc.Policy().Rollout().Stale()
+	if diff := cmp.Diff([]EngineID{"e2"}, StaleEngines(planStart, limit, engines)); diff != "" {
+		t.Errorf("stale (-want +got):\n%s", diff)
+	}
+	if got := StaleEngines(planStart.Add(time.Minute), limit, engines); len(got) != 0 {
+		t.Errorf("%v ejected while every report is stale", got)
+	}
+	possible := []bool{
+		report(0).Possible(planStart, doc),
+		report(-time.Second).Possible(planStart, doc),
+		EngineReport{Work: -1, Sampled: planStart}.Possible(planStart, doc),
+		EngineReport{Work: 80, Sampled: planStart}.Possible(planStart, doc),
+		EngineReport{Work: 81, Sampled: planStart}.Possible(planStart, doc),
+	}
+	if diff := cmp.Diff([]bool{true, false, false, true, false}, possible); diff != "" {
+		t.Errorf("possible reports (-want +got):\n%s", diff)
+	}
+}
