--- a/ordertest/leaving_test.go
+++ b/ordertest/leaving_test.go
@@ -57,6 +57,7 @@
 // TestOutliers slows one engine down, gives another an impossible load report,
 // and checks that neither gets new work until its fault is over.
 func TestOutliers(t *testing.T) {
+	needLong(t)
 	t.Parallel()
 	f := startFleet(t, config{versions: "v1:100"}, testbed.Options{EnginesPerZone: 5})
 	traffic := startTraffic(f)
--- a/outlier.go
+++ b/outlier.go
@@ -26,7 +26,7 @@
 )
 
 // Judge ejects the engines of a zone whose requests of one class fail or start
-// slower than those of the model's other engines. An ejected engine comes back
+// slower than those of the other engines with the same version. An ejected engine comes back
 // on probation, with a small share of the chats as a probe. One goroutine uses
 // a Judge.
 type Judge struct {
@@ -146,14 +146,14 @@
 }
 
 // outlier returns why an engine stands out from the others of its model, or
-// an empty text. Requests are compared within their class.
+// an empty text. Requests are compared within their version and class.
 func outlier(id EngineID, outcomes []EngineOutcome) string {
-	type group struct{ model, class string }
+	type group struct{ model, version, class string }
 	own := map[group]EngineOutcome{}
 	others := map[group]EngineOutcome{}
 	var groups []group
 	for _, o := range outcomes {
-		g := group{o.Model, o.Class}
+		g := group{o.Model, o.Version, o.Class}
 		if o.Engine != id {
 			others[g] = others[g].Plus(o)
 			continue
--- a/outlier_test.go
+++ b/outlier_test.go
@@ -39,6 +39,7 @@
 		}, nil},
 		{"slow", func(o []EngineOutcome) { o[0].FirstToken *= 4 }, []Ruling{{"e1", RulingEject, "class chat: first token after 400ms against 100ms"}}},
 		{"another class is slow by nature", func(o []EngineOutcome) { o[0].Class = "report"; o[0].FirstToken *= 4 }, nil},
+		{"another version is slow by nature", func(o []EngineOutcome) { o[0].Version = "v2"; o[0].FirstToken *= 4 }, nil},
 		{"too few requests", func(o []EngineOutcome) { o[0].Requests, o[0].Errors = 9, 9 }, nil},
 		{"a share of the engines only", func(o []EngineOutcome) { o[0].Errors, o[1].Errors = 20, 20 }, []Ruling{{"e1", RulingEject, "class chat: errors 100% against 25%"}}},
 	}
--- a/standin/engine_chat.go
+++ b/standin/engine_chat.go
@@ -80,6 +80,9 @@
 	}
 	run.version = e.orders.version(run.model, version, e.Clock.Now())
 	e.stats.Versions[run.request] = run.version
+	if run.version == e.faults.lateVersion {
+		run.after = e.Clock.Now().Add(e.faults.late)
+	}
 	e.count++
 	run.stream = fmt.Sprintf("%s-%x-%d", e.Name, e.Seed, e.count)
 	e.runs[run.stream] = run
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 // engineFaults are the faults switched on.
@@ -17,6 +18,9 @@
 	load     *EngineLoadOverride
 	cross    int
 
+	lateVersion string        // version whose requests wait before they run
+	late        time.Duration // how long they wait
+
 	loseOrders int // orders whose answers get lost
 }
 
@@ -86,6 +90,11 @@
 	e.change(func(f *engineFaults) { f.loseOrders = n })
 }
 
+// SetLateVersion makes the new requests to a version wait before they run.
+func (e *Engine) SetLateVersion(version string, d time.Duration) {
+	e.change(func(f *engineFaults) { f.lateVersion, f.late = version, d })
+}
+
 // change edits the faults and tells the writers of streams.
 func (e *Engine) change(edit func(*engineFaults)) {
 	e.once.Do(e.prepare)
--- a/standin/engine_run.go
+++ b/standin/engine_run.go
@@ -12,6 +12,7 @@
 	chat     string
 	model    string
 	version  string
+	after    time.Time // when it may enter the batch
 	hash     string
 	priority int
 	work     int
@@ -96,7 +97,11 @@
 // takeNext removes and returns the next waiting run that fits into the batch, else nil.
 func (e *Engine) takeNext() *engineRun {
 	best := -1
+	now := e.Clock.Now()
 	for i, run := range e.queue {
+		if run.after.After(now) {
+			continue
+		}
 		if best < 0 || run.priority < e.queue[best].priority {
 			best = i
 		}
