--- a/ordertest/traffic_test.go
+++ b/ordertest/traffic_test.go
@@ -157,13 +157,19 @@
 	id      string
 	full    bool   // refused without running, because every engine was full
 	problem string // empty if the answer was the request's own and whole
+	prompt  int    // tokens
+	cached  int    // prompt tokens found in a cache
 }
 
 // ask sends one request.
 func ask(router *testbed.Router, chat, content string) result {
+	return converse(router, chat, []map[string]string{{"role": "user", "content": content}})
+}
+
+// converse sends a chat's messages.
+func converse(router *testbed.Router, chat string, messages []map[string]string) result {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
-	messages := []map[string]string{{"role": "user", "content": content}}
 	body, err := json.Marshal(map[string]any{"model": "stylist", "prompt_cache_key": chat, "messages": messages, "max_tokens": answerTokens})
 	if err != nil {
 		return result{problem: err.Error()}
@@ -185,7 +191,23 @@
 		full := resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("X-Verdict") == peridotusher.NotRun.String()
 		return result{id: id, full: full, problem: fmt.Sprintf("%s at %s: status %d %s %v", id, router.Name, resp.StatusCode, text, err)}
 	}
-	return result{id: id, problem: compare(id, messages, text)}
+	prompt, cached := usage(text)
+	return result{id: id, problem: compare(id, messages, text), prompt: prompt, cached: cached}
+}
+
+// usage returns the prompt tokens of an answer, and those found in a cache.
+func usage(text []byte) (prompt, cached int) {
+	var answer struct {
+		Usage struct {
+			Prompt  int `json:"prompt_tokens"`
+			Details struct {
+				Cached int `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+	// An answer of another form is reported by compare.
+	_ = json.Unmarshal(text, &answer)
+	return answer.Usage.Prompt, answer.Usage.Details.Cached
 }
 
 // compare returns what is wrong with an answer, or an empty text.
--- a/standin/engine_chat.go
+++ b/standin/engine_chat.go
@@ -75,10 +75,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.faults.refuse || e.faults.crashed || !e.orders.serves(run.model, version, e.Clock.Now()) {
-		e.stats.LastRefusal = e.Clock.Now()
 		return false
 	}
 	run.version = e.orders.version(run.model, version, e.Clock.Now())
+	e.stats.LastAccept = e.Clock.Now()
 	e.stats.Versions[run.request] = run.version
 	if run.version == e.faults.lateVersion {
 		run.after = e.Clock.Now().Add(e.faults.late)
--- a/standin/engine_load.go
+++ b/standin/engine_load.go
@@ -39,24 +39,24 @@
 
 // EngineStats counts what an Engine did.
 type EngineStats struct {
-	Runs        map[string]int // times that each request id entered the batch
-	Order       []string       // request ids in the order in which they entered the batch
-	Running     int
-	Waiting     int
-	PeakWork    int // highest work running
-	HitTokens   int // prompt tokens found in the cache
-	MissTokens  int // prompt tokens computed
-	Completed   int
-	Cancelled   int
-	Imports     int               // prefixes taken in from other engines
-	LastRefusal time.Time         // when it last refused a new request
-	Cut         int               // requests cancelled because their version was unloaded
-	Versions    map[string]string // version that each request id ran on
-	Orders      map[string]int    // orders applied, by kind
-	Fences      []uint64          // fencing numbers of the orders applied, in their order
-	Repeated    int               // orders that had been applied before
-	Refused     int               // orders with an old fencing number
-	Steps       []EngineStep
+	Runs       map[string]int // times that each request id entered the batch
+	Order      []string       // request ids in the order in which they entered the batch
+	Running    int
+	Waiting    int
+	PeakWork   int // highest work running
+	HitTokens  int // prompt tokens found in the cache
+	MissTokens int // prompt tokens computed
+	Completed  int
+	Cancelled  int
+	Imports    int               // prefixes taken in from other engines
+	LastAccept time.Time         // when it last accepted a new request
+	Cut        int               // requests cancelled because their version was unloaded
+	Versions   map[string]string // version that each request id ran on
+	Orders     map[string]int    // orders applied, by kind
+	Fences     []uint64          // fencing numbers of the orders applied, in their order
+	Repeated   int               // orders that had been applied before
+	Refused    int               // orders with an old fencing number
+	Steps      []EngineStep
 }
 
 // Stats returns the counts so far.
@@ -156,3 +156,17 @@
 	}
 	fmt.Fprint(w, engineJSON(load))
 }
+
+// Work returns the outstanding work, running and waiting.
+func (e *Engine) Work() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return engineWork(e.batch) + engineWork(e.queue)
+}
+
+// Chats returns the chats whose prefixes are cached.
+func (e *Engine) Chats() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.cache.byChat))
+}
