--- a/entry/host.go
+++ b/entry/host.go
@@ -80,12 +80,7 @@
 	group.Go(func() error { return h.source.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
-	group.Go(func() error { return h.runOrders(background) })
-	group.Go(func() error { return h.reportHealth(background) })
-	group.Go(func() error { return h.watchReports(background) })
-	group.Go(func() error { return h.judgeEngines(background) })
-	group.Go(func() error { return h.careForEngines(background) })
-	group.Go(func() error { return h.warmEngines(background) })
+	group.Go(func() error { return h.runEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -53,6 +53,17 @@
 	holds    string // the last holds in the log
 }
 
+// runEngines does this router's part of the care for the engines until ctx ends.
+func (h *Host) runEngines(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, part := range []func(context.Context) error{
+		h.runOrders, h.reportHealth, h.watchReports, h.judgeEngines, h.careForEngines, h.warmEngines,
+	} {
+		group.Go(func() error { return part(ctx) })
+	}
+	return group.Wait()
+}
+
 // runOrders gives orders until ctx ends.
 func (h *Host) runOrders(ctx context.Context) error {
 	if h.Weights == nil || h.Leases == nil {
