--- a/entry/host.go
+++ b/entry/host.go
@@ -28,9 +28,13 @@
 	Caller        net.Listener
 	Operator      net.Listener
 	Peer          net.Listener
-	Address       string // where peers reach this router, the Peer listener's address if empty
-	OperatorKey   string // hash of the operators' key, see document.HashKey
-	Prefix        string // prefix of the store's keys
+	Address       string             // where peers reach this router, the Peer listener's address if empty
+	Prefix        string             // prefix of the store's keys
+	PeerTLS       *peer.Certificates // nil connects to peers without encryption
+	PeerPlain     bool               // plain TCP to peers may leave this host
+	PeerBudget    int                // bytes per second of control traffic; zero for no limit
+	PeerVersion   uint32             // protocol version for tests of upgrades; zero for the newest
+	OperatorKey   string             // hash of the operators' key, see document.HashKey
 	Store         Store
 	Leases        Leases  // nil gives no orders
 	Weights       Weights // nil gives no orders
@@ -42,6 +46,7 @@
 	Clock         peridotusher.Clock
 	Log           logrus.FieldLogger
 	Seed          uint64
+	StreamSecret  string // signs event ids; streams cannot be resumed if empty
 
 	source  *config.Source
 	built   atomic.Bool
@@ -54,6 +59,9 @@
 	node    *peer.Node
 	models  *engine.Client
 	plain   *service.Client
+	claims  *claimTable
+	streams streamTable
+	retries retries
 	metrics *operator.Metrics
 	burn    *peridotusher.Burn
 	started time.Time
@@ -78,8 +86,10 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
 	group.Go(func() error { return h.source.Run(background) })
+	group.Go(func() error { return h.claims.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
+	group.Go(func() error { return h.runAdmission(background) })
 	group.Go(func() error { return h.runEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
@@ -138,40 +148,34 @@
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
 	h.buildOperator()
+	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
 	h.health = newHealthBook(h.Clock)
 	h.standings = newStandings(h.engines)
-	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
-	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
 	h.node = &peer.Node{
 		Self:     self,
 		Listener: h.Peer,
 		Members:  h.members,
-		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
+		TLS:      h.PeerTLS,
+		Plain:    h.PeerPlain,
+		Budget:   h.PeerBudget,
+		Version:  h.PeerVersion,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
 	h.node.ServeOperator(h.operatorAddress())
+	h.buildAdmission(placer)
 	h.buildSource()
 	h.node.HandleHealth(healthHandler{host: h})
-	h.ingress = &peridotusher.Ingress{
-		Self:      self.ID(),
-		Ownership: h.members,
-		Engines:   h.engines,
-		Placer:    placer,
-		Local:     h.owner,
-		Peers:     h.node,
-		Clock:     h.Clock,
-		Record:    h.metrics.Permit,
-	}
 	h.measurePeers()
+	h.buildAnswers()
 	return h.buildClients()
 }
 
 func (h *Host) buildClients() (func(), error) {
-	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock})
+	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock, Discarded: h.countDiscarded})
 	if err != nil {
 		return nil, err
 	}
