--- /dev/null
+++ b/admission_random_test.go
@@ -0,0 +1,174 @@
+package peridotusher
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestRandomFleet lets requests, returns, lost messages, owner changes and
+// crashes interleave at random. While one router is the owner all the time the
+// bound holds exactly; when ownership moves, an engine gets at most one unit of
+// work beyond the limit within the takeover time, and at the end every count
+// comes back to zero.
+func TestRandomFleet(t *testing.T) {
+	for seed := range uint64(40) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		f := &randomFleet{net: newNetwork(t, 2+r.IntN(5), "a", "b", "c"), rand: r, moves: seed%2 == 1}
+		f.net.own("a", "b")
+		f.owner = "a"
+		for step := range 300 {
+			if problem := f.step(step); problem != "" {
+				t.Fatalf("seed %d, step %d: %s", seed, step, problem)
+			}
+		}
+		if problem := f.finish(); problem != "" {
+			t.Fatalf("seed %d: %s", seed, problem)
+		}
+	}
+}
+
+// randomFleet is a fleet with the permits that its requests hold.
+type randomFleet struct {
+	net   *network
+	rand  *rand.Rand
+	moves bool // whether ownership changes
+	owner RouterID
+	moved time.Time
+	out   []*Permit
+}
+
+func (f *randomFleet) step(step int) string {
+	n := f.net
+	switch f.rand.IntN(8) {
+	case 0, 1, 2, 3:
+		return f.begin(step)
+	case 4, 5:
+		f.end()
+	case 6:
+		if f.moves && n.clock.Now().Sub(f.moved) > takeoverTime {
+			f.move()
+		}
+	default:
+		n.clock.advance(time.Duration(f.rand.IntN(400)) * time.Millisecond)
+		f.tick()
+	}
+	return ""
+}
+
+// begin sends one request through any router.
+func (f *randomFleet) begin(step int) string {
+	n := f.net
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // an ask that would have to wait gives up at once
+	via := n.routers[RouterID([]string{"a", "b", "c"}[f.rand.IntN(3)])]
+	req := n.chatRequest(f.rand.IntN(20))
+	req.Work = 1 + 3*f.rand.IntN(2)
+	before := f.works()
+	ranking, err := via.ingress.Placer.Ranking(n.doc, req)
+	if err != nil {
+		return err.Error()
+	}
+	ask := Ask{Request: req, Engine: ranking[0].ID(), Ingress: via.id, Home: true}
+	owner, _ := via.OwnerOf(ask.Engine, "a")
+	answer := n.routers[owner].owner.Ask(ctx, ask)
+	if !answer.Granted {
+		return ""
+	}
+	f.out = append(f.out, via.ingress.hold(answer, ranking[0], req))
+	f.out[len(f.out)-1].end = func() {}
+	return f.judge(step, before, ask)
+}
+
+// judge compares the work before an admission with the limit over all permits.
+func (f *randomFleet) judge(step int, before map[EngineID]int, ask Ask) string {
+	total := ask.Request.Work
+	for _, work := range before {
+		total += work
+	}
+	engines := len(f.net.routers["a"].engines.All())
+	limit := int(math.Ceil(f.net.doc.Policy().Bound() * float64(total) / float64(engines)))
+	if f.moves && f.net.clock.Now().Sub(f.moved) <= takeoverTime {
+		limit++
+	}
+	if before[ask.Engine] >= limit {
+		return fmt.Sprintf("request %d: %s had work %d, limit %d", step, ask.Engine, before[ask.Engine], limit)
+	}
+	return ""
+}
+
+// works sums the work of the permits that are out.
+func (f *randomFleet) works() map[EngineID]int {
+	works := map[EngineID]int{}
+	for _, p := range f.out {
+		works[p.engine.ID()] += p.req.Work
+	}
+	return works
+}
+
+// end returns one permit, now and then twice.
+func (f *randomFleet) end() {
+	if len(f.out) == 0 {
+		return
+	}
+	k := f.rand.IntN(len(f.out))
+	p := f.out[k]
+	f.out = append(f.out[:k], f.out[k+1:]...)
+	p.Done(context.Background(), Ran, false)
+	if f.rand.IntN(4) == 0 {
+		f.net.routers[f.owner].owner.Return(Return{Permit: p.id, Engine: p.engine.ID()})
+	}
+}
+
+// move makes another router the owner of all engines. It has heard the former
+// owner's last heartbeat; the holders report to it afterwards.
+func (f *randomFleet) move() {
+	n := f.net
+	former := f.owner
+	for _, id := range []RouterID{"a", "b", "c"} {
+		if id != f.owner {
+			f.owner = id
+			break
+		}
+	}
+	for _, r := range n.routers {
+		r.owner.Ledger.SetRemote(n.clock.Now(), n.routers[former].owner.Ledger.Loads())
+	}
+	n.own(f.owner, former)
+	f.moved = n.clock.Now()
+	f.tick()
+	for _, e := range n.routers[f.owner].engines.All() {
+		n.routers[f.owner].owner.Ledger.Take(n.clock.Now(), e.ID())
+	}
+	for _, r := range n.routers {
+		r.ingress.Renew(context.Background())
+	}
+}
+
+func (f *randomFleet) tick() {
+	for _, r := range f.net.routers {
+		r.ingress.Renew(context.Background())
+		r.owner.Tick()
+	}
+}
+
+// finish returns everything and compares the counts with zero.
+func (f *randomFleet) finish() string {
+	for len(f.out) > 0 {
+		f.end()
+	}
+	f.net.clock.advance(time.Minute)
+	f.tick()
+	f.tick()
+	for id, r := range f.net.routers {
+		for _, load := range r.owner.Ledger.Loads() {
+			if load.Work != 0 || load.Permits != 0 {
+				return fmt.Sprintf("router %s still counts %+v", id, load)
+			}
+		}
+	}
+	return ""
+}
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -25,6 +25,7 @@
 	w.Header().Set(requestHeader, string(call.Request.ID))
 	ctx, cancel := s.withDeadline(r.Context(), call.Request.Deadline)
 	defer cancel()
+	defer s.boundWrites(w, call.Request.Deadline)()
 	answer := &chatAnswer{w: w, streamed: body.Stream, clock: s.Clock, started: started}
 	engine, err := s.answerChat(ctx, call, answer)
 	s.finishChat(call, class, answer, engine, err)
@@ -60,6 +61,9 @@
 	if _, ok := call.Document.Model(body.Model); !ok {
 		return call, body, nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseUnknownModel, "unknown model %q; GET /v1/models lists the models", body.Model)
 	}
+	if call.LastEventID != "" && !body.Stream {
+		return call, body, nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseBadRequest, "a Last-Event-ID resumes a stream; set the field stream to true")
+	}
 	call.Request.Model = body.Model
 	call.Request.Chat = chatKey(r, org.Name(), body)
 	return call, body, class, nil
@@ -75,6 +79,8 @@
 		Whole:        err == nil,
 		FirstToken:   answer.firstToken,
 		Duration:     took,
+		PromptTokens: answer.usage.Prompt,
+		CachedTokens: answer.usage.Details.Cached,
 	}
 	var f *peridotusher.Failure
 	if err != nil {
--- a/document/fields.go
+++ b/document/fields.go
@@ -85,7 +85,7 @@
 	},
 	{
 		Name:    "patience",
-		Default: "250ms",
+		Default: "200ms",
 		Text:    "Time that a returning chat waits for the engine that holds its prefix before it moves.",
 		Value:   ini.Of(ini.Duration(0, time.Minute), func(p *Policy) *time.Duration { return &p.patience }),
 	},
--- a/entry/host.go
+++ b/entry/host.go
@@ -28,8 +28,13 @@
 	Caller        net.Listener
 	Operator      net.Listener
 	Peer          net.Listener
-	Address       string // where peers reach this router, the Peer listener's address if empty
-	Prefix        string // prefix of the store's keys
+	Address       string             // where peers reach this router, the Peer listener's address if empty
+	Prefix        string             // prefix of the store's keys
+	PeerTLS       *peer.Certificates // nil connects to peers without encryption
+	PeerPlain     bool               // plain TCP to peers may leave this host
+	PeerBudget    int                // bytes per second of control traffic; zero for no limit
+	PeerVersion   uint32             // protocol version for tests of upgrades; zero for the newest
+	OperatorKey   string             // hash of the operators' key, see document.HashKey
 	Store         Store
 	Leases        Leases  // nil gives no orders
 	Weights       Weights // nil gives no orders
@@ -41,10 +46,11 @@
 	Clock         peridotusher.Clock
 	Log           logrus.FieldLogger
 	Seed          uint64
+	StreamSecret  string // signs event ids; streams cannot be resumed if empty
 
 	source  *config.Source
 	built   atomic.Bool
-	learned atomic.Bool // the engines are known well enough to serve
+	known   atomic.Bool // an engine's load has been known
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
@@ -53,12 +59,22 @@
 	node    *peer.Node
 	models  *engine.Client
 	plain   *service.Client
+	claims  *claimTable
+	streams streamTable
+	retries retries
 	metrics *operator.Metrics
+	burn    *peridotusher.Burn
+	started time.Time
+	stop    context.CancelFunc
 	health  *healthBook
+
+	standings *standings
 }
 
 // Run serves until ctx ends and the requests in flight have been answered.
 func (h *Host) Run(ctx context.Context) error {
+	ctx, h.stop = context.WithCancel(ctx)
+	defer h.stop()
 	closeClients, err := h.build()
 	if err != nil {
 		return err
@@ -70,12 +86,11 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
 	group.Go(func() error { return h.source.Run(background) })
+	group.Go(func() error { return h.claims.Run(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
 	group.Go(func() error { return h.runAdmission(background) })
-	group.Go(func() error { return h.runOrders(background) })
-	group.Go(func() error { return h.reportHealth(background) })
-	group.Go(func() error { return h.watchReports(background) })
+	group.Go(func() error { return h.runEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
@@ -108,7 +123,7 @@
 		Limits:   h.Limits,
 		Settle:   h.Settle,
 		Drain:    h.Drain,
-		Record:   h.metrics.Record,
+		Record:   h.record,
 	}
 	h.Log.WithFields(logrus.Fields{"router": h.Name, "zone": h.Zone, "callers": h.Caller.Addr()}).Info("router started")
 	err := server.Run(serving)
@@ -132,28 +147,35 @@
 	h.members = peridotusher.NewMembers(self, h.Clock)
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
-	h.metrics = operator.NewMetrics()
+	h.buildOperator()
 	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
 	h.health = newHealthBook(h.Clock)
+	h.standings = newStandings(h.engines)
 	h.node = &peer.Node{
 		Self:     self,
 		Listener: h.Peer,
 		Members:  h.members,
 		Loads:    loadNews{ledger: h.ledger},
 		Sink:     loadSink{host: h},
+		TLS:      h.PeerTLS,
+		Plain:    h.PeerPlain,
+		Budget:   h.PeerBudget,
+		Version:  h.PeerVersion,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
+	h.node.ServeOperator(h.operatorAddress())
 	h.buildAdmission(placer)
 	h.buildSource()
 	h.node.HandleHealth(healthHandler{host: h})
 	h.measurePeers()
+	h.buildAnswers()
 	return h.buildClients()
 }
 
 func (h *Host) buildClients() (func(), error) {
-	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock})
+	models, closeModels, err := engine.New(engine.Options{Clock: h.Clock, Discarded: h.countDiscarded})
 	if err != nil {
 		return nil, err
 	}
@@ -170,10 +192,6 @@
 	}, nil
 }
 
-func (h *Host) operatorServer() *operator.Server {
-	return &operator.Server{Listener: h.Operator, Metrics: h.metrics}
-}
-
 // loadSink takes the loads that other owners report.
 type loadSink struct{ host *Host }
 
--- a/entry/services.go
+++ b/entry/services.go
@@ -16,8 +16,9 @@
 
 // Call implements caller.Services.
 func (s *services) Call(ctx context.Context, call caller.ServiceCall) (caller.ServiceAnswer, error) {
+	s.host.retries.budget.Request(call.Document.Policy().RetryBudget())
 	if call.Service.Idempotent(call.Method, call.Path) {
-		return s.callAny(ctx, call, serviceRequest(call, true))
+		return s.callIdempotent(ctx, call)
 	}
 	if call.Key != "" {
 		return s.callOnce(ctx, call)
@@ -28,25 +29,6 @@
 	return s.callAny(ctx, call, serviceRequest(call, false))
 }
 
-// callAny sends the call to the replicas in turn while the verdict allows it.
-func (s *services) callAny(ctx context.Context, call caller.ServiceCall, req service.Request) (caller.ServiceAnswer, error) {
-	var last error
-	for _, replica := range s.replicas(call) {
-		response, err := s.host.plain.Call(ctx, replica.Address(), req)
-		if err == nil {
-			return caller.ServiceAnswer{Status: response.Status, Header: response.Header, Body: response.Body, Endpoint: replica.Address()}, nil
-		}
-		last = err
-		if !req.Idempotent && peridotusher.AsFailure(err).Verdict() != peridotusher.NotRun {
-			return caller.ServiceAnswer{Endpoint: replica.Address()}, err
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return caller.ServiceAnswer{}, last
-}
-
 // replicas returns the service's endpoints, those of the router's own zone first.
 func (s *services) replicas(call caller.ServiceCall) []document.Replica {
 	var near, far []document.Replica
--- a/entry/status.go
+++ b/entry/status.go
@@ -30,23 +30,18 @@
 	}))
 }
 
-// knowsEngines returns whether the router has learned what at least half of the
-// live engines have loaded, or needs none. Before that it would refuse chats or
-// place them by too few engines.
+// knowsEngines returns whether an engine's load has been known, or none is
+// needed. Before that the router would refuse every chat.
 func (h *Host) knowsEngines() bool {
-	if h.learned.Load() {
+	if h.known.Load() {
 		return true
 	}
 	doc := h.Document()
-	if doc != nil && len(doc.Models()) == 0 {
-		return true
-	}
-	live := len(h.engines.Select(func(e peridotusher.Engine) bool { return e.State() == peridotusher.EngineLive }))
-	if live == 0 || 2*h.ReadyEngines() < live {
-		return false
+	known := h.ReadyEngines() > 0 || doc != nil && len(doc.Models()) == 0
+	if known {
+		h.known.Store(true)
 	}
-	h.learned.Store(true)
-	return true
+	return known
 }
 
 // ControlCounts returns the bytes exchanged with other routers.
@@ -61,5 +56,6 @@
 func (h *Host) measurePeers() {
 	h.metrics.Gauge(`peridotusher_peer_bytes{direction="sent"}`, func() float64 { return float64(h.node.Counts().SentBytes) })
 	h.metrics.Gauge(`peridotusher_peer_bytes{direction="received"}`, func() float64 { return float64(h.node.Counts().ReceivedBytes) })
+	h.measureFleet()
 	h.metrics.Gauge("peridotusher_permits_held", func() float64 { return float64(len(h.ingress.Held())) })
 }
--- a/ingress.go
+++ b/ingress.go
@@ -128,7 +128,7 @@
 		if err == nil {
 			s.last = answer
 		}
-		if s.asks == 1 || s.waited {
+		if s.asks == 1 {
 			expected = answer.Next
 		}
 		s.refused++
--- a/ingress_held.go
+++ b/ingress_held.go
@@ -43,6 +43,13 @@
 	return p
 }
 
+// drop forgets a permit that is no longer held.
+func (in *Ingress) drop(id PermitID) {
+	in.held.mu.Lock()
+	defer in.held.mu.Unlock()
+	delete(in.held.permits, id)
+}
+
 // Held returns the permits that have not been returned.
 func (in *Ingress) Held() []HeldPermit {
 	in.held.mu.Lock()
@@ -96,9 +103,7 @@
 	p.once.Do(func() {
 		p.end()
 		in := p.ingress
-		in.held.mu.Lock()
-		delete(in.held.permits, p.id)
-		in.held.mu.Unlock()
+		in.drop(p.id)
 		r := Return{Permit: p.id, Engine: p.engine.ID(), Ingress: in.Self, Verdict: verdict, Failed: failed}
 		in.sendReturn(ctx, p.owner, r)
 		if now, ok := in.Ownership.OwnerOf(p.engine.ID(), p.engine.Zone()); ok && now != p.owner {
--- a/owner.go
+++ b/owner.go
@@ -86,8 +86,8 @@
 	return o.moveOn(doc, ask, c)
 }
 
-// busy reports whether an engine carries more than the mean, so that a chat
-// without a prefix had better begin elsewhere.
+// busy reports whether an engine carries more than the mean and one request, so
+// that a chat without a prefix had better begin elsewhere.
 func (o *Owner) busy(ask Ask, c chance) bool {
 	if c.room.Unbounded {
 		return false
@@ -97,7 +97,7 @@
 	for _, work := range works {
 		total += work
 	}
-	return o.Ledger.Work(ask.Engine)*len(works) > total
+	return (o.Ledger.Work(ask.Engine)-1)*len(works) > total
 }
 
 // moveOn names another engine with room, or queues the ask when there is none.
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"syscall"
@@ -14,6 +13,9 @@
 	"peridotusher.example/peridotusher"
 )
 
+// cutsToSuspect is the number of connections cut in a row that make a router suspect.
+const cutsToSuspect = 2
+
 // errStaleIncarnation means that a later process of the same router is known.
 var errStaleIncarnation = errors.New("a later incarnation of the router is known")
 
@@ -32,9 +34,6 @@
 			wait(ctx, n.Heartbeat)
 			continue
 		}
-		if n.TLS != nil {
-			conn = tls.Server(conn, n.TLS)
-		}
 		n.group.Go(func() error {
 			_ = n.connect(ctx, conn, false, nil)
 			return nil
@@ -82,33 +81,25 @@
 	dialer := net.Dialer{Timeout: n.Timeout}
 	conn, err := dialer.DialContext(ctx, "tcp", m.Address())
 	if err != nil {
-		n.dials.failed(m.Address(), err)
-		if errors.Is(err, syscall.ECONNREFUSED) && !n.connected(m) {
-			n.Members.Suspect(m.ID())
-		}
+		n.dialFailed(m, err)
 		return
 	}
-	if n.TLS != nil {
-		conn = tls.Client(conn, clientTLS(n.TLS, m.Address()))
-	}
 	err = n.connect(ctx, conn, true, func(id peridotusher.RouterID) { n.dials.succeeded(m.Address(), id) })
 	if err != nil {
-		n.dials.failed(m.Address(), err)
+		n.dialFailed(m, err)
 	}
 }
 
-// clientTLS returns the configuration with the name that the peer must prove.
-func clientTLS(cfg *tls.Config, address string) *tls.Config {
-	if cfg.ServerName != "" {
-		return cfg
-	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return cfg
+// dialFailed records a failed dial. A router without a session is suspect when
+// its host refuses the connection, or when connections were cut before its
+// Hello a few times in a row, as by a middlebox that finds nobody behind it.
+func (n *Node) dialFailed(m peridotusher.Member, err error) {
+	failures := n.dials.failed(m.Address(), err)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	cut := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
+	if (refused || cut && failures >= cutsToSuspect) && !n.connected(m) {
+		n.Members.Suspect(m.ID())
 	}
-	named := cfg.Clone()
-	named.ServerName = host
-	return named
 }
 
 // connect makes a session of a connection and serves it until it ends. The
@@ -118,7 +109,7 @@
 	defer stop()
 	defer conn.Close()
 	counted := newCountedConn(conn, n.traffic, n.Clock)
-	shaken, peer, err := n.handshake(counted, dialled)
+	shaken, peer, err := n.shake(counted, dialled)
 	if err != nil {
 		n.Log.WithError(err).WithField("address", conn.RemoteAddr()).Warn("handshake failed")
 		return err
--- a/peer/node.go
+++ b/peer/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -51,13 +50,16 @@
 	Loads     LoadSource         // nil sends no loads
 	Sink      LoadSink           // nil drops loads that arrive
 	Revision  RevisionSource     // nil sends revision zero
-	TLS       *tls.Config        // nil connects without encryption
+	TLS       *Certificates      // nil connects without encryption
+	Plain     bool               // plain TCP may leave this host
 	Heartbeat time.Duration      // interval of heartbeats
 	Timeout   time.Duration      // silence after which a router is suspect
 	Clock     peridotusher.Clock // nil uses time.Now
 	Log       logrus.FieldLogger // nil logs to the standard logger
 	Workers   int                // workers that decide on asks, and as many for all else
 	Seed      uint64             // seed of the backoff's jitter
+	Budget    int                // bytes per second that may be sent; zero for no limit
+	Version   uint32             // protocol version to speak, for tests of upgrades; zero for the newest
 
 	version, oldest uint32 // protocol versions; zero uses the constants
 
@@ -94,14 +96,17 @@
 	if n.Workers == 0 {
 		n.Workers = defaultWorkers
 	}
+	if n.Version == 0 {
+		n.Version = protocolVersion
+	}
 	if n.version == 0 {
-		n.version, n.oldest = protocolVersion, oldestVersion
+		n.version, n.oldest = n.Version, oldestPeer(features, n.Version)
 	}
 	n.sessions = newSessionTable(n.Self.ID())
 	n.dials = newDialTable(n.Clock, n.Heartbeat, rand.New(rand.NewPCG(n.Seed, 0)))
 	n.askPool = newPool(n.Workers)
 	n.pool = newPool(n.Workers)
-	n.traffic = newTraffic()
+	n.traffic = newTraffic(newBudget(n.Clock, n.Budget))
 	n.handlers = map[Kind]HandlerFunc{
 		KindAsk:     n.handleAsk,
 		KindReturn:  n.handleReturn,
--- a/standin/engine_load.go
+++ b/standin/engine_load.go
@@ -48,6 +48,8 @@
 	MissTokens int // prompt tokens computed
 	Completed  int
 	Cancelled  int
+	Imports    int               // prefixes taken in from other engines
+	LastAccept time.Time         // when it last accepted a new request
 	Cut        int               // requests cancelled because their version was unloaded
 	Versions   map[string]string // version that each request id ran on
 	Orders     map[string]int    // orders applied, by kind
@@ -154,3 +156,17 @@
 	}
 	fmt.Fprint(w, engineJSON(load))
 }
+
+// Work returns the outstanding work, running and waiting.
+func (e *Engine) Work() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return engineWork(e.batch) + engineWork(e.queue)
+}
+
+// Chats returns the chats whose prefixes are cached.
+func (e *Engine) Chats() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Sorted(maps.Keys(e.cache.byChat))
+}
