--- a/engines.go
+++ b/engines.go
@@ -1,6 +1,7 @@
 package peridotusher
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"sync"
@@ -37,8 +38,17 @@
 		}
 		next[e.id] = e
 	}
+	if !sameEngines(t.byID, next) {
+		t.version++
+	}
 	t.byID = next
-	t.version++
+}
+
+// sameEngines compares what rankings depend on.
+func sameEngines(a, b map[EngineID]Engine) bool {
+	return maps.EqualFunc(a, b, func(x, y Engine) bool {
+		return x.address == y.address && x.zone == y.zone && x.state == y.state && x.weight == y.weight
+	})
 }
 
 // Version returns a number that rises with each change of the engines that may
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -58,6 +58,9 @@
 	group.Go(func() error { return h.tickAdmission(ctx) })
 	group.Go(func() error { return h.renewPermits(ctx) })
 	group.Go(func() error { return h.spreadFacts(ctx) })
+	group.Go(func() error {
+		return every(ctx, loadInterval, func(context.Context) { h.applyListing() })
+	})
 	group.Go(func() error { return h.spreadDemands(ctx) })
 	return group.Wait()
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -53,6 +53,7 @@
 	known   atomic.Bool // an engine's load has been known
 	members *peridotusher.Members
 	engines *peridotusher.Engines
+	listing peridotusher.Listing
 	ledger  *peridotusher.Ledger
 	owner   *peridotusher.Owner
 	ingress *peridotusher.Ingress
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -12,11 +12,17 @@
 	client := &hosts.Client{URL: h.HostsURL, Interval: h.HostsInterval, Log: h.Log}
 	client.Changed = func(list []hosts.Host) {
 		h.members.Propose(listedMembers(list))
-		h.engines.SetListed(listedEngines(list))
+		h.listing.Update(h.Clock.Now(), listedEngines(list))
+		h.applyListing()
 	}
 	return client.Run(ctx)
 }
 
+// applyListing fills the table of engines from the damped list.
+func (h *Host) applyListing() {
+	h.engines.SetListed(h.listing.Engines(h.Clock.Now(), h.engines))
+}
+
 func listedMembers(list []hosts.Host) []peridotusher.Member {
 	var members []peridotusher.Member
 	for _, host := range list {
