--- a/entry/admission.go
+++ b/entry/admission.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/peer"
 )
 
@@ -62,6 +63,7 @@
 		return every(ctx, loadInterval, func(context.Context) { h.applyListing() })
 	})
 	group.Go(func() error { return h.spreadDemands(ctx) })
+	group.Go(func() error { return h.watchCaches(ctx) })
 	return group.Wait()
 }
 
@@ -179,6 +181,11 @@
 	a.host.owner.Placed(chat, engine)
 }
 
+// Forgotten implements peer.AdmissionHandler.
+func (a admission) Forgotten(chat peridotusher.ChatKey, engine peridotusher.EngineID) {
+	a.host.owner.Placements.Forget(chat, engine)
+}
+
 // SetFacts implements peer.AdmissionHandler. A leaving engine gets no new work
 // from whichever router saw it first.
 func (a admission) SetFacts(facts []peer.EngineFacts) {
@@ -204,3 +211,12 @@
 
 // Loads implements peer.LoadSource.
 func (n loadNews) Loads() []peridotusher.EngineLoad { return n.ledger.News() }
+
+// withoutChat takes the chat off a request whose class has none, so that its
+// prompt takes no place in an engine's cache.
+func withoutChat(doc *document.Document, req peridotusher.Request) peridotusher.Request {
+	if class, ok := doc.Class(req.Class); ok && !class.Chats() {
+		req.Chat = ""
+	}
+	return req
+}
--- a/owner.go
+++ b/owner.go
@@ -69,6 +69,7 @@
 	}
 	if ask.Home && ask.Request.Chat != "" {
 		at, known := o.Placements.Get(ask.Request.Chat)
+		known = known && at != ""
 		if known && at != ask.Engine && c.serves(at) {
 			return Answer{Cause: CauseOverloaded, Next: at, Holds: true, Loads: o.Ledger.News()}
 		}
--- a/peer/admission.go
+++ b/peer/admission.go
@@ -21,6 +21,7 @@
 type AdmissionHandler interface {
 	Granted(ctx context.Context, a peridotusher.Answer)
 	Placed(chat peridotusher.ChatKey, engine peridotusher.EngineID)
+	Forgotten(chat peridotusher.ChatKey, engine peridotusher.EngineID)
 	SetFacts(facts []EngineFacts)
 	SetDemands(from peridotusher.RouterID, demands []peridotusher.Demand)
 }
@@ -39,6 +40,12 @@
 	return n.Notify(ctx, to, KindPlaced, &Placed{Chat: string(chat), Engine: string(engine)})
 }
 
+// Forgotten tells the owner of a chat's home engine that an engine dropped the
+// chat's prefix.
+func (n *Node) Forgotten(ctx context.Context, to peridotusher.RouterID, chat peridotusher.ChatKey, engine peridotusher.EngineID) error {
+	return n.Notify(ctx, to, KindPlaced, &Placed{Chat: string(chat), Engine: string(engine), Gone: true})
+}
+
 // SendFacts tells every connected router what this router's engines have loaded.
 func (n *Node) SendFacts(facts []EngineFacts) error {
 	return n.broadcast(KindFacts, factsToWire(facts))
@@ -99,8 +106,13 @@
 	if err := proto.Unmarshal(body, &msg); err != nil {
 		return nil, err
 	}
-	if n.Admission != nil {
-		n.Admission.Placed(peridotusher.ChatKey(msg.GetChat()), peridotusher.EngineID(msg.GetEngine()))
+	chat, engine := peridotusher.ChatKey(msg.GetChat()), peridotusher.EngineID(msg.GetEngine())
+	switch {
+	case n.Admission == nil:
+	case msg.GetGone():
+		n.Admission.Forgotten(chat, engine)
+	default:
+		n.Admission.Placed(chat, engine)
 	}
 	return nil, nil
 }
--- a/placement.go
+++ b/placement.go
@@ -71,8 +71,7 @@
 	t.linkNewest(i)
 }
 
-// Forget removes the chat's record if it names the engine. The slot is reused
-// as the oldest one.
+// Forget empties the chat's record if it names the engine. The slot is reused
 func (t *Placements) Forget(chat ChatKey, engine EngineID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
