--- a/config/fetch.go
+++ b/config/fetch.go
@@ -23,6 +23,7 @@
 	var from []peridotusher.RouterID
 	for _, id := range slices.Sorted(maps.Keys(views)) {
 		switch revision := views[id].Revision; {
+		case s.refused(revision):
 		case revision > best:
 			best, from = revision, []peridotusher.RouterID{id}
 		case revision == best && best > s.Revision():
--- a/document/update_test.go
+++ b/document/update_test.go
@@ -90,6 +90,32 @@
 	return doc
 }
 
+// BenchmarkFullSize reads a document of 8,300 organisations whole, and one
+// changed section of it.
+func BenchmarkFullSize(b *testing.B) {
+	var text strings.Builder
+	text.WriteString("[class chat]\ndeadline = 1s\n\n")
+	for n := range 8300 {
+		fmt.Fprintf(&text, "[organisation many-%d]\nkeys = %s\n\n", n, HashKey(fmt.Sprint("key-", n)))
+	}
+	doc, problems := Parse("full", []byte(text.String()))
+	if len(problems) > 0 {
+		b.Fatal(problems)
+	}
+	order := doc.Sections()
+	changed := map[string]string{"organisation many-7": "[organisation many-7]\nkeys = " + HashKey("new") + "\n\n"}
+	b.Run("whole", func(b *testing.B) {
+		for b.Loop() {
+			Parse("full", []byte(text.String()))
+		}
+	})
+	b.Run("section", func(b *testing.B) {
+		for b.Loop() {
+			doc.Update(order, changed)
+		}
+	})
+}
+
 // arrange returns the order and text of the document after the changes.
 func arrange(d *Document, changed map[string]string, removed string) ([]string, string) {
 	var order []string
