--- a/entry/chat.go
+++ b/entry/chat.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,100 +10,84 @@
 	"peridotusher.example/peridotusher/engine"
 )
 
-const (
-	// maxAttempts is the most engines that one request is sent to.
-	maxAttempts = 3
-	// cancelTimeout bounds the wait for an engine to confirm a cancelled stream.
-	cancelTimeout = time.Second
-)
+// maxAttempts is the most engines that one request is sent to at first.
+const maxAttempts = 3
 
 // chats answers requests to models through the engines.
 type chats struct {
 	host *Host
 }
 
-// Chat implements caller.Chats. A request that certainly did not run at one
-// engine is sent to another one.
+// Chat implements caller.Chats.
 func (c *chats) Chat(ctx context.Context, call caller.ChatCall) (caller.ChatStream, error) {
-	model, _ := call.Document.Model(call.Request.Model)
-	call.Request.Version = c.host.ingress.Placer.Version(model, call.Request.Chat)
-	avoid := map[peridotusher.EngineID]bool{}
+	if call.LastEventID != "" {
+		return c.resume(ctx, call)
+	}
+	c.host.retries.budget.Request(call.Document.Policy().RetryBudget())
+	s := c.newStream(ctx, call)
+	if err := s.start(call.Body); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (c *chats) newStream(ctx context.Context, call caller.ChatCall) *chatStream {
+	if model, ok := call.Document.Model(call.Request.Model); ok {
+		call.Request.Version = c.host.ingress.Placer.Version(model, call.Request.Chat)
+	}
+	s := &chatStream{host: c.host, call: call, avoid: map[peridotusher.EngineID]bool{}, taken: make(chan struct{})}
+	s.ctx, s.stop = context.WithCancel(ctx)
+	return s
+}
+
+// start sends the request to an engine. A request that certainly did not run
+// at one engine is sent to another one, within the budget of retries.
+func (s *chatStream) start(body []byte) error {
 	var last error
 	for n := 0; n < maxAttempts; n++ {
-		permit, err := c.host.ingress.Acquire(ctx, call.Document, call.Request, avoid)
+		if n > 0 && !s.mayRetry() {
+			return last
+		}
+		permit, err := s.host.ingress.Acquire(s.ctx, s.call.Document, s.call.Request, s.avoid)
 		if err != nil {
-			return nil, errors.CombineErrors(err, last)
+			return errors.CombineErrors(err, last)
 		}
-		stream, err := c.send(ctx, call, permit)
+		watch := s.host.watchEngine(s.call.Request, permit.Engine().ID())
+		stream, err := s.send(permit, body, "")
 		if err == nil {
-			return stream, nil
+			s.watch = watch
+			s.adopt(permit, stream)
+			return nil
 		}
+		watch.end(err)
 		f := peridotusher.AsFailure(err)
-		permit.Done(ctx, f.Verdict(), true)
-		if f.Verdict() != peridotusher.NotRun {
-			return nil, f
-		}
-		avoid[permit.Engine().ID()] = true
+		permit.Done(s.ctx, f.Verdict(), true)
+		s.avoid[permit.Engine().ID()] = true
 		last = f
+		if f.Verdict() != peridotusher.NotRun && f.Cause() != peridotusher.CauseEndpointLost {
+			return f
+		}
 	}
-	return nil, last
-}
-
-func (c *chats) send(ctx context.Context, call caller.ChatCall, permit *peridotusher.Permit) (caller.ChatStream, error) {
-	class, _ := call.Document.Class(call.Request.Class)
-	watch := c.host.watchEngine(call.Request, permit.Engine().ID())
-	stream, err := c.host.models.Chat(ctx, permit.Engine().Address(), engine.Call{
-		Request:  call.Request,
-		Body:     call.Body,
-		Priority: class.Priority(),
-		Version:  call.Request.Version,
-	})
-	if err != nil {
-		watch.end(err)
-		return nil, err
-	}
-	return &chatStream{ctx: ctx, permit: permit, stream: stream, watch: watch}, nil
+	return last
 }
 
-// chatStream is one answer from an engine under its permit.
-type chatStream struct {
-	ctx    context.Context
-	permit *peridotusher.Permit
-	stream *engine.Stream
-	watch  *engineWatch
-	whole  bool
-	failed bool
+// mayRetry takes one retry from the budget.
+func (s *chatStream) mayRetry() bool {
+	return s.ctx.Err() == nil && s.host.retries.budget.Retry(s.call.Document.Policy().RetryBudget())
 }
 
-// Next implements caller.ChatStream.
-func (s *chatStream) Next() (caller.ChatEvent, error) {
-	event, err := s.stream.Next()
-	if errors.Is(err, io.EOF) {
-		s.whole = true
-		return caller.ChatEvent{}, io.EOF
-	}
-	if err != nil {
-		s.failed = true
-		s.watch.end(err)
-		return caller.ChatEvent{}, err
+// send starts or resumes the answer at the permit's engine.
+func (s *chatStream) send(permit *peridotusher.Permit, body []byte, lastEventID string) (*engine.Stream, error) {
+	call := engine.Call{
+		Request:     s.call.Request,
+		Body:        body,
+		Version:     s.call.Request.Version,
+		LastEventID: lastEventID,
+		Idle:        s.call.Document.Policy().IdleTimeout(),
 	}
-	s.watch.token()
-	return caller.ChatEvent{Data: event.Data()}, nil
-}
-
-// Engine implements caller.ChatStream.
-func (s *chatStream) Engine() string { return string(s.permit.Engine().ID()) }
-
-// Close implements caller.ChatStream. A stream that did not end whole is
-// cancelled at the engine before its permit is returned.
-func (s *chatStream) Close() {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
-	defer cancel()
-	if !s.whole {
-		// An engine that cannot be reached drops the stream after its grace time.
-		_ = s.stream.Cancel(ctx)
+	if class, ok := s.call.Document.Class(s.call.Request.Class); ok {
+		call.Priority = class.Priority()
 	}
-	_ = s.stream.Close()
-	s.watch.end(nil)
-	s.permit.Done(ctx, peridotusher.Ran, s.failed)
+	return s.host.models.Chat(s.ctx, permit.Engine().Address(), call)
 }
--- a/entry/new.go
+++ b/entry/new.go
@@ -42,6 +42,7 @@
 		Name:          cfg.Router().Name(),
 		Zone:          cfg.Router().Zone(),
 		Address:       cfg.Peer().Advertise(),
+		OperatorKey:   cfg.Operator().KeyHash(),
 		Prefix:        cfg.Store().Prefix() + "/",
 		PeerTLS:       certificates,
 		PeerPlain:     cfg.Peer().Plain(),
@@ -55,6 +56,7 @@
 		Drain:         cfg.Router().Drain(),
 		Clock:         peridotusher.ClockFunc(time.Now),
 		Log:           log,
+		StreamSecret:  cfg.Stream().Secret(),
 		Limits: caller.Limits{
 			HeaderBytes:   cfg.Caller().Header(),
 			BodyBytes:     int64(cfg.Caller().Body()),
