--- a/cmd/peridotusher/config_diff.go
+++ b/cmd/peridotusher/config_diff.go
@@ -17,9 +17,9 @@
 func baseLine(revision uint64) string { return fmt.Sprintf("%s%d\n", basePrefix, revision) }
 
 // cutBaseLine returns the revision of a file's first line, zero if there is
-// none, and the text after it.
+// none, and the text with an empty line in its place.
 func cutBaseLine(text []byte) (uint64, []byte) {
-	first, rest, _ := bytes.Cut(text, []byte("\n"))
+	first, _, _ := bytes.Cut(text, []byte("\n"))
 	digits, ok := strings.CutPrefix(string(first), basePrefix)
 	if !ok {
 		return 0, text
@@ -28,7 +28,7 @@
 	if err != nil {
 		return 0, text
 	}
-	return revision, rest
+	return revision, text[len(first):]
 }
 
 // printDifference prints the lines that an edit takes away and adds.
--- a/config/edit.go
+++ b/config/edit.go
@@ -103,9 +103,10 @@
 	}
 }
 
-// normalise returns the text with one line end at its end, or nothing.
+// normalise returns the text without empty lines around it and with one at its
+// end, or nothing.
 func normalise(text string) string {
-	text = strings.TrimRight(text, " \t\r\n")
+	text = strings.TrimLeft(strings.TrimRight(text, " \t\r\n"), "\r\n")
 	if text == "" {
 		return ""
 	}
--- a/config/editor.go
+++ b/config/editor.go
@@ -46,9 +46,9 @@
 
 // Accepted is an edit that is the document's state of its revision.
 type Accepted struct {
-	Revision uint64
-	Change   string
-	Headers  []string // sections that changed; none if the texts stood already
+	Revision uint64   `json:"revision"`
+	Change   string   `json:"change"`
+	Headers  []string `json:"sections"` // sections that changed; none if the texts stood already
 }
 
 // base is the state that an attempt starts from.
