--- a/config/fetch.go
+++ b/config/fetch.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/peer"
 )
 
 var (
@@ -80,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
 	part := &Delta{}
-	err := s.Peers.Call(ctx, id, KindFetch, ask, part)
+	err := s.Peers.Call(ctx, id, peer.KindFetch, ask, part)
 	return part, err
 }
 
--- a/config/source.go
+++ b/config/source.go
@@ -89,8 +89,8 @@
 	setDefault(&s.Audit, defaultAudit)
 	setDefault(&s.Timeout, defaultTimeout)
 	s.wake = make(chan struct{}, 1)
-	s.Peers.Handle(KindDelta, s.handleDelta)
-	s.Peers.Handle(KindFetch, s.handleFetch)
+	s.Peers.Handle(peer.KindDelta, s.handleDelta)
+	s.Peers.Handle(peer.KindFetch, s.handleFetch)
 }
 
 func setDefault(field *time.Duration, value time.Duration) {
--- a/config/spread.go
+++ b/config/spread.go
@@ -12,14 +12,6 @@
 	"peridotusher.example/peridotusher/peer"
 )
 
-// The kinds of the messages between routers.
-const (
-	// KindDelta tells a peer of a change.
-	KindDelta peer.Kind = 32
-	// KindFetch asks a peer for what is newer than a revision.
-	KindFetch peer.Kind = 33
-)
-
 const (
 	// fanout is the number of routers that each router tells of a change.
 	fanout = 3
@@ -66,7 +58,7 @@
 	}
 	for _, to := range s.children(snap.Revision()) {
 		ctx, cancel := context.WithTimeout(ctx, s.Timeout)
-		if err := s.Peers.Notify(ctx, to, KindDelta, delta); err != nil {
+		if err := s.Peers.Notify(ctx, to, peer.KindDelta, delta); err != nil {
 			s.Log.WithError(err).WithField("peer", to).Debug("change not sent")
 		}
 		cancel()
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -15,8 +15,12 @@
 	"ask":       peer.KindAsk,
 	"return":    peer.KindReturn,
 	"report":    peer.KindReport,
-	"delta":     config.KindDelta,
-	"fetch":     config.KindFetch,
+	"grant":     peer.KindGrant,
+	"placed":    peer.KindPlaced,
+	"facts":     peer.KindFacts,
+	"demands":   peer.KindDemands,
+	"delta":     peer.KindDelta,
+	"fetch":     peer.KindFetch,
 	"health":    peer.KindHealth,
 }
 
--- a/peer/budget.go
+++ b/peer/budget.go
@@ -23,33 +23,28 @@
 type rank int
 
 // The ranks, the most important first. What is vital is always sent and uses
-// up the budget. Changes of the configuration are shed while the budget is
-// overdrawn, and all the rest while less than half of a burst is left. Shed
-// changes arrive later: the heartbeats tell of them and they are fetched.
+// up the budget: permits and what they rest on, heartbeats, leaving notices and
+// small changes of the configuration. Fetches of the configuration, whose answers are large, are
+// shed while the budget is overdrawn and tried again later. All the rest is
+// shed while less than half of a burst is left.
 const (
 	rankVital rank = iota
-	rankChange
+	rankFetch
 	rankOther
 )
 
 // rank returns the importance of a kind.
 func (k Kind) rank() rank {
 	switch {
-	case k < KindOther:
+	case k <= KindDemands || k == KindDelta:
 		return rankVital
-	case k >= kindChangeFirst && k <= kindChangeLast:
-		return rankChange
+	case k == KindFetch:
+		return rankFetch
 	default:
 		return rankOther
 	}
 }
 
-// The kinds of messages that carry changes of the configuration.
-const (
-	kindChangeFirst Kind = 32
-	kindChangeLast  Kind = 47
-)
-
 // budget is a bucket of bytes that fills with time.
 type budget struct {
 	clock peridotusher.Clock
@@ -85,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill()
-	if r == rankChange {
+	if r == rankFetch {
 		return b.tokens >= 0
 	}
 	return b.tokens >= b.burst()/2
--- a/peer/budget_test.go
+++ b/peer/budget_test.go
@@ -16,7 +16,7 @@
 	clock := newFakeClock()
 	b := newBudget(clock, 1000) // a burst is 4000 bytes
 	admitted := func() []bool {
-		return []bool{b.admits(rankVital), b.admits(rankChange), b.admits(rankOther)}
+		return []bool{b.admits(rankVital), b.admits(rankFetch), b.admits(rankOther)}
 	}
 	steps := []struct {
 		name  string
@@ -36,7 +36,19 @@
 		b.spend(s.spend)
 		clock.advance(s.pass)
 		if diff := cmp.Diff(s.want, admitted()); diff != "" {
-			t.Errorf("%s: vital, change, other (-want +got):\n%s", s.name, diff)
+			t.Errorf("%s: vital, fetch, other (-want +got):\n%s", s.name, diff)
+		}
+	}
+}
+
+func TestRanksOfKinds(t *testing.T) {
+	tests := map[Kind]rank{
+		KindHeartbeat: rankVital, KindLeaving: rankVital, KindAsk: rankVital, KindReturn: rankVital, KindReport: rankVital,
+		KindGrant: rankVital, KindPlaced: rankVital, KindDelta: rankVital, KindFetch: rankFetch, KindHealth: rankOther,
+	}
+	for kind, want := range tests {
+		if diff := cmp.Diff(want, kind.rank()); diff != "" {
+			t.Errorf("rank of kind %d (-want +got):\n%s", kind, diff)
 		}
 	}
 }
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -3,7 +3,7 @@
 // Kind names a type of message. Each kind has one handler.
 type Kind uint32
 
-// The kinds of this package. Other packages take numbers from KindOther on.
+// The kinds that this package knows. Other packages take numbers from KindOther on.
 const (
 	KindHeartbeat Kind = 1
 	KindLeaving   Kind = 2
@@ -20,6 +20,11 @@
 	KindFacts Kind = 18
 	// KindDemands tells what the sender's callers ask for limited organisations.
 	KindDemands Kind = 19
+
+	// KindDelta carries a change of the configuration.
+	KindDelta Kind = 32
+	// KindFetch asks for what of the configuration is newer than a revision.
+	KindFetch Kind = 33
 )
 
 // lane selects one of the streams of a session.
--- a/testbed/options.go
+++ b/testbed/options.go
@@ -30,6 +30,7 @@
 	Service         func(*standin.Service)
 	Weights         func(*standin.Weights)     // changes the weight store before it starts
 	Settings        func(router string) string // INI text appended to a router's settings
+	Peer            func(router string) string // lines added to a router's [peer] settings
 	Args            func(router string) []string
 }
 
--- a/testbed/router.go
+++ b/testbed/router.go
@@ -106,7 +106,7 @@
 [peer]
 listen = %s
 advertise = %s
-
+%s
 [store]
 addresses = %s
 timeout = 1s
@@ -120,13 +120,21 @@
 
 [stream]
 secret = %s
-`, r.Name, r.Zone, addresses[0], addresses[1], document.HashKey(OperatorKey), addresses[2], addresses[2], storeAddress, listAddress, b.Weights.Listener.Addr(), streamSecret)
+`, r.Name, r.Zone, addresses[0], addresses[1], document.HashKey(OperatorKey), addresses[2], addresses[2], r.peerLines(), storeAddress, listAddress, b.Weights.Listener.Addr(), streamSecret)
 	if b.opts.Settings != nil {
 		text += b.opts.Settings(r.Name)
 	}
 	return os.WriteFile(r.settings, []byte(text), 0o600)
 }
 
+// peerLines returns the lines that the options add to the [peer] settings.
+func (r *Router) peerLines() string {
+	if r.bed.opts.Peer == nil {
+		return ""
+	}
+	return r.bed.opts.Peer(r.Name)
+}
+
 // Start starts the process. A router that was stopped starts again at the
 // same addresses.
 func (r *Router) Start() error {
