--- a/entry/loads.go
+++ b/entry/loads.go
@@ -27,7 +27,6 @@
 }
 
 func (h *Host) pollOnce(ctx context.Context) {
-	listed := len(h.engines.All()) > 0
 	var group errgroup.Group
 	group.SetLimit(loadWorkers)
 	for _, e := range h.engines.Select(h.polls) {
@@ -41,9 +40,6 @@
 	}
 	// The workers report no errors.
 	_ = group.Wait()
-	if listed {
-		h.polled.Store(true)
-	}
 }
 
 func (h *Host) pollEngine(ctx context.Context, e peridotusher.Engine) {
