--- a/fleettest/config_test.go
+++ b/fleettest/config_test.go
@@ -10,6 +10,7 @@
 // TestZoneCut cuts a zone from the others and the platform, and heals it in
 // either order.
 func TestZoneCut(t *testing.T) {
+	t.Parallel()
 	b := startBench(t, nil)
 	known := b.add()
 	b.inForce(known, inForceLimit, b.Routers...)
@@ -38,6 +39,7 @@
 // TestStoreOutages starts a router while the store is down, and edits while
 // the store is slow, loses answers and is set back.
 func TestStoreOutages(t *testing.T) {
+	t.Parallel()
 	b := startBench(t, nil)
 	key := b.add()
 	b.inForce(key, inForceLimit, b.Routers...)
@@ -84,6 +86,7 @@
 
 // TestWatcherDies kills each router of a zone in turn right after an edit.
 func TestWatcherDies(t *testing.T) {
+	t.Parallel()
 	b := startBench(t, func(o *testbed.Options) { o.Zones = []string{"a"}; o.RoutersPerZone = 4 })
 	for _, r := range b.Routers {
 		key := b.add()
@@ -103,6 +106,7 @@
 // TestPausedRouter pauses a router for longer than the others wait, edits, and
 // lets it go on.
 func TestPausedRouter(t *testing.T) {
+	t.Parallel()
 	b := startBench(t, nil)
 	paused := b.Routers[0]
 	paused.Pause()
@@ -120,6 +124,7 @@
 // TestMixedVersions runs routers one protocol version apart and replaces them
 // in an arbitrary order.
 func TestMixedVersions(t *testing.T) {
+	t.Parallel()
 	newer := map[string]bool{}
 	b := startBench(t, func(o *testbed.Options) {
 		o.Zones = []string{"a", "b"}
--- a/fleettest/drain_test.go
+++ b/fleettest/drain_test.go
@@ -21,6 +21,7 @@
 // TestRemovalDrains removes an organisation, and then a model, while an answer
 // of each is streamed. New requests are refused and the streams end whole.
 func TestRemovalDrains(t *testing.T) {
+	t.Parallel()
 	removals := []struct {
 		name   string
 		remove []string
@@ -30,6 +31,7 @@
 	}
 	for _, removal := range removals {
 		t.Run(removal.name, func(t *testing.T) {
+			t.Parallel()
 			b := startBench(t, func(o *testbed.Options) { o.RoutersPerZone = 1 })
 			key := b.add()
 			b.inForce(key, inForceLimit, b.Routers...)
--- a/fleettest/tls_test.go
+++ b/fleettest/tls_test.go
@@ -88,6 +88,7 @@
 // TestCertificates runs routers with certificates, and one whose certificate
 // has another name until it is replaced in place.
 func TestCertificates(t *testing.T) {
+	t.Parallel()
 	ca := newAuthority(t)
 	const misnamed = "router-c3"
 	b := startBench(t, func(o *testbed.Options) {
--- a/testbed/router.go
+++ b/testbed/router.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -256,14 +257,27 @@
 	_ = r.cmd.Process.Signal(s)
 }
 
-// freeAddress returns a loopback address that was free a moment ago. Its port
-// is below those that the system gives to outgoing connections, one of which
-// could else take it before the process listens.
+// The ports of the processes. They are below those that the system gives to
+// outgoing connections, one of which could else take a port before the process
+// listens.
+const (
+	firstPort    = 12000
+	ports        = 20000
+	portAttempts = 100
+)
+
+// nextPort counts on from a random port, so that none is given out twice.
+var nextPort = func() *atomic.Uint32 {
+	n := &atomic.Uint32{}
+	n.Store(rand.Uint32N(ports))
+	return n
+}()
+
+// freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
-	const firstPort, ports, attempts = 12000, 20000, 100
 	var last error
-	for range attempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+	for range portAttempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, l.Close()
