--- a/entry/status.go
+++ b/entry/status.go
@@ -30,16 +30,39 @@
 	}))
 }
 
-// knowsEngines returns whether an engine's load has been known, or none is
-// needed. Before that the router would refuse every chat.
+// knowsEngines returns whether the router has learned what at least half of the
+// live engines of its zone have loaded, or needs none. Before that it would
+// refuse chats or place them by too few engines. The engines of other zones do
+// not count, because a zone that is cut off has to become ready too.
 func (h *Host) knowsEngines() bool {
-	if h.known.Load() {
+	if h.learned.Load() {
 		return true
 	}
 	doc := h.Document()
-	known := h.ReadyEngines() > 0 || doc != nil && len(doc.Models()) == 0
+	if doc != nil && len(doc.Models()) == 0 {
+		return true
+	}
+	near := h.engines.Select(h.liveInZone)
+	if len(near) == 0 {
+		return h.learn(h.ReadyEngines() > 0)
+	}
+	reported := 0
+	for _, e := range near {
+		if _, ok := e.Report(); ok {
+			reported++
+		}
+	}
+	return h.learn(2*reported >= len(near))
+}
+
+func (h *Host) liveInZone(e peridotusher.Engine) bool {
+	return e.State() == peridotusher.EngineLive && string(e.Zone()) == h.Zone
+}
+
+// learn remembers that the engines are known well enough.
+func (h *Host) learn(known bool) bool {
 	if known {
-		h.known.Store(true)
+		h.learned.Store(true)
 	}
 	return known
 }
