--- a/entry/host.go
+++ b/entry/host.go
@@ -67,6 +67,8 @@
 	started time.Time
 	stop    context.CancelFunc
 	health  *healthBook
+
+	standings *standings
 }
 
 // Run serves until ctx ends and the requests in flight have been answered.
@@ -88,11 +90,7 @@
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
 	group.Go(func() error { return h.runAdmission(background) })
-	group.Go(func() error { return h.runOrders(background) })
-	group.Go(func() error { return h.reportHealth(background) })
-	group.Go(func() error { return h.watchReports(background) })
-	group.Go(func() error { return h.careForEngines(background) })
-	group.Go(func() error { return h.warmEngines(background) })
+	group.Go(func() error { return h.runEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
@@ -152,6 +150,7 @@
 	h.buildOperator()
 	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
 	h.health = newHealthBook(h.Clock)
+	h.standings = newStandings(h.engines)
 	h.node = &peer.Node{
 		Self:     self,
 		Listener: h.Peer,
