--- a/entry/operate.go
+++ b/entry/operate.go
@@ -6,9 +6,8 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/operator"
-	"peridotusher.example/peridotusher/peer"
-	"peridotusher.example/peridotusher/store"
 )
 
 // operatorServer returns the server for operators.
@@ -59,25 +58,40 @@
 func (h *Host) record(out caller.Outcome) {
 	h.metrics.Record(out)
 	doc := h.Document()
-	if doc == nil || out.Cause != "" && !peridotusher.CountsAgainst(out.Cause) {
+	if doc == nil {
 		return
 	}
-	org, ok := doc.Organisation(out.Organisation)
+	o, class, ok := serviceLevel(doc, out)
 	if !ok {
 		return
 	}
-	o := peridotusher.Outcome{Organisation: out.Organisation, Class: out.Class, Worth: org.Worth(), Good: out.Whole && out.InTime, Objective: serviceObjective}
+	h.burn.SetObjective(o.Class, class)
+	h.burn.Record(o)
+}
+
+// serviceLevel returns how a request counts, the objective of its class, and
+// whether it counts at all.
+func serviceLevel(doc *document.Document, out caller.Outcome) (peridotusher.Outcome, float64, bool) {
+	org, ok := doc.Organisation(out.Organisation)
+	if !ok || out.Cause != "" && !peridotusher.CountsAgainst(out.Cause) {
+		return peridotusher.Outcome{}, 0, false
+	}
+	o := peridotusher.Outcome{
+		Organisation: out.Organisation,
+		Class:        servicePrefix + out.Service,
+		Worth:        org.Worth(),
+		Good:         out.Whole && out.InTime,
+	}
+	objective := serviceObjective
 	if class, ok := doc.Class(out.Class); ok {
-		o.Objective = class.Objective()
-		h.burn.SetObjective(class.Name(), class.Objective())
-	} else {
-		o.Class = servicePrefix + out.Service
-		h.burn.SetObjective(o.Class, serviceObjective)
+		o.Class = class.Name()
+		objective = class.Objective()
 	}
+	o.Objective = objective
 	if org.Objective() > 0 {
 		o.Objective = org.Objective()
 	}
-	h.burn.Record(o)
+	return o, objective, true
 }
 
 const (
@@ -88,17 +102,23 @@
 
 // writeFigures writes the figures that are kept elsewhere.
 func (h *Host) writeFigures(w *operator.Writer) {
-	if doc := h.Document(); doc != nil {
-		w.Gauge("peridotusher_configuration_revision", float64(doc.Revision()))
-	}
 	h.writeMembers(w)
 	h.writeLoads(w)
-	counts := h.node.Counts()
-	writeKinds(w, "sent", counts.Sent)
-	writeKinds(w, "received", counts.Received)
-	if s, ok := h.Store.(interface{ Calls() store.Calls }); ok {
-		writeStoreCalls(w, s.Calls())
-	}
+	h.writeDecisions(w)
+}
+
+// writeDecisions writes the answers to asks, and what waits.
+func (h *Host) writeDecisions(w *operator.Writer) {
+	d := h.owner.Decisions()
+	w.Counter(`peridotusher_permit_decisions_total{decision="granted"}`, d.Granted)
+	w.Counter(`peridotusher_permit_decisions_total{decision="queued"}`, d.Queued)
+	w.Counter(`peridotusher_permit_decisions_total{decision="moved"}`, d.Moved)
+	w.Counter(`peridotusher_permit_decisions_total{decision="refused"}`, d.Refused)
+	waiting := 0
+	for _, id := range h.owner.Queue.Engines() {
+		waiting += h.owner.Queue.Len(id)
+	}
+	w.Gauge("peridotusher_waiting", float64(waiting))
 }
 
 func (h *Host) writeMembers(w *operator.Writer) {
@@ -139,20 +159,3 @@
 		w.Gauge("peridotusher_load_skew", float64(most)*float64(n)/float64(sum))
 	}
 }
-
-func writeKinds(w *operator.Writer, direction string, kinds map[peer.Kind]peer.KindCount) {
-	for kind, c := range kinds {
-		labels := fmt.Sprintf(`{direction=%q,kind="%d"}`, direction, kind)
-		w.Counter("peridotusher_peer_messages_total"+labels, c.Messages)
-		w.Counter("peridotusher_peer_message_bytes_total"+labels, c.Bytes)
-	}
-}
-
-func writeStoreCalls(w *operator.Writer, c store.Calls) {
-	for _, call := range []struct {
-		kind string
-		n    int64
-	}{{"get", c.Get}, {"list", c.List}, {"swap", c.Swap}, {"delete", c.Delete}, {"lease", c.Lease}, {"watch", c.Watch}} {
-		w.Counter(fmt.Sprintf(`peridotusher_store_calls_total{kind=%q}`, call.kind), uint64(call.n))
-	}
-}
--- /dev/null
+++ b/entry/operate_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/examples"
+)
+
+// TestServiceLevel checks how requests count.
+func TestServiceLevel(t *testing.T) {
+	doc, problems := document.Parse("malabar.ini", examples.Malabar)
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	whole := caller.Outcome{Organisation: "kochi-members", Class: "chat", Verdict: peridotusher.Ran, Whole: true, InTime: true}
+	late, refused, wrong, call := whole, whole, whole, whole
+	late.InTime = false
+	refused.Whole, refused.InTime, refused.Cause = false, false, peridotusher.CauseOverloaded
+	wrong.Whole, wrong.InTime, wrong.Cause = false, false, peridotusher.CauseBadRequest
+	call.Class, call.Service = "", "ledger"
+	tests := []struct {
+		name string
+		out  caller.Outcome
+		want peridotusher.Outcome
+	}{
+		{"whole", whole, peridotusher.Outcome{Organisation: "kochi-members", Class: "chat", Worth: 5, Objective: 0.99, Good: true}},
+		{"late", late, peridotusher.Outcome{Organisation: "kochi-members", Class: "chat", Worth: 5, Objective: 0.99}},
+		{"refused", refused, peridotusher.Outcome{Organisation: "kochi-members", Class: "chat", Worth: 5, Objective: 0.99}},
+		{"the caller's fault", wrong, peridotusher.Outcome{}},
+		{"call", call, peridotusher.Outcome{Organisation: "kochi-members", Class: "service ledger", Worth: 5, Objective: 0.999, Good: true}},
+	}
+	for _, tt := range tests {
+		got, _, _ := serviceLevel(doc, tt.out)
+		if diff := cmp.Diff(tt.want, got); diff != "" {
+			t.Errorf("%s: outcome (-want +got):\n%s", tt.name, diff)
+		}
+	}
+}
--- a/owner.go
+++ b/owner.go
@@ -38,10 +38,11 @@
 	Document   func() *document.Document
 	Clock      Clock
 
-	issued atomic.Uint64
-	prefix string
-	once   sync.Once
-	pumpMu sync.Mutex // held while queued asks get permits
+	issued    atomic.Uint64
+	prefix    string
+	once      sync.Once
+	decisions decisionCounts
+	pumpMu    sync.Mutex // held while queued asks get permits
 }
 
 // Ask decides on a permit. A refusal names the next candidate that has room.
@@ -55,6 +56,7 @@
 		return answer
 	}
 	answer := o.decide(doc, ask)
+	o.decisions.add(answer)
 	answer.Owner = o.Self
 	return answer
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -47,7 +47,7 @@
 		if !ok || err != nil {
 			continue
 		}
-		if strings.HasPrefix(name, "peridotusher_store_calls_total") {
+		if strings.HasPrefix(name, "peridotusher_store_calls{") {
 			u.StoreCalls += int64(number)
 		}
 		switch name {
