--- a/answertest/main_test.go
+++ b/answertest/main_test.go
@@ -55,6 +55,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(stop)
+	t.Cleanup(func() {
+		for _, r := range bed.Routers {
+			if t.Failed() {
+				t.Logf("%s: %s", r.Name, r.LogTail())
+			}
+		}
+	})
 	t.Cleanup(func() {
 		for _, r := range bed.Routers {
 			r.Resume()
--- /dev/null
+++ b/answertest/stop_test.go
@@ -0,0 +1,132 @@
+package answertest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher/standin"
+	"peridotusher.example/peridotusher/testbed"
+)
+
+// openStreams begins streams at the first router and waits until each has
+// its first event.
+func openStreams(t *testing.T, bed *testbed.Bed, streams []*Streamed, group *errgroup.Group, after func(i int, err error) error) {
+	t.Helper()
+	client := newHTTPClient()
+	for i := range streams {
+		streams[i] = &Streamed{}
+		c := newChat(fmt.Sprint(i), stopTokens)
+		group.Go(func() error {
+			for {
+				err := c.receive(context.Background(), client, bed.Routers[0].URL, streams[i])
+				if streams[i].Verdict != "not-run" {
+					return after(i, err)
+				}
+				// The engines' first reports are missing yet, or the bound holds the request back.
+				*streams[i] = Streamed{}
+				time.Sleep(retryPause)
+			}
+		})
+	}
+	eventually(t, "running streams", func() bool {
+		n := 0
+		for _, e := range bed.Engines {
+			n += len(e.Stats().Runs)
+		}
+		return n >= len(streams)
+	})
+}
+
+// stopTokens is the length of the answers, a few seconds.
+const stopTokens = 100
+
+// slowerEngine leaves time to stop a router in the middle of an answer.
+func slowerEngine(e *standin.Engine) { e.TokenTime = 30 * time.Millisecond }
+
+// TestPlannedStopCutsNothing stops a router with streams and calls in flight.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: slowerEngine})
+	streams := make([]*Streamed, 12)
+	var group errgroup.Group
+	openStreams(t, bed, streams, &group, func(i int, err error) error {
+		if err != nil {
+			return fmt.Errorf("stream %d: %w", i, err)
+		}
+		return nil
+	})
+	calls := newCalls(t, 12)
+	client := newHTTPClient()
+	for i, call := range calls {
+		call.key = newKey(t)
+		group.Go(func() error {
+			reply := save(context.Background(), client, bed.Routers[0].URL, call.path, call.key, []byte(call.body))
+			if !reply.OK() {
+				return fmt.Errorf("call %d: %+v", i, reply)
+			}
+			return nil
+		})
+	}
+	bed.Routers[0].Terminate()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	if err := bed.Routers[0].Wait(); err != nil {
+		t.Errorf("the router ended with %v", err)
+	}
+	for i, s := range streams {
+		want, err := newChat(fmt.Sprint(i), stopTokens).answer(s.Request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, s.Text.String()); diff != "" || !s.Done {
+			t.Errorf("stream %d, done %v (-want +got):\n%s", i, s.Done, diff)
+		}
+	}
+	for _, call := range calls {
+		if n := runs(bed, call.key); n != 1 {
+			t.Errorf("key %s ran %d times", call.key, n)
+		}
+	}
+}
+
+// TestKilledRouter kills a router in the middle of its streams. Each caller
+// gets the rest at the other router.
+func TestKilledRouter(t *testing.T) {
+	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: slowerEngine})
+	streams := make([]*Streamed, 12)
+	client := newHTTPClient()
+	var group errgroup.Group
+	openStreams(t, bed, streams, &group, func(i int, err error) error {
+		if err == nil {
+			return fmt.Errorf("stream %d was not cut", i)
+		}
+		return newChat(fmt.Sprint(i), stopTokens).receive(context.Background(), client, bed.Routers[1].URL, streams[i])
+	})
+	// Every caller has a part of its answer by now.
+	time.Sleep(300 * time.Millisecond)
+	bed.Routers[0].Kill()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	for i, s := range streams {
+		want, err := newChat(fmt.Sprint(i), stopTokens).answer(s.Request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, s.Text.String()); diff != "" || !s.Done {
+			t.Errorf("stream %d, done %v, failure %q (-want +got):\n%s", i, s.Done, s.Failure, diff)
+		}
+	}
+	for _, e := range bed.Engines {
+		for request, n := range e.Stats().Runs {
+			if n != 1 {
+				t.Errorf("request %s ran %d times at %s", request, n, e.Name)
+			}
+		}
+	}
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -51,7 +51,7 @@
 		}
 		permit, err := s.host.ingress.Acquire(s.ctx, s.call.Document, s.call.Request, s.avoid)
 		if err != nil {
-			return errors.CombineErrors(err, last)
+			return worse(err, last)
 		}
 		watch := s.host.watchEngine(s.call.Request, permit.Engine().ID())
 		stream, err := s.send(permit, body, "")
@@ -72,6 +72,15 @@
 	return last
 }
 
+// worse returns why a request was not sent again: the last engine's own
+// answer if every engine has been tried.
+func worse(refused, last error) error {
+	if last != nil && peridotusher.AsFailure(refused).Cause() == peridotusher.CauseNoEndpoint {
+		return last
+	}
+	return errors.CombineErrors(refused, last)
+}
+
 // mayRetry takes one retry from the budget.
 func (s *chatStream) mayRetry() bool {
 	return s.ctx.Err() == nil && s.host.retries.budget.Retry(s.call.Document.Policy().RetryBudget())
--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
@@ -37,7 +38,7 @@
 	partial  engine.Partial
 	avoid    map[peridotusher.EngineID]bool
 	key      streamKey
-	progress bool // events came since the stream was last resumed
+	resumed  bool // no event came since the stream was last resumed
 	whole    bool
 	failed   bool
 
@@ -51,7 +52,6 @@
 	s.permit = permit
 	s.mu.Unlock()
 	s.stream = stream
-	s.progress = false
 	s.register()
 }
 
@@ -72,7 +72,7 @@
 	for {
 		event, err := s.stream.Next()
 		if err == nil {
-			s.progress = true
+			s.resumed = false
 			s.watch.token()
 			s.register()
 			data := s.partial.Edit(event.Data())
@@ -103,7 +103,7 @@
 	if s.ctx.Err() != nil {
 		return err
 	}
-	if s.progress && s.resumeHere() {
+	if !s.resumed && s.resumeHere() {
 		return nil
 	}
 	if s.partial.Finished() {
@@ -122,8 +122,10 @@
 	if err != nil {
 		return false
 	}
+	s.host.Log.WithFields(logrus.Fields{"request": s.call.Request.ID, "engine": s.Engine()}).Info("stream resumed on a new connection")
 	_ = s.stream.Close()
 	s.adopt(s.permit, stream)
+	s.resumed = true
 	return true
 }
 
@@ -136,6 +138,7 @@
 	}
 	s.watch.end(lost)
 	s.leave(s.permit.Engine())
+	s.resumed = false
 	if err := s.start(body); err != nil {
 		return peridotusher.FailWith(ranOr(f.Verdict()), peridotusher.AsFailure(err).Cause(), errors.Wrap(err, "the engine was lost and no other one went on")).WithRetryAfter(peridotusher.AsFailure(err).RetryAfter())
 	}
