--- a/entry/host.go
+++ b/entry/host.go
@@ -13,7 +13,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
-	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/engine"
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
@@ -28,8 +28,13 @@
 	Caller        net.Listener
 	Operator      net.Listener
 	Peer          net.Listener
-	Address       string // where peers reach this router, the Peer listener's address if empty
-	Prefix        string // prefix of the store's keys
+	Address       string             // where peers reach this router, the Peer listener's address if empty
+	Prefix        string             // prefix of the store's keys
+	PeerTLS       *peer.Certificates // nil connects to peers without encryption
+	PeerPlain     bool               // plain TCP to peers may leave this host
+	PeerBudget    int                // bytes per second of control traffic; zero for no limit
+	PeerVersion   uint32             // protocol version for tests of upgrades; zero for the newest
+	OperatorKey   string             // hash of the operators' key, see document.HashKey
 	Store         Store
 	Leases        Leases  // nil gives no orders
 	Weights       Weights // nil gives no orders
@@ -43,9 +48,9 @@
 	Seed          uint64
 	StreamSecret  string // signs event ids; streams cannot be resumed if empty
 
-	current atomic.Pointer[document.Document]
+	source  *config.Source
 	built   atomic.Bool
-	polled  atomic.Bool // engines were listed and asked for their loads
+	known   atomic.Bool // an engine's load has been known
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
@@ -58,11 +63,18 @@
 	streams streamTable
 	retries retries
 	metrics *operator.Metrics
+	burn    *peridotusher.Burn
+	started time.Time
+	stop    context.CancelFunc
 	health  *healthBook
+
+	standings *standings
 }
 
 // Run serves until ctx ends and the requests in flight have been answered.
 func (h *Host) Run(ctx context.Context) error {
+	ctx, h.stop = context.WithCancel(ctx)
+	defer h.stop()
 	closeClients, err := h.build()
 	if err != nil {
 		return err
@@ -73,13 +85,12 @@
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return h.node.Run(background) })
+	group.Go(func() error { return h.source.Run(background) })
 	group.Go(func() error { return h.claims.Run(background) })
-	group.Go(func() error { return h.watchDocument(background) })
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
-	group.Go(func() error { return h.runOrders(background) })
-	group.Go(func() error { return h.reportHealth(background) })
-	group.Go(func() error { return h.watchReports(background) })
+	group.Go(func() error { return h.runAdmission(background) })
+	group.Go(func() error { return h.runEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error {
 		defer stopBackground()
@@ -92,9 +103,6 @@
 	return err
 }
 
-// Document returns the configuration in force, nil before the first.
-func (h *Host) Document() *document.Document { return h.current.Load() }
-
 // serveCallers serves until ctx ends or a part of the host fails.
 func (h *Host) serveCallers(ctx, background context.Context) error {
 	serving, stopServing := context.WithCancel(ctx)
@@ -115,7 +123,7 @@
 		Limits:   h.Limits,
 		Settle:   h.Settle,
 		Drain:    h.Drain,
-		Record:   h.metrics.Record,
+		Record:   h.record,
 	}
 	h.Log.WithFields(logrus.Fields{"router": h.Name, "zone": h.Zone, "callers": h.Caller.Addr()}).Info("router started")
 	err := server.Run(serving)
@@ -139,33 +147,28 @@
 	h.members = peridotusher.NewMembers(self, h.Clock)
 	h.engines = peridotusher.NewEngines()
 	h.ledger = peridotusher.NewLedger()
-	h.metrics = operator.NewMetrics()
+	h.buildOperator()
+	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
 	h.health = newHealthBook(h.Clock)
-	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed)}
-	h.owner = &peridotusher.Owner{Self: self.ID(), Placer: placer, Ledger: h.ledger, Document: h.Document, Clock: h.Clock}
+	h.standings = newStandings(h.engines)
 	h.node = &peer.Node{
 		Self:     self,
 		Listener: h.Peer,
 		Members:  h.members,
-		Permits:  h.owner,
 		Loads:    h.ledger,
 		Sink:     loadSink{host: h},
-		Revision: revisionSource{host: h},
+		TLS:      h.PeerTLS,
+		Plain:    h.PeerPlain,
+		Budget:   h.PeerBudget,
+		Version:  h.PeerVersion,
 		Clock:    h.Clock,
 		Log:      h.Log,
 		Seed:     h.Seed,
 	}
+	h.node.ServeOperator(h.operatorAddress())
+	h.buildAdmission(placer)
+	h.buildSource()
 	h.node.HandleHealth(healthHandler{host: h})
-	h.ingress = &peridotusher.Ingress{
-		Self:      self.ID(),
-		Ownership: h.members,
-		Engines:   h.engines,
-		Placer:    placer,
-		Local:     h.owner,
-		Peers:     h.node,
-		Clock:     h.Clock,
-		Record:    h.metrics.Permit,
-	}
 	h.measurePeers()
 	h.buildAnswers()
 	return h.buildClients()
@@ -189,10 +192,6 @@
 	}, nil
 }
 
-func (h *Host) operatorServer() *operator.Server {
-	return &operator.Server{Listener: h.Operator, Metrics: h.metrics}
-}
-
 // loadSink takes the loads that other owners report.
 type loadSink struct{ host *Host }
 
@@ -200,15 +199,3 @@
 func (s loadSink) SetLoads(_ peridotusher.RouterID, loads []peridotusher.EngineLoad) {
 	s.host.ledger.SetRemote(s.host.Clock.Now(), loads)
 }
-
-// revisionSource tells the revision of the configuration in force.
-type revisionSource struct{ host *Host }
-
-// Revision implements peer.RevisionSource.
-func (s revisionSource) Revision() uint64 {
-	doc := s.host.Document()
-	if doc == nil {
-		return 0
-	}
-	return doc.Revision()
-}
--- a/faulttest/faults_engine.go
+++ b/faulttest/faults_engine.go
@@ -9,7 +9,7 @@
 const (
 	flaps     = 4
 	flapPause = 300 * time.Millisecond
-	surgers   = 40
+	surgers   = 120
 	slowSteps = 4 // factor of a slow engine's step
 )
 
--- /dev/null
+++ b/peer/admission.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"peridotusher.example/peridotusher"
+)
+
+// EngineFacts is an engine's load report, as its owner read it.
+type EngineFacts struct {
+	Engine  peridotusher.EngineID
+	Report  peridotusher.EngineReport
+	Age     time.Duration // of the report
+	Leaving bool
+}
+
+// AdmissionHandler takes what other routers tell about asks, chats and engines.
+type AdmissionHandler interface {
+	Granted(ctx context.Context, a peridotusher.Answer)
+	Placed(chat peridotusher.ChatKey, engine peridotusher.EngineID)
+	SetFacts(facts []EngineFacts)
+	SetDemands(from peridotusher.RouterID, demands []peridotusher.Demand)
+}
+
+// Grant tells an ingress of a late decision.
+func (n *Node) Grant(ctx context.Context, to peridotusher.RouterID, a peridotusher.Answer) error {
+	if to == n.Self.ID() && n.Admission != nil {
+		n.Admission.Granted(ctx, a)
+		return nil
+	}
+	return n.Notify(ctx, to, KindGrant, n.answerToWire(a))
+}
+
+// Placed tells the owner of a chat's home engine where the chat went.
+func (n *Node) Placed(ctx context.Context, to peridotusher.RouterID, chat peridotusher.ChatKey, engine peridotusher.EngineID) error {
+	return n.Notify(ctx, to, KindPlaced, &Placed{Chat: string(chat), Engine: string(engine)})
+}
+
+// SendFacts tells every connected router what this router's engines have loaded.
+func (n *Node) SendFacts(facts []EngineFacts) error {
+	return n.broadcast(KindFacts, factsToWire(facts))
+}
+
+// SendDemands tells every connected router what this router's callers ask for.
+func (n *Node) SendDemands(demands []peridotusher.Demand) error {
+	msg := &Demands{}
+	for _, d := range demands {
+		msg.Demands = append(msg.Demands, &Demand{Organisation: d.Organisation, Rate: float32(d.Rate), Concurrent: float32(d.Concurrent)})
+	}
+	return n.broadcast(KindDemands, msg)
+}
+
+// broadcast sends a message to every connected router that has a place for it.
+func (n *Node) broadcast(kind Kind, msg proto.Message) error {
+	n.once.Do(n.init)
+	body, err := proto.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	for _, s := range n.sessions.all() {
+		if err := s.offer(&Envelope{Kind: uint32(kind), Body: body}); err != nil {
+			n.Log.WithError(err).WithField("peer", s.peer.ID()).Debug("message to all not sent")
+		}
+	}
+	return nil
+}
+
+func (n *Node) handleDemands(_ context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg Demands
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	var demands []peridotusher.Demand
+	for _, d := range msg.GetDemands() {
+		demands = append(demands, peridotusher.Demand{Organisation: d.GetOrganisation(), Rate: float64(d.GetRate()), Concurrent: float64(d.GetConcurrent())})
+	}
+	if n.Admission != nil {
+		n.Admission.SetDemands(from, demands)
+	}
+	return nil, nil
+}
+
+func (n *Node) handleGrant(ctx context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg AnswerPermit
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Admission != nil {
+		n.Admission.Granted(ctx, answerFromWire(&msg, from))
+	}
+	return nil, nil
+}
+
+func (n *Node) handlePlaced(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg Placed
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Admission != nil {
+		n.Admission.Placed(peridotusher.ChatKey(msg.GetChat()), peridotusher.EngineID(msg.GetEngine()))
+	}
+	return nil, nil
+}
+
+func (n *Node) handleFacts(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+	var msg Facts
+	if err := proto.Unmarshal(body, &msg); err != nil {
+		return nil, err
+	}
+	if n.Admission != nil {
+		n.Admission.SetFacts(factsFromWire(&msg))
+	}
+	return nil, nil
+}
+
+func factsToWire(facts []EngineFacts) *Facts {
+	msg := &Facts{}
+	for _, f := range facts {
+		e := &LoadedEngine{Engine: string(f.Engine), Adapters: f.Report.Adapters, Role: f.Report.Role, Leaving: f.Leaving, Work: int64(f.Report.Work), Age: f.Age.Microseconds()}
+		for _, v := range f.Report.Versions {
+			e.Versions = append(e.Versions, &LoadedVersion{Model: v.Model, Version: v.Version, Ready: v.Ready})
+		}
+		msg.Engines = append(msg.Engines, e)
+	}
+	return msg
+}
+
+func factsFromWire(msg *Facts) []EngineFacts {
+	var facts []EngineFacts
+	for _, e := range msg.GetEngines() {
+		f := EngineFacts{Engine: peridotusher.EngineID(e.GetEngine()), Leaving: e.GetLeaving(), Age: microseconds(e.GetAge())}
+		f.Report = peridotusher.EngineReport{Work: int(e.GetWork()), Adapters: e.GetAdapters(), Role: e.GetRole()}
+		for _, v := range e.GetVersions() {
+			f.Report.Versions = append(f.Report.Versions, peridotusher.LoadedVersion{Model: v.GetModel(), Version: v.GetVersion(), Ready: v.GetReady()})
+		}
+		facts = append(facts, f)
+	}
+	return facts
+}
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -43,7 +43,7 @@
 }
 
 func TestKindsOfOtherPackages(t *testing.T) {
-	const echoed, failing, unknown = KindOther, KindOther + 1, KindOther + 2
+	const echoed, failing, unknown Kind = 200, 201, 202 // no package takes these
 	a := start(t, "a", 1, listen(t, ""), nil)
 	b := start(t, "b", 1, listen(t, ""), func(n *Node) {
 		n.Handle(echoed, func(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
@@ -71,7 +71,7 @@
 }
 
 func TestNewerHeartbeatReplacesTheWaitingOne(t *testing.T) {
-	o := newOutbox(nil, newTraffic())
+	o := newOutbox(nil, newTraffic(newBudget(newFakeClock(), 0)))
 	o.replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: []byte("old")})
 	o.replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: []byte("new")})
 	f := <-o.heartbeat
@@ -81,7 +81,7 @@
 }
 
 func TestExpiredMessageIsNotWritten(t *testing.T) {
-	o := newOutbox(nil, newTraffic())
+	o := newOutbox(nil, newTraffic(newBudget(newFakeClock(), 0)))
 	ctx, cancel := context.WithTimeout(context.Background(), 0)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
