--- a/entry/host.go
+++ b/entry/host.go
@@ -50,7 +50,7 @@
 
 	source  *config.Source
 	built   atomic.Bool
-	known   atomic.Bool // an engine's load has been known
+	learned atomic.Bool // the engines are known well enough to serve
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	listing peridotusher.Listing
--- a/owner.go
+++ b/owner.go
@@ -40,10 +40,11 @@
 	Document   func() *document.Document
 	Clock      Clock
 
-	issued atomic.Uint64
-	prefix string
-	once   sync.Once
-	pumpMu sync.Mutex // held while queued asks get permits
+	issued    atomic.Uint64
+	prefix    string
+	once      sync.Once
+	decisions decisionCounts
+	pumpMu    sync.Mutex // held while queued asks get permits
 }
 
 // Ask decides on a permit. A refusal names the next candidate that has room.
@@ -53,10 +54,12 @@
 	if doc == nil {
 		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
 	}
+	o.Ledger.SetRemote(o.Clock.Now(), ask.Loads)
 	if answer, relayed := o.relay(ctx, doc, ask); relayed {
 		return answer
 	}
 	answer := o.decide(doc, ask)
+	o.decisions.add(answer)
 	answer.Owner = o.Self
 	return answer
 }
