--- a/doc.go
+++ b/doc.go
@@ -18,6 +18,7 @@
 // # Lock order
 //
 // A goroutine that holds several table locks takes them in this order:
-// Members, Engines, Ledger, Placements. No lock is held across a call to a
-// peer.
+// the ingress's tables of held permits and waiting asks, Members, Engines, the
+// owner's lock for giving permits to waiting asks, Queue, Ledger, Placements. No
+// lock is held across a call to a peer.
 package peridotusher
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -33,6 +33,7 @@
 }
 
 func (c *chats) newStream(ctx context.Context, call caller.ChatCall) *chatStream {
+	call.Request = withoutChat(call.Document, call.Request)
 	if model, ok := call.Document.Model(call.Request.Model); ok {
 		call.Request.Version = c.host.ingress.Placer.Version(model, call.Request.Chat)
 	}
