--- a/ledger.go
+++ b/ledger.go
@@ -13,7 +13,7 @@
 	remoteLifetime = 5 * time.Second
 	// staleShare is the part of the other owners' work that is taken to be there
 	// still; the rest may have ended since they told it.
-	staleShare = 0.95
+	staleShare = 0.9
 )
 
 // Ledger counts the permits of the engines that a router owns and keeps the
--- a/owner.go
+++ b/owner.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotusher.example/peridotusher/document"
 )
 
@@ -207,10 +209,14 @@
 	}
 }
 
-// newID returns a permit's name, which no other process or start gives.
+// newID returns a permit's name: a number within one start of a router, which
+// a hash names.
 func (o *Owner) newID() PermitID {
 	const base = 36
-	o.once.Do(func() { o.prefix = fmt.Sprintf("%s-%s-", o.Self, strconv.FormatInt(o.Clock.Now().UnixMilli(), base)) })
+	o.once.Do(func() {
+		start := fmt.Sprintf("%s %d", o.Self, o.Clock.Now().UnixNano())
+		o.prefix = strconv.FormatUint(xxhash.Sum64String(start)>>16, base) + "-"
+	})
 	return PermitID(o.prefix + strconv.FormatUint(o.issued.Add(1), base))
 }
 
--- a/peer/permit.go
+++ b/peer/permit.go
@@ -39,7 +39,7 @@
 		n.Permits.Return(r)
 		return nil
 	}
-	return n.Notify(ctx, to, KindReturn, returnToWire(r))
+	return n.Notify(ctx, to, KindReturn, n.returnToWire(r))
 }
 
 // Report tells an engine's new owner which permits this router holds and waits
@@ -57,7 +57,7 @@
 }
 
 // handleAsk decides on another router's ask.
-func (n *Node) handleAsk(ctx context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+func (n *Node) handleAsk(ctx context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
 	var msg AskPermit
 	if err := proto.Unmarshal(body, &msg); err != nil {
 		return nil, err
@@ -65,7 +65,7 @@
 	if n.Permits == nil {
 		return nil, errNoPermits
 	}
-	answer := n.Permits.Ask(ctx, n.askFromWire(&msg))
+	answer := n.Permits.Ask(ctx, n.askFromWire(&msg, from))
 	return proto.Marshal(n.answerToWire(answer))
 }
 
@@ -90,7 +90,7 @@
 }
 
 // handleReturn ends a permit.
-func (n *Node) handleReturn(_ context.Context, _ peridotusher.RouterID, body []byte) ([]byte, error) {
+func (n *Node) handleReturn(_ context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
 	var msg ReturnPermit
 	if err := proto.Unmarshal(body, &msg); err != nil {
 		return nil, err
@@ -98,7 +98,7 @@
 	if n.Permits == nil {
 		return nil, errNoPermits
 	}
-	n.Permits.Return(returnFromWire(&msg))
+	n.Permits.Return(returnFromWire(&msg, from))
 	return nil, nil
 }
 
@@ -115,7 +115,7 @@
 	for _, p := range msg.GetPermits() {
 		held = append(held, peridotusher.HeldPermit{
 			Permit: peridotusher.PermitID(p.GetPermit()),
-			Ask:    n.askFromWire(p.GetAsk()),
+			Ask:    n.askFromWire(p.GetAsk(), from),
 		})
 	}
 	n.Permits.Report(from, held)
@@ -132,7 +132,7 @@
 		Class:        a.Request.Class,
 		Work:         int64(a.Request.Work),
 		Engine:       string(a.Engine),
-		Ingress:      string(a.Ingress),
+		Ingress:      n.ingressToWire(a.Ingress),
 		Budget:       a.Budget.Microseconds(),
 		Deputy:       a.Deputy,
 		Displaced:    a.Displaced,
@@ -150,7 +150,7 @@
 }
 
 // askFromWire converts an ask that arrived.
-func (n *Node) askFromWire(msg *AskPermit) peridotusher.Ask {
+func (n *Node) askFromWire(msg *AskPermit, from peridotusher.RouterID) peridotusher.Ask {
 	request := peridotusher.Request{
 		ID:           peridotusher.RequestID(msg.GetRequest()),
 		Chat:         peridotusher.ChatKey(msg.GetChat()),
@@ -165,7 +165,7 @@
 	return peridotusher.Ask{
 		Request:   request,
 		Engine:    peridotusher.EngineID(msg.GetEngine()),
-		Ingress:   peridotusher.RouterID(msg.GetIngress()),
+		Ingress:   ingressFromWire(msg.GetIngress(), from),
 		Budget:    microseconds(msg.GetBudget()),
 		Deputy:    msg.GetDeputy(),
 		Displaced: msg.GetDisplaced(),
@@ -222,12 +222,28 @@
 	}
 }
 
+// ingressToWire leaves this router's own name out, which the other end knows.
+func (n *Node) ingressToWire(ingress peridotusher.RouterID) string {
+	if ingress == n.Self.ID() {
+		return ""
+	}
+	return string(ingress)
+}
+
+// ingressFromWire returns the ingress that a message names, else its sender.
+func ingressFromWire(ingress string, from peridotusher.RouterID) peridotusher.RouterID {
+	if ingress == "" {
+		return from
+	}
+	return peridotusher.RouterID(ingress)
+}
+
 // returnToWire converts a return.
-func returnToWire(r peridotusher.Return) *ReturnPermit {
+func (n *Node) returnToWire(r peridotusher.Return) *ReturnPermit {
 	return &ReturnPermit{
 		Permit:  string(r.Permit),
 		Engine:  string(r.Engine),
-		Ingress: string(r.Ingress),
+		Ingress: n.ingressToWire(r.Ingress),
 		Verdict: uint32(r.Verdict),
 		Failed:  r.Failed,
 	}
@@ -235,7 +251,7 @@
 
 // returnFromWire converts a return that arrived. An unknown verdict promises
 // least.
-func returnFromWire(msg *ReturnPermit) peridotusher.Return {
+func returnFromWire(msg *ReturnPermit, from peridotusher.RouterID) peridotusher.Return {
 	verdict := peridotusher.MayHaveRun
 	if v := msg.GetVerdict(); v <= uint32(peridotusher.Ran) {
 		verdict = peridotusher.Verdict(v)
@@ -243,7 +259,7 @@
 	return peridotusher.Return{
 		Permit:  peridotusher.PermitID(msg.GetPermit()),
 		Engine:  peridotusher.EngineID(msg.GetEngine()),
-		Ingress: peridotusher.RouterID(msg.GetIngress()),
+		Ingress: ingressFromWire(msg.GetIngress(), from),
 		Verdict: verdict,
 		Failed:  msg.GetFailed(),
 	}
