--- /dev/null
+++ b/owner_leaving_test.go
@@ -0,0 +1,28 @@
+package peridotusher
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAskDoesNotWaitForALeavingEngine lets an ask wait for an engine that then
+// leaves.
+func TestAskDoesNotWaitForALeavingEngine(t *testing.T) {
+	n := newNetwork(t, 2, "router-1")
+	r := n.routers["router-1"]
+	n.own("router-1", "router-1")
+	now := n.clock.Now()
+	req := n.chatRequest(1)
+	ask := Ask{Request: req, Engine: engineName(0), Ingress: "router-1"}
+	r.owner.Ledger.Hold(engineName(0), now.Add(time.Hour))
+	r.owner.Queue.Push(&Waiting{Ask: ask, Queued: now, Until: now.Add(time.Hour), Weight: 1}, 1)
+	r.owner.Tick()
+	if got := r.owner.Queue.Len(engineName(0)); got != 1 {
+		t.Fatalf("%d asks wait for the engine while it is full, want 1", got)
+	}
+	r.engines.SetState(engineName(0), EngineLeaving)
+	r.owner.Tick()
+	if got := r.owner.Queue.Len(engineName(0)); got != 0 {
+		t.Errorf("%d asks wait for the engine after it left", got)
+	}
+}
--- a/owner_queue.go
+++ b/owner_queue.go
@@ -127,9 +127,12 @@
 		return nil, Answer{}, false
 	}
 	c, err := o.chance(doc, w.Ask)
-	if err != nil || !c.serves(engine) {
+	if err != nil {
 		return nil, Answer{}, false
 	}
+	if !c.serves(engine) {
+		return o.turnAway(doc, w)
+	}
 	answer, ok := o.admit(doc, w.Ask, c)
 	if !ok {
 		return nil, Answer{}, false
@@ -141,6 +144,17 @@
 	return w, answer, true
 }
 
+// turnAway sends an ask to another engine, because the one that it waits for
+// gets no more work.
+func (o *Owner) turnAway(doc *document.Document, w *Waiting) (*Waiting, Answer, bool) {
+	if !o.Queue.Take(w) {
+		return nil, Answer{}, false
+	}
+	moved := *w
+	moved.Moves = true
+	return w, o.dropped(doc, &moved), true
+}
+
 // send tells the ingress of a late decision. A grant that cannot be sent ends.
 func (o *Owner) send(w *Waiting, answer Answer) {
 	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
