--- a/entry/host.go
+++ b/entry/host.go
@@ -53,6 +53,7 @@
 	learned atomic.Bool // the engines are known well enough to serve
 	members *peridotusher.Members
 	engines *peridotusher.Engines
+	listing peridotusher.Listing
 	ledger  *peridotusher.Ledger
 	owner   *peridotusher.Owner
 	ingress *peridotusher.Ingress
--- a/ingress.go
+++ b/ingress.go
@@ -128,7 +128,7 @@
 		if err == nil {
 			s.last = answer
 		}
-		if s.asks == 1 || s.waited {
+		if s.asks == 1 {
 			expected = answer.Next
 		}
 		s.refused++
@@ -204,6 +204,7 @@
 	if to == in.Self {
 		return in.Local.Ask(ctx, ask), nil
 	}
+	ask.Loads = in.Local.Ledger.News()
 	answer, err := in.Peers.Ask(ctx, to, ask)
 	if err != nil {
 		return Answer{}, err
--- a/ledger.go
+++ b/ledger.go
@@ -11,6 +11,9 @@
 	takeoverTime = 2 * time.Second
 	// remoteLifetime is the age from which another owner's count does not raise the total.
 	remoteLifetime = 5 * time.Second
+	// staleShare is the part of the other owners' work that is taken to be there
+	// still; the rest may have ended since they told it.
+	staleShare = 0.95
 )
 
 // Ledger counts the permits of the engines that a router owns and keeps the
@@ -157,10 +160,11 @@
 
 // SetOwned tells which engines this router owns. The counts of others are
 // dropped once their permits have ended.
-func (l *Ledger) SetOwned(owns func(EngineID) bool) {
+func (l *Ledger) SetOwned(now time.Time, owns func(EngineID) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, entry := range l.owned {
+		entry.expire(now)
 		entry.mine = owns(id)
 		if !entry.mine && len(entry.permits) == 0 {
 			delete(l.owned, id)
@@ -260,7 +264,7 @@
 			others += r.load.Work
 		}
 	}
-	total := float64(own) + float64(others)*l.totals.shrink()
+	total := float64(own) + staleShare*float64(others)*l.totals.shrink()
 	mean := total / float64(max(len(room.Engines), 1))
 	return int(math.Ceil(room.Bound * mean))
 }
--- a/owner_queue.go
+++ b/owner_queue.go
@@ -90,7 +90,7 @@
 	now := o.Clock.Now()
 	o.Ledger.Sample(now)
 	if o.Ownership != nil {
-		o.Ledger.SetOwned(o.owns)
+		o.Ledger.SetOwned(now, o.owns)
 	}
 	doc := o.Document()
 	if doc == nil {
