--- a/engine/client.go
+++ b/engine/client.go
@@ -62,6 +62,8 @@
 		DisableCompression:    true,
 		DisableKeepAlives:     true,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
+		ReadBufferSize:        streamBuffer,
+		WriteBufferSize:       streamBuffer,
 	}
 	return &Client{opts: opts, transport: transport, plain: plain}, closePlain, nil
 }
--- a/engine/events.go
+++ b/engine/events.go
@@ -13,6 +13,9 @@
 // eventLimit is the largest server-sent event in bytes.
 const eventLimit = 1 << 20
 
+// streamBuffer is the size of each buffer of a stream in bytes. Most events are smaller.
+const streamBuffer = 1 << 10
+
 // errTooLong is the error of an event over eventLimit.
 var errTooLong = errors.Newf("event is longer than %d bytes", eventLimit)
 
@@ -30,7 +33,7 @@
 
 // newEventReader returns a reader of body that calls alive after every line.
 func newEventReader(body io.Reader, alive func()) *eventReader {
-	return &eventReader{r: bufio.NewReader(body), alive: alive}
+	return &eventReader{r: bufio.NewReaderSize(body, streamBuffer), alive: alive}
 }
 
 // next returns the next event. A body that ends inside an event is an
