--- a/entry/host.go
+++ b/entry/host.go
@@ -50,7 +50,7 @@
 
 	source  *config.Source
 	built   atomic.Bool
-	known   atomic.Bool // an engine's load has been known
+	learned atomic.Bool // the engines are known well enough to serve
 	members *peridotusher.Members
 	engines *peridotusher.Engines
 	ledger  *peridotusher.Ledger
@@ -155,7 +155,7 @@
 		Self:     self,
 		Listener: h.Peer,
 		Members:  h.members,
-		Loads:    h.ledger,
+		Loads:    loadNews{ledger: h.ledger},
 		Sink:     loadSink{host: h},
 		TLS:      h.PeerTLS,
 		Plain:    h.PeerPlain,
