--- a/answertest/verdicts_test.go
+++ b/answertest/verdicts_test.go
@@ -299,7 +299,7 @@
 		{
 			name:   "crossed events",
 			before: func() { each(func(e *testbed.Engine) { e.Cross(2) }) },
-			want:      told{200, "ran", "", 1},
+			want:   told{200, "ran", "", 1},
 		},
 		{
 			name:      "connections to the engine silent",
--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -32,15 +32,15 @@
 	stop context.CancelFunc
 	call caller.ChatCall
 
-	permit   *peridotusher.Permit
-	stream   *engine.Stream
-	watch    *engineWatch
-	partial  engine.Partial
-	avoid    map[peridotusher.EngineID]bool
-	key      streamKey
-	resumed  bool // no event came since the stream was last resumed
-	whole    bool
-	failed   bool
+	permit  *peridotusher.Permit
+	stream  *engine.Stream
+	watch   *engineWatch
+	partial engine.Partial
+	avoid   map[peridotusher.EngineID]bool
+	key     streamKey
+	resumed bool // no event came since the stream was last resumed
+	whole   bool
+	failed  bool
 
 	mu    sync.Mutex    // guards the change of permit against giveUp
 	taken chan struct{} // closed when another connection goes on with the stream
--- a/ingress.go
+++ b/ingress.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"peridotusher.example/peridotusher/document"
 )
 
@@ -138,7 +140,7 @@
 		target, ok = nextEngine(s.ranking, s.tried, answer.Next)
 	}
 	if err := ctx.Err(); err != nil {
-		return nil, FailWith(NotRun, CauseCallerGone, err)
+		return nil, FailWith(NotRun, causeOfEnd(err), err)
 	}
 	return nil, Fail(NotRun, CauseOverloaded, "every model engine for model %q is full", s.req.Model).WithRetryAfter(max(s.last.RetryAfter, overloadRetryAfter))
 }
@@ -246,3 +248,11 @@
 	}
 	return first, found
 }
+
+// causeOfEnd tells a deadline from a caller that went away.
+func causeOfEnd(err error) Cause {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return CauseDeadline
+	}
+	return CauseCallerGone
+}
