--- a/soak/streams.go
+++ b/soak/streams.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -59,7 +60,7 @@
 func (s *Streams) read(ctx context.Context, n int) error {
 	body, err := json.Marshal(map[string]any{
 		"model":      s.Model,
-		"messages":   []map[string]string{{"role": "user", "content": "measure"}},
+		"messages":   []map[string]string{{"role": "user", "content": fmt.Sprint("stream ", n)}},
 		"max_tokens": s.Tokens,
 		"stream":     true,
 	})
