--- a/burn.go
+++ b/burn.go
@@ -112,7 +112,7 @@
 		}
 	}
 	s := &burnSeries{
-		minutes: newBurnRing(burnMinute, burnMinutes),
+		minutes: newBurnRing(burnBucket, burnMinutes),
 		spans:   newBurnRing(burnSpan, burnSpans),
 	}
 	b.series[key] = s
@@ -131,6 +131,6 @@
 			return true
 		}
 	}
-	b.evictAt = now.Add(burnMinute)
+	b.evictAt = now.Add(burnBucket)
 	return false
 }
--- a/burnreport.go
+++ b/burnreport.go
@@ -66,7 +66,7 @@
 		row := BurnRow{Key: key, Objective: s.objective}
 		for _, w := range BurnWindows() {
 			ring := &s.minutes
-			if w > burnMinute*(burnMinutes-1) {
+			if w > burnBucket*(burnMinutes-1) {
 				ring = &s.spans
 			}
 			row.Windows = append(row.Windows, ring.sum(now, w))
--- a/burnring.go
+++ b/burnring.go
@@ -4,7 +4,7 @@
 
 // The buckets of a series.
 const (
-	burnMinute  = time.Minute
+	burnBucket  = time.Minute
 	burnMinutes = 61
 	burnSpan    = 5 * time.Minute
 	burnSpans   = 73
