--- a/hosts/client.go
+++ b/hosts/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,10 @@
 	Rand     func() float64     // random numbers in [0, 1); math/rand/v2 when nil
 	HTTP     *http.Client       // one without a proxy when nil
 	Log      logrus.FieldLogger // the standard logger when nil
+
+	mu   sync.Mutex
+	tag  string // of the list that was read last, empty when it had none
+	last []Host
 }
 
 // targetGroup is the wire type of hosts that share their labels.
@@ -42,12 +47,27 @@
 	Labels  map[string]string `json:"labels"`
 }
 
-// List reads the hosts, sorted by name. Malformed hosts are logged and left out.
+// errUnchanged means that the list is still the one of the tag.
+var errUnchanged = errors.New("host list unchanged")
+
+// List reads the hosts, sorted by name. Malformed hosts are logged and left
+// out. A list that the server says is unchanged is not sent again.
 func (c *Client) List(ctx context.Context) ([]Host, error) {
-	groups, err := c.read(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	groups, tag, err := c.read(ctx, c.tag)
+	if errors.Is(err, errUnchanged) {
+		return slices.Clone(c.last), nil
+	}
 	if err != nil {
 		return nil, err
 	}
+	c.tag, c.last = tag, c.hosts(groups)
+	return slices.Clone(c.last), nil
+}
+
+// hosts returns the well-formed hosts of the groups, by name.
+func (c *Client) hosts(groups []targetGroup) []Host {
 	var list []Host
 	for _, group := range groups {
 		for _, target := range group.Targets {
@@ -65,11 +85,12 @@
 		}
 		return strings.Compare(a.address, b.address)
 	})
-	return list, nil
+	return list
 }
 
-// read fetches and decodes the list.
-func (c *Client) read(ctx context.Context) ([]targetGroup, error) {
+// read fetches and decodes the list, unless it is still the one of the tag.
+// It returns the new list's tag.
+func (c *Client) read(ctx context.Context, tag string) ([]targetGroup, string, error) {
 	timeout := c.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -78,21 +99,27 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "host list")
+		return nil, "", errors.Wrap(err, "host list")
+	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
 	}
 	resp, err := c.client().Do(req)
 	if err != nil {
-		return nil, errors.Wrap(err, "host list")
+		return nil, "", errors.Wrap(err, "host list")
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified && tag != "" {
+		return nil, "", errUnchanged
+	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("host list: status %d", resp.StatusCode)
+		return nil, "", errors.Newf("host list: status %d", resp.StatusCode)
 	}
 	var groups []targetGroup
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&groups); err != nil {
-		return nil, errors.Wrap(err, "host list")
+		return nil, "", errors.Wrap(err, "host list")
 	}
-	return groups, nil
+	return groups, resp.Header.Get("ETag"), nil
 }
 
 // Run reads the list again and again until ctx is done. A read that fails
--- a/hosts/client_test.go
+++ b/hosts/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -88,6 +89,44 @@
 	check("after another lag", "a engine a 192.0.2.1:80 leaving sizer")
 }
 
+func TestListIsNotSentAgainUnchanged(t *testing.T) {
+	server := &standin.Hosts{}
+	server.Set(host(t, "a", "192.0.2.1:80"))
+	transport := &countingTransport{}
+	client := &hosts.Client{URL: start(t, server), HTTP: &http.Client{Transport: transport}}
+	list := func() []hosts.Host {
+		t.Helper()
+		all, err := client.List(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return all
+	}
+	first, second := list(), list()
+	if diff := cmp.Diff(first, second); diff != "" {
+		t.Errorf("unchanged list (-first +second):\n%s", diff)
+	}
+	server.Set(host(t, "b", "192.0.2.2:80"))
+	if got := len(list()); got != 2 {
+		t.Errorf("%d hosts after a change, want 2", got)
+	}
+	if diff := cmp.Diff([]int{http.StatusOK, http.StatusNotModified, http.StatusOK}, transport.statuses); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+}
+
+// countingTransport notes the statuses of the answers.
+type countingTransport struct{ statuses []int }
+
+// RoundTrip implements http.RoundTripper.
+func (c *countingTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err == nil {
+		c.statuses = append(c.statuses, resp.StatusCode)
+	}
+	return resp, err
+}
+
 func TestNewHostRefusesMalformedHosts(t *testing.T) {
 	tests := []struct{ address, name, state string }{
 		{"host.example:80", "a", "live"},
--- a/standin/hosts.go
+++ b/standin/hosts.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -90,7 +91,7 @@
 }
 
 // serve answers with the list as it was before the lag.
-func (s *Hosts) serve(w http.ResponseWriter, _ *http.Request) {
+func (s *Hosts) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
 	down := s.down
@@ -105,9 +106,20 @@
 		h := list[name]
 		groups = append(groups, hostsGroup{[]string{h.Address()}, h.Labels()})
 	}
+	tag := hostsTag(groups)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	platformAnswer(w, http.StatusOK, groups)
 }
 
+// hostsTag returns the entity tag of a list.
+func hostsTag(groups []hostsGroup) string {
+	return strconv.Quote(engineHash([]byte(engineJSON(groups))))
+}
+
 // visibleLocked returns the list that callers see and forgets older ones.
 func (s *Hosts) visibleLocked() map[string]hosts.Host {
 	seen := platformNow(s.Clock).Add(-s.Lag)
