--- a/entry/operate.go
+++ b/entry/operate.go
@@ -13,21 +13,22 @@
 // operatorServer returns the server for operators.
 func (h *Host) operatorServer() *operator.Server {
 	return &operator.Server{
-		Listener: h.Operator,
-		Address:  h.operatorAddress(),
-		Metrics:  h.metrics,
-		KeyHash:  h.OperatorKey,
-		Self:     peridotusher.RouterID(h.Name),
-		Zone:     peridotusher.Zone(h.Zone),
-		Started:  h.started,
-		Members:  h.members,
-		Engines:  h.engines,
-		Ledger:   h.ledger,
-		Placer:   h.ingress.Placer,
-		Burn:     h.burn,
-		Peers:    h.node,
-		Document: h.Document,
-		Stop:     h.stop,
+		Listener:   h.Operator,
+		Address:    h.operatorAddress(),
+		Metrics:    h.metrics,
+		KeyHash:    h.OperatorKey,
+		Self:       peridotusher.RouterID(h.Name),
+		Zone:       peridotusher.Zone(h.Zone),
+		Started:    h.started,
+		Members:    h.members,
+		Engines:    h.engines,
+		Ledger:     h.ledger,
+		Placer:     h.ingress.Placer,
+		Burn:       h.burn,
+		Placements: h.owner.Placements,
+		Peers:      h.node,
+		Document:   h.Document,
+		Stop:       h.stop,
 	}
 }
 
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -20,6 +20,7 @@
 	Ranking      []rankedBody   `json:"ranking"`
 	Excluded     []excludedBody `json:"excluded,omitempty"`
 	Refusal      string         `json:"refusal,omitempty"` // why there is no ranking
+	Placed       string         `json:"placed,omitempty"`  // engine that holds the chat's prefix, as the home engine's owner remembers
 }
 
 // rankedBody is one engine of the ranking, best first.
@@ -87,6 +88,9 @@
 	if err != nil {
 		body.Refusal = err.Error()
 	}
+	if at, known := s.placed(key); known {
+		body.Placed = string(at)
+	}
 	ranked := map[peridotusher.EngineID]bool{}
 	for _, e := range ranking {
 		ranked[e.ID()] = true
@@ -101,6 +105,14 @@
 	return body
 }
 
+// placed returns the engine that this router remembers for a chat.
+func (s *Server) placed(chat peridotusher.ChatKey) (peridotusher.EngineID, bool) {
+	if s.Placements == nil {
+		return "", false
+	}
+	return s.Placements.Get(chat)
+}
+
 // ruleFor returns the name of the first rule that matches the request.
 func ruleFor(doc *document.Document, req peridotusher.Request) string {
 	for _, r := range doc.Rules() {
--- a/operator/server.go
+++ b/operator/server.go
@@ -44,10 +44,12 @@
 	Ledger   *peridotusher.Ledger
 	Placer   *peridotusher.Placer
 	Burn     *peridotusher.Burn
-	Peers    Peers
-	Document func() *document.Document
-	InFlight func() int
-	Stop     func() // begins the graceful shutdown
+	// Placements is nil where no chat is remembered.
+	Placements *peridotusher.Placements
+	Peers      Peers
+	Document   func() *document.Document
+	InFlight   func() int
+	Stop       func() // begins the graceful shutdown
 }
 
 // Run serves until ctx ends.
