--- a/ingress.go
+++ b/ingress.go
@@ -15,6 +15,9 @@
 	maxAsks = 8
 	// grantGrace is added to an owner's stated wait for the way of its message.
 	grantGrace = 100 * time.Millisecond
+	// longestWait is the time after which an ingress asks again, since an owner
+	// that started anew has forgotten its queue.
+	longestWait = 10 * time.Second
 )
 
 // PermitPeers asks the owners on other routers.
@@ -168,7 +171,7 @@
 		return answer, err
 	}
 	in.grants.queued(pending, answer.Owner)
-	return waitGrant(ctx, pending.decision, answer.Wait+grantGrace)
+	return waitGrant(ctx, pending.decision, min(answer.Wait+grantGrace, longestWait))
 }
 
 // told returns what an owner needs to know of a request. Only the order of
