--- a/claimkey.go
+++ b/claimkey.go
@@ -11,7 +11,7 @@
 
 const (
 	// claimSlot is the range of issue times whose keys share a bucket.
-	claimSlot = time.Second
+	claimSlot = 250 * time.Millisecond
 	// claimShards is the number of buckets of the keys that tell no time.
 	claimShards = 256
 	// claimHashBytes is the length of the hash that stands for a key.
@@ -68,7 +68,7 @@
 // Recent returns whether the key was issued so short a time before now that
 // its bucket may not exist yet.
 func (k ClaimKey) Recent(now time.Time) bool {
-	const slots = 2
+	const slots = 4
 	return !k.issued.IsZero() && now.Sub(k.issued) < slots*claimSlot
 }
 
--- a/entry/claimqueue.go
+++ b/entry/claimqueue.go
@@ -12,7 +12,7 @@
 
 const (
 	// writerTimeout bounds the wait for another router to write a bucket.
-	writerTimeout = 300 * time.Millisecond
+	writerTimeout = 500 * time.Millisecond
 	// silentWriterPause is the time for which a silent writer is passed over.
 	silentWriterPause = 2 * time.Second
 	// bucketTimeout bounds the write of a bucket by this router.
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -115,6 +115,9 @@
 	return peridotusher.ClaimChange{Action: action, Hash: h.key.Hash(), Claim: h.claim}
 }
 
+// contentHashBytes is the length of the hash of a call.
+const contentHashBytes = 16
+
 // contentHash returns the hash of what makes two calls the same.
 func contentHash(call caller.ServiceCall) string {
 	h := sha256.New()
@@ -123,5 +126,5 @@
 		h.Write([]byte{0})
 	}
 	h.Write(call.Body)
-	return hex.EncodeToString(h.Sum(nil))
+	return hex.EncodeToString(h.Sum(nil)[:contentHashBytes])
 }
--- a/entry/claimtable.go
+++ b/entry/claimtable.go
@@ -15,7 +15,7 @@
 
 const (
 	// claimGather is the shortest time between two writes of one bucket.
-	claimGather = 15 * time.Millisecond
+	claimGather = 20 * time.Millisecond
 	// claimKeep bounds the time for which an outcome or a release is tried.
 	claimKeep = time.Minute
 	// claimFlush bounds the writes after the router has stopped serving.
--- a/peer/budget.go
+++ b/peer/budget.go
@@ -36,7 +36,7 @@
 // rank returns the importance of a kind.
 func (k Kind) rank() rank {
 	switch {
-	case k <= KindDemands || k == KindDelta:
+	case k <= KindDemands || k == KindDelta || k.carriesCalls():
 		return rankVital
 	case k == KindFetch:
 		return rankFetch
@@ -45,6 +45,10 @@
 	}
 }
 
+// carriesCalls returns whether the kind's messages belong to callers' requests
+// and grow with them. They are sent beside the budget of control traffic.
+func (k Kind) carriesCalls() bool { return k == KindChangeClaims || k == KindTakeOver }
+
 // budget is a bucket of bytes that fills with time.
 type budget struct {
 	clock peridotusher.Clock
--- a/peer/traffic.go
+++ b/peer/traffic.go
@@ -58,7 +58,9 @@
 
 // addSent counts one message that was written.
 func (t *traffic) addSent(kind Kind, size int) {
-	t.budget.spend(size)
+	if !kind.carriesCalls() {
+		t.budget.spend(size)
+	}
 	t.add(t.sent, kind, size)
 }
 
