engine: streams without the transport's goroutines

Each stream held two goroutines and two buffers of http.Transport. A request now runs in its caller's goroutine.

--- a/engine/client.go
+++ b/engine/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"time"
 
@@ -32,8 +31,8 @@
 // Client talks to model engines.
 type Client struct {
 	opts      Options
-	transport *http.Transport // a fresh connection for each stream, as a kept one may have gone silent
-	plain     *service.Client // calls with a single answer
+	transport http.RoundTripper // a fresh connection for each stream, as a kept one may have gone silent
+	plain     *service.Client   // calls with a single answer
 }
 
 // New returns a Client and a function that closes its idle connections.
@@ -57,14 +56,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
-		DisableCompression:    true,
-		DisableKeepAlives:     true,
-		ResponseHeaderTimeout: opts.HeaderTimeout,
-		ReadBufferSize:        streamBuffer,
-		WriteBufferSize:       streamBuffer,
-	}
+	transport := &direct{dialTimeout: opts.DialTimeout}
 	return &Client{opts: opts, transport: transport, plain: plain}, closePlain, nil
 }
 
