--- a/ledger_totals.go
+++ b/ledger_totals.go
@@ -3,7 +3,7 @@
 import "time"
 
 // totalTime is the age up to which a total may stand in for the present one.
-const totalTime = time.Second
+const totalTime = 400 * time.Millisecond
 
 // totalWindow keeps recent totals of the loads of other owners.
 type totalWindow struct {
@@ -25,8 +25,8 @@
 }
 
 // shrink returns the lowest recent total as a share of the latest. A total
-// that is reported late may have fallen; admitting by the lowest of a second
-// keeps a late report from raising the limit.
+// that is reported late may have fallen; admitting by the lowest of
+// a short time keeps a late report from raising the limit.
 func (w *totalWindow) shrink() float64 {
 	if len(w.samples) == 0 {
 		return 1
--- a/owner.go
+++ b/owner.go
@@ -54,6 +54,7 @@
 	if doc == nil {
 		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
 	}
+	o.Ledger.SetRemote(o.Clock.Now(), ask.Loads)
 	if answer, relayed := o.relay(ctx, doc, ask); relayed {
 		return answer
 	}
@@ -71,6 +72,7 @@
 	}
 	if ask.Home && ask.Request.Chat != "" {
 		at, known := o.Placements.Get(ask.Request.Chat)
+		known = known && at != ""
 		if known && at != ask.Engine && c.serves(at) {
 			return Answer{Cause: CauseOverloaded, Next: at, Holds: true, Loads: o.Ledger.News()}
 		}
@@ -88,8 +90,8 @@
 	return o.moveOn(doc, ask, c)
 }
 
-// busy reports whether an engine carries more than the mean, so that a chat
-// without a prefix had better begin elsewhere.
+// busy reports whether an engine carries more than the mean and one request, so
+// that a chat without a prefix had better begin elsewhere.
 func (o *Owner) busy(ask Ask, c chance) bool {
 	if c.room.Unbounded {
 		return false
@@ -99,7 +101,7 @@
 	for _, work := range works {
 		total += work
 	}
-	return o.Ledger.Work(ask.Engine)*len(works) > total
+	return (o.Ledger.Work(ask.Engine)-1)*len(works) > total
 }
 
 // moveOn names another engine with room, or queues the ask when there is none.
--- a/peer/permit.go
+++ b/peer/permit.go
@@ -141,6 +141,7 @@
 		Home:         a.Home,
 		Resident:     a.Resident,
 		Final:        a.Final,
+		Loads:        loadsToWire(a.Loads),
 	}
 	if !a.Request.Deadline.IsZero() {
 		msg.Remaining = proto.Int64(a.Request.Deadline.Sub(n.now()).Microseconds())
@@ -173,6 +174,7 @@
 		Home:      msg.GetHome(),
 		Resident:  msg.GetResident(),
 		Final:     msg.GetFinal(),
+		Loads:     loadsFromWire(msg.GetLoads()),
 	}
 }
 
--- a/permit.go
+++ b/permit.go
@@ -15,6 +15,7 @@
 	Resident  bool          // set when the engine is said to hold the chat's prefix
 	Final     bool          // set when the ingress has no other engine to try
 	Displaced bool          // set when an engine of higher rank refused
+	Loads     []EngineLoad  // loads that the ingress's router owns, piggybacked
 }
 
 // Answer is the owner's decision on an Ask.
