A version is unloaded only after the age of the oldest view of its engine

The drain waited for the soak time alone, so a short soak let requests for the version arrive after it was unloaded. It now waits for the limit of stale reports too.

--- a/ordertest/rollout_test.go
+++ b/ordertest/rollout_test.go
@@ -73,6 +73,7 @@
 	f.write(config{versions: "v1:100"})
 	f.wait("version v1 alone on every engine", func() bool { return f.allHold("v1", f.Engines...) })
 	traffic.stop()
+	t.Log(f.logs())
 	if before == "" || f.countHeld(before, "v2") == len(f.Engines) {
 		t.Errorf("the rollout did not pause: %s", before)
 	}
--- a/ordertest/traffic_test.go
+++ b/ordertest/traffic_test.go
@@ -189,7 +189,7 @@
 	text, err := io.ReadAll(resp.Body)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		full := resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("X-Verdict") == peridotusher.NotRun.String()
-		return result{id: id, full: full, problem: fmt.Sprintf("%s at %s: status %d %s %v", id, router.Name, resp.StatusCode, text, err)}
+		return result{id: id, full: full, problem: fmt.Sprintf("%v: %s of %s at %s: status %d %s %v", time.Now().Format(time.TimeOnly), id, chat, router.Name, resp.StatusCode, text, err)}
 	}
 	prompt, cached := usage(text)
 	return result{id: id, problem: compare(id, messages, text), prompt: prompt, cached: cached}
--- a/plan_unload.go
+++ b/plan_unload.go
@@ -60,7 +60,8 @@
 	}
 	quiet, ok := m.observed.Quiet[m.version(v.Version)]
 	since := m.observed.Now.Sub(quiet)
-	if !ok || since < m.policy.Rollout().Soak() {
+	// No router's view of an engine is older than the limit for stale reports.
+	if !ok || since < max(m.policy.Rollout().Soak(), m.policy.Rollout().Stale()) {
 		return ReasonShifting, ""
 	}
 	if v.Counted && v.Running > 0 {
