--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -63,7 +63,7 @@
 			loads: 2, soak: 10e9, errors: 0.02, slower: 1.5, lease: 10e9, flight: 5e9, stale: 10e9,
 			warmup: 30e9, exports: 50, prefill: 20e3, copyTime: 5e3, eject: 0.2,
 		},
-		placement: PlacementBounded, patience: 250e6,
+		placement: PlacementBounded, patience: 200e6,
 	}
 	if diff := cmp.Diff(policy, doc.Policy(), cmp.AllowUnexported(Policy{}, Rollout{})); diff != "" {
 		t.Errorf("policy (-want +got):\n%s", diff)
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/peer"
 )
 
@@ -58,7 +59,11 @@
 	group.Go(func() error { return h.tickAdmission(ctx) })
 	group.Go(func() error { return h.renewPermits(ctx) })
 	group.Go(func() error { return h.spreadFacts(ctx) })
+	group.Go(func() error {
+		return every(ctx, loadInterval, func(context.Context) { h.applyListing() })
+	})
 	group.Go(func() error { return h.spreadDemands(ctx) })
+	group.Go(func() error { return h.watchCaches(ctx) })
 	return group.Wait()
 }
 
@@ -176,6 +181,11 @@
 	a.host.owner.Placed(chat, engine)
 }
 
+// Forgotten implements peer.AdmissionHandler.
+func (a admission) Forgotten(chat peridotusher.ChatKey, engine peridotusher.EngineID) {
+	a.host.owner.Placements.Forget(chat, engine)
+}
+
 // SetFacts implements peer.AdmissionHandler. A leaving engine gets no new work
 // from whichever router saw it first.
 func (a admission) SetFacts(facts []peer.EngineFacts) {
@@ -195,3 +205,18 @@
 func (a admission) SetDemands(from peridotusher.RouterID, demands []peridotusher.Demand) {
 	a.host.ingress.Limits.SetDemands(from, demands)
 }
+
+// loadNews gives the heartbeats the loads of the owned engines.
+type loadNews struct{ ledger *peridotusher.Ledger }
+
+// Loads implements peer.LoadSource.
+func (n loadNews) Loads() []peridotusher.EngineLoad { return n.ledger.News() }
+
+// withoutChat takes the chat off a request whose class has none, so that its
+// prompt takes no place in an engine's cache.
+func withoutChat(doc *document.Document, req peridotusher.Request) peridotusher.Request {
+	if class, ok := doc.Class(req.Class); ok && !class.Chats() {
+		req.Chat = ""
+	}
+	return req
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -33,6 +33,7 @@
 }
 
 func (c *chats) newStream(ctx context.Context, call caller.ChatCall) *chatStream {
+	call.Request = withoutChat(call.Document, call.Request)
 	if model, ok := call.Document.Model(call.Request.Model); ok {
 		call.Request.Version = c.host.ingress.Placer.Version(model, call.Request.Chat)
 	}
@@ -51,7 +52,7 @@
 		}
 		permit, err := s.host.ingress.Acquire(s.ctx, s.call.Document, s.call.Request, s.avoid)
 		if err != nil {
-			return errors.CombineErrors(err, last)
+			return worse(err, last)
 		}
 		watch := s.host.watchEngine(s.call.Request, permit.Engine().ID())
 		stream, err := s.send(permit, body, "")
@@ -72,6 +73,15 @@
 	return last
 }
 
+// worse returns why a request was not sent again: the last engine's own
+// answer if every engine has been tried.
+func worse(refused, last error) error {
+	if last != nil && peridotusher.AsFailure(refused).Cause() == peridotusher.CauseNoEndpoint {
+		return last
+	}
+	return errors.CombineErrors(refused, last)
+}
+
 // mayRetry takes one retry from the budget.
 func (s *chatStream) mayRetry() bool {
 	return s.ctx.Err() == nil && s.host.retries.budget.Retry(s.call.Document.Policy().RetryBudget())
--- a/ingress.go
+++ b/ingress.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"peridotusher.example/peridotusher/document"
 )
 
@@ -12,6 +15,9 @@
 	maxAsks = 8
 	// grantGrace is added to an owner's stated wait for the way of its message.
 	grantGrace = 100 * time.Millisecond
+	// longestWait is the time after which an ingress asks again, since an owner
+	// that started anew has forgotten its queue.
+	longestWait = 10 * time.Second
 )
 
 // PermitPeers asks the owners on other routers.
@@ -49,11 +55,23 @@
 	doc     *document.Document
 	req     Request
 	ranking []Engine
+	avoid   map[EngineID]bool // engines not to ask at all
 	tried   map[EngineID]bool
 	asks    int
+	refused int // asks refused at once since the last wait in a queue
+	waited  bool
 	last    Answer
 }
 
+// restart lets a request that has waited try every engine again.
+func (s *search) restart() {
+	s.refused = 0
+	s.tried = maps.Clone(s.avoid)
+	if s.tried == nil {
+		s.tried = map[EngineID]bool{}
+	}
+}
+
 // Acquire obtains a permit for the request, trying the engines of its ranking
 // except those in avoid. The error is a Failure with the verdict NotRun.
 func (in *Ingress) Acquire(ctx context.Context, doc *document.Document, req Request, avoid map[EngineID]bool) (*Permit, error) {
@@ -87,10 +105,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &search{doc: doc, req: req, ranking: ranking, tried: map[EngineID]bool{}}
-	for id := range avoid {
-		s.tried[id] = true
-	}
+	s := &search{doc: doc, req: req, ranking: ranking, avoid: avoid}
+	s.restart()
 	started := in.Clock.Now()
 	permit, err := in.walk(ctx, s)
 	if err == nil && in.Record != nil {
@@ -106,7 +122,7 @@
 		return nil, Fail(NotRun, CauseNoEndpoint, "every engine for model %q has been tried", s.req.Model)
 	}
 	var expected EngineID // where the home engine's owner believes the chat to be
-	for ok && s.asks < maxAsks && ctx.Err() == nil {
+	for ok && s.refused < maxAsks && ctx.Err() == nil {
 		answer, err := in.ask(ctx, s, target)
 		if err == nil && answer.Granted {
 			if s.asks > 1 && expected != target.ID() {
@@ -120,10 +136,14 @@
 		if s.asks == 1 {
 			expected = answer.Next
 		}
+		s.refused++
+		if s.waited {
+			s.restart()
+		}
 		target, ok = nextEngine(s.ranking, s.tried, answer.Next)
 	}
 	if err := ctx.Err(); err != nil {
-		return nil, FailWith(NotRun, CauseCallerGone, err)
+		return nil, FailWith(NotRun, causeOfEnd(err), err)
 	}
 	return nil, Fail(NotRun, CauseOverloaded, "every model engine for model %q is full", s.req.Model).WithRetryAfter(max(s.last.RetryAfter, overloadRetryAfter))
 }
@@ -133,24 +153,36 @@
 	s.tried[target.ID()] = true
 	s.asks++
 	_, more := nextEngine(s.ranking, s.tried, "")
-	ticket, grant := in.grants.open()
+	ticket, pending := in.grants.open(target)
 	defer in.closeTicket(ctx, ticket)
 	ask := Ask{
-		Request:   s.req,
+		Request:   told(s.req),
 		Engine:    target.ID(),
 		Ingress:   in.Self,
 		Ticket:    ticket,
-		Budget:    s.req.Deadline.Sub(in.Clock.Now()),
 		Home:      s.asks == 1 && s.req.Chat != "",
 		Resident:  s.last.Holds && s.last.Next == target.ID(),
-		Final:     !more || s.asks == maxAsks,
+		Final:     !more || s.refused == maxAsks-1,
 		Displaced: s.asks > 1,
 	}
 	answer, err := in.askOwner(ctx, s.doc, target, ask)
-	if err != nil || !answer.Queued {
+	s.waited = err == nil && answer.Queued
+	if !s.waited {
 		return answer, err
 	}
-	return waitGrant(ctx, grant, answer.Wait+grantGrace)
+	in.grants.queued(pending, answer.Owner)
+	return waitGrant(ctx, pending.decision, min(answer.Wait+grantGrace, longestWait))
+}
+
+// told returns what an owner needs to know of a request. Only the order of
+// engines without a chat depends on the request's name.
+func told(req Request) Request {
+	const nameBytes = 8
+	if req.Chat != "" {
+		req.ID = ""
+	}
+	req.ID = req.ID[:min(len(req.ID), nameBytes)]
+	return req
 }
 
 // askOwner asks the owner of the engine, and its deputy when the owner is silent.
@@ -177,6 +209,7 @@
 	if to == in.Self {
 		return in.Local.Ask(ctx, ask), nil
 	}
+	ask.Loads = in.Local.Ledger.News()
 	answer, err := in.Peers.Ask(ctx, to, ask)
 	if err != nil {
 		return Answer{}, err
@@ -219,3 +252,11 @@
 	}
 	return first, found
 }
+
+// causeOfEnd tells a deadline from a caller that went away.
+func causeOfEnd(err error) Cause {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return CauseDeadline
+	}
+	return CauseCallerGone
+}
--- a/testbed/router.go
+++ b/testbed/router.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -106,7 +107,7 @@
 [peer]
 listen = %s
 advertise = %s
-
+%s
 [store]
 addresses = %s
 timeout = 1s
@@ -120,13 +121,21 @@
 
 [stream]
 secret = %s
-`, r.Name, r.Zone, addresses[0], addresses[1], document.HashKey(OperatorKey), addresses[2], addresses[2], storeAddress, listAddress, b.Weights.Listener.Addr(), streamSecret)
+`, r.Name, r.Zone, addresses[0], addresses[1], document.HashKey(OperatorKey), addresses[2], addresses[2], r.peerLines(), storeAddress, listAddress, b.Weights.Listener.Addr(), streamSecret)
 	if b.opts.Settings != nil {
 		text += b.opts.Settings(r.Name)
 	}
 	return os.WriteFile(r.settings, []byte(text), 0o600)
 }
 
+// peerLines returns the lines that the options add to the [peer] settings.
+func (r *Router) peerLines() string {
+	if r.bed.opts.Peer == nil {
+		return ""
+	}
+	return r.bed.opts.Peer(r.Name)
+}
+
 // Start starts the process. A router that was stopped starts again at the
 // same addresses.
 func (r *Router) Start() error {
@@ -248,14 +257,27 @@
 	_ = r.cmd.Process.Signal(s)
 }
 
-// freeAddress returns a loopback address that was free a moment ago. Its port
-// is below those that the system gives to outgoing connections, one of which
-// could else take it before the process listens.
+// The ports of the processes. They are below those that the system gives to
+// outgoing connections, one of which could else take a port before the process
+// listens.
+const (
+	firstPort    = 12000
+	ports        = 20000
+	portAttempts = 100
+)
+
+// nextPort counts on from a random port, so that none is given out twice.
+var nextPort = func() *atomic.Uint32 {
+	n := &atomic.Uint32{}
+	n.Store(rand.Uint32N(ports))
+	return n
+}()
+
+// freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
-	const firstPort, ports, attempts = 12000, 20000, 100
 	var last error
-	for range attempts {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+	for range portAttempts {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%ports)
 		l, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, l.Close()
