--- a/ordertest/traffic_test.go
+++ b/ordertest/traffic_test.go
@@ -39,15 +39,15 @@
 	problems []string
 }
 
-// startTraffic begins to send requests through every router.
-func startTraffic(f *fleet) *traffic {
+// startTraffic lets a number of chats send requests through every router.
+func startTraffic(f *fleet, chats int) *traffic {
 	f.t.Helper()
 	for _, r := range f.Routers {
 		f.wait("an answer of "+r.Name, func() bool { return ask(r, "first", "first").problem == "" })
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &traffic{fleet: f, cancel: cancel, group: &errgroup.Group{}, routers: f.Routers, requests: map[string]bool{}}
-	for n := range trafficChats {
+	for n := range chats {
 		t.group.Go(func() error {
 			for turn := 0; ctx.Err() == nil; turn++ {
 				t.send(n, turn)
@@ -189,7 +189,7 @@
 	text, err := io.ReadAll(resp.Body)
 	if err != nil || resp.StatusCode != http.StatusOK {
 		full := resp.StatusCode == http.StatusTooManyRequests && resp.Header.Get("X-Verdict") == peridotusher.NotRun.String()
-		return result{id: id, full: full, problem: fmt.Sprintf("%s at %s: status %d %s %v", id, router.Name, resp.StatusCode, text, err)}
+		return result{id: id, full: full, problem: fmt.Sprintf("%v: %s of %s at %s: status %d %s %v", time.Now().Format(time.TimeOnly), id, chat, router.Name, resp.StatusCode, text, err)}
 	}
 	prompt, cached := usage(text)
 	return result{id: id, problem: compare(id, messages, text), prompt: prompt, cached: cached}
