--- a/ledger.go
+++ b/ledger.go
@@ -198,11 +198,16 @@
 	return loads
 }
 
-// News returns the works of the engines that this router owns, as told to others.
+// News returns the least works of the engines that this router owns, as told
+// to others.
 func (l *Ledger) News() []EngineLoad {
-	loads := l.Loads()
-	for i, load := range loads {
-		loads[i] = EngineLoad{Engine: load.Engine, Work: load.Work}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	loads := make([]EngineLoad, 0, len(l.owned))
+	for id, entry := range l.owned {
+		if entry.mine {
+			loads = append(loads, EngineLoad{Engine: id, Work: entry.low()})
+		}
 	}
 	return loads
 }
@@ -257,7 +262,7 @@
 	own, others := work, 0
 	for _, id := range room.Engines {
 		if entry, ok := l.owned[id]; ok {
-			own += entry.load()
+			own += entry.low()
 			continue
 		}
 		if r, ok := l.remote[id]; ok && now.Sub(r.since) < remoteLifetime {
--- a/ledger_engine.go
+++ b/ledger_engine.go
@@ -17,9 +17,11 @@
 // engineLedger holds the permits of one owned engine.
 type engineLedger struct {
 	model      string
-	mine       bool // whether this router still owns the engine
-	work       int  // of the permits
-	foreign    int  // work at the engine that no permit explains
+	mine       bool      // whether this router still owns the engine
+	work       int       // of the permits
+	foreign    int       // work at the engine that no permit explains
+	reported   int       // work of the last report
+	sampled    time.Time // when it was taken, zero before the first
 	permits    map[PermitID]heldPermit
 	history    []workAt
 	returned   []PermitID
@@ -48,6 +50,22 @@
 
 func (e *engineLedger) load() int { return e.work + e.foreign }
 
+// low returns the least work that the engine may have: permits of an ingress
+// that died are out until they expire, though their work has ended. Totals are
+// made of it, so that they do not raise the limit.
+func (e *engineLedger) low() int {
+	if e.sampled.IsZero() {
+		return e.work
+	}
+	newer := 0
+	for _, p := range e.permits {
+		if p.granted.After(e.sampled.Add(-reportSlack)) {
+			newer += p.work
+		}
+	}
+	return min(e.work, e.reported+newer)
+}
+
 func (e *engineLedger) add(now time.Time, id PermitID, p heldPermit) {
 	e.permits[id] = p
 	e.work += p.work
@@ -97,6 +115,8 @@
 // correct counts the work of a report beyond the most that this router's
 // permits explain around the time of the sample.
 func (e *engineLedger) correct(report EngineReport) {
+	e.reported = report.Work
+	e.sampled = report.Sampled
 	e.foreign = max(0, report.Work-e.peakAround(report.Sampled))
 }
 
--- a/ledger_test.go
+++ b/ledger_test.go
@@ -114,7 +114,7 @@
 		m.now = m.now.Add(time.Duration(r.IntN(1000)) * time.Millisecond)
 		for _, e := range m.room.Engines {
 			m.expire(e)
-			m.ledger.SetReported(m.now, e, EngineReport{Sampled: m.now})
+			m.ledger.SetReported(m.now, e, EngineReport{Work: m.work(e), Sampled: m.now})
 		}
 	}
 	for _, e := range m.room.Engines {
@@ -155,3 +155,25 @@
 	share := m.room.Bound * (float64(total) / float64(len(m.room.Engines)))
 	return load+p.work <= m.room.Slots && float64(load) < share
 }
+
+// TestDeadIngressDoesNotRaiseTheLimit leaves a permit out whose work the
+// engine's report no longer shows: it counts for its engine and not in the total.
+func TestDeadIngressDoesNotRaiseTheLimit(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	l := NewLedger()
+	room := Room{Bound: 1.25, Slots: 8, Engines: []EngineID{"x", "y"}}
+	for _, e := range room.Engines {
+		l.Take(now, e)
+	}
+	now = now.Add(takeoverTime)
+	l.Adopt(now, HeldPermit{Permit: "dead", Ask: Ask{Engine: "x", Request: Request{Work: 4}}}, now.Add(time.Minute))
+	l.Adopt(now, HeldPermit{Permit: "live", Ask: Ask{Engine: "y", Request: Request{Work: 2}}}, now.Add(time.Minute))
+	now = now.Add(time.Second)
+	l.SetReported(now, "x", EngineReport{Sampled: now})
+	if diff := cmp.Diff(4, l.Work("x")); diff != "" {
+		t.Errorf("work of the engine (-want +got):\n%s", diff)
+	}
+	if l.Fits(now, "y", 1, room) {
+		t.Error("work that has ended raised the limit of another engine")
+	}
+}
