--- a/answertest/stop_test.go
+++ b/answertest/stop_test.go
@@ -50,6 +50,7 @@
 
 // TestPlannedStopCutsNothing stops a router with streams and calls in flight.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Parallel()
 	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: slowerEngine})
 	streams := make([]*Streamed, 12)
 	var group errgroup.Group
@@ -97,6 +98,7 @@
 // TestKilledRouter kills a router in the middle of its streams. Each caller
 // gets the rest at the other router.
 func TestKilledRouter(t *testing.T) {
+	t.Parallel()
 	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: slowerEngine})
 	streams := make([]*Streamed, 12)
 	client := newHTTPClient()
--- a/answertest/verdicts_test.go
+++ b/answertest/verdicts_test.go
@@ -79,6 +79,7 @@
 
 // TestServiceVerdicts brings about each failure point of a service call.
 func TestServiceVerdicts(t *testing.T) {
+	t.Parallel()
 	b := startVerdicts(t)
 	service, keyless := b.service, func(*testing.T) string { return "" }
 	oldKey := func(*testing.T) string { return "01890a5d-ac96-774b-bcce-b302099a8057" }
@@ -265,6 +266,7 @@
 
 // TestChatVerdicts brings about each failure point of a chat.
 func TestChatVerdicts(t *testing.T) {
+	t.Parallel()
 	b := startVerdicts(t)
 	const closedKey = "kalimera-shop-lavrio-example-key"
 	each := func(fn func(*testbed.Engine)) {
@@ -361,6 +363,7 @@
 // TestCallerGone checks that an engine's work is cancelled soon after its
 // caller went away.
 func TestCallerGone(t *testing.T) {
+	t.Parallel()
 	b := startVerdicts(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
