--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -139,12 +139,34 @@
 	s.watch.end(lost)
 	s.leave(s.permit.Engine())
 	s.resumed = false
-	if err := s.start(body); err != nil {
+	if err := s.startWithin(body, continueTimeout); err != nil {
 		return peridotusher.FailWith(ranOr(f.Verdict()), peridotusher.AsFailure(err).Cause(), errors.Wrap(err, "the engine was lost and no other one went on")).WithRetryAfter(peridotusher.AsFailure(err).RetryAfter())
 	}
 	return nil
 }
 
+const (
+	// continueTimeout bounds the wait for room at another engine.
+	continueTimeout = 2 * time.Second
+	// continueRetry is the delay between two tries to find room.
+	continueRetry = 100 * time.Millisecond
+)
+
+// startWithin starts the answer, and waits for room while every engine is full.
+func (s *chatStream) startWithin(body []byte, limit time.Duration) error {
+	end := s.host.Clock.Now().Add(limit)
+	for {
+		err := s.start(body)
+		if err == nil || peridotusher.AsFailure(err).Cause() != peridotusher.CauseOverloaded {
+			return err
+		}
+		if s.ctx.Err() != nil || s.host.Clock.Now().After(end) {
+			return err
+		}
+		wait(s.ctx, continueRetry)
+	}
+}
+
 // ranOr returns the verdict of a stream that was lost: it is never NotRun.
 func ranOr(v peridotusher.Verdict) peridotusher.Verdict {
 	if v == peridotusher.NotRun {
