A holder that is no choice of its zone any more gives the lease back

At the start of a fleet the first router took the lease of the zone's orders and kept it when others became the zone's first and second choice. The health reports go to those, so its health gate saw nothing and a late version was rolled out to the end (TestRolloutReversedUnderLoad: no pause within 60 s in the whole package's run, passing alone). Not yet seen passing in the whole package's run with this change.

--- a/entry/orders_lease.go
+++ b/entry/orders_lease.go
@@ -72,10 +72,13 @@
 }
 
 // maintain renews the lease, or takes it if this router is a candidate and the
-// zone has no holder.
+// zone has no holder. A holder that is no candidate any more gives it back,
+// because the reports on the engines' health go to the candidates.
 func (l *orderLease) maintain(ctx context.Context, ttl time.Duration, candidate bool) {
 	held, _ := l.current()
 	switch {
+	case held.id != store.NoLease && !candidate:
+		l.release()
 	case held.id != store.NoLease:
 		l.renew(ctx, held)
 	case candidate:
