--- a/entry/orders_lease_test.go
+++ b/entry/orders_lease_test.go
@@ -122,7 +122,7 @@
 		t.Error("an order of the lapsed lease passes its check")
 	}
 	two.maintain(t.Context(), leaseTTL, false) // is no candidate any more
-	maintain(one) // learns that its lease is gone
+	maintain(one)                              // learns that its lease is gone
 	maintain(one)
 	third := fences(one, two)
 	if third[0] <= second[1] || third[1] != 0 {
