One timer for the silences of a stream, not set per event

Cause: each event set the idle timer once, again for every line, and stopped it. Change: the timer runs to its end and is then set to the end of the present wait; rests start nothing.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -51,12 +50,11 @@
 	address string
 	body    io.ReadCloser
 	events  *eventReader
-	idle    *time.Timer
-	silence time.Duration // longest silence
-	id      string        // empty until the engine named it
-	next    int           // offset due next
-	began   bool          // an event of this stream has arrived
-	err     error         // the first error of Next, given again by later calls
+	idle    *silence
+	id      string // empty until the engine named it
+	next    int    // offset due next
+	began   bool   // an event of this stream has arrived
+	err     error  // the first error of Next, given again by later calls
 }
 
 // newStream checks that the answer belongs to the call and returns its Stream.
@@ -67,10 +65,8 @@
 		cancel(nil)
 		return nil, call.fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, err)
 	}
-	s.silence = call.idleTimeout(c.opts)
-	s.idle = time.AfterFunc(s.silence, func() { cancel(errIdle) })
-	s.idle.Stop()
-	s.events = newEventReader(resp.Body, func() { s.idle.Reset(s.silence) })
+	s.idle = newSilence(call.idleTimeout(c.opts), func() { cancel(errIdle) })
+	s.events = newEventReader(resp.Body, s.idle.alive)
 	return s, nil
 }
 
@@ -101,9 +97,9 @@
 	if s.err != nil {
 		return Event{}, s.err
 	}
-	s.idle.Reset(s.silence)
+	s.idle.wait()
 	event, err := s.read()
-	s.idle.Stop()
+	s.idle.rest()
 	s.err = err
 	return event, err
 }
@@ -216,7 +212,7 @@
 
 // Close drops the connection. The engine keeps the stream for a while.
 func (s *Stream) Close() error {
-	s.idle.Stop()
+	s.idle.stop()
 	s.cancel(nil)
 	return s.body.Close()
 }
