--- a/engine/events.go
+++ b/engine/events.go
@@ -67,18 +67,23 @@
 	case "id":
 		ev.id = string(value)
 	case "data":
-		if ev.data != nil {
-			ev.data = append(ev.data, '\n')
+		if ev.data == nil {
+			ev.data = bytes.Clone(value)
+			return
 		}
-		ev.data = append(ev.data, value...)
+		ev.data = append(append(ev.data, '\n'), value...)
 	}
 }
 
-// line returns a copy of the next line without its end, of at most limit bytes.
+// line returns the next line without its end, of at most limit bytes. It is
+// valid until the next call.
 func (e *eventReader) line(limit int) ([]byte, error) {
 	var line []byte
 	for {
 		part, err := e.r.ReadSlice('\n')
+		if err == nil && line == nil && len(part) <= limit {
+			return bytes.TrimRight(part, "\r\n"), nil
+		}
 		line = append(line, part...)
 		if len(line) > limit {
 			return nil, errTooLong
--- a/engine/partial.go
+++ b/engine/partial.go
@@ -15,6 +15,7 @@
 	finished bool // a finish reason was delivered
 	opaque   bool // something else than text was delivered
 	base     int  // chunks with text before the present engine's first
+	form     chunkForm
 }
 
 // partialChunk is what a Partial reads of a chunk.
@@ -29,6 +30,11 @@
 
 // Add takes one delivered chunk.
 func (p *Partial) Add(data []byte) {
+	if text, ok := p.form.text(data); ok {
+		p.text.Write(text)
+		p.chunks++
+		return
+	}
 	var c partialChunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		p.opaque = true
@@ -43,6 +49,9 @@
 			p.finished = true
 		}
 	}
+	if c.onlyText() {
+		p.form = newChunkForm(data)
+	}
 }
 
 func (p *Partial) addDelta(delta map[string]json.RawMessage) {
