Sign event ids by a signer for each stream

Cause: each event made a keyed hash anew, joined the text and copied it. Change: the keyed state and the buffers are kept for the stream; the form of the ids is the same.

--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -37,6 +37,7 @@
 	watch   *engineWatch
 	partial engine.Partial
 	avoid   map[peridotusher.EngineID]bool
+	signer  *peridotusher.EventSigner
 	key     streamKey
 	resumed bool // no event came since the stream was last resumed
 	whole   bool
@@ -172,7 +173,10 @@
 	if s.host.StreamSecret == "" {
 		return ""
 	}
-	return peridotusher.StreamPosition{
+	if s.signer == nil {
+		s.signer = peridotusher.NewEventSigner(s.host.StreamSecret)
+	}
+	return s.signer.EventID(peridotusher.StreamPosition{
 		Engine:       s.permit.Engine().ID(),
 		Stream:       e.Stream(),
 		Offset:       e.Offset(),
@@ -181,7 +185,7 @@
 		Request:      s.call.Request.ID,
 		Router:       peridotusher.RouterID(s.host.Name),
 		Permit:       s.permit.ID(),
-	}.EventID(s.host.StreamSecret)
+	})
 }
 
 // Engine implements caller.ChatStream.
--- a/streamid.go
+++ b/streamid.go
@@ -17,6 +17,8 @@
 	maxEventID = 2048
 	// eventIDFields is the number of fields of an event id.
 	eventIDFields = 8
+	// streamMACLabel keeps the signatures apart from others by the same secret.
+	streamMACLabel = "event id\n"
 )
 
 // ErrEventID is in the chain of the errors of ParseEventID.
@@ -37,11 +39,7 @@
 
 // EventID returns the signed event id of the position.
 func (p StreamPosition) EventID(secret string) string {
-	text := strings.Join([]string{
-		string(p.Engine), p.Stream, strconv.Itoa(p.Offset), strconv.Itoa(p.Base),
-		p.Organisation, string(p.Request), string(p.Router), string(p.Permit),
-	}, "\n")
-	return base64.RawURLEncoding.EncodeToString(append(streamMAC(secret, text), text...))
+	return NewEventSigner(secret).EventID(p)
 }
 
 // ParseEventID returns the position of an event id that was signed with the secret.
@@ -86,6 +84,6 @@
 
 func streamMAC(secret, text string) []byte {
 	mac := hmac.New(sha256.New, []byte(secret))
-	mac.Write([]byte("event id\n" + text))
+	mac.Write([]byte(streamMACLabel + text))
 	return mac.Sum(nil)[:streamMACBytes]
 }
