Write an event to the caller with one Write

Cause: each event was formatted by fmt in two parts. Change: the event is put together in a buffer that the stream keeps.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -23,8 +23,12 @@
 	begun      bool // bytes have gone to the caller
 	whole      wholeAnswer
 	usage      tokenUsage
+	buffer     []byte // of the last event
 }
 
+// keptBuffer is the largest buffer in bytes that is kept from event to event.
+const keptBuffer = 2 << 10
+
 // answerChat runs the call and copies its events to the caller. It returns
 // the engine that answered.
 func (s *Server) answerChat(ctx context.Context, call ChatCall, answer *chatAnswer) (string, error) {
@@ -57,17 +61,29 @@
 		return a.whole.add(e.Data)
 	}
 	a.begin()
-	if e.ID != "" {
-		if _, err := fmt.Fprintf(a.w, "id: %s\n", e.ID); err != nil {
-			return callerGone(err)
-		}
-	}
-	if _, err := fmt.Fprintf(a.w, "data: %s\n\n", e.Data); err != nil {
+	if _, err := a.w.Write(a.text(e)); err != nil {
 		return callerGone(err)
 	}
 	return a.flush()
 }
 
+// text returns the server-sent event, in a buffer that the next one reuses.
+func (a *chatAnswer) text(e ChatEvent) []byte {
+	b := a.buffer[:0]
+	if e.ID != "" {
+		b = append(b, "id: "...)
+		b = append(b, e.ID...)
+		b = append(b, '\n')
+	}
+	b = append(b, "data: "...)
+	b = append(b, e.Data...)
+	b = append(b, "\n\n"...)
+	if cap(b) <= keptBuffer {
+		a.buffer = b
+	}
+	return b
+}
+
 // end closes a whole answer.
 func (a *chatAnswer) end() error {
 	if !a.streamed {
