--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -50,6 +50,7 @@
 			&cli.DurationFlag{Name: "duration", Value: 20 * time.Second, Usage: "measured `TIME` after the warm-up"},
 			&cli.FloatFlag{Name: "rate", Value: 4.6, Usage: "requests a second of each router"},
 			&cli.DurationFlag{Name: "token", Value: 20 * time.Millisecond, Usage: "`TIME` of one step of an engine's batch"},
+			&cli.StringMapFlag{Name: "set", Usage: "set `KEY=VALUE` in the document's policy section"},
 			&cli.StringFlag{Name: "plot", Usage: "write a picture to `FILE`"},
 			&cli.StringFlag{Name: "dir", Usage: "keep the routers' logs in `DIR`"},
 		},
@@ -99,6 +100,7 @@
 	test := &loadtest.Test{
 		Scenario:  loadtest.Scenario(cmd.String("scenario")),
 		Placement: placement,
+		Policy:    cmd.StringMap("set"),
 		Seed:      cmd.Uint64("seed"),
 		Duration:  cmd.Duration("duration"),
 		Rate:      cmd.Float("rate"),
--- a/loadtest/run.go
+++ b/loadtest/run.go
@@ -37,6 +37,7 @@
 type Test struct {
 	Scenario  Scenario
 	Placement document.Placement
+	Policy    map[string]string // other keys of the document's policy section
 	Seed      uint64
 	Duration  time.Duration // measured time, after the warm-up
 	Rate      float64       // requests a second of each router
@@ -93,8 +94,14 @@
 
 // document returns the sample configuration with the placement of the run.
 func (t *Test) document() []byte {
-	placement := []byte("[policy]\nplacement = " + string(t.Placement))
-	return policyHeader.ReplaceAll(bytes.Clone(examples.Kalimera), placement)
+	policy := "[policy]\nplacement = " + string(t.Placement)
+	text := bytes.Clone(examples.Kalimera)
+	for key, value := range t.Policy {
+		line := regexp.MustCompile("(?m)^" + regexp.QuoteMeta(key) + " = .*\n")
+		text = line.ReplaceAll(text, nil)
+		policy += "\n" + key + " = " + value
+	}
+	return policyHeader.ReplaceAll(text, []byte(policy))
 }
 
 // measure runs the traffic and the faults.
