peer: few links between zones, digests and sessions on demand

Cause: a session and heartbeats between all routers grow with the fleet. Not tested beyond the present tests yet.

--- a/members.go
+++ b/members.go
@@ -12,14 +12,18 @@
 
 // Members is the table of the fleet's routers as this router sees them.
 //
-// Three sources are merged by one rule: the list proposes, heartbeats decide,
-// and a leaving notice holds for one incarnation.
+// Four sources are merged by one rule: the list proposes, heartbeats and digests
+// decide, and a leaving notice holds for one incarnation.
 //   - The platform's list adds addresses to talk to. It makes no member live,
 //     and it takes away only members that were never heard.
 //   - A heartbeat makes its sender live and removes any older incarnation with
 //     the same ID or address. A heartbeat of an older incarnation is ignored.
 //   - A leaving notice marks the incarnation known at that moment. Heartbeats of
 //     that incarnation keep it leaving; a higher incarnation is live again.
+//   - A digest, made by a router of another zone, counts as a heartbeat of each
+//     member that it names. A member that no fresh digest of its zone names any
+//     more, and that was not heard itself within the timeout, is suspect at once.
+//     Digests are fresh for the timeout; without one their members fall silent.
 //   - A member that is silent for the timeout is suspect. After three timeouts
 //     it is forgotten, or proposed again while the list names it.
 //
@@ -33,12 +37,15 @@
 	members map[RouterID]*memberEntry
 	listed  map[RouterID]Member
 	ranks   map[rankKey][]RouterID
+	digests map[RouterID]digest // the last of each origin
 }
 
-// memberEntry is one member with the time of its last heartbeat.
+// memberEntry is one member with the times of its last heartbeat: its own, and
+// the later of that and the last digest.
 type memberEntry struct {
 	Member
-	heard time.Time
+	heard  time.Time
+	direct time.Time
 }
 
 // NewMembers returns a table that holds only self, which is live.
@@ -50,6 +57,7 @@
 		members: make(map[RouterID]*memberEntry),
 		listed:  make(map[RouterID]Member),
 		ranks:   make(map[rankKey][]RouterID),
+		digests: make(map[RouterID]digest),
 	}
 	t.members[self.id] = &memberEntry{Member: self.WithState(MemberLive)}
 	return t
@@ -102,6 +110,15 @@
 func (t *Members) Heard(m Member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.hear(m) {
+		return false
+	}
+	t.members[m.id].direct = t.clock.Now()
+	return true
+}
+
+// hear records that a member is alive and reports whether it was accepted.
+func (t *Members) hear(m Member) bool {
 	if !t.newest(m) {
 		return false
 	}
@@ -172,6 +189,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	t.expireDigests(now, timeout)
 	for id, e := range t.members {
 		if id == t.self || e.state == MemberProposed {
 			continue
@@ -196,7 +214,11 @@
 
 // put stores a changed member.
 func (t *Members) put(m Member, heard time.Time) {
-	t.members[m.id] = &memberEntry{Member: m, heard: heard}
+	e := &memberEntry{Member: m, heard: heard}
+	if old, ok := t.members[m.id]; ok && old.incarnation == m.incarnation {
+		e.direct = old.direct
+	}
+	t.members[m.id] = e
 	t.changed()
 }
 
@@ -246,6 +268,13 @@
 	return all
 }
 
+// Len returns the number of members.
+func (t *Members) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.members)
+}
+
 // Get returns the member with the ID.
 func (t *Members) Get(id RouterID) (Member, bool) {
 	t.mu.Lock()
--- /dev/null
+++ b/members_digest.go
@@ -0,0 +1,60 @@
+package peridotusher
+
+import (
+	"maps"
+	"time"
+)
+
+// digest is what a router of another zone said of its zone.
+type digest struct {
+	zone  Zone
+	heard time.Time
+	names map[RouterID]bool
+}
+
+// Digest records the members of another zone that origin, a router of it, hears.
+func (t *Members) Digest(origin RouterID, zone Zone, roster []Member, timeout time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	names := make(map[RouterID]bool, len(roster))
+	for _, m := range roster {
+		names[m.id] = true
+		e, ok := t.members[m.id]
+		if ok && e.Member == m && m.id != t.self {
+			e.heard = now
+			continue
+		}
+		t.hear(m)
+	}
+	t.digests[origin] = digest{zone: zone, heard: now, names: names}
+	t.expireDigests(now, timeout)
+	t.suspectUnnamed(now, zone, timeout)
+}
+
+// suspectUnnamed marks the members of a zone that no digest names and that were
+// not heard themselves.
+func (t *Members) suspectUnnamed(now time.Time, zone Zone, timeout time.Duration) {
+	for id, e := range t.members {
+		known := e.state == MemberLive || e.state == MemberLeaving
+		if id == t.self || e.zone != zone || !known || now.Sub(e.direct) < timeout || t.named(id) {
+			continue
+		}
+		t.put(e.WithState(MemberSuspect), e.heard)
+	}
+}
+
+// named reports whether a digest names the member.
+func (t *Members) named(id RouterID) bool {
+	for _, d := range t.digests {
+		if d.names[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// expireDigests drops the digests that are no longer fresh.
+func (t *Members) expireDigests(now time.Time, timeout time.Duration) {
+	maps.DeleteFunc(t.digests, func(_ RouterID, d digest) bool { return now.Sub(d.heard) >= timeout })
+}
--- a/peer/admission.go
+++ b/peer/admission.go
@@ -61,17 +61,20 @@
 }
 
 // broadcast sends a message to every connected router that has a place for it.
+// With sparse links it goes to the own zone and over the links that this router
+// holds; the other holders pass it on.
 func (n *Node) broadcast(kind Kind, msg proto.Message) error {
 	n.once.Do(n.init)
 	body, err := proto.Marshal(msg)
 	if err != nil {
 		return err
 	}
-	for _, s := range n.sessions.all() {
-		if err := s.offer(&Envelope{Kind: uint32(kind), Body: body}); err != nil {
-			n.Log.WithError(err).WithField("peer", s.peer.ID()).Debug("message to all not sent")
-		}
+	if !n.sparse() {
+		n.offerAll(n.sessions.all(), &Envelope{Kind: uint32(kind), Body: body})
+		return nil
 	}
+	n.offerAll(n.nearSessions(), &Envelope{Kind: uint32(kind), Body: body})
+	n.offerAll(n.linkSessions(), &Envelope{Kind: uint32(kind), Body: body, Origin: string(n.Self.ID())})
 	return nil
 }
 
--- a/peer/budget.go
+++ b/peer/budget.go
@@ -36,7 +36,7 @@
 // rank returns the importance of a kind.
 func (k Kind) rank() rank {
 	switch {
-	case k <= KindDemands || k == KindDelta || k.carriesCalls():
+	case k <= KindDemands || k == KindDelta || k == KindDigest || k.carriesCalls():
 		return rankVital
 	case k == KindFetch:
 		return rankFetch
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -55,7 +55,7 @@
 func (n *Node) dialMissing(ctx context.Context) {
 	members := n.Members.Targets()
 	n.dials.keep(members)
-	for _, m := range members {
+	for _, m := range n.links(members) {
 		if m.ID() == n.Self.ID() || n.connected(m) || !n.dials.begin(m.Address()) {
 			continue
 		}
@@ -95,6 +95,7 @@
 // Hello a few times in a row, as by a middlebox that finds nobody behind it.
 func (n *Node) dialFailed(m peridotusher.Member, err error) {
 	failures := n.dials.failed(m.Address(), err)
+	defer n.sessions.notify()
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	cut := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 	if (refused || cut && failures >= cutsToSuspect) && !n.connected(m) {
--- a/peer/dials.go
+++ b/peer/dials.go
@@ -86,6 +86,14 @@
 	return ""
 }
 
+// busy reports whether a dial to the address is under way.
+func (t *dialTable) busy(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.states[address]
+	return ok && s.busy
+}
+
 // lastError returns the last failure to dial an address since it answered.
 func (t *dialTable) lastError(address string) error {
 	t.mu.Lock()
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -26,9 +26,11 @@
 		patience := n.patience(stretch)
 		n.sessions.closeSilent(n.Clock.Now(), patience)
 		n.Members.Expire(patience)
+		n.closeIdle()
 		n.dialMissing(ctx)
 		if tick%stretch == 0 {
 			stretch = n.sendHeartbeats(stretch)
+			n.sendDigests()
 			tick = 0
 		}
 		select {
@@ -49,9 +51,18 @@
 		n.Log.WithError(err).Error("heartbeat not encoded")
 		return stretch
 	}
+	short, err := n.withoutLoads(msg, body)
+	if err != nil {
+		n.Log.WithError(err).Error("heartbeat not encoded")
+		return stretch
+	}
 	sessions := n.sessions.all()
 	for _, s := range sessions {
-		s.lanes[controlLane].replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: body})
+		content := body
+		if !n.near(s.peer) {
+			content = short
+		}
+		s.lanes[controlLane].replaceHeartbeat(&Envelope{Kind: uint32(KindHeartbeat), Body: content})
 	}
 	return n.stretch(len(sessions), len(body))
 }
@@ -87,6 +98,9 @@
 		return
 	}
 	s.setView(View{Members: msg.GetView(), Revision: msg.GetRevision()}, microseconds(int64(msg.GetEvery())))
+	if n.near(s.peer) {
+		n.loads.set(s.peer.ID(), msg.GetLoads())
+	}
 	if n.Sink != nil {
 		n.Sink.SetLoads(s.peer.ID(), loadsFromWire(msg.GetLoads()))
 	}
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -20,6 +20,8 @@
 	KindFacts Kind = 18
 	// KindDemands tells what the sender's callers ask for limited organisations.
 	KindDemands Kind = 19
+	// KindDigest tells another zone what changed in the sender's.
+	KindDigest Kind = 20
 
 	// KindDelta carries a change of the configuration.
 	KindDelta Kind = 32
--- a/peer/node.go
+++ b/peer/node.go
@@ -19,6 +19,7 @@
 	defaultHeartbeat = 500 * time.Millisecond
 	defaultWorkers   = 16
 	timeoutFactor    = 4 // default timeout in heartbeats
+	defaultIdle      = 10 * time.Second
 )
 
 // HandlerFunc answers one message. The context ends with the caller's budget.
@@ -59,6 +60,8 @@
 	Workers   int                // workers that decide on asks, and as many for all else
 	Seed      uint64             // seed of the backoff's jitter
 	Budget    int                // bytes per second that may be sent; zero for no limit
+	Mesh      int                // routers up to which all link with all; zero uses the default
+	Idle      time.Duration      // how long a session on demand outlives its last use
 	Version   uint32             // protocol version to speak, for tests of upgrades; zero for the newest
 
 	version, oldest uint32 // protocol versions; zero uses the constants
@@ -71,6 +74,8 @@
 	pool     *pool
 	traffic  *traffic
 	group    *errgroup.Group
+	wanted   chan peridotusher.Member // members to dial for a message
+	loads    *zoneLoads
 }
 
 // Handle sets the handler of a kind. It is called before Run.
@@ -87,6 +92,12 @@
 	if n.Timeout == 0 {
 		n.Timeout = timeoutFactor * n.Heartbeat
 	}
+	if n.Mesh == 0 {
+		n.Mesh = defaultMesh
+	}
+	if n.Idle == 0 {
+		n.Idle = defaultIdle
+	}
 	if n.Clock == nil {
 		n.Clock = peridotusher.ClockFunc(time.Now)
 	}
@@ -104,6 +115,8 @@
 	}
 	n.sessions = newSessionTable(n.Self.ID())
 	n.dials = newDialTable(n.Clock, n.Heartbeat, rand.New(rand.NewPCG(n.Seed, 0)))
+	n.wanted = make(chan peridotusher.Member, wantedDials)
+	n.loads = newZoneLoads()
 	n.askPool = newPool(n.Workers)
 	n.pool = newPool(n.Workers)
 	n.traffic = newTraffic(newBudget(n.Clock, n.Budget))
@@ -125,6 +138,7 @@
 	n.group = group
 	group.Go(func() error { return n.accept(ctx) })
 	group.Go(func() error { return n.beat(ctx) })
+	group.Go(func() error { return n.dialWanted(ctx) })
 	for range n.Workers {
 		group.Go(func() error { return n.askPool.work(ctx) })
 		group.Go(func() error { return n.pool.work(ctx) })
@@ -144,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := n.session(to)
+	s, err := n.reach(ctx, to)
 	if err != nil {
 		return err
 	}
@@ -163,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	s, err := n.session(to)
+	s, err := n.reach(ctx, to)
 	if err != nil {
 		return err
 	}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -52,7 +52,11 @@
 		n.receiveHeartbeat(s, e)
 	case KindLeaving:
 		n.receiveLeaving(s, e)
+	case KindDigest:
+		n.receiveDigest(s, e)
 	default:
+		s.use()
+		n.relay(s, e)
 		job := func(ctx context.Context) { n.handle(ctx, s, e) }
 		if !n.poolOf(Kind(e.GetKind())).offer(job) {
 			n.reply(s, e, nil, errBusy)
@@ -82,7 +86,7 @@
 		defer cancel()
 		ctx = timed
 	}
-	body, err := h(ctx, s.peer.ID(), e.GetBody())
+	body, err := h(ctx, originOf(s, e), e.GetBody())
 	n.reply(s, e, body, err)
 }
 
--- a/peer/session.go
+++ b/peer/session.go
@@ -42,6 +42,9 @@
 	pending map[uint64]chan *Envelope
 	view    View
 	every   time.Duration // interval of the peer's heartbeats
+	used    time.Time     // last message other than a heartbeat
+
+	digests digestStreams
 }
 
 func newSession(peer peridotusher.Member, dialer peridotusher.RouterID, conn *countedConn, t *traffic) *session {
@@ -52,6 +55,8 @@
 		traffic: t,
 		done:    make(chan struct{}),
 		pending: make(map[uint64]chan *Envelope),
+		used:    conn.clock.Now(),
+		digests: newDigestStreams(),
 	}
 	for i := range s.lanes {
 		s.lanes[i] = newOutbox(s.done, t)
@@ -138,6 +143,7 @@
 	if !s.traffic.admits(Kind(e.GetKind())) {
 		return errOverBudget
 	}
+	s.use()
 	err := s.lanes[Kind(e.GetKind()).lane()].put(ctx, e)
 	if errors.Is(err, errSessionClosed) {
 		return &LinkError{router: s.peer.ID(), err: s.cause()}
--- a/peer/table.go
+++ b/peer/table.go
@@ -15,10 +15,11 @@
 
 	mu       sync.Mutex
 	sessions map[peridotusher.RouterID]*session
+	news     chan struct{} // closed when a dial ends
 }
 
 func newSessionTable(self peridotusher.RouterID) *sessionTable {
-	return &sessionTable{self: self, sessions: make(map[peridotusher.RouterID]*session)}
+	return &sessionTable{self: self, sessions: make(map[peridotusher.RouterID]*session), news: make(chan struct{})}
 }
 
 // add registers a session and closes the one that it replaces. It reports false
@@ -31,6 +32,7 @@
 		return false
 	}
 	t.sessions[s.peer.ID()] = s
+	t.wake()
 	if ok {
 		old.close(errReplaced)
 	}
@@ -86,3 +88,22 @@
 		s.close(errSessionClosed)
 	}
 }
+
+// watch returns a channel that closes when the next dial ends.
+func (t *sessionTable) watch() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.news
+}
+
+// notify wakes those who wait for a session.
+func (t *sessionTable) notify() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wake()
+}
+
+func (t *sessionTable) wake() {
+	close(t.news)
+	t.news = make(chan struct{})
+}
