--- a/peer/digest.go
+++ b/peer/digest.go
@@ -18,6 +18,10 @@
 	errDigestGap = errors.New("digest does not follow the one before")
 )
 
+// loadSteps is the number of steps in a load that are told to another zone. The
+// exact loads come with the answers to asks.
+const loadSteps = 8
+
 // zoneState is what a digest tells of a zone.
 type zoneState struct {
 	version uint64
@@ -57,8 +61,7 @@
 		}
 	}
 	for id, l := range next.loads {
-		old, ok := z.loads[id]
-		if !ok || old.GetWork() != l.GetWork() || old.GetPermits() != l.GetPermits() {
+		if old, ok := z.loads[id]; !ok || changed(old.GetWork(), l.GetWork()) {
 			msg.Loads = append(msg.Loads, l)
 		}
 	}
@@ -69,6 +72,11 @@
 	return msg
 }
 
+// changed reports whether a load differs enough to be told to another zone.
+func changed(old, now int64) bool {
+	return old != now && loadSteps*max(old-now, now-old) >= old
+}
+
 // apply takes a digest into the state.
 func (z *zoneState) apply(msg *Digest) {
 	for _, m := range msg.GetMembers() {
@@ -166,8 +174,13 @@
 		return
 	}
 	zone := n.ownZone()
+	roster := &zoneState{members: zone.members}
 	for _, s := range n.linkSessions() {
-		if err := s.sendDigest(string(n.Self.ID()), string(n.Self.Zone()), zone); err != nil {
+		told := roster
+		if n.tellsLoads(s.peer.Zone()) {
+			told = zone
+		}
+		if err := s.sendDigest(string(n.Self.ID()), string(n.Self.Zone()), told); err != nil {
 			n.Log.WithError(err).WithField("peer", s.peer.ID()).Debug("digest not sent")
 		}
 	}
--- a/peer/links.go
+++ b/peer/links.go
@@ -54,9 +54,8 @@
 // linksTo returns the far ends of the links to a zone that this router holds.
 // The routers of its zone rank the same live members and so agree on the holders.
 func (n *Node) linksTo(zone peridotusher.Zone, near, far []peridotusher.Member) []peridotusher.Member {
-	key := string(n.Self.Zone()) + ">" + string(zone)
-	holders := rankMembers(key, near, live)
-	ends := n.farEnds(key, far)
+	holders := n.holders(zone, near)
+	ends := n.farEnds(n.linkKey(zone), far)
 	var kept []peridotusher.Member
 	for i := range zoneLinks {
 		if len(holders) == 0 || len(ends) == 0 || holders[i%len(holders)].ID() != n.Self.ID() {
@@ -70,6 +69,23 @@
 	return kept
 }
 
+// linkKey returns the key by which the ends of the links to a zone are ranked.
+func (n *Node) linkKey(zone peridotusher.Zone) string {
+	return string(n.Self.Zone()) + ">" + string(zone)
+}
+
+// holders ranks the routers of the own zone for the links to another.
+func (n *Node) holders(zone peridotusher.Zone, near []peridotusher.Member) []peridotusher.Member {
+	return rankMembers(n.linkKey(zone), near, live)
+}
+
+// tellsLoads reports whether this router holds the one link to the zone that
+// carries loads.
+func (n *Node) tellsLoads(zone peridotusher.Zone) bool {
+	holders := n.holders(zone, n.Members.Live(n.Self.Zone()))
+	return len(holders) > 0 && holders[0].ID() == n.Self.ID()
+}
+
 // farEnds ranks the routers of another zone: live ones, then those that are
 // only listed or silent, and last those whose last dial failed.
 func (n *Node) farEnds(key string, far []peridotusher.Member) []peridotusher.Member {
