--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -37,6 +37,7 @@
 	watch   *engineWatch
 	partial engine.Partial
 	avoid   map[peridotusher.EngineID]bool
+	signer  *peridotusher.EventSigner
 	key     streamKey
 	resumed bool // no event came since the stream was last resumed
 	whole   bool
@@ -139,12 +140,34 @@
 	s.watch.end(lost)
 	s.leave(s.permit.Engine())
 	s.resumed = false
-	if err := s.start(body); err != nil {
+	if err := s.startWithin(body, continueTimeout); err != nil {
 		return peridotusher.FailWith(ranOr(f.Verdict()), peridotusher.AsFailure(err).Cause(), errors.Wrap(err, "the engine was lost and no other one went on")).WithRetryAfter(peridotusher.AsFailure(err).RetryAfter())
 	}
 	return nil
 }
 
+const (
+	// continueTimeout bounds the wait for room at another engine.
+	continueTimeout = 2 * time.Second
+	// continueRetry is the delay between two tries to find room.
+	continueRetry = 100 * time.Millisecond
+)
+
+// startWithin starts the answer, and waits for room while every engine is full.
+func (s *chatStream) startWithin(body []byte, limit time.Duration) error {
+	end := s.host.Clock.Now().Add(limit)
+	for {
+		err := s.start(body)
+		if err == nil || peridotusher.AsFailure(err).Cause() != peridotusher.CauseOverloaded {
+			return err
+		}
+		if s.ctx.Err() != nil || s.host.Clock.Now().After(end) {
+			return err
+		}
+		wait(s.ctx, continueRetry)
+	}
+}
+
 // ranOr returns the verdict of a stream that was lost: it is never NotRun.
 func ranOr(v peridotusher.Verdict) peridotusher.Verdict {
 	if v == peridotusher.NotRun {
@@ -172,7 +195,10 @@
 	if s.host.StreamSecret == "" {
 		return ""
 	}
-	return peridotusher.StreamPosition{
+	if s.signer == nil {
+		s.signer = peridotusher.NewEventSigner(s.host.StreamSecret)
+	}
+	return s.signer.EventID(peridotusher.StreamPosition{
 		Engine:       s.permit.Engine().ID(),
 		Stream:       e.Stream(),
 		Offset:       e.Offset(),
@@ -181,7 +207,7 @@
 		Request:      s.call.Request.ID,
 		Router:       peridotusher.RouterID(s.host.Name),
 		Permit:       s.permit.ID(),
-	}.EventID(s.host.StreamSecret)
+	})
 }
 
 // Engine implements caller.ChatStream.
