peer: sparse links begin above 64 routers

Cause: at 36 routers in one process the far end of a link sends 18,791 B/s and the busiest router of the full mesh 8,373 ('go test ./peer -run ^$ -bench ControlBytes -benchtime 1x'); real processes above 16 routers were not run with them. Change: the threshold is 64 in place of 16. Conclusion: today's fleets keep the mesh; the far end's share has to come down before the threshold may.

--- a/peer/links.go
+++ b/peer/links.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// defaultMesh is the number of routers up to which all link with all. Their
-	// heartbeats fit the byte budget, and every router hears every other itself.
-	defaultMesh = 16
+	// defaultMesh is the number of routers up to which all link with all. At 36
+	// routers the far end of a link sends more than a router of the full mesh does.
+	defaultMesh = 64
 	// zoneLinks is the number of links from one zone to another. The second
 	// carries on when the first one's holder dies.
 	zoneLinks = 2
