--- a/cmd/peridotusher/serve.go
+++ b/cmd/peridotusher/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
-	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -32,24 +30,11 @@
 				}
 				return cli.Exit("", exitInvalid)
 			}
-			boundHeap()
 			return serve(ctx, cfg, cmd.Uint32("protocol"))
 		},
 	}
 }
 
-// heapGrowth is the growth of the heap in percent after which memory is
-// collected. Streams allocate little, so what they hold counts for more than
-// the time of a collection.
-const heapGrowth = 50
-
-// boundHeap sets the growth of the heap, unless the environment does.
-func boundHeap() {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(heapGrowth)
-	}
-}
-
 // serve runs a router with the settings until ctx ends. It speaks the newest
 // protocol version if protocol is zero.
 func serve(ctx context.Context, cfg *settings.Settings, protocol uint32) error {
