Repeated fields of peer messages travel as numbers

Cause: asks, answers and heartbeats repeat the loads of the sender's engines and the names of organisations, models, classes, engines and routers in each message.

Change: each end of a stream remembers the last 256 such fields; a field that was sent before is replaced by its number where the bytes are written, and restored before the message is handled. Messages and their handlers stay the same, so the bound sees the same loads at the same times. Protocol version 3; peers of version 2 get whole messages.

--- a/peer/connect.go
+++ b/peer/connect.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	s := n.newSession(peer, dialled, counted)
+	s := n.newSession(peer, dialled, counted, n.packs(shaken.version))
 	added := n.sessions.add(s)
 	if up != nil {
 		up(peer.ID())
@@ -142,12 +142,15 @@
 }
 
 // newSession returns a session whose messages this node handles.
-func (n *Node) newSession(peer peridotusher.Member, dialled bool, conn *countedConn) *session {
+func (n *Node) newSession(peer peridotusher.Member, dialled bool, conn *countedConn, packs bool) *session {
 	dialer := peer.ID()
 	if dialled {
 		dialer = n.Self.ID()
 	}
 	s := newSession(peer, dialer, conn, n.traffic)
+	if packs {
+		s.pack()
+	}
 	s.receive = n.receive
 	s.orphan = n.returnOrphan
 	return s
--- a/peer/feature.go
+++ b/peer/feature.go
@@ -2,7 +2,7 @@
 
 // The protocol versions of this program.
 const (
-	protocolVersion = 2
+	protocolVersion = 3
 	// versionsApart is the largest distance of two versions that work together.
 	versionsApart = 1
 )
@@ -25,6 +25,15 @@
 	served, used span
 }
 
+// packing is the sending of repeated fields by number. Version 3 still sends
+// whole messages to peers that do not serve it.
+var packing = feature{name: "packing", served: span{since: 3}, used: span{since: 4}}
+
+// packs reports whether messages to a peer of the version are packed.
+func (n *Node) packs(version uint32) bool {
+	return packing.served.holds(n.version) && packing.served.holds(version)
+}
+
 // features are the parts of the protocol since its first version. A feature
 // is taken away in two steps: first its use ends, a version later its service.
 var features = []feature{
@@ -33,6 +42,7 @@
 	{name: "leaving", served: span{since: 1}, used: span{since: 1}},
 	{name: "delta", served: span{since: 1}, used: span{since: 2}},
 	{name: "fetch", served: span{since: 1}, used: span{since: 2}},
+	packing,
 }
 
 // serves reports whether a peer of the version server has all that one of the
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -20,7 +20,8 @@
 // bufferedConn reads a connection through a buffer.
 type bufferedConn struct {
 	net.Conn
-	r *bufio.Reader
+	r       *bufio.Reader
+	version uint32 // protocol version of the peer
 }
 
 // Read implements net.Conn.
@@ -28,7 +29,7 @@
 
 // shake secures a connection, exchanges Hellos on it and checks the name of the
 // peer's certificate.
-func (n *Node) shake(conn net.Conn, dialled bool) (net.Conn, peridotusher.Member, error) {
+func (n *Node) shake(conn net.Conn, dialled bool) (*bufferedConn, peridotusher.Member, error) {
 	var none peridotusher.Member
 	secured, err := n.secure(conn, dialled)
 	if err != nil {
@@ -44,7 +45,7 @@
 // handshake exchanges Hellos and returns the connection to go on with and the
 // router at its other end. Both sides send theirs before they judge, so that
 // each can say which of them must be upgraded.
-func (n *Node) handshake(conn net.Conn, dialled bool) (net.Conn, peridotusher.Member, error) {
+func (n *Node) handshake(conn net.Conn, dialled bool) (*bufferedConn, peridotusher.Member, error) {
 	var none peridotusher.Member
 	if err := conn.SetDeadline(time.Now().Add(n.Timeout)); err != nil {
 		return nil, none, err
@@ -57,6 +58,7 @@
 	if err := n.checkVersion(hello); err != nil {
 		return nil, none, err
 	}
+	buffered.version = hello.GetVersion()
 	id := peridotusher.RouterID(hello.GetRouter())
 	if id == n.Self.ID() {
 		return nil, none, errSelfDialled
--- a/peer/outbox.go
+++ b/peer/outbox.go
@@ -33,6 +33,7 @@
 	heartbeat chan frame
 	done      <-chan struct{}
 	traffic   *traffic
+	fields    *fieldTable // what the other end remembers, nil if it does not unpack
 }
 
 func newOutbox(done <-chan struct{}, t *traffic) *outbox {
@@ -115,7 +116,11 @@
 		}
 		f.envelope.Budget = uint64(left)
 	}
-	size, err := protodelim.MarshalTo(w, f.envelope)
+	envelope := f.envelope
+	if o.fields != nil {
+		envelope = o.fields.pack(envelope)
+	}
+	size, err := protodelim.MarshalTo(w, envelope)
 	if err != nil {
 		return err
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -59,6 +59,13 @@
 	return s
 }
 
+// pack packs what is sent from now on. It is called before run.
+func (s *session) pack() {
+	for _, lane := range s.lanes {
+		lane.fields = newFieldTable()
+	}
+}
+
 // run carries messages over the session until it fails or is closed.
 func (s *session) run(mux *yamux.Session, streams []*yamux.Stream) error {
 	var group errgroup.Group
@@ -85,6 +92,7 @@
 // read handles what arrives on one stream.
 func (s *session) read(r io.Reader) error {
 	buffered := bufio.NewReader(r)
+	fields := newFieldTable()
 	read := protodelim.UnmarshalOptions{MaxSize: maxBodyBytes + maxHelloBytes}
 	for {
 		e := &Envelope{}
@@ -92,6 +100,9 @@
 			return err
 		}
 		s.traffic.addReceived(Kind(e.GetKind()), protowire.SizeBytes(proto.Size(e)))
+		if err := fields.unpack(e); err != nil {
+			return err
+		}
 		if e.GetReply() {
 			s.deliver(e)
 		} else {
