The upgrade test also goes from protocol version 2 to 3

Cause: protocol version 3 packs messages, version 2 does not. Change: TestMixedVersions upgrades from 1 to 2 as before, and from 2 to 3. Conclusion: a fleet is upgraded across the packing in any order.

--- a/fleettest/config_test.go
+++ b/fleettest/config_test.go
@@ -125,14 +125,22 @@
 // in an arbitrary order.
 func TestMixedVersions(t *testing.T) {
 	t.Parallel()
+	for _, versions := range [][2]string{{"1", "2"}, {"2", "3"}} {
+		t.Run(versions[0]+" to "+versions[1], func(t *testing.T) { upgrade(t, versions[0], versions[1]) })
+	}
+}
+
+// upgrade replaces the routers of one protocol version by those of the next.
+func upgrade(t *testing.T, from, to string) {
+	t.Helper()
 	newer := map[string]bool{}
 	b := startBench(t, func(o *testbed.Options) {
 		o.Zones = []string{"a", "b"}
 		o.Args = func(router string) []string {
 			if newer[router] {
-				return []string{"--protocol", "2"}
+				return []string{"--protocol", to}
 			}
-			return []string{"--protocol", "1"}
+			return []string{"--protocol", from}
 		}
 	})
 	for _, i := range []int{3, 0, 1, 2} {
