A caller that resumes a stream is never told not run

Cause: TestStreamsAreWhole was told not run after 117 bytes: a router that had just started answered a resume with no_endpoint_allowed (no configuration yet) and the verdict of a new request. Ruled out: entry's resume, whose failures say ran.

--- a/answertest/streams_test.go
+++ b/answertest/streams_test.go
@@ -71,16 +71,16 @@
 // receiveAll reads one stream through as many routers as it takes.
 func receiveAll(ctx context.Context, client *http.Client, bed *testbed.Bed, s *Streamed, c chat, random *rand.Rand) {
 	for range maxConnections {
+		if s.LastID == "" {
+			// Nothing was received, so that this is a new request.
+			*s = Streamed{}
+		}
 		router := bed.Routers[random.IntN(len(bed.Routers))]
 		err := c.receive(ctx, client, router.URL, s)
 		refused := s.LastID == "" && s.Verdict == "not-run"
 		if err == nil && !refused {
 			return
 		}
-		if s.LastID == "" {
-			// Nothing was received, so that this is a new request.
-			*s = Streamed{}
-		}
 		hold(ctx, retryPause)
 	}
 }
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -16,7 +16,7 @@
 	started := s.Clock.Now()
 	call, body, class, err := s.chatCall(w, r)
 	if err != nil {
-		f := peridotusher.AsFailure(err)
+		f := call.failure(err)
 		writeFailure(w, f)
 		s.logRequest(call.Request, "", f, s.Clock.Now().Sub(started))
 		s.record(Outcome{Organisation: call.Request.Organisation, Class: call.Request.Class, Verdict: f.Verdict(), Cause: f.Cause()})
@@ -84,7 +84,7 @@
 	}
 	var f *peridotusher.Failure
 	if err != nil {
-		f = peridotusher.AsFailure(err)
+		f = call.failure(err)
 		answer.fail(f)
 		out.Verdict = f.Verdict()
 		out.Cause = f.Cause()
@@ -116,3 +116,12 @@
 	}
 	entry.WithFields(logrus.Fields{"verdict": f.Verdict(), "cause": f.Cause(), "error": errors.UnwrapAll(f).Error()}).Warn("request failed")
 }
+
+// failure returns what the caller is told of the call's failure.
+func (c ChatCall) failure(err error) *peridotusher.Failure {
+	f := peridotusher.AsFailure(err)
+	if c.LastEventID != "" {
+		return f.AsResumed()
+	}
+	return f
+}
--- a/failure.go
+++ b/failure.go
@@ -60,6 +60,17 @@
 	return &g
 }
 
+// AsResumed returns the failure as told to a caller that resumes a stream: its
+// request has been sent before, so "not run" would promise too much.
+func (f *Failure) AsResumed() *Failure {
+	if f.verdict != NotRun {
+		return f
+	}
+	g := *f
+	g.verdict = MayHaveRun
+	return &g
+}
+
 // Verdict returns whether the request may have run.
 func (f *Failure) Verdict() Verdict { return f.verdict }
 
