--- a/engine/silence_test.go
+++ b/engine/silence_test.go
@@ -31,6 +31,7 @@
 				s := newSilence(limit, func() { got = time.Since(start) })
 				tt.do(s)
 				time.Sleep(10 * limit)
+				synctest.Wait()
 				if got != tt.want {
 					t.Errorf("ended after %v, want %v", got, tt.want)
 				}
--- a/entry/claimtable.go
+++ b/entry/claimtable.go
@@ -62,6 +62,7 @@
 	group errgroup.Group
 
 	mu     sync.Mutex
+	closed bool // Run takes no more changes
 	queues map[string]*claimQueue
 	silent map[peridotusher.RouterID]time.Time // until when a router is passed over
 	lease  claimLease
@@ -104,6 +105,7 @@
 func (t *claimTable) Run(ctx context.Context) error {
 	t.once.Do(t.init)
 	<-ctx.Done()
+	t.close()
 	close(t.ended)
 	flushed := time.AfterFunc(claimFlush, t.stop)
 	defer flushed.Stop()
@@ -112,6 +114,13 @@
 	return err
 }
 
+// close refuses the changes from now on, so that no writer starts any more.
+func (t *claimTable) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+}
+
 // Change makes one change and waits for its result until ctx ends. A claim
 // that nobody waits for any more is released.
 func (t *claimTable) Change(ctx context.Context, key peridotusher.ClaimKey, change peridotusher.ClaimChange) (peridotusher.ClaimResult, error) {
@@ -170,6 +179,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	q, ok := t.queues[bucket]
+	if t.closed && (!ok || !q.active) {
+		answerAll(waiters, claimReply{err: claimsDown(errClosed)})
+		return
+	}
 	if !ok {
 		t.dropIdle()
 		q = &claimQueue{table: t, name: bucket, wake: make(chan struct{}, 1)}
@@ -253,6 +266,9 @@
 // leaseUse is the time for which one lease takes further buckets.
 const leaseUse = 5 * time.Minute
 
+// errClosed means that the router stops and writes no more claims.
+var errClosed = errors.New("the router is stopping")
+
 // claimsDown is the Failure of a change that could not be written.
 func claimsDown(err error) error {
 	retryAfter := max(peridotusher.AsFailure(err).RetryAfter(), claimRetryAfter)
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -139,6 +139,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	running := sync.WaitGroup{}
+	n.once.Do(n.init)
 	running.Go(func() { ended <- n.Run(ctx) })
 	n.stop = sync.OnceFunc(func() {
 		cancel()
