--- a/entry/chat.go
+++ b/entry/chat.go
@@ -52,7 +52,7 @@
 		}
 		permit, err := s.host.ingress.Acquire(s.ctx, s.call.Document, s.call.Request, s.avoid)
 		if err != nil {
-			return worse(err, last)
+			return refusalReason(err, last)
 		}
 		watch := s.host.watchEngine(s.call.Request, permit.Engine().ID())
 		stream, err := s.send(permit, body, "")
@@ -73,9 +73,9 @@
 	return last
 }
 
-// worse returns why a request was not sent again: the last engine's own
+// refusalReason returns why a request was not sent again: the last engine's own
 // answer if every engine has been tried.
-func worse(refused, last error) error {
+func refusalReason(refused, last error) error {
 	if last != nil && peridotusher.AsFailure(refused).Cause() == peridotusher.CauseNoEndpoint {
 		return last
 	}
--- a/entry/claimqueue.go
+++ b/entry/claimqueue.go
@@ -139,7 +139,7 @@
 	defer cancel()
 	results, err := q.table.Peers.ChangeClaims(ctx, writer, q.name, recentOf(batch), changesOf(batch))
 	if err != nil {
-		q.table.passOver(writer)
+		q.table.skipWriter(writer)
 	}
 	return results, err
 }
--- a/entry/claimtable.go
+++ b/entry/claimtable.go
@@ -234,8 +234,8 @@
 	return peridotusher.RouterID(ranking[0])
 }
 
-// passOver leaves a router out as a writer for a while.
-func (t *claimTable) passOver(id peridotusher.RouterID) {
+// skipWriter leaves a router out as a writer for a while.
+func (t *claimTable) skipWriter(id peridotusher.RouterID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.silent[id] = t.Clock.Now().Add(silentWriterPause)
--- a/entry/host.go
+++ b/entry/host.go
@@ -67,7 +67,7 @@
 	burn    *peridotusher.Burn
 	started time.Time
 	stop    context.CancelFunc
-	health  *healthBook
+	health  *healthTable
 
 	standings *standings
 }
@@ -93,6 +93,7 @@
 	group.Go(func() error { return h.runAdmission(background) })
 	group.Go(func() error { return h.runEngines(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
+	group.Go(func() error { return h.announceLeaving(ctx, background) })
 	group.Go(func() error {
 		defer stopBackground()
 		return h.serveCallers(ctx, background)
@@ -110,8 +111,6 @@
 	defer stopServing()
 	stop := context.AfterFunc(background, stopServing)
 	defer stop()
-	announce := context.AfterFunc(serving, func() { h.announceLeaving(background) })
-	defer announce()
 	server := &caller.Server{
 		Listener: h.Caller,
 		Chats:    &chats{host: h},
@@ -132,10 +131,18 @@
 	return err
 }
 
-func (h *Host) announceLeaving(ctx context.Context) {
-	if err := h.node.Leaving(ctx); err != nil {
+// announceLeaving tells the other routers of the planned stop when ctx ends,
+// unless the background work ends first.
+func (h *Host) announceLeaving(ctx, background context.Context) error {
+	select {
+	case <-background.Done():
+		return nil
+	case <-ctx.Done():
+	}
+	if err := h.node.Leaving(background); err != nil {
 		h.Log.WithError(err).Warn("leaving notice not sent")
 	}
+	return nil
 }
 
 // build fills the tables and the clients.
@@ -150,7 +157,7 @@
 	h.ledger = peridotusher.NewLedger()
 	h.buildOperator()
 	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
-	h.health = newHealthBook(h.Clock)
+	h.health = newHealthTable(h.Clock)
 	h.standings = newStandings(h.engines)
 	h.node = &peer.Node{
 		Self:     self,
--- a/entry/outlier.go
+++ b/entry/outlier.go
@@ -15,7 +15,7 @@
 
 // engineWatch measures one request to an engine.
 type engineWatch struct {
-	book  *healthBook
+	book  *healthTable
 	key   peridotusher.OutcomeKey
 	began time.Time
 	once  sync.Once
@@ -62,9 +62,9 @@
 	return f.Cause() == peridotusher.CauseEndpointLost || f.Cause() == peridotusher.CauseEndpointError
 }
 
-// healthBook keeps what this router saw of the engines until it is reported,
+// healthTable keeps what this router saw of the engines until it is reported,
 // and what was reported to this router.
-type healthBook struct {
+type healthTable struct {
 	clock peridotusher.Clock
 
 	mu       sync.Mutex
@@ -78,18 +78,18 @@
 	outcomes []peridotusher.EngineOutcome
 }
 
-func newHealthBook(clock peridotusher.Clock) *healthBook {
-	return &healthBook{clock: clock, pending: map[peridotusher.OutcomeKey]peridotusher.EngineOutcome{}}
+func newHealthTable(clock peridotusher.Clock) *healthTable {
+	return &healthTable{clock: clock, pending: map[peridotusher.OutcomeKey]peridotusher.EngineOutcome{}}
 }
 
-func (b *healthBook) add(o peridotusher.EngineOutcome) {
+func (b *healthTable) add(o peridotusher.EngineOutcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.pending[o.OutcomeKey] = b.pending[o.OutcomeKey].Plus(o)
 }
 
 // take returns and forgets what was not reported yet.
-func (b *healthBook) take() []peridotusher.EngineOutcome {
+func (b *healthTable) take() []peridotusher.EngineOutcome {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var outcomes []peridotusher.EngineOutcome
@@ -101,7 +101,7 @@
 }
 
 // receive keeps a report for the window.
-func (b *healthBook) receive(outcomes []peridotusher.EngineOutcome) {
+func (b *healthTable) receive(outcomes []peridotusher.EngineOutcome) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -113,7 +113,7 @@
 
 // recent returns the outcomes of the window, summed by key. Those of an engine
 // from before its time of since are left out.
-func (b *healthBook) recent(since func(peridotusher.EngineID) time.Time) []peridotusher.EngineOutcome {
+func (b *healthTable) recent(since func(peridotusher.EngineID) time.Time) []peridotusher.EngineOutcome {
 	b.receive(nil)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/ingress.go
+++ b/ingress.go
@@ -126,7 +126,7 @@
 		answer, err := in.ask(ctx, s, target)
 		if err == nil && answer.Granted {
 			if s.asks > 1 && expected != target.ID() {
-				in.tellHome(ctx, s, target.ID())
+				in.reportPlacement(ctx, s, target.ID())
 			}
 			return in.hold(answer, target, s.req), nil
 		}
@@ -159,7 +159,7 @@
 	ticket, pending := in.grants.open(target)
 	defer in.closeTicket(ctx, ticket)
 	ask := Ask{
-		Request:   told(s.req),
+		Request:   permitView(s.req),
 		Engine:    target.ID(),
 		Ingress:   in.Self,
 		Ticket:    ticket,
@@ -177,9 +177,9 @@
 	return waitGrant(ctx, pending.decision, min(answer.Wait+grantGrace, longestWait))
 }
 
-// told returns what an owner needs to know of a request. Only the order of
+// permitView returns what an owner needs to know of a request. Only the order of
 // engines without a chat depends on the request's name.
-func told(req Request) Request {
+func permitView(req Request) Request {
 	const nameBytes = 8
 	if req.Chat != "" {
 		req.ID = ""
@@ -221,8 +221,8 @@
 	return answer, nil
 }
 
-// tellHome tells the owner of the chat's home engine where the chat went.
-func (in *Ingress) tellHome(ctx context.Context, s *search, engine EngineID) {
+// reportPlacement tells the owner of the chat's home engine where the chat went.
+func (in *Ingress) reportPlacement(ctx context.Context, s *search, engine EngineID) {
 	if s.req.Chat == "" {
 		return
 	}
--- a/ledger.go
+++ b/ledger.go
@@ -279,7 +279,7 @@
 			others += r.load.Work
 		}
 	}
-	total := float64(own) + staleShare*float64(others)*l.totals.shrink()
+	total := float64(own) + staleShare*float64(others)*l.totals.lowestShare()
 	mean := total / float64(max(len(room.Engines), 1))
 	return int(math.Ceil(room.Bound * mean))
 }
--- a/ledger_totals.go
+++ b/ledger_totals.go
@@ -24,10 +24,10 @@
 	}
 }
 
-// shrink returns the lowest recent total as a share of the latest. A total
+// lowestShare returns the lowest recent total as a share of the latest. A total
 // that is reported late may have fallen; admitting by the lowest of
 // a short time keeps a late report from raising the limit.
-func (w *totalWindow) shrink() float64 {
+func (w *totalWindow) lowestShare() float64 {
 	if len(w.samples) == 0 {
 		return 1
 	}
--- a/owner.go
+++ b/owner.go
@@ -68,7 +68,7 @@
 
 // decide grants, queues or refuses.
 func (o *Owner) decide(doc *document.Document, ask Ask) Answer {
-	c, err := o.chance(doc, ask)
+	c, err := o.candidateRoom(doc, ask)
 	if err != nil {
 		return Answer{Cause: CauseNoEndpoint, RetryAfter: overloadRetryAfter}
 	}
@@ -80,7 +80,7 @@
 		}
 		ask.Resident = known && at == ask.Engine
 		if !known && o.busy(ask, c) {
-			return o.moveOn(doc, ask, c)
+			return o.redirect(doc, ask, c)
 		}
 	}
 	if answer, ok := o.grant(doc, ask, c); ok {
@@ -89,12 +89,12 @@
 	if ask.Resident && c.serves(ask.Engine) && doc.Policy().Patience() > 0 && o.Ledger.Held(o.Clock.Now(), ask.Engine) == 0 {
 		return o.enqueue(doc, ask, doc.Policy().Patience())
 	}
-	return o.moveOn(doc, ask, c)
+	return o.redirect(doc, ask, c)
 }
 
 // busy reports whether an engine carries more than the mean and one request, so
 // that a chat without a prefix had better begin elsewhere.
-func (o *Owner) busy(ask Ask, c chance) bool {
+func (o *Owner) busy(ask Ask, c candidateRoom) bool {
 	if c.room.Unbounded {
 		return false
 	}
@@ -106,8 +106,8 @@
 	return (o.Ledger.Work(ask.Engine)-1)*len(works) > total
 }
 
-// moveOn names another engine with room, or queues the ask when there is none.
-func (o *Owner) moveOn(doc *document.Document, ask Ask, c chance) Answer {
+// redirect names another engine with room, or queues the ask when there is none.
+func (o *Owner) redirect(doc *document.Document, ask Ask, c candidateRoom) Answer {
 	if !ask.Final {
 		if next, ok := o.next(doc, ask, c); ok {
 			o.place(doc, ask, next)
@@ -121,14 +121,14 @@
 }
 
 // grant admits the ask unless others wait for the engine already.
-func (o *Owner) grant(doc *document.Document, ask Ask, c chance) (Answer, bool) {
+func (o *Owner) grant(doc *document.Document, ask Ask, c candidateRoom) (Answer, bool) {
 	if !c.serves(ask.Engine) || o.Queue.Len(ask.Engine) > 0 {
 		return Answer{}, false
 	}
 	return o.admit(doc, ask, c)
 }
 
-func (o *Owner) admit(doc *document.Document, ask Ask, c chance) (Answer, bool) {
+func (o *Owner) admit(doc *document.Document, ask Ask, c candidateRoom) (Answer, bool) {
 	now := o.Clock.Now()
 	id := o.newID()
 	if !o.Ledger.Admit(now, id, ask, now.Add(doc.Policy().PermitExpiry()), c.room) {
@@ -146,7 +146,7 @@
 }
 
 // next returns the emptiest of the first engines of the ranking that have room.
-func (o *Owner) next(doc *document.Document, ask Ask, c chance) (EngineID, bool) {
+func (o *Owner) next(doc *document.Document, ask Ask, c candidateRoom) (EngineID, bool) {
 	ranking, err := o.Placer.Ranking(doc, ask.Request)
 	if err != nil {
 		return "", false
@@ -220,18 +220,18 @@
 	return PermitID(o.prefix + strconv.FormatUint(o.issued.Add(1), base))
 }
 
-// chance is what the decision on one ask depends on.
-type chance struct {
+// candidateRoom is what the decision on one ask depends on.
+type candidateRoom struct {
 	*candidates
 	room Room
 }
 
-func (o *Owner) chance(doc *document.Document, ask Ask) (chance, error) {
+func (o *Owner) candidateRoom(doc *document.Document, ask Ask) (candidateRoom, error) {
 	list, err := o.Placer.list(doc, ask.Request)
 	if err != nil {
-		return chance{}, err
+		return candidateRoom{}, err
 	}
-	c := chance{candidates: list}
+	c := candidateRoom{candidates: list}
 	c.room = Room{Bound: doc.Policy().Bound(), Engines: list.ids, Unbounded: !o.Placer.Bounded(doc)}
 	if model, ok := doc.Model(ask.Request.Model); ok {
 		c.room.Slots = model.Slots()
--- a/owner_queue.go
+++ b/owner_queue.go
@@ -62,7 +62,7 @@
 // refuses it at its deadline.
 func (o *Owner) endWait(doc *document.Document, w *Waiting) {
 	now := o.Clock.Now()
-	c, err := o.chance(doc, w.Ask)
+	c, err := o.candidateRoom(doc, w.Ask)
 	if err != nil || !now.Before(w.Ask.Request.Deadline) {
 		o.send(w, o.tooLate(w.Ask))
 		return
@@ -83,7 +83,7 @@
 }
 
 // keeps reports whether asks may still wait here for the engine.
-func (o *Owner) keeps(engine EngineID, c chance) bool {
+func (o *Owner) keeps(engine EngineID, c candidateRoom) bool {
 	return c.serves(engine) && (o.Ownership == nil || o.owns(engine))
 }
 
@@ -139,7 +139,7 @@
 	if !ok {
 		return nil, Answer{}, false
 	}
-	c, err := o.chance(doc, w.Ask)
+	c, err := o.candidateRoom(doc, w.Ask)
 	if err != nil || !o.keeps(engine, c) {
 		o.Queue.EndNow(w, o.Clock.Now())
 		return nil, Answer{}, false
