--- a/cmd/peridotusher/config_edit.go
+++ b/cmd/peridotusher/config_edit.go
@@ -84,11 +84,7 @@
 			&cli.StringSliceFlag{Name: "remove", Usage: "`SECTION` to remove, may be repeated"},
 		},
 		Action: onStore(func(ctx context.Context, cmd *cli.Command, e *config.Editor) error {
-			text, err := fileArgument(cmd)
-			if err != nil {
-				return err
-			}
-			edits, err := fileEdits(ctx, cmd, e, text)
+			edits, err := argumentEdits(ctx, cmd, e)
 			if err != nil {
 				return err
 			}
@@ -114,11 +110,7 @@
 			&cli.StringSliceFlag{Name: "remove", Usage: "`SECTION` to remove, may be repeated"},
 		},
 		Action: onStore(func(ctx context.Context, cmd *cli.Command, e *config.Editor) error {
-			text, err := fileArgument(cmd)
-			if err != nil {
-				return err
-			}
-			edits, err := fileEdits(ctx, cmd, e, text)
+			edits, err := argumentEdits(ctx, cmd, e)
 			if err != nil {
 				return err
 			}
@@ -172,3 +164,12 @@
 		return nil
 	}
 }
+
+// argumentEdits returns the edits that the command's file asks for.
+func argumentEdits(ctx context.Context, cmd *cli.Command, e *config.Editor) ([]config.Edit, error) {
+	text, err := fileArgument(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return fileEdits(ctx, cmd, e, text)
+}
--- a/engines.go
+++ b/engines.go
@@ -70,41 +70,32 @@
 
 // SetReport records an engine's own load report.
 func (t *Engines) SetReport(id EngineID, report EngineReport) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e, ok := t.byID[id]
-	if !ok {
-		return
-	}
-	old := e
-	e.report = report
-	e.reported = true
-	t.put(old, e)
+	t.update(id, func(e *Engine) {
+		e.report = report
+		e.reported = true
+	})
 }
 
 // SetState changes an engine's state.
 func (t *Engines) SetState(id EngineID, state EngineState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e, ok := t.byID[id]
-	if !ok {
-		return
-	}
-	old := e
-	e.state = state
-	t.put(old, e)
+	t.update(id, func(e *Engine) { e.state = state })
 }
 
 // SetWeight changes an engine's share of new chats.
 func (t *Engines) SetWeight(id EngineID, weight float64) {
+	t.update(id, func(e *Engine) { e.weight = weight })
+}
+
+// update changes an engine that is known.
+func (t *Engines) update(id EngineID, change func(*Engine)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.byID[id]
+	old, ok := t.byID[id]
 	if !ok {
 		return
 	}
-	old := e
-	e.weight = weight
+	e := old
+	change(&e)
 	t.put(old, e)
 }
 
