--- a/admission_lost_test.go
+++ b/admission_lost_test.go
@@ -68,3 +68,24 @@
 		t.Errorf("refusal says no time to come back: %+v", answer)
 	}
 }
+
+// TestBurstIsQueued sends many asks at once to an engine with little load whose
+// answers take long. They wait, because the engine can run more of them at once.
+func TestBurstIsQueued(t *testing.T) {
+	n := newNetwork(t, 2, "a")
+	n.own("a", "a")
+	owner := n.routers["a"].owner
+	now := n.clock.Now()
+	for k := range 2 {
+		owner.Ledger.Take(now, engineName(k))
+		owner.Ledger.Hold(engineName(k), now.Add(refusalPause))
+	}
+	owner.Ledger.Adopt(now, HeldPermit{Permit: "running", Ask: Ask{Engine: engineName(0), Request: Request{Work: 1}}}, now.Add(time.Minute))
+	owner.Queue.Returned(engineName(0), 4*time.Second)
+	for k := range 20 {
+		answer := owner.Ask(context.Background(), Ask{Request: n.chatRequest(k), Engine: engineName(0), Final: true})
+		if !answer.Queued {
+			t.Fatalf("ask %d is to wait; got %+v", k, answer)
+		}
+	}
+}
--- a/answertest/calls_test.go
+++ b/answertest/calls_test.go
@@ -105,7 +105,7 @@
 			}
 			call.key = key.String()
 			if i%8 == 0 {
-				call.key = fmt.Sprintf("order-%d", i) // a key that tells no time
+				call.key = fmt.Sprintf("order-%d-%d", seed, i) // a key that tells no time
 			}
 			random := rand.New(rand.NewPCG(seed, uint64(i)))
 			for range maxAttempts {
--- a/owner_queue.go
+++ b/owner_queue.go
@@ -20,7 +20,7 @@
 func (o *Owner) enqueue(doc *document.Document, ask Ask, wait time.Duration) Answer {
 	now := o.Clock.Now()
 	remaining := ask.Request.Deadline.Sub(now)
-	if o.delay(ask.Engine) > remaining {
+	if o.delay(doc, ask) > remaining {
 		return o.tooLate(ask)
 	}
 	w := o.waiting(doc, ask, now)
@@ -47,10 +47,16 @@
 	return w
 }
 
-// delay returns how long one more ask is expected to wait for the engine.
-func (o *Owner) delay(engine EngineID) time.Duration {
-	held := o.Ledger.Held(o.Clock.Now(), engine)
-	return max(held, o.Queue.Delay(engine, o.Ledger.Work(engine)))
+// delay returns how long one more ask is expected to wait at the least: until
+// the engine gets work again, and as if it ran all its slots. In a burst the load
+// is low at first and rises as permits are given.
+func (o *Owner) delay(doc *document.Document, ask Ask) time.Duration {
+	running := o.Ledger.Work(ask.Engine)
+	if model, ok := doc.Model(ask.Request.Model); ok && running > 0 {
+		running = max(running, model.Slots())
+	}
+	held := o.Ledger.Held(o.Clock.Now(), ask.Engine)
+	return max(held, o.Queue.Delay(ask.Engine, running))
 }
 
 // tooLate refuses an ask whose turn would come after its deadline.
