Stand-ins and caller: one wait, one way to serve, the library's Contains

The same wait stood twice in standin, and its service repeated platformServe; caller had its own copy of slices.Contains and a wrapper around NewID.

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -34,7 +34,7 @@
 // chatCall builds the call from the request, or says what is wrong with it.
 func (s *Server) chatCall(w http.ResponseWriter, r *http.Request) (ChatCall, chatBody, *document.Class, error) {
 	call := ChatCall{Document: s.Document(), LastEventID: r.Header.Get("Last-Event-ID")}
-	call.Request.ID = s.requestID()
+	call.Request.ID = peridotusher.RequestID(s.NewID())
 	org, err := s.authenticate(r, call.Document)
 	if err != nil {
 		return call, chatBody{}, nil, err
--- a/caller/request.go
+++ b/caller/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -69,7 +70,7 @@
 	if !ok {
 		return nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseBadRequest, "unknown class %q in header %s", name, classHeader)
 	}
-	if allowed := org.Classes(); len(allowed) > 0 && !contains(allowed, name) {
+	if allowed := org.Classes(); len(allowed) > 0 && !slices.Contains(allowed, name) {
 		return nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseBadRequest, "class %q is not allowed for this organisation; allowed: %s", name, strings.Join(allowed, ", "))
 	}
 	return class, nil
@@ -93,16 +94,3 @@
 func (s *Server) withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, deadline.Sub(s.Clock.Now()))
 }
-
-func (s *Server) requestID() peridotusher.RequestID {
-	return peridotusher.RequestID(s.NewID())
-}
-
-func contains(list []string, name string) bool {
-	for _, l := range list {
-		if l == name {
-			return true
-		}
-	}
-	return false
-}
--- a/caller/service.go
+++ b/caller/service.go
@@ -51,7 +51,7 @@
 }
 
 func (s *Server) serviceCall(w http.ResponseWriter, r *http.Request) (ServiceCall, error) {
-	call := ServiceCall{Document: s.Document(), ID: s.requestID(), Method: r.Method, Path: "/" + r.PathValue("path"), Query: r.URL.RawQuery, Key: r.Header.Get(keyHeader)}
+	call := ServiceCall{Document: s.Document(), ID: peridotusher.RequestID(s.NewID()), Method: r.Method, Path: "/" + r.PathValue("path"), Query: r.URL.RawQuery, Key: r.Header.Get(keyHeader)}
 	org, err := s.authenticate(r, call.Document)
 	if err != nil {
 		return call, err
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -132,24 +132,11 @@
 			}
 			continue
 		}
-		engineSleep(ctx, pause)
+		sleep(ctx, pause)
 		e.step()
 	}
 }
 
-// engineSleep waits for d or until ctx ends.
-func engineSleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // wakeLoop tells the loop that a request has arrived.
 func (e *Engine) wakeLoop() {
 	select {
--- a/standin/engine_cachewire.go
+++ b/standin/engine_cachewire.go
@@ -35,7 +35,7 @@
 		if control.Flush() != nil {
 			return
 		}
-		engineSleep(r.Context(), enginePublishInterval)
+		sleep(r.Context(), enginePublishInterval)
 	}
 }
 
--- a/standin/service.go
+++ b/standin/service.go
@@ -9,9 +9,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 )
 
 // Service is a plain service that saves and fetches documents by path, such
@@ -95,20 +92,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /load", s.serveLoad)
 	mux.HandleFunc("/", s.serveCall)
-	server := &http.Server{Handler: mux}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		err := server.Serve(s.Listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return group.Wait()
+	return platformServe(ctx, s.Listener, mux)
 }
 
 // serviceLoad is the answer of GET /load.
--- a/standin/store.go
+++ b/standin/store.go
@@ -137,7 +137,7 @@
 		s.calls.Refused++
 	}
 	s.mu.Unlock()
-	if !storeSleep(r.Context(), delay) {
+	if !sleep(r.Context(), delay) {
 		return false
 	}
 	if down {
@@ -151,21 +151,6 @@
 	return true
 }
 
-// storeSleep waits for d and reports whether the caller is still there.
-func storeSleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // storeRefuse answers with an error body.
 func storeRefuse(w http.ResponseWriter, status int, message string) {
 	platformAnswer(w, status, storeError{Message: message})
