--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -4,6 +4,7 @@
 //
 //	peridotusher demo
 //	peridotusher serve --settings router.ini
+//	peridotusher platform --settings edge.ini
 //	peridotusher check FILE
 //	peridotusher status
 //	peridotusher explain --org ORGANISATION --model MODEL --chat CHAT
@@ -60,6 +61,7 @@
 		Commands: []*cli.Command{
 			demoCommand(),
 			serveCommand(),
+			platformCommand(),
 			checkCommand(),
 			statusCommand(),
 			explainCommand(),
--- /dev/null
+++ b/edge/configuration.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// watchFor is how long the store is asked to hold a watch.
+	watchFor = 28 * time.Second
+	// watchPace is the shortest time between two watches, for storms of changes.
+	watchPace = 250 * time.Millisecond
+	// retryFirst and retryLast bound the pause after a failed call of the store.
+	retryFirst = 150 * time.Millisecond
+	retryLast  = 900 * time.Millisecond
+)
+
+// followConfiguration keeps the configuration current until ctx ends.
+func (r *Router) followConfiguration(ctx context.Context) error {
+	pause := backoff{first: retryFirst, last: retryLast}
+	after := int64(0)
+	for ctx.Err() == nil {
+		began := r.clock.Now()
+		next, err := r.nextConfiguration(ctx, after)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			r.storeAnswered("configuration", err)
+			after = 0 // what happened meanwhile is read whole
+			sleep(ctx, pause.next())
+			continue
+		}
+		r.storeAnswered("configuration", nil)
+		pause.reset()
+		after = next
+		sleep(ctx, watchPace-r.clock.Now().Sub(began))
+	}
+	return nil
+}
+
+// nextConfiguration reads the configuration, or waits for one newer than after,
+// and returns the revision to go on from.
+func (r *Router) nextConfiguration(ctx context.Context, after int64) (int64, error) {
+	if after == 0 {
+		doc, err := r.Source.Document(ctx)
+		if err != nil || doc == nil {
+			if err == nil {
+				sleep(ctx, retryFirst)
+			}
+			return 0, err
+		}
+		r.offer(doc, "store")
+		return doc.Revision, nil
+	}
+	doc, next, err := r.Source.NextDocument(ctx, after, watchFor)
+	if err != nil {
+		return 0, err
+	}
+	if doc != nil {
+		r.offer(doc, "store")
+	}
+	return next, nil
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/edge/router.go
@@ -0,0 +1,254 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/relay"
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+const (
+	// outOfRotation is how long after the start of a stop new connections come:
+	// the balancer asks each second and needs two misses.
+	outOfRotation = 3500 * time.Millisecond
+	// stopMargin is the time before the kill at which a stop ends.
+	stopMargin = 400 * time.Millisecond
+	// houseEvery is the time between two rounds of housekeeping.
+	houseEvery = 250 * time.Millisecond
+	// readyTime bounds a readiness question.
+	readyTime = 2 * time.Second
+)
+
+// Router is one router process. Its fields are set before Run.
+type Router struct {
+	Settings *Settings
+	// Path is the settings' file, which is looked at for changes; "" for none.
+	Path   string
+	Source Source
+	// Decode decodes the source of a configuration of a revision.
+	Decode  func(source []byte, revision int64) (*routing.Document, error)
+	Dialect relay.Dialect
+	Log     relay.Log
+	// Metrics is the address of the counters; "" for none.
+	Metrics string
+
+	clock    *Clock
+	current  *routing.Current
+	table    *replicas.Table
+	node     *mesh.Node
+	front    *relay.Front
+	pool     *relay.Pool
+	set      *metrics.Set
+	reading  reading
+	listed   atomic.Bool
+	stopping atomic.Bool
+	bounds   atomic.Pointer[boundSection]
+
+	mu       sync.Mutex
+	trouble  map[string]bool // calls of the store that fail
+	reported map[string]bool // malformed entries
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (r *Router) Run(ctx context.Context) error {
+	r.init()
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, run := errgroup.WithContext(run)
+	if err := r.listen(run, group); err != nil {
+		stop()
+		return errors.CombineErrors(err, group.Wait())
+	}
+	group.Go(func() error { return r.followConfiguration(run) })
+	group.Go(func() error { return r.followReplicas(run) })
+	group.Go(func() error { return r.keepHouse(run) })
+	group.Go(func() error { return r.followSettings(run) })
+	r.Log.Event("start", "router", r.Settings.Name(), "zone", r.Settings.router.zone)
+	select {
+	case <-ctx.Done():
+		r.stop()
+		stop()
+	case <-run.Done():
+	}
+	err := group.Wait()
+	r.pool.Close()
+	r.Log.Event("stop", "router", r.Settings.Name(), "error", err)
+	return err
+}
+
+func (r *Router) init() {
+	s := r.Settings
+	r.clock = NewClock()
+	r.current = routing.NewCurrent()
+	r.table = replicas.NewTable(r.clock)
+	r.pool = relay.NewPool(r.clock)
+	r.set = metrics.NewSet()
+	r.trouble = make(map[string]bool)
+	r.reported = make(map[string]bool)
+	port := strconv.Itoa(s.peers.ports[0])
+	r.node = &mesh.Node{
+		Self: mesh.Member{
+			Name: s.router.name, Zone: s.router.zone,
+			Address: net.JoinHostPort(s.peers.address, port), Incarnation: time.Now().UnixMilli(),
+		},
+		State: state{r}, Clock: r.clock, Log: r.Log,
+	}
+	r.node.Init()
+	r.node.SetSeeds(r.seeds(s))
+	r.bounds.Store(&s.bounds)
+	shared := budget.New(budget.Config{Ratio: s.bounds.ratio, Window: s.bounds.window, Extra: s.bounds.extra}, r.clock)
+	r.front = &relay.Front{
+		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
+		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
+		LocalFirst: localFirst,
+	}
+}
+
+// seeds returns where the seeds listen for beats: all routers use the first port.
+func (r *Router) seeds(s *Settings) []string {
+	var out []string
+	for _, seed := range s.peers.seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			r.Log.Event("seed", "address", seed, "error", err)
+			continue
+		}
+		out = append(out, net.JoinHostPort(host, strconv.Itoa(s.peers.ports[0])))
+	}
+	return out
+}
+
+// localFirst keeps prompts at replicas of the router's zone.
+const localFirst = true
+
+// listen opens the sockets and starts what serves them.
+func (r *Router) listen(ctx context.Context, group *errgroup.Group) error {
+	s := r.Settings
+	cfg := net.ListenConfig{KeepAliveConfig: relay.KeepAlive(), Control: relay.ControlSocket}
+	datagrams, err := net.ListenPacket("udp4", r.node.Self.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen for beats")
+	}
+	sessions, err := cfg.Listen(ctx, "tcp4", r.node.Self.Address)
+	if err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "listen for sessions"), datagrams.Close())
+	}
+	group.Go(func() error { return r.node.Run(ctx, datagrams, sessions) })
+	clients, err := cfg.Listen(ctx, "tcp4", s.listen.clients)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	group.Go(func() error { return r.front.Run(ctx, clients, r.graceLeft()) })
+	ready, err := cfg.Listen(ctx, "tcp4", s.listen.ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness")
+	}
+	group.Go(func() error { return serve(ctx, ready, http.HandlerFunc(r.answerReady)) })
+	if r.Metrics == "" {
+		return nil
+	}
+	counters, err := cfg.Listen(ctx, "tcp4", r.Metrics)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	group.Go(func() error { return serve(ctx, counters, http.HandlerFunc(r.answerMetrics)) })
+	return nil
+}
+
+// graceLeft is the time for requests in flight once the front is closed.
+func (r *Router) graceLeft() time.Duration {
+	return max(r.bounds.Load().stop-outOfRotation-stopMargin, 0)
+}
+
+// stop leaves the rotation and waits until no new connections come.
+func (r *Router) stop() {
+	r.stopping.Store(true)
+	r.front.Stop()
+	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active())
+	time.Sleep(outOfRotation)
+}
+
+// Ready reports whether the router may get connections of clients.
+func (r *Router) Ready() bool {
+	return !r.stopping.Load() && r.current.Load() != nil && r.listed.Load()
+}
+
+func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !r.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (r *Router) answerMetrics(w http.ResponseWriter, _ *http.Request) {
+	r.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// serve answers on a listener until ctx ends.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readyTime, IdleTimeout: time.Minute}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // Serve returns the reason
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", l.Addr())
+	}
+	return nil
+}
+
+// keepHouse forgets what is old until ctx ends.
+func (r *Router) keepHouse(ctx context.Context) error {
+	tick := time.NewTicker(houseEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if gap := r.clock.Adjust(); gap > 0 {
+			r.Log.Event("standstill", "length", gap)
+		}
+		r.table.Expire()
+		r.pool.Prune()
+	}
+}
+
+// storeAnswered logs when a call of the store begins to fail or to succeed.
+func (r *Router) storeAnswered(call string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if (err != nil) == r.trouble[call] {
+		return
+	}
+	r.trouble[call] = err != nil
+	if err != nil {
+		r.Log.Event("lost", "dependency", "store", "call", call, "error", err)
+		return
+	}
+	r.Log.Event("regained", "dependency", "store", "call", call)
+}
+
+// malformed logs an entry that names no replica, once.
+func (r *Router) malformed(key string) {
+	const most = 1000
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.reported[key] || len(r.reported) >= most {
+		return
+	}
+	r.reported[key] = true
+	r.Log.Event("malformed", "key", key)
+}
--- /dev/null
+++ b/edge/source.go
@@ -0,0 +1,21 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+// Source reads what the platform's store holds.
+type Source interface {
+	// Document reads the newest configuration; nil if there is none yet.
+	Document(ctx context.Context) (*routing.Document, error)
+	// NextDocument waits for a configuration newer than a revision and returns
+	// nil and the revision to go on from if there was none.
+	NextDocument(ctx context.Context, after int64, wait time.Duration) (*routing.Document, int64, error)
+	// Replicas reads the whole list of replicas at a revision; malformed are the
+	// entries that name none.
+	Replicas(ctx context.Context) (entries []replicas.Entry, revision int64, malformed []string, err error)
+}
--- /dev/null
+++ b/edge/state.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"time"
+
+	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+// changesMost is the number of changes of replicas in a beat.
+const changesMost = 12
+
+// unknownAge stands in a beat for a list that was never read.
+const unknownAge = time.Hour
+
+// state implements mesh.State with the router's tables.
+type state struct{ r *Router }
+
+// Fill implements mesh.State.
+func (s state) Fill(b *mesh.Beat) {
+	r := s.r
+	b.Configuration = r.current.Revision()
+	b.Digest = r.table.Digest()
+	b.ReadAge = unknownAge
+	if at, _ := r.reading.last(); !at.IsZero() {
+		b.ReadAge = r.clock.Now().Sub(at)
+	}
+	b.Stopping = r.stopping.Load()
+	b.Counts = r.table.Counts()
+	b.Changes = r.table.Recent(changesMost)
+}
+
+// Hear implements mesh.State.
+func (s state) Hear(b *mesh.Beat) {
+	r := s.r
+	if len(b.Changes) > 0 {
+		r.logChanges(b.Name, r.table.Offer(b.Changes))
+	}
+	if b.ReadAge < unknownAge {
+		r.reading.heard(r.clock.Now().Add(-b.ReadAge))
+	}
+	r.table.Learn(b.Name, b.Incarnation, b.Counts)
+}
+
+// Whole implements mesh.State.
+func (s state) Whole() *mesh.Whole {
+	w := &mesh.Whole{Entries: s.r.table.Entries()}
+	if doc := s.r.current.Load(); doc != nil {
+		w.Configuration, w.Revision = doc.Source, doc.Revision
+	}
+	return w
+}
+
+// Take implements mesh.State.
+func (s state) Take(w *mesh.Whole) error {
+	s.r.logChanges("peer", s.r.table.Offer(w.Entries))
+	if len(w.Entries) > 0 {
+		s.r.listed.Store(true)
+	}
+	if w.Revision <= s.r.current.Revision() {
+		return nil
+	}
+	doc, err := s.r.Decode(w.Configuration, w.Revision)
+	if err != nil {
+		return err
+	}
+	s.r.offer(doc, "peer")
+	return nil
+}
+
+// Differs implements mesh.State.
+func (s state) Differs(configuration int64, digest uint64) (newer, different bool) {
+	return configuration > s.r.current.Revision(), digest != s.r.table.Digest()
+}
+
+// offer puts a configuration in force if it is newer.
+func (r *Router) offer(doc *routing.Document, from string) {
+	if r.current.Offer(doc) {
+		r.Log.Event("configuration", "version", doc.Version, "revision", doc.Revision, "from", from,
+			"routes", len(doc.Routes), "organisations", len(doc.Organisations))
+	}
+}
+
+// logChanges logs changes of replicas.
+func (r *Router) logChanges(from string, changed []replicas.Entry) {
+	for _, e := range changed {
+		r.Log.Event("replica", "replica", e.ID, "service", e.Service, "address", e.Address,
+			"leaving", e.Leaving, "gone", e.Gone, "revision", e.Revision, "from", from)
+	}
+}
--- /dev/null
+++ b/mesh/beat.go
@@ -0,0 +1,264 @@
+package mesh
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/replicas"
+)
+
+// Member is a router as others reach it.
+type Member struct {
+	Name string
+	// Address is the IP address and port for beats and sessions.
+	Address string
+	Zone    string
+	// Incarnation rises with each start of the router.
+	Incarnation int64
+}
+
+// Beat is what a router tells the others.
+type Beat struct {
+	Member
+	// Configuration is the revision of the configuration in force.
+	Configuration int64
+	// Digest is the hash of all ready replicas.
+	Digest uint64
+	// ReadAge is the age of the newest list of replicas from the store.
+	ReadAge time.Duration
+	// Stopping routers take no new connections soon.
+	Stopping bool
+	// Counts are the router's own counts at replicas.
+	Counts []replicas.Count
+	// Changes are the latest changes of replicas.
+	Changes []replicas.Entry
+	// Known are other routers that were heard lately.
+	Known []Member
+}
+
+// The field numbers of a beat on the wire.
+const (
+	beatMember protowire.Number = iota + 1
+	beatConfiguration
+	beatDigest
+	beatReadAge
+	beatStopping
+	beatCounts
+	beatChange
+	beatKnown
+)
+
+// The field numbers of a member.
+const (
+	memberName protowire.Number = iota + 1
+	memberAddress
+	memberZone
+	memberIncarnation
+)
+
+// The field numbers of a replica's entry.
+const (
+	entryID protowire.Number = iota + 1
+	entryService
+	entryAddress
+	entryZone
+	entrySlots
+	entryBorn
+	entryLeaving
+	entryGone
+	entryRevision
+)
+
+// countNumbers is the number of integers in a packed count.
+const countNumbers = 4
+
+func (b *Beat) marshal() []byte {
+	out := appendBytes(nil, beatMember, b.Member.marshal())
+	out = appendNumber(out, beatConfiguration, uint64(b.Configuration))
+	out = appendNumber(out, beatDigest, b.Digest)
+	out = appendNumber(out, beatReadAge, uint64(b.ReadAge.Milliseconds()))
+	out = appendFlag(out, beatStopping, b.Stopping)
+	var packed []byte
+	for _, c := range b.Counts {
+		packed = protowire.AppendVarint(packed, uint64(c.Replica))
+		packed = protowire.AppendVarint(packed, uint64(max(c.Held, 0)))
+		packed = protowire.AppendVarint(packed, uint64(c.Good))
+		packed = protowire.AppendVarint(packed, uint64(c.Bad))
+	}
+	out = appendBytes(out, beatCounts, packed)
+	for _, e := range b.Changes {
+		out = appendBytes(out, beatChange, marshalEntry(e))
+	}
+	for _, m := range b.Known {
+		out = appendBytes(out, beatKnown, m.marshal())
+	}
+	return out
+}
+
+func (b *Beat) unmarshal(data []byte) error {
+	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
+		switch n {
+		case beatMember:
+			return b.Member.unmarshal(raw)
+		case beatConfiguration:
+			b.Configuration = int64(v)
+		case beatDigest:
+			b.Digest = v
+		case beatReadAge:
+			b.ReadAge = time.Duration(v) * time.Millisecond
+		case beatStopping:
+			b.Stopping = v != 0
+		case beatCounts:
+			return b.unmarshalCounts(raw)
+		case beatChange:
+			e, err := unmarshalEntry(raw)
+			b.Changes = append(b.Changes, e)
+			return err
+		case beatKnown:
+			var m Member
+			err := m.unmarshal(raw)
+			b.Known = append(b.Known, m)
+			return err
+		}
+		return nil
+	})
+}
+
+func (b *Beat) unmarshalCounts(raw []byte) error {
+	for len(raw) > 0 {
+		var numbers [countNumbers]uint64
+		for i := range numbers {
+			v, n := protowire.ConsumeVarint(raw)
+			if n < 0 {
+				return protowire.ParseError(n)
+			}
+			numbers[i], raw = v, raw[n:]
+		}
+		b.Counts = append(b.Counts, replicas.Count{
+			Replica: uint32(numbers[0]), Held: int32(numbers[1]), Good: uint32(numbers[2]), Bad: uint32(numbers[3]),
+		})
+	}
+	return nil
+}
+
+func (m *Member) marshal() []byte {
+	out := appendBytes(nil, memberName, []byte(m.Name))
+	out = appendBytes(out, memberAddress, []byte(m.Address))
+	out = appendBytes(out, memberZone, []byte(m.Zone))
+	return appendNumber(out, memberIncarnation, uint64(m.Incarnation))
+}
+
+func (m *Member) unmarshal(data []byte) error {
+	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
+		switch n {
+		case memberName:
+			m.Name = string(raw)
+		case memberAddress:
+			m.Address = string(raw)
+		case memberZone:
+			m.Zone = string(raw)
+		case memberIncarnation:
+			m.Incarnation = int64(v)
+		}
+		return nil
+	})
+}
+
+func marshalEntry(e replicas.Entry) []byte {
+	out := appendBytes(nil, entryID, []byte(e.ID))
+	out = appendBytes(out, entryService, []byte(e.Service))
+	out = appendBytes(out, entryAddress, []byte(e.Address))
+	out = appendBytes(out, entryZone, []byte(e.Zone))
+	out = appendNumber(out, entrySlots, uint64(e.Slots))
+	out = appendNumber(out, entryBorn, uint64(e.Born))
+	out = appendFlag(out, entryLeaving, e.Leaving)
+	out = appendFlag(out, entryGone, e.Gone)
+	return appendNumber(out, entryRevision, uint64(e.Revision))
+}
+
+func unmarshalEntry(data []byte) (replicas.Entry, error) {
+	var e replicas.Entry
+	err := eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
+		switch n {
+		case entryID:
+			e.ID = string(raw)
+		case entryService:
+			e.Service = string(raw)
+		case entryAddress:
+			e.Address = string(raw)
+		case entryZone:
+			e.Zone = string(raw)
+		case entrySlots:
+			e.Slots = int(v)
+		case entryBorn:
+			e.Born = int64(v)
+		case entryLeaving:
+			e.Leaving = v != 0
+		case entryGone:
+			e.Gone = v != 0
+		case entryRevision:
+			e.Revision = int64(v)
+		}
+		return nil
+	})
+	if err == nil && e.ID == "" {
+		err = errors.New("a replica without id")
+	}
+	return e, err
+}
+
+func appendBytes(out []byte, n protowire.Number, v []byte) []byte {
+	if len(v) == 0 {
+		return out
+	}
+	out = protowire.AppendTag(out, n, protowire.BytesType)
+	return protowire.AppendBytes(out, v)
+}
+
+func appendNumber(out []byte, n protowire.Number, v uint64) []byte {
+	if v == 0 {
+		return out
+	}
+	out = protowire.AppendTag(out, n, protowire.VarintType)
+	return protowire.AppendVarint(out, v)
+}
+
+func appendFlag(out []byte, n protowire.Number, v bool) []byte {
+	if !v {
+		return out
+	}
+	return appendNumber(out, n, 1)
+}
+
+// eachField calls f for each field of a message: with v for an integer, with raw
+// for bytes. Fields of other types are skipped.
+func eachField(data []byte, f func(n protowire.Number, v uint64, raw []byte) error) error {
+	for len(data) > 0 {
+		n, kind, size := protowire.ConsumeTag(data)
+		if size < 0 {
+			return protowire.ParseError(size)
+		}
+		data = data[size:]
+		var v uint64
+		var raw []byte
+		switch kind {
+		case protowire.VarintType:
+			v, size = protowire.ConsumeVarint(data)
+		case protowire.BytesType:
+			raw, size = protowire.ConsumeBytes(data)
+		default:
+			size = protowire.ConsumeFieldValue(n, kind, data)
+		}
+		if size < 0 {
+			return protowire.ParseError(size)
+		}
+		data = data[size:]
+		if err := f(n, v, raw); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/doc.go
@@ -0,0 +1,14 @@
+// Package mesh joins the routers of a fleet: they tell each other what each one
+// has at every replica, which changes of replicas they learned and which
+// configuration is in force, so that a router whom the store does not answer
+// still hears of all changes.
+//
+// Beats are datagrams and state what is, not what changed, so that a lost one
+// does no harm. A router that hears of a newer configuration, or whose replicas
+// differ for long, fetches the whole state over a yamux session.
+//
+// # Usage
+//
+//	node := &mesh.Node{Self: self, State: state, Clock: clock, Log: log}
+//	err := node.Run(ctx, datagrams, listener)
+package mesh
--- /dev/null
+++ b/mesh/members.go
@@ -0,0 +1,130 @@
+package mesh
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"peridotusher.example/peridotusher"
+)
+
+const (
+	// aliveFor is how long a router counts as alive after its last beat.
+	aliveFor = 1200 * time.Millisecond
+	// rememberFor is how long beats are sent to a silent router, and how long it
+	// shares in the retry budget.
+	rememberFor = 30 * time.Second
+)
+
+// members holds the other routers.
+type members struct {
+	self  Member
+	clock peridotusher.Clock
+
+	mu    sync.Mutex
+	known map[string]*seen
+}
+
+// seen is a router with its latest beat.
+type seen struct {
+	Member
+	added         time.Time
+	heard         time.Time // zero if never
+	configuration int64
+	digest        uint64
+	stopping      bool
+}
+
+func newMembers(self Member, clock peridotusher.Clock) *members {
+	return &members{self: self, clock: clock, known: make(map[string]*seen)}
+}
+
+// hear takes a beat in and reports whether it is newer than the router's start
+// that is known.
+func (m *members) hear(b *Beat) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b.Name == m.self.Name || b.Name == "" {
+		return false
+	}
+	now := m.clock.Now()
+	s, ok := m.known[b.Name]
+	if !ok {
+		s = &seen{added: now}
+		m.known[b.Name] = s
+	}
+	if b.Incarnation < s.Incarnation && now.Sub(s.heard) < aliveFor {
+		return false
+	}
+	s.Member, s.heard, s.configuration, s.digest, s.stopping = b.Member, now, b.Configuration, b.Digest, b.Stopping
+	for _, k := range b.Known {
+		m.introduce(now, k)
+	}
+	return true
+}
+
+// introduce adds a router of which another one told.
+func (m *members) introduce(now time.Time, k Member) {
+	if k.Name == m.self.Name || k.Name == "" || k.Address == "" {
+		return
+	}
+	s, ok := m.known[k.Name]
+	if !ok {
+		m.known[k.Name] = &seen{Member: k, added: now}
+		return
+	}
+	if k.Incarnation > s.Incarnation {
+		s.Member, s.added = k, now
+	}
+}
+
+// learn adds a router that is not known from beats.
+func (m *members) learn(k Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.introduce(m.clock.Now(), k)
+}
+
+// alive returns the routers that were heard a short time ago, by name.
+func (m *members) alive() []*seen {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	var out []*seen
+	for _, s := range m.known {
+		if !s.heard.IsZero() && now.Sub(s.heard) < aliveFor {
+			c := *s
+			out = append(out, &c)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// addresses returns where beats are sent, and forgets routers silent for long.
+func (m *members) addresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	var out []string
+	for name, s := range m.known {
+		last := s.heard
+		if s.added.After(last) {
+			last = s.added
+		}
+		if now.Sub(last) > rememberFor {
+			delete(m.known, name)
+			continue
+		}
+		out = append(out, s.Address)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// count returns the number of routers that are remembered, with the own one.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.known) + 1
+}
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,216 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+)
+
+const (
+	// BeatEvery is the time between two rounds of beats.
+	BeatEvery = 150 * time.Millisecond
+	// beatFan is the number of routers that get a beat in a round; a larger
+	// fleet is covered in several rounds.
+	beatFan = 8
+	// knownEvery is the number of rounds between two beats that name other
+	// routers, knownMost how many they name.
+	knownEvery = 7
+	knownMost  = 8
+	// largestBeat is the size of the buffer for a datagram, in bytes.
+	largestBeat = 16 << 10
+)
+
+// State is what a node tells and takes in.
+type State interface {
+	// Fill sets everything of the beat but the member and the known routers.
+	Fill(b *Beat)
+	// Hear takes a beat of another router in. It must not keep the beat.
+	Hear(b *Beat)
+	// Whole returns the whole state for a router that lacks it.
+	Whole() *Whole
+	// Take takes the whole state of another router in.
+	Take(w *Whole) error
+	// Differs reports whether the other router has what this one lacks.
+	Differs(configuration int64, digest uint64) (newer, different bool)
+}
+
+// Log takes one line for each change of belief. It must not block.
+type Log interface {
+	Event(kind string, fields ...any)
+}
+
+// Node is a router's place in the mesh. Its fields are set before Run.
+type Node struct {
+	Self  Member
+	State State
+	Clock peridotusher.Clock
+	Log   Log
+
+	members *members
+	seeds   atomic.Pointer[[]string]
+	round   int
+	bytes   atomic.Int64
+}
+
+// Init prepares the node; it must be called before any other method.
+func (n *Node) Init() {
+	n.members = newMembers(n.Self, n.Clock)
+	n.seeds.Store(&[]string{})
+}
+
+// SetSeeds sets the addresses of routers that may be there.
+func (n *Node) SetSeeds(addresses []string) { n.seeds.Store(&addresses) }
+
+// Routers returns the number of routers that share in the fleet's sums.
+func (n *Node) Routers() int { return n.members.count() }
+
+// Learn adds a router known from elsewhere.
+func (n *Node) Learn(m Member) { n.members.learn(m) }
+
+// Sent returns the number of bytes of beats sent so far.
+func (n *Node) Sent() int64 { return n.bytes.Load() }
+
+// Alive returns the other routers that were heard lately.
+func (n *Node) Alive() []Member {
+	alive := n.members.alive()
+	out := make([]Member, len(alive))
+	for i, s := range alive {
+		out[i] = s.Member
+	}
+	return out
+}
+
+// Rank returns the router's place among the living ones in an order that all of
+// them compute alike for the topic; stopping routers come last.
+func (n *Node) Rank(topic string) int {
+	self := placeOf(topic, n.Self.Name)
+	rank := 0
+	for _, s := range n.members.alive() {
+		if !s.stopping && placeOf(topic, s.Name) < self {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Run sends and receives beats and serves sessions until ctx ends.
+func (n *Node) Run(ctx context.Context, datagrams net.PacketConn, l net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return errors.CombineErrors(datagrams.Close(), l.Close())
+	})
+	group.Go(func() error { return n.receive(ctx, datagrams) })
+	group.Go(func() error { return n.beat(ctx, datagrams) })
+	group.Go(func() error { return n.serve(ctx, l) })
+	group.Go(func() error { return n.catchUp(ctx) })
+	return group.Wait()
+}
+
+// beat sends a round of beats at regular times.
+func (n *Node) beat(ctx context.Context, datagrams net.PacketConn) error {
+	tick := time.NewTicker(BeatEvery)
+	defer tick.Stop()
+	for {
+		n.sendRound(datagrams)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+func (n *Node) sendRound(datagrams net.PacketConn) {
+	b := Beat{Member: n.Self}
+	n.State.Fill(&b)
+	n.round++
+	if n.round%knownEvery == 1 {
+		b.Known = n.introductions()
+	}
+	data := b.marshal()
+	for _, address := range n.targets() {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			n.Log.Event("peer", "address", address, "error", err)
+			continue
+		}
+		if _, err := datagrams.WriteTo(data, to); err != nil {
+			n.Log.Event("peer", "address", address, "error", err)
+			continue
+		}
+		n.bytes.Add(int64(len(data)))
+	}
+}
+
+// introductions returns some of the living routers.
+func (n *Node) introductions() []Member {
+	alive := n.Alive()
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(len(alive), knownMost)]
+}
+
+// targets returns the addresses of this round: of a large fleet the next part,
+// and the seeds now and then, since they may come back.
+func (n *Node) targets() []string {
+	all := n.members.addresses()
+	if len(all) > beatFan {
+		start := n.round * beatFan % len(all)
+		all = append(all[start:], all[:start]...)[:beatFan]
+	}
+	if n.round%knownEvery == 1 || len(all) == 0 {
+		for _, seed := range *n.seeds.Load() {
+			if seed != n.Self.Address && !contains(all, seed) {
+				all = append(all, seed)
+			}
+		}
+	}
+	return all
+}
+
+func contains(list []string, s string) bool {
+	i := sort.SearchStrings(list, s)
+	if i < len(list) && list[i] == s {
+		return true
+	}
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// receive takes beats in until the socket is closed.
+func (n *Node) receive(ctx context.Context, datagrams net.PacketConn) error {
+	buf := make([]byte, largestBeat)
+	for {
+		size, _, err := datagrams.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			n.Log.Event("peer", "error", err)
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "receive beats")
+			}
+			continue
+		}
+		var b Beat
+		if err := b.unmarshal(buf[:size]); err != nil {
+			n.Log.Event("peer", "error", err)
+			continue
+		}
+		if n.members.hear(&b) {
+			n.State.Hear(&b)
+		}
+	}
+}
--- /dev/null
+++ b/mesh/session.go
@@ -0,0 +1,232 @@
+package mesh
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"peridotusher.example/peridotusher/replicas"
+)
+
+const (
+	// sessionTime bounds a fetch of the whole state.
+	sessionTime = 1500 * time.Millisecond
+	// lookEvery is the time between two looks for routers that know more.
+	lookEvery = 100 * time.Millisecond
+	// differentFor is how long the replicas of two routers may differ before
+	// one fetches them: changes travel in beats meanwhile.
+	differentFor = time.Second
+	// largestState bounds the size of a whole state, in bytes.
+	largestState = 8 << 20
+	// sessions bounds the number of sessions served at once.
+	sessions = 8
+)
+
+// Whole is the state of a router that another one lacks.
+type Whole struct {
+	// Configuration is the source of the configuration in force, nil if none.
+	Configuration []byte
+	// Revision is the revision of that configuration.
+	Revision int64
+	Entries  []replicas.Entry
+}
+
+// The field numbers of a whole state.
+const (
+	wholeConfiguration protowire.Number = iota + 1
+	wholeRevision
+	wholeEntry
+)
+
+func (w *Whole) marshal() []byte {
+	out := appendBytes(nil, wholeConfiguration, w.Configuration)
+	out = appendNumber(out, wholeRevision, uint64(w.Revision))
+	for _, e := range w.Entries {
+		out = appendBytes(out, wholeEntry, marshalEntry(e))
+	}
+	return out
+}
+
+func (w *Whole) unmarshal(data []byte) error {
+	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
+		switch n {
+		case wholeConfiguration:
+			w.Configuration = raw
+		case wholeRevision:
+			w.Revision = int64(v)
+		case wholeEntry:
+			e, err := unmarshalEntry(raw)
+			w.Entries = append(w.Entries, e)
+			return err
+		}
+		return nil
+	})
+}
+
+// placeOf orders routers for a topic.
+func placeOf(topic, name string) uint64 { return xxhash.Sum64String(topic + "\x00" + name) }
+
+func sessionConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false // a session lasts for one fetch
+	cfg.LogOutput = io.Discard  // errors are returned by the calls
+	return cfg
+}
+
+// serve answers fetches until the listener is closed.
+func (n *Node) serve(ctx context.Context, l net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(sessions)
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return group.Wait()
+		}
+		if err != nil {
+			n.Log.Event("peer", "error", err)
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "accept sessions")
+			}
+			time.Sleep(lookEvery)
+			continue
+		}
+		group.Go(func() error {
+			if err := n.answer(c); err != nil {
+				n.Log.Event("peer", "address", c.RemoteAddr(), "error", err)
+			}
+			return nil
+		})
+	}
+}
+
+// answer serves one fetch on a connection.
+func (n *Node) answer(c net.Conn) error {
+	defer func() { _ = c.Close() }() // the peer has read what it wanted
+	if err := c.SetDeadline(time.Now().Add(sessionTime)); err != nil {
+		return err
+	}
+	session, err := yamux.Server(c, sessionConfig())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = session.Close() }()
+	stream, err := session.AcceptStream()
+	if err != nil {
+		return err
+	}
+	data := n.State.Whole().marshal()
+	size := binary.BigEndian.AppendUint32(nil, uint32(len(data)))
+	if _, err := stream.Write(append(size, data...)); err != nil {
+		return err
+	}
+	// The peer closes the session once it has read everything.
+	if _, err := stream.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
+		return nil
+	}
+	return nil
+}
+
+// fetch gets the whole state of another router.
+func (n *Node) fetch(ctx context.Context, address string) (*Whole, error) {
+	ctx, cancel := context.WithTimeout(ctx, sessionTime)
+	defer cancel()
+	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = c.Close() }() // everything was read
+	if err := c.SetDeadline(time.Now().Add(sessionTime)); err != nil {
+		return nil, err
+	}
+	session, err := yamux.Client(c, sessionConfig())
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = session.Close() }()
+	stream, err := session.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	var size [4]byte
+	if _, err := io.ReadFull(stream, size[:]); err != nil {
+		return nil, err
+	}
+	length := binary.BigEndian.Uint32(size[:])
+	if length > largestState {
+		return nil, errors.Newf("a state of %d bytes", length)
+	}
+	data := make([]byte, length)
+	if _, err := io.ReadFull(stream, data); err != nil {
+		return nil, err
+	}
+	w := &Whole{}
+	return w, w.unmarshal(data)
+}
+
+// catchUp fetches the state of routers that know more, until ctx ends.
+func (n *Node) catchUp(ctx context.Context) error {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		var from []string
+		different := false
+		for _, s := range n.members.alive() {
+			newer, differs := n.State.Differs(s.configuration, s.digest)
+			if newer {
+				from = append(from, s.Address)
+			}
+			different = different || differs
+		}
+		now := n.Clock.Now()
+		switch {
+		case !different:
+			since = time.Time{}
+		case since.IsZero():
+			since = now
+		case now.Sub(since) > differentFor && len(from) == 0:
+			from = n.different()
+			since = now
+		}
+		if len(from) > 0 {
+			n.fetchFrom(ctx, from[rand.IntN(len(from))])
+		}
+	}
+}
+
+// different returns the routers whose replicas differ.
+func (n *Node) different() []string {
+	var from []string
+	for _, s := range n.members.alive() {
+		if _, differs := n.State.Differs(s.configuration, s.digest); differs {
+			from = append(from, s.Address)
+		}
+	}
+	return from
+}
+
+func (n *Node) fetchFrom(ctx context.Context, address string) {
+	w, err := n.fetch(ctx, address)
+	if err == nil {
+		err = n.State.Take(w)
+	}
+	if err != nil {
+		n.Log.Event("fetch", "address", address, "error", err)
+		return
+	}
+	n.Log.Event("fetch", "address", address, "revision", w.Revision, "entries", len(w.Entries))
+}
--- /dev/null
+++ b/placing/candidate.go
@@ -0,0 +1,44 @@
+package placing
+
+// Candidate is a replica that may get the request.
+type Candidate struct {
+	// Hash identifies the replica.
+	Hash uint32
+	Zone string
+	// Held is the number of requests at the replica, Slots how many it runs.
+	Held, Slots int
+	// Prefill is the number of prompt tokens that wait to be read there.
+	Prefill float64
+}
+
+// Choice is the result of a decision with what led to it.
+type Choice struct {
+	// Index is the position of the chosen candidate.
+	Index int
+	// Reason is one word for logs and counters.
+	Reason string
+	// Mean and Bound are the load that was compared with, in requests.
+	Mean, Bound float64
+}
+
+// mean returns the mean of the held requests.
+func mean(candidates []Candidate) float64 {
+	if len(candidates) == 0 {
+		return 0
+	}
+	sum := 0
+	for _, c := range candidates {
+		sum += c.Held
+	}
+	return float64(sum) / float64(len(candidates))
+}
+
+// rank returns the rendezvous score of a key at a replica.
+func rank(key uint64, hash uint32) uint64 {
+	x := key ^ uint64(hash)*0x9e3779b97f4a7c15
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/relay/conn.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// readBuffer is the size of the buffer of a connection to a replica, in bytes.
+	readBuffer = 4096
+	// unackedTimeout ends a connection whose data nobody acknowledges.
+	unackedTimeout = 2500 * time.Millisecond
+	// probeIdle, probeEvery and probeCount find a connection that has gone
+	// silent while no data is sent.
+	probeIdle  = 1500 * time.Millisecond
+	probeEvery = 700 * time.Millisecond
+	probeCount = 2
+)
+
+// KeepAlive is the keep-alive setting of all connections of a router.
+func KeepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probeCount}
+}
+
+// ControlSocket sets the options of a TCP socket that net has no field for.
+func ControlSocket(_, _ string, c syscall.RawConn) error {
+	var set error
+	err := c.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// conn is a connection to a replica. It serves one request at a time.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	// idle is when the last answer ended, lasts how long the replica keeps the
+	// connection open after that.
+	idle  time.Time
+	lasts time.Duration
+}
+
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: ControlSocket}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer)}, nil
+}
+
+// quiet reports whether an idle connection is open and has nothing to read.
+func (c *conn) quiet() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+// keeps reads how long the replica leaves the connection open; 0 forbids reuse.
+func keeps(resp *http.Response) time.Duration {
+	if resp.Close {
+		return 0
+	}
+	const unstated = 2 * time.Second
+	for field := range strings.SplitSeq(resp.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0
+		}
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return unstated
+}
--- /dev/null
+++ b/relay/dialect.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+)
+
+// Call is what a client's request says of itself.
+type Call struct {
+	// ID identifies this attempt of the client.
+	ID string
+	// Key is the client's key; "" if it sent none.
+	Key string
+	// Patience is how long the client waits; 0 if it does not say.
+	Patience time.Duration
+	// Prompt lists the parts of a prompt in order; empty for plain calls.
+	Prompt []Part
+	// OutputTokens is the largest number of tokens to generate.
+	OutputTokens int
+}
+
+// Part is a part of a prompt that may be shared with other prompts.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Send is what a replica is told beside the client's own headers.
+type Send struct {
+	// Replica is the id of the replica that is meant.
+	Replica string
+	// Left is the time that is left for the answer.
+	Left time.Duration
+	// Organisation is the name of the key's holder; "" for public routes.
+	Organisation string
+	// Urgency orders requests at a replica; 0 is the first.
+	Urgency int
+	// After is the last event that the client has, for a stream that goes on;
+	// "" leaves the client's own header in place.
+	After string
+}
+
+// Reply is what a replica's answer says of itself.
+type Reply struct {
+	// ID is the attempt that the answer belongs to; "" if it does not say.
+	ID string
+	// NotRun means that the replica promises not to have run the request.
+	NotRun bool
+	// Misdirected means that another replica has the address.
+	Misdirected bool
+	// Signed means that the answer bears a replica's signature.
+	Signed bool
+	// Running, Waiting and Slots are the replica's load; Slots is 0 if untold.
+	Running, Waiting, Slots int
+}
+
+// Dialect reads and writes the platform's headers.
+type Dialect interface {
+	// Call reads a client's headers.
+	Call(h http.Header) Call
+	// Own reports whether a header of a client belongs to the platform, so that
+	// it is passed on even if the client calls it one of the connection.
+	Own(name string) bool
+	// Strip removes from a client's headers those that only routers may set.
+	Strip(h http.Header)
+	// Sent adds the router's own headers.
+	Sent(h http.Header, s Send)
+	// Reply reads an answer of a replica.
+	Reply(resp *http.Response) Reply
+}
--- /dev/null
+++ b/relay/doc.go
@@ -0,0 +1,14 @@
+// Package relay takes requests of clients over HTTP/1.1 and passes each on to a
+// replica of its route's service.
+//
+// It keeps these promises: a request that is not idempotent reaches at most one
+// replica; an answer is passed on only if it belongs to the request and came
+// whole, or is visibly cut; a failed answer with status 503 or 408 means that
+// the request has not run. Headers of the platform are read and written by a
+// Dialect, so that the package knows none of their names.
+//
+// # Usage
+//
+//	front := &relay.Front{Current: current, Table: table, Dialect: dialect, Budget: b, ...}
+//	cleanup, err := front.Run(ctx, listener)
+package relay
--- /dev/null
+++ b/relay/final.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher"
+)
+
+// giveUp gives the final answer to a request that no replica answered: 503 if it
+// certainly has not run, else 504 at the deadline and 502 before.
+func (t *task) giveUp(ctx context.Context, why string) {
+	if t.r.Context().Err() != nil {
+		t.front.Log.Event("left", "id", t.call.ID, "sends", t.sends)
+		t.front.Metrics.answered(t.routeName(), "left", t.front.Clock.Now().Sub(t.began))
+		panic(http.ErrAbortHandler)
+	}
+	if t.started {
+		t.cut(why, t.reason())
+	}
+	if !t.mayHaveRun {
+		t.refuse(http.StatusServiceUnavailable, why, t.comeBack())
+		return
+	}
+	status := http.StatusBadGateway
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	t.deny(status, why)
+}
+
+// comeBack returns the time after which the client may try again.
+func (t *task) comeBack() time.Duration {
+	if len(t.front.Table.Ready(t.serviceName)) == 0 {
+		return retryUnready
+	}
+	if t.failure != nil && t.failure.Cause() == peridotusher.CauseOverloaded {
+		return retryBusy
+	}
+	return retryFailed
+}
+
+// reason returns the last failure as an error.
+func (t *task) reason() error {
+	if t.failure == nil {
+		return nil
+	}
+	return t.failure
+}
+
+// refuse answers a request that has not run and never will, with the time to
+// come back.
+func (t *task) refuse(status int, why string, after time.Duration) {
+	t.w.Header().Set("Retry-After", seconds(jitter(after)))
+	t.deny(status, why)
+}
+
+// deny gives a final answer of the router's own.
+func (t *task) deny(status int, why string) {
+	took := t.front.Clock.Now().Sub(t.began)
+	t.front.Log.Event("denied", "id", t.call.ID, "route", t.routeName(), "status", status, "why", why,
+		"sends", t.sends, "unsent", t.unsent, "version", t.version(), "took", took, "error", t.reason())
+	t.front.Metrics.answered(t.routeName(), why, took)
+	h := t.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := why + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	t.w.WriteHeader(status)
+	if _, err := t.w.Write([]byte(text)); err != nil {
+		t.front.Log.Event("client", "id", t.call.ID, "error", err)
+	}
+}
+
+// done logs and counts an answer that was passed on.
+func (t *task) done(x *exchange, first time.Duration) {
+	took := t.front.Clock.Now().Sub(t.began)
+	t.front.Log.Event("answered", "id", t.call.ID, "route", t.routeName(), "status", x.resp.StatusCode,
+		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean,
+		"sends", t.sends, "version", t.version(), "first", first, "took", took)
+	t.front.Metrics.answered(t.routeName(), "answered", took)
+	t.front.Metrics.placed(t.routeName(), t.choice.Reason)
+}
+
+func (t *task) routeName() string {
+	if t.route == nil {
+		return ""
+	}
+	return t.route.Name
+}
+
+func (t *task) version() int64 {
+	if t.doc == nil {
+		return 0
+	}
+	return t.doc.Version
+}
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/relay/front.go
@@ -0,0 +1,203 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+const (
+	// headerRoom is the largest head of a request that the server reads at all;
+	// the configuration's limit below it is checked for each request.
+	headerRoom = 64 << 10
+	// headerTime bounds the reading of a head until a configuration is known.
+	headerTime = 10 * time.Second
+	// writeMargin is how long after the deadline a client may take to read.
+	writeMargin = 300 * time.Millisecond
+	// bodyMemory is the number of bytes of request bodies held at once.
+	bodyMemory = 48 << 20
+)
+
+// Front serves clients. Its fields are set before Run.
+type Front struct {
+	// Zone is the router's own availability zone.
+	Zone string
+	// LocalFirst prefers replicas of the own zone for prompts.
+	LocalFirst bool
+	Clock      peridotusher.Clock
+	Current    *routing.Current
+	Table      *replicas.Table
+	Dialect    Dialect
+	Budget     *budget.Budget
+	Pool       *Pool
+	Log        Log
+	Metrics    *Metrics
+	// Routers returns how many routers share the retry budget.
+	Routers func() int
+
+	bodies   atomic.Int64 // bytes of bodies held
+	stopping atomic.Bool
+	active   atomic.Int64
+}
+
+// Log takes one line for each decision. It must not block.
+type Log interface {
+	// Event logs a line of the kind with fields given as name, value pairs.
+	Event(kind string, fields ...any)
+}
+
+// Run serves clients on the listener until ctx ends, then closes it and ends the
+// requests in flight, for at most grace.
+func (f *Front) Run(ctx context.Context, l net.Listener, grace time.Duration) error {
+	conns := newConnTable(f.Clock)
+	server := &http.Server{
+		Handler:           f,
+		MaxHeaderBytes:    headerRoom,
+		ReadHeaderTimeout: headerTime,
+		ConnState:         conns.state,
+		ErrorLog:          nil,
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve clients")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		conns.closeIdle(ctx, f.idleTimeout)
+		return nil
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+		defer cancel()
+		if err := server.Shutdown(last); err != nil {
+			f.Log.Event("cut", "requests", f.active.Load(), "error", err)
+			return server.Close()
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// Stop begins the graceful stop: from now on each answer closes its connection.
+func (f *Front) Stop() { f.stopping.Store(true) }
+
+// Active returns the number of requests in flight.
+func (f *Front) Active() int64 { return f.active.Load() }
+
+func (f *Front) idleTimeout() time.Duration {
+	if doc := f.Current.Load(); doc != nil {
+		return doc.Limits.IdleTimeout
+	}
+	return 0
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
+		f.Log.Event("socket", "error", err)
+	}
+	t := &task{front: f, w: w, r: r, began: f.Clock.Now()}
+	t.call = f.Dialect.Call(r.Header)
+	defer t.freeBody()
+	if t.admit() {
+		t.run()
+	}
+}
+
+// admit checks the request against the configuration and reads its body. It
+// answers the request itself if it may not go on.
+func (t *task) admit() bool {
+	f := t.front
+	t.doc = f.Current.Load()
+	if t.doc == nil {
+		t.refuse(http.StatusServiceUnavailable, "no_configuration", retryUnready)
+		return false
+	}
+	route, ok := t.doc.Match(t.r.Host, t.path())
+	if !ok {
+		t.deny(http.StatusNotFound, "no_route")
+		return false
+	}
+	t.route = route
+	if limit := t.doc.Limits.HeaderBytes; limit > 0 && headerBytes(t.r) > limit {
+		t.deny(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
+		return false
+	}
+	if t.doc.Keyed() && !route.Public {
+		holder, ok := t.doc.Organisation(t.call.Key)
+		if !ok {
+			t.deny(http.StatusUnauthorized, "unknown_key")
+			return false
+		}
+		t.organisation = holder
+	}
+	t.deadline()
+	return t.readBody()
+}
+
+// path returns the path of the request target as the client wrote it.
+func (t *task) path() string {
+	target := t.r.RequestURI
+	if target == "" || target[0] != '/' {
+		return t.r.URL.EscapedPath()
+	}
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+// deadline sets the time at which the request is given up.
+func (t *task) deadline() {
+	left := t.route.Timeout
+	if p := t.call.Patience; p > 0 && (left <= 0 || p < left) {
+		left = p
+	}
+	if left <= 0 {
+		left = longestRequest
+	}
+	t.until = t.began.Add(left)
+	if err := http.NewResponseController(t.w).SetWriteDeadline(time.Now().Add(left + writeMargin)); err != nil {
+		t.front.Log.Event("socket", "id", t.call.ID, "error", err)
+	}
+}
+
+// service picks the service of the request by the route's shares.
+func (t *task) service() string {
+	const mantissaBits = 53
+	point := float64(xxhash.Sum64String(t.call.ID)>>(64-mantissaBits)) / (1 << mantissaBits)
+	return t.route.Service(point)
+}
+
+// jitter spreads d by a quarter to both sides.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2+1)
+}
+
+// seconds writes a duration as Retry-After takes it.
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- /dev/null
+++ b/relay/headers.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// connectionHeaders concern one connection only and are never passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host",
+}
+
+// passedOn returns a copy of h without the headers of one connection. Headers
+// named in Connection go too, but for those in keep.
+func passedOn(h http.Header, keep func(name string) bool) http.Header {
+	out := make(http.Header, len(h)+4)
+	for name, values := range h {
+		out[name] = values
+	}
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
+			if name != "" && !keep(name) {
+				delete(out, name)
+			}
+		}
+	}
+	for _, name := range connectionHeaders {
+		delete(out, name)
+	}
+	return out
+}
+
+// headerBytes returns the size of the request line and headers on the wire.
+func headerBytes(r *http.Request) int {
+	const lineEnd, separator = 2, 2
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineEnd + len("Host: ") + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + separator + len(v) + lineEnd
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/relay/task.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+const (
+	// longestRequest bounds a request whose route and client set no limit.
+	longestRequest = 10 * time.Minute
+	// unsentTries is the number of replicas tried without having sent anything.
+	unsentTries = 4
+	// retryUnready, retryBusy and retryFailed are the times after which a
+	// refused client may come back.
+	retryUnready = 500 * time.Millisecond
+	retryBusy    = 300 * time.Millisecond
+	retryFailed  = 100 * time.Millisecond
+)
+
+// task is one request of a client on its way through the router.
+type task struct {
+	front *Front
+	w     http.ResponseWriter
+	r     *http.Request
+	call  Call
+	began time.Time
+
+	doc          *routing.Document
+	route        *routing.Route
+	organisation *routing.Organisation
+	serviceName  string
+	until        time.Time
+	body         []byte
+	framed       bool
+	reserved     int64
+
+	arrivals   int             // replicas that got the request, also those that refused it
+	sends      int             // arrivals that count against the route's attempts
+	unsent     int             // replicas that could not be reached
+	mayHaveRun bool            // whether a replica may have run the request
+	paid       bool            // whether the budget has been charged for the next try
+	tried      map[string]bool // ids of replicas not to be tried again
+	failure    *peridotusher.Failure
+
+	choice  placing.Choice
+	held    int    // requests at the chosen replica when it was chosen
+	started bool   // whether the answer's head was written
+	last    string // id of the last event that the client got
+}
+
+// run sends the request to replicas until one answers, and passes the answer on.
+func (t *task) run() {
+	f := t.front
+	ctx, cancel := context.WithTimeout(t.r.Context(), t.until.Sub(f.Clock.Now()))
+	defer cancel()
+	t.serviceName = t.service()
+	t.tried = make(map[string]bool, 2)
+	f.Budget.Request(t.serviceName)
+	for {
+		r, ok := t.choose()
+		if !ok {
+			t.giveUp(ctx, "no_replica")
+			return
+		}
+		if t.try(ctx, r) {
+			return
+		}
+		if ctx.Err() != nil {
+			t.giveUp(ctx, "deadline")
+			return
+		}
+		if !t.mayTryAgain() {
+			t.giveUp(ctx, "failed")
+			return
+		}
+	}
+}
+
+// mayTryAgain decides after a failed try whether another replica is asked, and
+// charges the budget if so.
+func (t *task) mayTryAgain() bool {
+	if t.unsent >= unsentTries {
+		return false
+	}
+	if t.arrivals == 0 || t.paid {
+		return true
+	}
+	if t.mayHaveRun && !t.route.Repeatable() {
+		return false
+	}
+	if t.sends >= max(t.route.Attempts, 1) {
+		return false
+	}
+	t.paid = t.front.Budget.Repeat(t.serviceName, t.front.Routers())
+	return t.paid
+}
+
+// mayRepeat reports whether a request that has failed at a replica will be sent
+// to another one, so that the present answer need not be passed on.
+func (t *task) mayRepeat() bool {
+	return t.route.Repeatable() && len(t.others()) > 0 && t.mayTryAgain()
+}
+
+// others returns the ready replicas that the request has not been sent to.
+func (t *task) others() []*replicas.Replica {
+	all := t.front.Table.Ready(t.serviceName)
+	if len(t.tried) == 0 {
+		return all
+	}
+	rest := make([]*replicas.Replica, 0, len(all))
+	for _, r := range all {
+		if !t.tried[r.ID()] {
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
+
+// try sends the request to one replica and reports whether the client has its
+// final answer.
+func (t *task) try(ctx context.Context, r *replicas.Replica) bool {
+	f := t.front
+	t.tried[r.ID()] = true
+	release := r.Hold()
+	defer release()
+	sent := f.Clock.Now()
+	x, failure := send(ctx, f.Pool, r, t.outgoing(r, sent), f.Dialect)
+	if failure != nil {
+		t.sendFailed(ctx, r, failure)
+		return false
+	}
+	defer x.abort()
+	t.arrived()
+	return t.answer(ctx, x, sent)
+}
+
+// arrived counts a request that a replica got.
+func (t *task) arrived() {
+	t.arrivals++
+	t.sends++
+	t.paid = false
+}
+
+// sendFailed records why no answer came.
+func (t *task) sendFailed(ctx context.Context, r *replicas.Replica, failure *peridotusher.Failure) {
+	f := t.front
+	t.failure = failure
+	outcome := replicas.Failed
+	if failure.Verdict() == peridotusher.NotRun {
+		t.unsent++
+		outcome = replicas.Unreachable
+	} else {
+		t.arrived()
+		t.mayHaveRun = true
+	}
+	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "error", failure)
+	clientLeft := t.r.Context().Err() != nil
+	unsentAtDeadline := ctx.Err() != nil && failure.Verdict() == peridotusher.NotRun
+	if !clientLeft && !unsentAtDeadline {
+		r.Record(f.Clock.Now(), outcome)
+	}
+}
+
+// firstWait returns how long a replica may take for the head of its answer
+// before another one is asked; 0 means as long as the request has.
+func (t *task) firstWait() time.Duration {
+	if !t.route.Repeatable() || t.sends+1 >= t.route.Attempts || t.route.Objective <= 0 || len(t.others()) == 0 {
+		return 0
+	}
+	if t.route.Kind == routing.Streaming {
+		return t.route.Objective
+	}
+	return t.route.Objective * 6 / 10
+}
+
+// outgoing builds the request for the replica.
+func (t *task) outgoing(r *replicas.Replica, now time.Time) outgoing {
+	f := t.front
+	h := passedOn(t.r.Header, f.Dialect.Own)
+	f.Dialect.Strip(h)
+	s := Send{Replica: r.ID(), Left: t.until.Sub(now), Urgency: t.urgency(), After: t.last}
+	if t.organisation != nil {
+		s.Organisation = t.organisation.Name
+	}
+	f.Dialect.Sent(h, s)
+	return outgoing{
+		id: t.call.ID, method: t.r.Method, target: t.r.RequestURI, host: t.r.Host,
+		header: h, body: t.body, framed: t.framed, once: !t.route.Repeatable(), wait: t.firstWait(),
+	}
+}
+
+// urgency maps the priority of the organisation or route to the engines' scale.
+func (t *task) urgency() int {
+	const first, step, last = 2, 2, 9
+	p := t.route.Priority
+	if t.organisation != nil && t.organisation.Priority != nil {
+		p = *t.organisation.Priority
+	}
+	return min(first+step*p, last)
+}
--- /dev/null
+++ b/replicas/doc.go
@@ -0,0 +1,21 @@
+// Package replicas keeps what a router believes of the replicas of all
+// services: which of them are ready, how many requests each holds and whether
+// its answers can be relied on.
+//
+// Entries come from the platform's store and from other routers; of two entries
+// of one replica the one with the higher revision wins, so they may arrive in
+// any order and more than once. Loads are the sum of the router's own exact
+// count and of the counts that other routers tell.
+//
+// # Usage
+//
+//	table := replicas.NewTable(clock)
+//	table.Snapshot(revision, entries, false)
+//	for _, r := range table.Ready("chat") {
+//		fmt.Println(r.ID(), r.Held())
+//	}
+//
+// # Lock order
+//
+// Table, then Replica. Neither is held across a call to a peer.
+package replicas
--- /dev/null
+++ b/replicas/entry.go
@@ -0,0 +1,44 @@
+package replicas
+
+import "github.com/cespare/xxhash/v2"
+
+// Entry is what the platform says of one replica at a revision of its store.
+type Entry struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	// Slots is the number of requests that the replica runs at once.
+	Slots int
+	// Born is the Unix millisecond of the replica's start; 0 if unknown.
+	Born int64
+	// Leaving replicas take no new requests.
+	Leaving bool
+	// Gone replicas are no longer in the store.
+	Gone bool
+	// Revision is the change of the store that the entry describes.
+	Revision int64
+}
+
+// usable reports whether new requests may go to the replica.
+func (e *Entry) usable() bool { return !e.Leaving && !e.Gone }
+
+// sameUse reports whether a change from e to next matters to any decision.
+func (e *Entry) sameUse(next *Entry) bool {
+	return e.Service == next.Service && e.Address == next.Address && e.Zone == next.Zone &&
+		e.Slots == next.Slots && e.Born == next.Born && e.Leaving == next.Leaving && e.Gone == next.Gone
+}
+
+// digest returns a hash of what decisions depend on.
+func (e *Entry) digest() uint64 {
+	d := xxhash.New()
+	d.WriteString(e.ID)
+	d.WriteString(e.Address)
+	if e.Leaving {
+		d.WriteString("\x00leaving")
+	}
+	return d.Sum64()
+}
+
+// HashOf returns the short form of a replica's id in messages between routers.
+func HashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
--- /dev/null
+++ b/replicas/judge.go
@@ -0,0 +1,68 @@
+package replicas
+
+import "time"
+
+const (
+	// judgeSamples is the number of recent outcomes below which no replica is
+	// judged.
+	judgeSamples = 3.5
+	// judgeExcess is how much larger the failed part may be than that of the
+	// other replicas of the service.
+	judgeExcess = 0.28
+	// benchedPart bounds the part of a service's replicas that is avoided for
+	// failed answers: where most fail, the cause is not the replica.
+	benchedPart = 0.4
+)
+
+// Sound returns the replicas that may be chosen: it leaves out those that are
+// avoided at the moment, and begins to avoid those that fail far more often
+// than the others. It returns all of them if none would be left.
+func Sound(now time.Time, all []*Replica) []*Replica {
+	judge(now, all)
+	sound := make([]*Replica, 0, len(all))
+	for _, r := range all {
+		if !r.Avoided(now) {
+			sound = append(sound, r)
+		}
+	}
+	if len(sound) == 0 {
+		return all
+	}
+	return sound
+}
+
+// Avoided reports whether the replica is avoided at the moment.
+func (r *Replica) Avoided(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.standing.until)
+}
+
+func judge(now time.Time, all []*Replica) {
+	var sumSamples, sumBad float64
+	avoided := 0
+	for _, r := range all {
+		samples, failed := r.Ratio(now)
+		sumSamples += samples
+		sumBad += samples * failed
+		if r.Avoided(now) {
+			avoided++
+		}
+	}
+	for _, r := range all {
+		samples, failed := r.Ratio(now)
+		if samples < judgeSamples || float64(avoided+1) > benchedPart*float64(len(all)) {
+			continue
+		}
+		usual := 0.0
+		if rest := sumSamples - samples; rest > 1 {
+			usual = (sumBad - samples*failed) / rest
+		}
+		if failed > usual+judgeExcess {
+			r.mu.Lock()
+			r.standing.avoid(now)
+			r.mu.Unlock()
+			avoided++
+		}
+	}
+}
--- /dev/null
+++ b/replicas/replica.go
@@ -0,0 +1,103 @@
+package replicas
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Replica is one start of a replica with its load and its standing.
+type Replica struct {
+	entry Entry
+	hash  uint32
+
+	own    atomic.Int32
+	others atomic.Int32
+
+	mu       sync.Mutex
+	standing standing
+	prefill  meter
+	good     uint32
+	bad      uint32
+}
+
+func newReplica(e Entry) *Replica { return &Replica{entry: e, hash: HashOf(e.ID)} }
+
+// ID returns the id under which the replica registered.
+func (r *Replica) ID() string { return r.entry.ID }
+
+// Address returns the IP address and port.
+func (r *Replica) Address() string { return r.entry.Address }
+
+// Service returns the name of the service.
+func (r *Replica) Service() string { return r.entry.Service }
+
+// Zone returns the availability zone.
+func (r *Replica) Zone() string { return r.entry.Zone }
+
+// Slots returns the number of requests that the replica runs at once.
+func (r *Replica) Slots() int { return max(r.entry.Slots, 1) }
+
+// Hash returns the short form of the id.
+func (r *Replica) Hash() uint32 { return r.hash }
+
+// Held returns the number of requests at the replica: the own ones and those
+// that other routers told of.
+func (r *Replica) Held() int { return int(r.own.Load()) + int(r.others.Load()) }
+
+// Own returns the number of the own requests at the replica.
+func (r *Replica) Own() int { return int(r.own.Load()) }
+
+// Hold counts a request in; the function that it returns counts it out.
+func (r *Replica) Hold() (release func()) {
+	r.own.Add(1)
+	var once sync.Once
+	return func() { once.Do(func() { r.own.Add(-1) }) }
+}
+
+// Record takes the outcome of a request into the replica's standing.
+func (r *Replica) Record(now time.Time, o Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o == Good {
+		r.good++
+	} else {
+		r.bad++
+	}
+	r.standing.record(now, o)
+}
+
+// counts returns the outcomes of the own requests since the start.
+func (r *Replica) counts() (good, bad uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.good, r.bad
+}
+
+// learn takes outcomes that another router saw into the standing.
+func (r *Replica) learn(now time.Time, good, bad uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.standing.add(now, float64(good), float64(bad))
+}
+
+// Ratio returns the recent outcomes, decayed, and the part of them that failed.
+func (r *Replica) Ratio(now time.Time) (samples, failed float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.standing.ratio(now)
+}
+
+// AddPrefill tells that prompt tokens were sent to be read at the replica.
+func (r *Replica) AddPrefill(now time.Time, tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prefill.add(now, float64(tokens))
+}
+
+// Prefill returns the prompt tokens that are estimated to wait to be read.
+func (r *Replica) Prefill(now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.prefill.level(now)
+}
--- /dev/null
+++ b/replicas/table.go
@@ -0,0 +1,207 @@
+package replicas
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"peridotusher.example/peridotusher"
+)
+
+const (
+	// lapseHold is how long an entry that went missing around an outage of the
+	// store stays in use: its replica may be alive and write it again.
+	lapseHold = 2 * time.Second
+	// changeTTL is how long a change is told to other routers.
+	changeTTL = 2 * time.Second
+)
+
+// record is the table's row of one id.
+type record struct {
+	entry   Entry
+	replica *Replica
+	changed time.Time
+	missing time.Time // when the entry was first missed in a snapshot
+}
+
+// view is the immutable result that requests read.
+type view struct {
+	ready  map[string][]*Replica
+	all    map[uint32]*Replica
+	digest uint64
+}
+
+// Table holds the replicas of all services.
+type Table struct {
+	clock peridotusher.Clock
+
+	mu      sync.Mutex
+	records map[string]*record
+	loads   map[string]*peerLoad
+
+	view atomic.Pointer[view]
+}
+
+// NewTable returns an empty Table.
+func NewTable(clock peridotusher.Clock) *Table {
+	t := &Table{clock: clock, records: make(map[string]*record), loads: make(map[string]*peerLoad)}
+	t.view.Store(&view{})
+	return t
+}
+
+// Ready returns the replicas of a service that may get new requests. The slice
+// must not be changed.
+func (t *Table) Ready(service string) []*Replica { return t.view.Load().ready[service] }
+
+// Digest returns a hash of all ready replicas; equal tables have equal digests.
+func (t *Table) Digest() uint64 { return t.view.Load().digest }
+
+// Find returns the replica with the short id hash.
+func (t *Table) Find(hash uint32) (*Replica, bool) {
+	r, ok := t.view.Load().all[hash]
+	return r, ok
+}
+
+// Replicas calls f for each replica that is not gone.
+func (t *Table) Replicas(f func(*Replica)) {
+	for _, r := range t.view.Load().all {
+		f(r)
+	}
+}
+
+// Offer takes entries in and returns those that changed what may be chosen.
+func (t *Table) Offer(entries []Entry) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var changed []Entry
+	for _, e := range entries {
+		if t.offer(now, e) {
+			changed = append(changed, e)
+		}
+	}
+	if len(changed) > 0 {
+		t.publish()
+	}
+	return changed
+}
+
+// Snapshot takes the store's whole list at a revision. Entries that it lacks are
+// gone; if the store was away shortly before, only after they stayed away for a
+// while. It returns the entries that changed what may be chosen.
+func (t *Table) Snapshot(revision int64, entries []Entry, lapsed bool) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var changed []Entry
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		if t.offer(now, e) {
+			changed = append(changed, e)
+		}
+	}
+	for id, rec := range t.records {
+		if listed[id] || rec.entry.Gone || rec.entry.Revision > revision {
+			rec.missing = time.Time{}
+			continue
+		}
+		if rec.missing.IsZero() {
+			rec.missing = now
+		}
+		if lapsed && now.Sub(rec.missing) < lapseHold {
+			continue
+		}
+		gone := rec.entry
+		gone.Gone = true
+		gone.Revision = revision
+		if t.offer(now, gone) {
+			changed = append(changed, gone)
+		}
+	}
+	if len(changed) > 0 {
+		t.publish()
+	}
+	return changed
+}
+
+// offer merges one entry and reports whether it changed what may be chosen.
+func (t *Table) offer(now time.Time, e Entry) bool {
+	rec, known := t.records[e.ID]
+	if !known {
+		if e.Gone {
+			return false
+		}
+		t.records[e.ID] = &record{entry: e, replica: newReplica(e), changed: now}
+		return true
+	}
+	if e.Revision <= rec.entry.Revision {
+		return false
+	}
+	rec.missing = time.Time{}
+	same := rec.entry.sameUse(&e)
+	reborn := rec.entry.Gone && !e.Gone || rec.entry.Address != e.Address || rec.entry.Born != e.Born || rec.entry.Service != e.Service
+	rec.entry = e
+	if same {
+		return false
+	}
+	rec.changed = now
+	if reborn && !e.Gone {
+		rec.replica = newReplica(e)
+	}
+	return true
+}
+
+// publish builds the view from the records.
+func (t *Table) publish() {
+	v := &view{ready: make(map[string][]*Replica), all: make(map[uint32]*Replica)}
+	for _, rec := range t.records {
+		if rec.entry.Gone {
+			continue
+		}
+		v.all[rec.replica.hash] = rec.replica
+		if rec.entry.usable() {
+			v.ready[rec.entry.Service] = append(v.ready[rec.entry.Service], rec.replica)
+			v.digest ^= rec.entry.digest()
+		}
+	}
+	for _, list := range v.ready {
+		sort.Slice(list, func(i, j int) bool { return list[i].entry.ID < list[j].entry.ID })
+	}
+	t.view.Store(v)
+}
+
+// Recent returns the entries whose use changed a short time ago, newest first,
+// at most limit of them.
+func (t *Table) Recent(limit int) []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	var recent []*record
+	for _, rec := range t.records {
+		if now.Sub(rec.changed) < changeTTL {
+			recent = append(recent, rec)
+		}
+	}
+	sort.Slice(recent, func(i, j int) bool { return recent[i].changed.After(recent[j].changed) })
+	if len(recent) > limit {
+		recent = recent[:limit]
+	}
+	entries := make([]Entry, len(recent))
+	for i, rec := range recent {
+		entries[i] = rec.entry
+	}
+	return entries
+}
+
+// Entries returns all entries, those of gone replicas too.
+func (t *Table) Entries() []Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entries := make([]Entry, 0, len(t.records))
+	for _, rec := range t.records {
+		entries = append(entries, rec.entry)
+	}
+	return entries
+}
--- /dev/null
+++ b/routing/current.go
@@ -0,0 +1,51 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Current holds the newest document that was offered.
+type Current struct {
+	mu      sync.Mutex
+	doc     atomic.Pointer[Document]
+	changed chan struct{}
+}
+
+// NewCurrent returns a Current without a document.
+func NewCurrent() *Current {
+	return &Current{changed: make(chan struct{})}
+}
+
+// Load returns the document in force, or nil if none is known yet.
+func (c *Current) Load() *Document { return c.doc.Load() }
+
+// Revision returns the revision of the document in force; 0 if none is known.
+func (c *Current) Revision() int64 {
+	if d := c.doc.Load(); d != nil {
+		return d.Revision
+	}
+	return 0
+}
+
+// Offer puts the document in force if it is newer than the present one and
+// reports whether it was.
+func (c *Current) Offer(d *Document) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.doc.Load()
+	if now != nil && (d.Version <= now.Version || d.Revision <= now.Revision) {
+		return false
+	}
+	c.doc.Store(d)
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return true
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Current) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
--- /dev/null
+++ b/routing/document.go
@@ -0,0 +1,168 @@
+package routing
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+// The kinds of routes.
+const (
+	// NonIdempotent requests run at most once for each attempt of a client.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming requests are answered by a series of events.
+	Streaming
+)
+
+// Share is the part of a route's requests that goes to a service.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route sends the requests of a host below a path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time until the final answer; 0 means no limit.
+	Timeout time.Duration
+	// Objective is the latency objective: for streams up to the first event.
+	Objective time.Duration
+	// Pause is the longest pause between two events of a stream in time.
+	Pause time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	Shares   []Share
+	// Attempts is the number of replicas to which a request may be sent.
+	Attempts int
+	// Public routes need no key.
+	Public bool
+	// Cached routes carry prompts whose parts replicas keep.
+	Cached bool
+	// Resumable streams may go on at another replica.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run again after it may
+// have run.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Service returns the service of a request: point, uniform in [0, 1), picks
+// among the shares by weight. It returns "" if the route has no service.
+func (r *Route) Service(point float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	left := point * float64(total)
+	for _, s := range r.Shares {
+		left -= float64(s.Weight)
+		if s.Weight > 0 && left < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+// Engine describes the model engines of a service; zero for plain services.
+type Engine struct {
+	Slots          int
+	CapacityTokens int
+	Backups        bool
+	Moves          bool
+}
+
+// Service is a group of replicas that answer the same requests.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int
+	Engine         *Engine
+}
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Organisation is a customer of the operators with its keys.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Priority overrides a route's priority where it is set.
+	Priority *int
+}
+
+// Document is one configuration. It must not be changed after Seal.
+type Document struct {
+	// Version rises with each configuration.
+	Version int64
+	// Revision is the change of the store that wrote the document.
+	Revision      int64
+	Routes        []*Route
+	Services      map[string]*Service
+	Limits        Limits
+	Organisations []*Organisation
+	// Source is the document as it was read, for handing it on.
+	Source []byte
+
+	hosts map[string][]*Route
+	keys  map[string]*Organisation
+}
+
+// Seal builds the look-up tables.
+func (d *Document) Seal() {
+	d.hosts = make(map[string][]*Route)
+	for _, r := range d.Routes {
+		d.hosts[r.Host] = append(d.hosts[r.Host], r)
+	}
+	for _, routes := range d.hosts {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].Prefix) > len(routes[j].Prefix)
+		})
+	}
+	d.keys = make(map[string]*Organisation)
+	for _, o := range d.Organisations {
+		for _, key := range o.Keys {
+			d.keys[key] = o
+		}
+	}
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path. A port behind the host is ignored.
+func (d *Document) Match(host, path string) (*Route, bool) {
+	routes, ok := d.hosts[host]
+	if !ok {
+		name, _, _ := strings.Cut(host, ":")
+		routes = d.hosts[strings.ToLower(name)]
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Keyed reports whether the document names organisations, so that requests
+// need a key.
+func (d *Document) Keyed() bool { return len(d.Organisations) > 0 }
+
+// Organisation returns the holder of a key.
+func (d *Document) Organisation(key string) (*Organisation, bool) {
+	o, ok := d.keys[key]
+	return o, ok
+}
