Placement by a directory of holders that routers tell each other

Cause: 10 % of prompts overflowed from their rendezvous home to the next replica and read 584,000 shared tokens again.

--- a/edge/router.go
+++ b/edge/router.go
@@ -15,6 +15,7 @@
 
 	"peridotusher.example/peridotusher/budget"
 	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/relay"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
@@ -45,17 +46,18 @@
 	// Metrics is the address of the counters; "" for none.
 	Metrics string
 
-	clock    *Clock
-	current  *routing.Current
-	table    *replicas.Table
-	node     *mesh.Node
-	front    *relay.Front
-	pool     *relay.Pool
-	set      *metrics.Set
-	reading  reading
-	listed   atomic.Bool
-	stopping atomic.Bool
-	bounds   atomic.Pointer[boundSection]
+	clock     *Clock
+	current   *routing.Current
+	table     *replicas.Table
+	directory *placing.Directory
+	node      *mesh.Node
+	front     *relay.Front
+	pool      *relay.Pool
+	set       *metrics.Set
+	reading   reading
+	listed    atomic.Bool
+	stopping  atomic.Bool
+	bounds    atomic.Pointer[boundSection]
 
 	mu       sync.Mutex
 	trouble  map[string]bool // calls of the store that fail
@@ -95,6 +97,7 @@
 	r.current = routing.NewCurrent()
 	r.table = replicas.NewTable(r.clock)
 	r.pool = relay.NewPool(r.clock)
+	r.directory = placing.NewDirectory(r.clock)
 	r.set = metrics.NewSet()
 	r.trouble = make(map[string]bool)
 	r.reported = make(map[string]bool)
@@ -113,7 +116,7 @@
 	r.front = &relay.Front{
 		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
-		LocalFirst: localFirst,
+		Directory: r.directory,
 	}
 }
 
@@ -131,9 +134,6 @@
 	return out
 }
 
-// localFirst keeps prompts at replicas of the router's zone.
-const localFirst = true
-
 // listen opens the sockets and starts what serves them.
 func (r *Router) listen(ctx context.Context, group *errgroup.Group) error {
 	s := r.Settings
--- a/edge/state.go
+++ b/edge/state.go
@@ -29,6 +29,7 @@
 	b.Stopping = r.stopping.Load()
 	b.Counts = r.table.Counts()
 	b.Changes = r.table.Recent(changesMost)
+	b.Placements = r.directory.Recent()
 }
 
 // Hear implements mesh.State.
@@ -41,6 +42,7 @@
 		r.reading.heard(r.clock.Now().Add(-b.ReadAge))
 	}
 	r.table.Learn(b.Name, b.Incarnation, b.Counts)
+	r.directory.Hear(b.Placements)
 }
 
 // Whole implements mesh.State.
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -35,6 +36,8 @@
 	Counts []replicas.Count
 	// Changes are the latest changes of replicas.
 	Changes []replicas.Entry
+	// Placements are the latest choices of replicas for parts of prompts.
+	Placements []placing.Placement
 	// Known are other routers that were heard lately.
 	Known []Member
 }
@@ -49,6 +52,7 @@
 	beatCounts
 	beatChange
 	beatKnown
+	beatPlacements
 )
 
 // The field numbers of a member.
@@ -72,8 +76,12 @@
 	entryRevision
 )
 
-// countNumbers is the number of integers in a packed count.
-const countNumbers = 4
+// countNumbers and placementNumbers are the numbers of integers in a packed
+// count and placement.
+const (
+	countNumbers     = 4
+	placementNumbers = 2
+)
 
 func (b *Beat) marshal() []byte {
 	out := appendBytes(nil, beatMember, b.Member.marshal())
@@ -95,7 +103,12 @@
 	for _, m := range b.Known {
 		out = appendBytes(out, beatKnown, m.marshal())
 	}
-	return out
+	packed = nil
+	for _, p := range b.Placements {
+		packed = protowire.AppendVarint(packed, p.Key)
+		packed = protowire.AppendVarint(packed, uint64(p.Replica))
+	}
+	return appendBytes(out, beatPlacements, packed)
 }
 
 func (b *Beat) unmarshal(data []byte) error {
@@ -113,6 +126,8 @@
 			b.Stopping = v != 0
 		case beatCounts:
 			return b.unmarshalCounts(raw)
+		case beatPlacements:
+			return b.unmarshalPlacements(raw)
 		case beatChange:
 			e, err := unmarshalEntry(raw)
 			b.Changes = append(b.Changes, e)
@@ -127,15 +142,34 @@
 	})
 }
 
-func (b *Beat) unmarshalCounts(raw []byte) error {
+// consume decodes integers from the front of packed and returns the rest.
+func consume(packed []byte, numbers []uint64) (rest []byte, err error) {
+	for i := range numbers {
+		v, n := protowire.ConsumeVarint(packed)
+		if n < 0 {
+			return nil, protowire.ParseError(n)
+		}
+		numbers[i], packed = v, packed[n:]
+	}
+	return packed, nil
+}
+
+func (b *Beat) unmarshalPlacements(raw []byte) (err error) {
+	for len(raw) > 0 {
+		var numbers [placementNumbers]uint64
+		if raw, err = consume(raw, numbers[:]); err != nil {
+			return err
+		}
+		b.Placements = append(b.Placements, placing.Placement{Key: numbers[0], Replica: uint32(numbers[1])})
+	}
+	return nil
+}
+
+func (b *Beat) unmarshalCounts(raw []byte) (err error) {
 	for len(raw) > 0 {
 		var numbers [countNumbers]uint64
-		for i := range numbers {
-			v, n := protowire.ConsumeVarint(raw)
-			if n < 0 {
-				return protowire.ParseError(n)
-			}
-			numbers[i], raw = v, raw[n:]
+		if raw, err = consume(raw, numbers[:]); err != nil {
+			return err
 		}
 		b.Counts = append(b.Counts, replicas.Count{
 			Replica: uint32(numbers[0]), Held: int32(numbers[1]), Good: uint32(numbers[2]), Bad: uint32(numbers[3]),
--- a/placing/candidate.go
+++ b/placing/candidate.go
@@ -17,8 +17,8 @@
 	Index int
 	// Reason is one word for logs and counters.
 	Reason string
-	// Mean and Bound are the load that was compared with, in requests.
-	Mean, Bound float64
+	// Mean is the mean load of the candidates, in requests.
+	Mean float64
 }
 
 // mean returns the mean of the held requests.
--- a/placing/doc.go
+++ b/placing/doc.go
@@ -1,8 +1,8 @@
 // Package placing decides which replica gets a request. It knows no network: a
-// choice depends on the candidates' loads, the zone and the shared part of the
-// prompt alone, so that all routers of a zone choose the same home for a part.
+// choice depends on the candidates' loads, on who holds the shared part of the
+// prompt and on a rendezvous order that is the same at all routers.
 //
 // # Usage
 //
-//	choice, ok := placing.Prompt{Key: key, Zone: zone, Tokens: 9000}.Choose(candidates)
+//	choice, ok := placing.Prompt{Key: key, Holders: directory.Holders(key)}.Choose(candidates)
 package placing
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -1,12 +1,19 @@
 package placing
 
+import "slices"
+
 const (
-	// boundFactor and boundExtra limit what a replica may hold of streams
-	// compared with the mean of its service.
-	boundFactor = 1.5
-	boundExtra  = 2.0
+	// homeFactor and homeExtra limit what a replica may hold, compared with the
+	// mean of its service, to read a part that it does not have.
+	homeFactor = 1.4
+	homeExtra  = 2.0
+	// holderFactor and holderExtra are the same for a replica that has the part.
+	// They stay below the limit of the service, twice the mean and three, since
+	// the counts of other routers are some tenths of a second old.
+	holderFactor = 1.75
+	holderExtra  = 2.0
 	// prefillBound is the number of waiting prompt tokens above which a replica
-	// is passed over if another one may serve: a tenth of a second of reading.
+	// is passed over if another one may serve: a quarter of a second of reading.
 	prefillBound = 12000
 )
 
@@ -14,52 +21,61 @@
 type Prompt struct {
 	// Key identifies the longest shared part of the prompt.
 	Key uint64
-	// Zone is the router's own availability zone.
-	Zone string
-	// LocalFirst prefers replicas in the own zone over a key's home elsewhere.
-	LocalFirst bool
+	// Holders are the replicas that are taken to have the part cached.
+	Holders []uint32
 }
 
-// Choose returns the first replica in the rendezvous order of the key that has
-// room, or the least loaded one if none has.
+// Choose returns the least loaded replica that holds the part and has room, else
+// the first one with room in the rendezvous order of the part, so that routers
+// that do not know of each other's choice make the same; else the least loaded.
 func (p Prompt) Choose(candidates []Candidate) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	m := mean(candidates)
-	choice := Choice{Mean: m, Bound: boundFactor*m + boundExtra}
-	best, first := -1, -1
-	var bestRank, firstRank uint64
-	bestNear, firstNear := false, false
+	holder, home := -1, -1
 	for i, c := range candidates {
-		near := p.LocalFirst && c.Zone == p.Zone
-		r := rank(p.Key, c.Hash)
-		if first < 0 || better(near, r, firstNear, firstRank) {
-			first, firstRank, firstNear = i, r, near
+		if c.Held >= c.Slots {
+			continue
 		}
-		if float64(c.Held+1) > choice.Bound || c.Held >= c.Slots || c.Prefill > prefillBound {
+		if slices.Contains(p.Holders, c.Hash) {
+			if float64(c.Held+1) <= holderFactor*m+holderExtra && p.lighter(candidates, i, holder) {
+				holder = i
+			}
 			continue
 		}
-		if best < 0 || better(near, r, bestNear, bestRank) {
-			best, bestRank, bestNear = i, r, near
+		room := float64(c.Held+1) <= homeFactor*m+homeExtra && c.Prefill <= prefillBound
+		if room && (home < 0 || rank(p.Key, c.Hash) > rank(p.Key, candidates[home].Hash)) {
+			home = i
 		}
 	}
-	choice.Index, choice.Reason = best, "home"
+	choice := Choice{Mean: m}
 	switch {
-	case best < 0:
+	case holder >= 0:
+		choice.Index, choice.Reason = holder, "holder"
+	case home >= 0:
+		choice.Index, choice.Reason = home, "home"
+	default:
 		choice.Index, choice.Reason = leastHeld(candidates), "least"
-	case best != first:
-		choice.Reason = "next"
 	}
 	return choice, true
 }
 
-// better orders by zone, then by rendezvous score.
-func better(near bool, r uint64, thanNear bool, than uint64) bool {
-	if near != thanNear {
-		return near
+// lighter reports whether candidate i has less to do than j; among equals the
+// rendezvous order decides. Waiting prompt tokens count as much as the requests
+// that they delay.
+func (p Prompt) lighter(candidates []Candidate, i, j int) bool {
+	if j < 0 {
+		return true
+	}
+	const tokensOfRequest = 3000
+	a, b := candidates[i], candidates[j]
+	x := float64(a.Held) + a.Prefill/tokensOfRequest
+	y := float64(b.Held) + b.Prefill/tokensOfRequest
+	if x != y {
+		return x < y
 	}
-	return r > than
+	return rank(p.Key, a.Hash) > rank(p.Key, b.Hash)
 }
 
 func leastHeld(candidates []Candidate) int {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -19,7 +19,7 @@
 	var choice placing.Choice
 	var ok bool
 	if t.route.Cached && len(t.call.Prompt) > 0 {
-		choice, ok = placing.Prompt{Key: t.sharedKey(), Zone: f.Zone, LocalFirst: f.LocalFirst}.Choose(candidates)
+		choice, ok = t.choosePrompt(candidates)
 	} else {
 		choice, ok = placing.Call{Zone: f.Zone, Spread: xxhash.Sum64String(t.call.ID)}.Choose(candidates)
 	}
@@ -35,6 +35,17 @@
 	return r, true
 }
 
+// choosePrompt picks a replica by the shared part of the prompt and tells the
+// directory.
+func (t *task) choosePrompt(candidates []placing.Candidate) (placing.Choice, bool) {
+	key := t.sharedKey()
+	choice, ok := placing.Prompt{Key: key, Holders: t.front.Directory.Holders(key)}.Choose(candidates)
+	if ok {
+		t.front.Directory.Place(placing.Placement{Key: key, Replica: candidates[choice.Index].Hash})
+	}
+	return choice, ok
+}
+
 // sharedKey identifies the longest part of the prompt that other requests share:
 // the last part is the request's own.
 func (t *task) sharedKey() uint64 {
@@ -45,14 +56,14 @@
 	return parts[0].ID
 }
 
-// unsharedTokens estimates the prompt tokens that the replica has to read: at
-// the home of a part only the last part, elsewhere all.
+// unsharedTokens estimates the prompt tokens that the replica has to read: at a
+// holder of the shared parts only the last part, elsewhere all.
 func (t *task) unsharedTokens(choice placing.Choice) int {
 	parts := t.call.Prompt
 	if len(parts) == 0 {
 		return 0
 	}
-	if choice.Reason == "home" {
+	if choice.Reason == "holder" {
 		return parts[len(parts)-1].Tokens
 	}
 	sum := 0
--- a/relay/front.go
+++ b/relay/front.go
@@ -15,6 +15,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
@@ -34,17 +35,17 @@
 // Front serves clients. Its fields are set before Run.
 type Front struct {
 	// Zone is the router's own availability zone.
-	Zone string
-	// LocalFirst prefers replicas of the own zone for prompts.
-	LocalFirst bool
-	Clock      peridotusher.Clock
-	Current    *routing.Current
-	Table      *replicas.Table
-	Dialect    Dialect
-	Budget     *budget.Budget
-	Pool       *Pool
-	Log        Log
-	Metrics    *Metrics
+	Zone    string
+	Clock   peridotusher.Clock
+	Current *routing.Current
+	Table   *replicas.Table
+	// Directory says which replicas hold which parts of prompts.
+	Directory *placing.Directory
+	Dialect   Dialect
+	Budget    *budget.Budget
+	Pool      *Pool
+	Log       Log
+	Metrics   *Metrics
 	// Routers returns how many routers share the retry budget.
 	Routers func() int
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,14 +29,20 @@
 	defer streamBuffer.Put(buf)
 	var ev events
 	var first time.Duration
+	previous := sent
 	for {
 		if err := x.allow(t.stallLimit()); err != nil {
 			return t.streamFailed(ctx, x, err)
 		}
 		n, err := x.resp.Body.Read(*buf)
 		if whole, last := ev.feed((*buf)[:n]); len(whole) > 0 {
+			now := f.Clock.Now()
+			if first > 0 {
+				t.pause = max(t.pause, now.Sub(previous))
+			}
+			previous = now
 			if first == 0 {
-				first = f.Clock.Now().Sub(sent)
+				first = now.Sub(sent)
 				if !t.goesOn(whole) {
 					t.blame(x, "a resumed stream repeats events")
 					return false
--- a/relay/task.go
+++ b/relay/task.go
@@ -49,9 +49,10 @@
 	failure    *peridotusher.Failure
 
 	choice  placing.Choice
-	held    int    // requests at the chosen replica when it was chosen
-	started bool   // whether the answer's head was written
-	last    string // id of the last event that the client got
+	held    int           // requests at the chosen replica when it was chosen
+	started bool          // whether the answer's head was written
+	last    string        // id of the last event that the client got
+	pause   time.Duration // longest pause between two events of a replica
 }
 
 // run sends the request to replicas until one answers, and passes the answer on.
