--- a/edge/list.go
+++ b/edge/list.go
@@ -84,6 +84,15 @@
 	if err != nil {
 		return err
 	}
+	// A watch may miss a change that the store makes while it drops history, or
+	// hang; the newest configuration is read along with the list.
+	doc, err := r.Source.Document(ctx)
+	if err != nil {
+		return err
+	}
+	if doc != nil {
+		r.offer(doc, "list")
+	}
 	_, failed := r.reading.last()
 	lapsed := !failed.IsZero() && began.Sub(failed) < outageMemory
 	changed := r.table.Snapshot(revision, entries, lapsed)
