Shared parts are fetched from a replica that holds them; watch goes on from the store's revision; stop takes nothing later than 2.8 s

Cause 2: after a read of the configuration the watch went on from the revision of the document, which the store had dropped: a 410 each 0.4 s.

--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -43,7 +43,7 @@
 // and returns the revision to go on from.
 func (r *Router) nextConfiguration(ctx context.Context, after int64) (int64, error) {
 	if after == 0 {
-		doc, err := r.Source.Document(ctx)
+		doc, at, err := r.Source.Document(ctx)
 		if err != nil || doc == nil {
 			if err == nil {
 				sleep(ctx, retryFirst)
@@ -51,7 +51,7 @@
 			return 0, err
 		}
 		r.offer(doc, "store")
-		return doc.Revision, nil
+		return at, nil
 	}
 	doc, next, err := r.Source.NextDocument(ctx, after, watchFor)
 	if err != nil {
--- a/edge/list.go
+++ b/edge/list.go
@@ -86,7 +86,7 @@
 	}
 	// A watch may miss a change that the store makes while it drops history, or
 	// hang; the newest configuration is read along with the list.
-	doc, err := r.Source.Document(ctx)
+	doc, _, err := r.Source.Document(ctx)
 	if err != nil {
 		return err
 	}
--- a/edge/router.go
+++ b/edge/router.go
@@ -23,8 +23,9 @@
 
 const (
 	// outOfRotation is how long after the start of a stop new connections come:
-	// the balancer asks each second and needs two misses.
-	outOfRotation = 3500 * time.Millisecond
+	// the balancer asks each second and needs two misses. Requests taken later
+	// than that may not end before the kill.
+	outOfRotation = 2800 * time.Millisecond
 	// stopMargin is the time before the kill at which a stop ends.
 	stopMargin = 400 * time.Millisecond
 	// houseEvery is the time between two rounds of housekeeping.
--- a/edge/source.go
+++ b/edge/source.go
@@ -10,8 +10,9 @@
 
 // Source reads what the platform's store holds.
 type Source interface {
-	// Document reads the newest configuration; nil if there is none yet.
-	Document(ctx context.Context) (*routing.Document, error)
+	// Document reads the newest configuration, nil if there is none yet, and the
+	// revision from which to wait for the next one.
+	Document(ctx context.Context) (*routing.Document, int64, error)
 	// NextDocument waits for a configuration newer than a revision and returns
 	// nil and the revision to go on from if there was none.
 	NextDocument(ctx context.Context, after int64, wait time.Duration) (*routing.Document, int64, error)
--- a/placing/call.go
+++ b/placing/call.go
@@ -30,5 +30,5 @@
 			best, bestLoad, bestRank = i, load, r
 		}
 	}
-	return Choice{Index: best, Reason: "least", Mean: mean(candidates)}, true
+	return Choice{Index: best, Reason: Least, Mean: mean(candidates)}, true
 }
--- a/placing/candidate.go
+++ b/placing/candidate.go
@@ -11,6 +11,17 @@
 	Prefill float64
 }
 
+// The reasons of a choice.
+const (
+	// Holder means that the replica holds the shared part of the prompt.
+	Holder = "holder"
+	// Home means that the replica is the first one with room in the rendezvous
+	// order of the part.
+	Home = "home"
+	// Least means that the replica has the least to do.
+	Least = "least"
+)
+
 // Choice is the result of a decision with what led to it.
 type Choice struct {
 	// Index is the position of the chosen candidate.
--- a/placing/directory.go
+++ b/placing/directory.go
@@ -9,7 +9,7 @@
 
 const (
 	// holdersMost is the number of replicas that are remembered for a part.
-	holdersMost = 6
+	holdersMost = 24
 	// keysMost bounds the number of parts that are remembered.
 	keysMost = 20000
 	// holdFor is how long a part is taken to be cached after its last use.
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -52,11 +52,11 @@
 	choice := Choice{Mean: m}
 	switch {
 	case holder >= 0:
-		choice.Index, choice.Reason = holder, "holder"
+		choice.Index, choice.Reason = holder, Holder
 	case home >= 0:
-		choice.Index, choice.Reason = home, "home"
+		choice.Index, choice.Reason = home, Home
 	default:
-		choice.Index, choice.Reason = leastHeld(candidates), "least"
+		choice.Index, choice.Reason = leastHeld(candidates), Least
 	}
 	return choice, true
 }
--- a/relay/body.go
+++ b/relay/body.go
@@ -17,6 +17,7 @@
 		return true
 	}
 	if limit > 0 && length > limit {
+		t.w.Header().Set("Connection", "close") // the body is not read
 		t.deny(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -35,25 +35,58 @@
 	return r, true
 }
 
-// choosePrompt picks a replica by the shared part of the prompt and tells the
-// directory.
+// choosePrompt picks a replica by the shared parts of the prompt and tells the
+// directory. A replica that lacks the longest part is given one to fetch from.
 func (t *task) choosePrompt(candidates []placing.Candidate) (placing.Choice, bool) {
-	key := t.sharedKey()
-	choice, ok := placing.Prompt{Key: key, Holders: t.front.Directory.Holders(key)}.Choose(candidates)
-	if ok {
-		t.front.Directory.Place(placing.Placement{Key: key, Replica: candidates[choice.Index].Hash})
+	d := t.front.Directory
+	shared := t.sharedParts()
+	longest := shared[len(shared)-1].ID
+	holders := d.Holders(longest)
+	choice, ok := placing.Prompt{Key: longest, Holders: holders}.Choose(candidates)
+	if !ok {
+		return choice, false
+	}
+	chosen := candidates[choice.Index].Hash
+	t.source = ""
+	if choice.Reason != placing.Holder {
+		t.source = t.sourceOf(shared, chosen)
+	}
+	for _, p := range shared {
+		d.Place(placing.Placement{Key: p.ID, Replica: chosen})
+	}
+	return choice, true
+}
+
+// sourceOf returns the address of the least loaded replica that holds the longest
+// shared part that any other replica than the chosen one holds; "" if none does.
+func (t *task) sourceOf(shared []Part, chosen uint32) string {
+	now := t.front.Clock.Now()
+	for i := len(shared) - 1; i >= 0; i-- {
+		var best *replicas.Replica
+		for _, hash := range t.front.Directory.Holders(shared[i].ID) {
+			if hash == chosen && i < len(shared)-1 {
+				return "" // it holds as much as any other
+			}
+			r, ok := t.front.Table.Find(hash)
+			if ok && r.Service() == t.serviceName && !r.Avoided(now) && (best == nil || r.Held() < best.Held()) {
+				best = r
+			}
+		}
+		if best != nil {
+			return best.Address()
+		}
 	}
-	return choice, ok
+	return ""
 }
 
-// sharedKey identifies the longest part of the prompt that other requests share:
-// the last part is the request's own.
-func (t *task) sharedKey() uint64 {
+// sharedParts returns the parts of the prompt that other requests share: all but
+// the last one, which is the request's own.
+func (t *task) sharedParts() []Part {
 	parts := t.call.Prompt
 	if len(parts) >= 2 {
-		return parts[len(parts)-2].ID
+		return parts[:len(parts)-1]
 	}
-	return parts[0].ID
+	return parts
 }
 
 // unsharedTokens estimates the prompt tokens that the replica has to read: at a
@@ -63,7 +96,7 @@
 	if len(parts) == 0 {
 		return 0
 	}
-	if choice.Reason == "holder" {
+	if choice.Reason == placing.Holder {
 		return parts[len(parts)-1].Tokens
 	}
 	sum := 0
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -35,6 +35,9 @@
 	Organisation string
 	// Urgency orders requests at a replica; 0 is the first.
 	Urgency int
+	// Source is the address of a replica from which the shared parts of the
+	// prompt are fetched; "" for none.
+	Source string
 	// After is the last event that the client has, for a stream that goes on;
 	// "" leaves the client's own header in place.
 	After string
--- /dev/null
+++ b/relay/replica_test.go
@@ -0,0 +1,251 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+// testDialect implements Dialect with names of its own.
+type testDialect struct{}
+
+func (testDialect) Call(h http.Header) Call {
+	c := Call{ID: h.Get("Id"), Key: h.Get("Key")}
+	if d, err := time.ParseDuration(h.Get("Patience")); err == nil {
+		c.Patience = d
+	}
+	for i, part := range strings.Fields(h.Get("Prompt")) {
+		c.Prompt = append(c.Prompt, Part{ID: uint64(len(part)*1000 + i), Tokens: 100})
+	}
+	return c
+}
+
+func (testDialect) Own(name string) bool { return name == "Id" }
+
+func (testDialect) Strip(h http.Header) {
+	for _, name := range []string{"Key", "Organisation", "Replica", "Left", "Source"} {
+		h.Del(name)
+	}
+}
+
+func (testDialect) Sent(h http.Header, s Send) {
+	h.Set("Replica", s.Replica)
+	h.Set("Left", s.Left.String())
+	if s.Organisation != "" {
+		h.Set("Organisation", s.Organisation)
+	}
+	if s.After != "" {
+		h.Set("Last-Event-Id", s.After)
+	}
+}
+
+func (testDialect) Reply(resp *http.Response) Reply {
+	return Reply{
+		ID: resp.Header.Get("Id"), NotRun: resp.Header.Get("Not-Run") != "",
+		Misdirected: resp.StatusCode == http.StatusMisdirectedRequest, Signed: resp.Header.Get("Signature") != "",
+	}
+}
+
+// discard is a Log that keeps nothing.
+type discard struct{}
+
+func (discard) Event(string, ...any) {}
+
+// got is one request as a replica received it.
+type got struct {
+	replica string
+	target  string
+	header  http.Header
+	body    string
+}
+
+// script answers one request on a connection and reports whether it goes on.
+type script func(c net.Conn, r *http.Request, body string) bool
+
+// bed is a front with scripted replicas.
+type bed struct {
+	t     *testing.T
+	front *Front
+	url   string
+	group errgroup.Group
+
+	listeners []net.Listener
+
+	mu       sync.Mutex
+	received []got
+}
+
+// newBed returns a front before one replica for each script; a nil script stands
+// for a replica that cannot be connected to.
+func newBed(t *testing.T, route routing.Route, scripts ...script) *bed {
+	t.Helper()
+	clock := peridotusher.ClockFunc(time.Now)
+	b := &bed{t: t}
+	table := replicas.NewTable(clock)
+	var entries []replicas.Entry
+	for i, s := range scripts {
+		id := string(rune('a' + i))
+		entries = append(entries, replicas.Entry{ID: id, Service: "s", Address: b.replica(id, s), Zone: id, Slots: 4, Revision: 1})
+	}
+	table.Offer(entries)
+	route.Name, route.Host, route.Prefix = "r", "h.example", "/p/"
+	route.Shares = []routing.Share{{Service: "s", Weight: 1}}
+	doc := &routing.Document{
+		Version: 1, Revision: 1, Routes: []*routing.Route{&route},
+		Limits:        routing.Limits{HeaderBytes: 2000, BodyBytes: 100000},
+		Organisations: []*routing.Organisation{{Name: "shop", Keys: []string{"k"}}},
+	}
+	doc.Seal()
+	current := routing.NewCurrent()
+	current.Offer(doc)
+	b.front = &Front{
+		Zone: "a", Clock: clock, Current: current, Table: table, Directory: placing.NewDirectory(clock), Dialect: testDialect{},
+		Budget: budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, clock),
+		Pool:   NewPool(clock), Log: discard{}, Routers: func() int { return 1 },
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.url = l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	b.group.Go(func() error { return b.front.Run(ctx, l, time.Second) })
+	t.Cleanup(func() {
+		cancel()
+		for _, l := range b.listeners {
+			_ = l.Close() // ends the group's accepting
+		}
+		b.front.Pool.Close()
+		if err := b.group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return b
+}
+
+// replica listens and answers by the script.
+func (b *bed) replica(id string, s script) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if s == nil {
+		if err := l.Close(); err != nil {
+			b.t.Fatal(err)
+		}
+		return address
+	}
+	b.listeners = append(b.listeners, l)
+	b.group.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			b.group.Go(func() error {
+				b.converse(id, c, s)
+				return nil
+			})
+		}
+	})
+	return address
+}
+
+func (b *bed) converse(id string, c net.Conn, s script) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.received = append(b.received, got{id, r.RequestURI, r.Header, string(body)})
+		b.mu.Unlock()
+		if !s(c, r, string(body)) {
+			return
+		}
+	}
+}
+
+// requests returns what the replicas received.
+func (b *bed) requests() []got {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]got(nil), b.received...)
+}
+
+// say is a script that writes text, in which ID stands for the request's id.
+func say(text string, goOn bool) script {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		return err == nil && goOn
+	}
+}
+
+// reset is a script that writes text and then resets the connection.
+func reset(text string) script {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		_, err := io.WriteString(c, strings.ReplaceAll(text, "ID", r.Header.Get("Id")))
+		time.Sleep(20 * time.Millisecond) // the text has to be read before the reset
+		if tcp, ok := c.(*net.TCPConn); ok && err == nil {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	}
+}
+
+// ask sends a raw request and returns the answer and whether its body is whole.
+func (b *bed) ask(raw string) (resp *http.Response, body string, whole bool) {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.url)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { _ = c.Close() })
+	return b.askOn(c, bufio.NewReader(c), raw)
+}
+
+func (b *bed) askOn(c net.Conn, br *bufio.Reader, raw string) (resp *http.Response, body string, whole bool) {
+	b.t.Helper()
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		b.t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, raw); err != nil {
+		b.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		return nil, "", false
+	}
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err == nil
+}
+
+// get and post return raw requests.
+func get(extra string) string {
+	return "GET /p/x%2Fy?q=1 HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: k\r\nPatience: 2s\r\n" + extra + "\r\n"
+}
+
+func post(extra, body string) string {
+	return "POST /p/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: k\r\nPatience: 2s\r\n" + extra + "\r\n" + body
+}
--- /dev/null
+++ b/relay/stream_test.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+func entryAt(id, address string) []replicas.Entry {
+	return []replicas.Entry{{ID: id, Service: "s", Address: address, Zone: "a", Slots: 4, Revision: 1}}
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// chunk frames text for a chunked answer; an empty one ends it.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// event returns one event of a stream.
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n) }
+
+// from is a replica that goes on after the client's last event, up to event 5.
+func from(c net.Conn, r *http.Request, _ string) bool {
+	after := 0
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		_, _ = fmt.Sscan(last, &after)
+	}
+	text := strings.ReplaceAll(streamHead, "ID", r.Header.Get("Id"))
+	for n := after + 1; n <= 5; n++ {
+		text += chunk(event(n))
+	}
+	_, err := io.WriteString(c, text+chunk(""))
+	return err == nil
+}
+
+func TestStreams(t *testing.T) {
+	all := event(1) + event(2) + event(3) + event(4) + event(5)
+	broken := streamHead + chunk(event(1)) + chunk(event(2)+"id: 3\nda")
+	tests := []struct {
+		name    string
+		route   routing.Route
+		scripts []script
+		body    string
+		whole   bool
+		sent    int
+	}{
+		{"whole", stream, []script{from}, all, true, 1},
+		{"broken", stream, []script{reset(broken), reset(broken)}, event(1) + event(2), false, 1},
+		{"broken and resumed", resumable, []script{reset(broken), reset(broken), from}, "", false, 2},
+		{"broken by a close and resumed", resumable, []script{say(broken, false), from}, all, true, 2},
+		{"mute and asked elsewhere", resumable, []script{func(c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = c.Read(make([]byte, 1)) // silent until the router closes
+			return false
+		}, from}, all, true, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(t, tt.route, tt.scripts...)
+			// The first replica has the least to do: the others hold requests.
+			for i, id := range []string{"b", "c"} {
+				if r, ok := b.front.Table.Find(replicas.HashOf(id)); ok {
+					for range i + 1 {
+						defer r.Hold()()
+					}
+				}
+			}
+			resp, body, whole := b.ask(post("Prompt: a bb ccc\r\nContent-Length: 0\r\n", ""))
+			if resp == nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("answer = %v", resp)
+			}
+			if whole != tt.whole && tt.body != "" {
+				t.Errorf("whole = %v, want %v", whole, tt.whole)
+			}
+			if tt.body != "" {
+				if diff := cmp.Diff(tt.body, body); diff != "" {
+					t.Errorf("stream (-want +got):\n%s", diff)
+				}
+			}
+			if whole && body != all {
+				t.Errorf("a stream that is not whole ended as complete: %q", body)
+			}
+		})
+	}
+}
+
+func TestEvents(t *testing.T) {
+	text := event(1) + "data: no id\n\n" + "id: 7\r\ndata: x\r\n\r\n" + ": comment\n\n"
+	for cut := range len(text) {
+		var e events
+		whole1, last1 := e.feed([]byte(text[:cut]))
+		got, last := string(whole1), last1
+		whole2, last2 := e.feed([]byte(text[cut:]))
+		got += string(whole2)
+		if last2 != "" {
+			last = last2
+		}
+		if got != text || last != "7" || len(e.rest()) != 0 {
+			t.Fatalf("cut at %d: %q, last id %q, rest %q", cut, got, last, e.rest())
+		}
+	}
+}
--- a/relay/task.go
+++ b/relay/task.go
@@ -49,6 +49,7 @@
 	failure    *peridotusher.Failure
 
 	choice  placing.Choice
+	source  string        // address of a replica that holds shared parts of the prompt
 	held    int           // requests at the chosen replica when it was chosen
 	started bool          // whether the answer's head was written
 	last    string        // id of the last event that the client got
@@ -185,7 +186,7 @@
 	f := t.front
 	h := passedOn(t.r.Header, f.Dialect.Own)
 	f.Dialect.Strip(h)
-	s := Send{Replica: r.ID(), Left: t.until.Sub(now), Urgency: t.urgency(), After: t.last}
+	s := Send{Replica: r.ID(), Left: t.until.Sub(now), Urgency: t.urgency(), After: t.last, Source: t.source}
 	if t.organisation != nil {
 		s.Organisation = t.organisation.Name
 	}
