--- /dev/null
+++ b/replicas/table_test.go
@@ -0,0 +1,207 @@
+package replicas
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"peridotusher.example/peridotusher"
+)
+
+// bed is a table with a clock of its own.
+type bed struct {
+	*Table
+	now time.Time
+}
+
+func newBed() *bed {
+	b := &bed{now: time.Unix(1000, 0)}
+	b.Table = NewTable(peridotusher.ClockFunc(func() time.Time { return b.now }))
+	return b
+}
+
+func entry(id string, revision int64) Entry {
+	return Entry{ID: id, Service: "s", Address: id + ":1", Zone: "z", Slots: 4, Born: 1, Revision: revision}
+}
+
+func ids(list []*Replica) []string {
+	out := []string{}
+	for _, r := range list {
+		out = append(out, r.ID())
+	}
+	return out
+}
+
+func TestEntriesInAnyOrder(t *testing.T) {
+	leaving, gone := entry("a", 5), entry("a", 7)
+	leaving.Leaving, gone.Gone = true, true
+	orders := [][]Entry{
+		{entry("a", 3), leaving, gone},
+		{gone, leaving, entry("a", 3)},
+		{entry("a", 3), gone, leaving, entry("a", 3)},
+	}
+	for i, order := range orders {
+		b := newBed()
+		b.Offer([]Entry{entry("a", 2)})
+		for _, e := range order {
+			b.Offer([]Entry{e})
+		}
+		if got := ids(b.Ready("s")); len(got) != 0 {
+			t.Errorf("order %d: %v is ready", i, got)
+		}
+	}
+}
+
+func TestSnapshotTakesMissingAsGone(t *testing.T) {
+	b := newBed()
+	b.Snapshot(10, []Entry{entry("a", 3), entry("b", 4)}, false)
+	b.Snapshot(12, []Entry{entry("b", 4)}, false)
+	if diff := cmp.Diff([]string{"b"}, ids(b.Ready("s"))); diff != "" {
+		t.Errorf("ready (-want +got):\n%s", diff)
+	}
+	// Another router's older word does not bring it back; a rebirth does.
+	b.Offer([]Entry{entry("a", 3)})
+	if n := len(b.Ready("s")); n != 1 {
+		t.Errorf("%d replicas are ready after an old entry, want 1", n)
+	}
+	b.Offer([]Entry{entry("a", 13)})
+	if n := len(b.Ready("s")); n != 2 {
+		t.Errorf("%d replicas are ready after a rebirth, want 2", n)
+	}
+}
+
+func TestLapsedEntriesStayForAWhile(t *testing.T) {
+	b := newBed()
+	b.Snapshot(10, []Entry{entry("a", 3), entry("b", 4)}, false)
+	b.Snapshot(20, nil, true) // the store was away
+	if n := len(b.Ready("s")); n != 2 {
+		t.Errorf("%d replicas are ready right after an outage, want 2", n)
+	}
+	b.now = b.now.Add(time.Second)
+	b.Snapshot(22, []Entry{entry("a", 21)}, true)
+	b.now = b.now.Add(lapseHold)
+	b.Snapshot(24, []Entry{entry("a", 21)}, true)
+	if diff := cmp.Diff([]string{"a"}, ids(b.Ready("s"))); diff != "" {
+		t.Errorf("ready after the outage (-want +got):\n%s", diff)
+	}
+}
+
+func TestRebirthForgetsThePast(t *testing.T) {
+	b := newBed()
+	b.Offer([]Entry{entry("a", 3)})
+	old := b.Ready("s")[0]
+	old.Record(b.now, Unreachable)
+	e := entry("a", 5)
+	e.Born = 2
+	b.Offer([]Entry{e})
+	if r := b.Ready("s")[0]; r == old || r.Avoided(b.now) {
+		t.Error("a replica that started again has the standing of its last start")
+	}
+}
+
+func TestLoadsOfOtherRouters(t *testing.T) {
+	b := newBed()
+	b.Offer([]Entry{entry("a", 3)})
+	a := b.Ready("s")[0]
+	defer a.Hold()()
+	b.Learn("r1", 1, []Count{{Replica: a.Hash(), Held: 3}, {Replica: 99, Held: 50}})
+	b.Learn("r2", 1, []Count{{Replica: a.Hash(), Held: 2}})
+	if a.Held() != 6 {
+		t.Errorf("held = %d, want 6", a.Held())
+	}
+	b.Learn("r1", 1, []Count{{Replica: a.Hash(), Held: 1}})
+	if a.Held() != 4 {
+		t.Errorf("held = %d, want 4", a.Held())
+	}
+	b.now = b.now.Add(2 * peerLoadTTL)
+	b.Expire()
+	if a.Held() != 1 {
+		t.Errorf("held = %d after the others fell silent, want 1", a.Held())
+	}
+}
+
+// TestJudge lets replicas fail parts of their requests and checks who is avoided.
+func TestJudge(t *testing.T) {
+	tests := []struct {
+		name   string
+		fails  []int // of 10 requests, by replica
+		router bool  // whether another router saw the outcomes
+		avoid  int
+	}{
+		{"all sound", []int{0, 0, 0, 0, 0}, false, 0},
+		{"usual errors everywhere", []int{2, 1, 2, 1, 2}, false, 0},
+		{"one grey", []int{0, 6, 0, 0, 1}, false, 1},
+		{"one grey, seen by another router", []int{0, 6, 0, 0, 1}, true, 1},
+		{"all grey", []int{5, 5, 5, 5, 5}, false, 0},
+		{"most grey", []int{8, 8, 8, 0, 0}, false, 2},
+		{"one of three", []int{0, 9, 0}, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed()
+			var entries []Entry
+			for i := range tt.fails {
+				entries = append(entries, entry(fmt.Sprint(i), 1))
+			}
+			b.Offer(entries)
+			all := b.Ready("s")
+			if tt.router {
+				b.Learn("r1", 1, counts(all, nil))
+				b.Learn("r1", 1, counts(all, tt.fails))
+			} else {
+				for i, r := range all {
+					for n := range 10 {
+						o := Good
+						if n < tt.fails[i] {
+							o = Failed
+						}
+						r.Record(b.now, o)
+					}
+				}
+			}
+			sound := Sound(b.now, all)
+			if got := len(all) - len(sound); got != tt.avoid {
+				t.Errorf("%d replicas are avoided, want %d", got, tt.avoid)
+			}
+			b.now = b.now.Add(shortestBench + time.Millisecond)
+			for _, r := range all {
+				if r.Avoided(b.now) {
+					t.Errorf("replica %s is still avoided after the bench", r.ID())
+				}
+			}
+		})
+	}
+}
+
+func counts(all []*Replica, fails []int) []Count {
+	var out []Count
+	for i, r := range all {
+		c := Count{Replica: r.Hash()}
+		if fails != nil {
+			c.Good, c.Bad = uint32(10-fails[i]), uint32(fails[i])
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+func TestUnreachableIsAvoidedLonger(t *testing.T) {
+	b := newBed()
+	b.Offer([]Entry{entry("a", 1), entry("b", 1)})
+	a := b.Ready("s")[0]
+	var lengths []time.Duration
+	for range 3 {
+		a.Record(b.now, Unreachable)
+		began := b.now
+		for a.Avoided(b.now) {
+			b.now = b.now.Add(10 * time.Millisecond)
+		}
+		lengths = append(lengths, b.now.Sub(began).Round(100*time.Millisecond))
+	}
+	want := []time.Duration{700 * time.Millisecond, 1400 * time.Millisecond, 2800 * time.Millisecond}
+	if diff := cmp.Diff(want, lengths); diff != "" {
+		t.Errorf("times avoided (-want +got):\n%s", diff)
+	}
+}
