Lost replicas are tried by connections, not by requests; the rest of a cut zone is left

Now such a replica gets no request until a connection in the background succeeds, two lost ones of a zone take the others that have not answered lately with them, and a dial may take 0.15 s.

--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -10,8 +10,8 @@
 	// holderFactor and holderExtra are the same for a replica that has the part.
 	// They stay below the limit of the service, twice the mean and three, since
 	// the counts of other routers are some tenths of a second old.
-	holderFactor = 1.75
-	holderExtra  = 2.0
+	holderFactor = 1.9
+	holderExtra  = 2.5
 	// prefillBound is the number of waiting prompt tokens above which a replica
 	// is passed over if another one may serve: a quarter of a second of reading.
 	prefillBound = 12000
--- a/relay/final.go
+++ b/relay/final.go
@@ -79,7 +79,7 @@
 func (t *task) done(x *exchange, first time.Duration) {
 	took := t.front.Clock.Now().Sub(t.began)
 	t.front.Log.Event("answered", "id", t.call.ID, "route", t.routeName(), "status", x.resp.StatusCode,
-		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean,
+		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean, "part", t.part(), "source", t.source,
 		"sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "took", took)
 	t.front.Metrics.answered(t.routeName(), "answered", took)
 	t.front.Metrics.placed(t.routeName(), t.choice.Reason)
@@ -100,3 +100,12 @@
 }
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// part names the longest shared part of the prompt, as the log shows it.
+func (t *task) part() string {
+	if len(t.call.Prompt) == 0 {
+		return ""
+	}
+	shared := t.sharedParts()
+	return strconv.FormatUint(shared[len(shared)-1].ID, 16)
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -82,6 +82,7 @@
 		conns.closeIdle(ctx, f.idleTimeout)
 		return nil
 	})
+	group.Go(func() error { return f.reachLost(ctx) })
 	group.Go(func() error {
 		<-ctx.Done()
 		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -15,9 +15,10 @@
 	// freshFor is how long an idle connection is trusted with a request that
 	// may not be repeated: the replica may close it at any moment.
 	freshFor = 600 * time.Millisecond
-	// dialTimeout bounds the set-up of a connection; a lost opening packet is
-	// sent again after a second, so that another replica is tried before.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout bounds the set-up of a connection, some round trips between
+	// zones; a lost opening packet is sent again after a second only, so that
+	// another replica is tried before.
+	dialTimeout = 150 * time.Millisecond
 )
 
 // Pool keeps idle connections to replicas. It is safe for concurrent use.
@@ -77,6 +78,16 @@
 	p.idle[r.ID()] = append(p.idle[r.ID()], c)
 }
 
+// drop closes the idle connections to a replica.
+func (p *Pool) drop(r *replicas.Replica) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[r.ID()] {
+		_ = c.Close() // nothing to lose
+	}
+	delete(p.idle, r.ID())
+}
+
 // Prune closes connections that have been idle too long to be used.
 func (p *Pool) Prune() {
 	p.mu.Lock()
--- a/relay/task.go
+++ b/relay/task.go
@@ -153,19 +153,19 @@
 func (t *task) sendFailed(ctx context.Context, r *replicas.Replica, failure *peridotusher.Failure) {
 	f := t.front
 	t.failure = failure
-	outcome := replicas.Failed
 	if failure.Verdict() == peridotusher.NotRun {
 		t.unsent++
-		outcome = replicas.Unreachable
 	} else {
 		t.arrived()
 		t.mayHaveRun = true
 	}
 	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "error", failure)
-	clientLeft := t.r.Context().Err() != nil
-	unsentAtDeadline := ctx.Err() != nil && failure.Verdict() == peridotusher.NotRun
-	if !clientLeft && !unsentAtDeadline {
-		r.Record(f.Clock.Now(), outcome)
+	switch {
+	case t.r.Context().Err() != nil: // the client left
+	case failure.Verdict() != peridotusher.NotRun:
+		r.Record(f.Clock.Now(), replicas.Failed)
+	case ctx.Err() == nil:
+		f.lose(r)
 	}
 }
 
--- a/replicas/judge.go
+++ b/replicas/judge.go
@@ -15,13 +15,13 @@
 )
 
 // Sound returns the replicas that may be chosen: it leaves out those that are
-// avoided at the moment, and begins to avoid those that fail far more often
-// than the others. It returns all of them if none would be left.
+// lost or avoided at the moment, and begins to avoid those that fail far more
+// often than the others. It returns all of them if none would be left.
 func Sound(now time.Time, all []*Replica) []*Replica {
 	judge(now, all)
 	sound := make([]*Replica, 0, len(all))
 	for _, r := range all {
-		if !r.Avoided(now) {
+		if !r.Avoided(now) && !r.Lost() {
 			sound = append(sound, r)
 		}
 	}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -16,6 +16,7 @@
 
 	mu       sync.Mutex
 	standing standing
+	reach    reach
 	prefill  meter
 	good     uint32
 	bad      uint32
@@ -61,6 +62,7 @@
 	defer r.mu.Unlock()
 	if o == Good {
 		r.good++
+		r.reach.answered = now
 	} else {
 		r.bad++
 	}
--- a/replicas/standing.go
+++ b/replicas/standing.go
@@ -14,8 +14,8 @@
 	Good Outcome = iota
 	// Failed requests got an error, a broken or a wrong answer, or none in time.
 	Failed
-	// Unreachable replicas could not be connected to.
-	Unreachable
+	// Misplaced replicas are not at the address where they are looked for.
+	Misplaced
 )
 
 const (
@@ -58,7 +58,7 @@
 		s.add(now, 1, 0)
 	case Failed:
 		s.add(now, 0, 1)
-	case Unreachable:
+	case Misplaced:
 		s.add(now, 0, 1)
 		s.avoid(now)
 	}
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -92,7 +92,7 @@
 	b := newBed()
 	b.Offer([]Entry{entry("a", 3)})
 	old := b.Ready("s")[0]
-	old.Record(b.now, Unreachable)
+	old.Record(b.now, Misplaced)
 	e := entry("a", 5)
 	e.Born = 2
 	b.Offer([]Entry{e})
@@ -187,13 +187,13 @@
 	return out
 }
 
-func TestUnreachableIsAvoidedLonger(t *testing.T) {
+func TestMisplacedIsAvoidedLonger(t *testing.T) {
 	b := newBed()
 	b.Offer([]Entry{entry("a", 1), entry("b", 1)})
 	a := b.Ready("s")[0]
 	var lengths []time.Duration
 	for range 3 {
-		a.Record(b.now, Unreachable)
+		a.Record(b.now, Misplaced)
 		began := b.now
 		for a.Avoided(b.now) {
 			b.now = b.now.Add(10 * time.Millisecond)
@@ -205,3 +205,42 @@
 		t.Errorf("times avoided (-want +got):\n%s", diff)
 	}
 }
+
+// TestCutZone has a zone whose replicas cannot be reached any more: after two of
+// them the others get no requests either, until connections succeed again.
+func TestCutZone(t *testing.T) {
+	b := newBed()
+	var entries []Entry
+	for i := range 9 {
+		e := entry(fmt.Sprint(i), 1)
+		e.Zone = []string{"a", "b", "c"}[i%3]
+		entries = append(entries, e)
+	}
+	b.Offer(entries)
+	all := b.Ready("s")
+	if lost := b.Lose(all[0]); len(lost) != 1 {
+		t.Fatalf("%d replicas are lost after one failed connection, want 1", len(lost))
+	}
+	all[6].Record(b.now, Good)
+	b.Lose(all[3])
+	if diff := cmp.Diff([]string{"1", "2", "4", "5", "6", "7", "8"}, ids(Sound(b.now, all))); diff != "" {
+		t.Errorf("chosen from with an answer of 6 (-want +got):\n%s", diff)
+	}
+	b.now = b.now.Add(2 * answeredLately)
+	all[0].Reached(b.now)
+	if lost := b.Lose(all[0]); len(lost) != 2 {
+		t.Errorf("%d replicas are lost after the zone fell silent, want 2", len(lost))
+	}
+	if got := len(b.Due()); got != 3 {
+		t.Errorf("connections are tried to %d replicas, want 3", got)
+	}
+	if got := len(b.Due()); got != 0 {
+		t.Errorf("connections are tried again at once to %d replicas", got)
+	}
+	for _, r := range all {
+		r.Reached(b.now)
+	}
+	if got := len(Sound(b.now, all)); got != len(all) {
+		t.Errorf("%d of %d replicas are chosen from after the cut", got, len(all))
+	}
+}
