Few readers of the store, short beats and new placements for all in a large fleet

Beats named all replicas (58 KB/s a router). Now the time of a round scales with the fleet, six routers watch, beats name only replicas in use, and only new placements are told.

--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -10,6 +10,17 @@
 	watchFor = 28 * time.Second
 	// watchPace is the shortest time between two watches, for storms of changes.
 	watchPace = 250 * time.Millisecond
+	// watchers is the number of routers that watch the configuration in a fleet
+	// larger than that; the others hear of changes from them.
+	watchers = 6
+	// watcherLook is the time between two looks of another router whether it
+	// became a watcher.
+	watcherLook = 300 * time.Millisecond
+	// watchTopic orders the routers that watch.
+	watchTopic = "configuration"
+	// settleFor is the time after a start in which the other routers become
+	// known.
+	settleFor = time.Second
 	// retryFirst and retryLast bound the pause after a failed call of the store.
 	retryFirst = 150 * time.Millisecond
 	retryLast  = 900 * time.Millisecond
@@ -19,8 +30,14 @@
 func (r *Router) followConfiguration(ctx context.Context) error {
 	pause := backoff{first: retryFirst, last: retryLast}
 	after := int64(0)
+	settled := false
 	for ctx.Err() == nil {
 		began := r.clock.Now()
+		if r.current.Load() != nil && r.node.Rank(watchTopic) >= watchers {
+			after = 0 // read whole when it is this router's turn
+			sleep(ctx, watcherLook)
+			continue
+		}
 		next, err := r.nextConfiguration(ctx, after)
 		if ctx.Err() != nil {
 			return nil
@@ -34,6 +51,10 @@
 		r.storeAnswered("configuration", nil)
 		pause.reset()
 		after = next
+		if !settled && after != 0 {
+			settled = true
+			sleep(ctx, settleFor)
+		}
 		sleep(ctx, watchPace-r.clock.Now().Sub(began))
 	}
 	return nil
--- a/edge/list.go
+++ b/edge/list.go
@@ -58,7 +58,10 @@
 	for ctx.Err() == nil {
 		pace := time.Duration(listPace * float64(r.bounds.Load().drain))
 		at, _ := r.reading.last()
-		wait := pace + time.Duration(r.node.Rank(listTopic))*listStep
+		wait := pace
+		if rank := r.node.Rank(listTopic); rank > 0 {
+			wait += r.node.SpreadTime() + time.Duration(rank)*listStep
+		}
 		if !at.IsZero() && r.clock.Now().Sub(at) < wait {
 			sleep(ctx, listLook)
 			continue
--- a/edge/router.go
+++ b/edge/router.go
@@ -30,6 +30,10 @@
 	stopMargin = 400 * time.Millisecond
 	// houseEvery is the time between two rounds of housekeeping.
 	houseEvery = 250 * time.Millisecond
+	// countsLeast is how long the counts of a silent router are believed in a
+	// small fleet, countsRounds in how many rounds of beats it may be missed.
+	countsLeast  = 1500 * time.Millisecond
+	countsRounds = 3
 	// readyTime bounds a readiness question.
 	readyTime = 2 * time.Second
 )
@@ -222,7 +226,7 @@
 		if gap := r.clock.Adjust(); gap > 0 {
 			r.Log.Event("standstill", "length", gap)
 		}
-		r.table.Expire()
+		r.table.Expire(max(countsLeast, countsRounds*r.node.CoverTime()))
 		r.pool.Prune()
 	}
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -11,6 +11,10 @@
 // changesMost is the number of changes of replicas in a beat.
 const changesMost = 12
 
+// placementsLeast is how long a new placement is told: several beats, since one
+// may be lost.
+const placementsLeast = 700 * time.Millisecond
+
 // unknownAge stands in a beat for a list that was never read.
 const unknownAge = time.Hour
 
@@ -29,7 +33,7 @@
 	b.Stopping = r.stopping.Load()
 	b.Counts = r.table.Counts()
 	b.Changes = r.table.Recent(changesMost)
-	b.Placements = r.directory.Recent()
+	b.Placements = r.directory.Recent(max(placementsLeast, r.node.CoverTime()+r.node.SpreadTime()))
 }
 
 // Hear implements mesh.State.
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// aliveFor is how long a router counts as alive after its last beat.
-	aliveFor = 1200 * time.Millisecond
+	// aliveLeast is how long a router counts as alive after its last beat in a
+	// small fleet, aliveRounds the number of times that all routers got a beat in
+	// which it may be missed in a large one.
+	aliveLeast  = 1200 * time.Millisecond
+	aliveRounds = 3
 	// rememberFor is how long beats are sent to a silent router, and how long it
 	// shares in the retry budget.
 	rememberFor = 30 * time.Second
@@ -53,7 +56,7 @@
 		s = &seen{added: now}
 		m.known[b.Name] = s
 	}
-	if b.Incarnation < s.Incarnation && now.Sub(s.heard) < aliveFor {
+	if b.Incarnation < s.Incarnation && now.Sub(s.heard) < m.aliveFor() {
 		return false
 	}
 	s.Member, s.heard, s.configuration, s.digest, s.stopping = b.Member, now, b.Configuration, b.Digest, b.Stopping
@@ -85,6 +88,11 @@
 	m.introduce(m.clock.Now(), k)
 }
 
+// aliveFor is how long a router counts as alive after its last beat.
+func (m *members) aliveFor() time.Duration {
+	return max(aliveLeast, aliveRounds*coverTime(len(m.known)))
+}
+
 // alive returns the routers that were heard a short time ago, by name.
 func (m *members) alive() []*seen {
 	m.mu.Lock()
@@ -92,7 +100,7 @@
 	now := m.clock.Now()
 	var out []*seen
 	for _, s := range m.known {
-		if !s.heard.IsZero() && now.Sub(s.heard) < aliveFor {
+		if !s.heard.IsZero() && now.Sub(s.heard) < m.aliveFor() {
 			c := *s
 			out = append(out, &c)
 		}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -15,11 +15,16 @@
 )
 
 const (
-	// BeatEvery is the time between two rounds of beats.
-	BeatEvery = 150 * time.Millisecond
+	// beatEvery is the time between two rounds of beats, beatSlow that in a
+	// fleet of which a round covers only a part.
+	beatEvery = 150 * time.Millisecond
+	beatSlow  = 250 * time.Millisecond
 	// beatFan is the number of routers that get a beat in a round; a larger
 	// fleet is covered in several rounds.
 	beatFan = 8
+	// spreadRounds is the number of rounds in which news reaches nearly all
+	// routers of a large fleet.
+	spreadRounds = 3
 	// knownEvery is the number of rounds between two beats that name other
 	// routers, knownMost how many they name.
 	knownEvery = 7
@@ -115,17 +120,40 @@
 	return group.Wait()
 }
 
+// roundTime is the time between two rounds in a fleet of some other routers.
+func roundTime(others int) time.Duration {
+	if others > 2*beatFan {
+		return beatSlow
+	}
+	return beatEvery
+}
+
+// coverTime is the time in which every other router gets a beat.
+func coverTime(others int) time.Duration {
+	rounds := (others + beatFan - 1) / beatFan
+	return time.Duration(max(rounds, 1)) * roundTime(others)
+}
+
+// CoverTime is the time in which every other router gets a beat.
+func (n *Node) CoverTime() time.Duration { return coverTime(n.members.count() - 1) }
+
+// SpreadTime is the time in which news reaches nearly all routers.
+func (n *Node) SpreadTime() time.Duration {
+	return spreadRounds * roundTime(n.members.count()-1)
+}
+
 // beat sends a round of beats at regular times.
 func (n *Node) beat(ctx context.Context, datagrams net.PacketConn) error {
-	tick := time.NewTicker(BeatEvery)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		n.sendRound(datagrams)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case <-timer.C:
 		}
+		n.sendRound(datagrams)
+		timer.Reset(roundTime(n.members.count() - 1))
 	}
 }
 
--- a/placing/directory.go
+++ b/placing/directory.go
@@ -14,9 +14,8 @@
 	keysMost = 20000
 	// holdFor is how long a part is taken to be cached after its last use.
 	holdFor = 90 * time.Second
-	// tellFor is how long a new placement is told to other routers: several
-	// beats, since one may be lost.
-	tellFor = 700 * time.Millisecond
+	// tellLongest is how long new placements are kept to be told.
+	tellLongest = 10 * time.Second
 	// recentMost bounds the placements that wait to be told.
 	recentMost = 256
 )
@@ -55,12 +54,15 @@
 	return &Directory{clock: clock, keys: make(map[uint64][]holder)}
 }
 
-// Place notes that the router sends a prompt with the part to the replica.
+// Place notes that the router sends a prompt with the part to the replica. Other
+// routers are told if the replica did not hold the part before.
 func (d *Directory) Place(p Placement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	d.note(p, now)
+	if !d.note(p, now) {
+		return
+	}
 	if len(d.recent) >= recentMost {
 		d.recent = d.recent[1:]
 	}
@@ -77,17 +79,19 @@
 	}
 }
 
-// Recent returns the placements of the last moments.
-func (d *Directory) Recent() []Placement {
+// Recent returns the new placements of the last moments.
+func (d *Directory) Recent(last time.Duration) []Placement {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	since := d.clock.Now().Add(-tellFor)
-	for len(d.recent) > 0 && d.recent[0].at.Before(since) {
+	now := d.clock.Now()
+	for len(d.recent) > 0 && now.Sub(d.recent[0].at) > tellLongest {
 		d.recent = d.recent[1:]
 	}
-	out := make([]Placement, len(d.recent))
-	for i, t := range d.recent {
-		out[i] = t.Placement
+	out := make([]Placement, 0, len(d.recent))
+	for _, t := range d.recent {
+		if now.Sub(t.at) <= last {
+			out = append(out, t.Placement)
+		}
 	}
 	return out
 }
@@ -106,8 +110,9 @@
 	return out
 }
 
-// note puts the replica first among the holders of the part.
-func (d *Directory) note(p Placement, now time.Time) {
+// note adds the replica to the holders of the part and reports whether it was
+// none before.
+func (d *Directory) note(p Placement, now time.Time) bool {
 	list, known := d.keys[p.Key]
 	if !known && len(d.keys) >= keysMost {
 		d.drop(now)
@@ -115,7 +120,7 @@
 	for i, h := range list {
 		if h.replica == p.Replica {
 			list[i].used = now
-			return
+			return false
 		}
 	}
 	if len(list) >= holdersMost {
@@ -126,9 +131,10 @@
 			}
 		}
 		list[oldest] = holder{p.Replica, now}
-		return
+		return true
 	}
 	d.keys[p.Key] = append(list, holder{p.Replica, now})
+	return true
 }
 
 // drop forgets parts that were not used for long, or any if there are none.
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -123,11 +123,12 @@
 	if diff := cmp.Diff([]uint32{10, 11}, d.Holders(1)); diff != "" {
 		t.Errorf("holders (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff([]Placement{{Key: 1, Replica: 10}}, d.Recent()); diff != "" {
+	d.Place(Placement{Key: 1, Replica: 11}) // known already
+	if diff := cmp.Diff([]Placement{{Key: 1, Replica: 10}}, d.Recent(time.Second)); diff != "" {
 		t.Errorf("recent placements (-want +got):\n%s", diff)
 	}
-	now = now.Add(2 * tellFor)
-	if got := d.Recent(); len(got) != 0 {
+	now = now.Add(2 * time.Second)
+	if got := d.Recent(time.Second); len(got) != 0 {
 		t.Errorf("old placements are told: %v", got)
 	}
 	now = now.Add(2 * holdFor)
--- a/replicas/load.go
+++ b/replicas/load.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// peerLoadTTL is how long another router's counts are believed.
-const peerLoadTTL = 1500 * time.Millisecond
+// countsTold is how long changed outcomes are told: longer than every other
+// router takes to get a beat of a fleet of a hundred.
+const countsTold = 4 * time.Second
 
 // Count is what one router knows first hand of a replica.
 type Count struct {
@@ -28,13 +29,16 @@
 	replica *Replica
 }
 
-// Counts returns the router's own counts of all replicas that have any.
+// Counts returns the router's own counts of the replicas at which it has
+// requests or had some a short time ago. Of the others it has none, and their
+// outcomes are as told before.
 func (t *Table) Counts() []Count {
+	now := t.clock.Now()
 	var counts []Count
 	t.Replicas(func(r *Replica) {
-		good, bad := r.counts()
+		good, bad, last := r.counts()
 		held := r.own.Load()
-		if held != 0 || good != 0 || bad != 0 {
+		if held != 0 || now.Sub(last) < countsTold {
 			counts = append(counts, Count{Replica: r.hash, Held: held, Good: good, Bad: bad})
 		}
 	})
@@ -65,10 +69,23 @@
 	}
 	if old != nil {
 		old.forget()
+		if old.incarnation == incarnation {
+			fresh.inherit(old)
+		}
 	}
 	t.loads[router] = fresh
 }
 
+// inherit keeps the outcomes of replicas that the fresh counts do not name.
+func (l *peerLoad) inherit(old *peerLoad) {
+	for hash, c := range old.counts {
+		if _, ok := l.counts[hash]; !ok {
+			c.Held = 0
+			l.counts[hash] = c
+		}
+	}
+}
+
 // forget takes the held requests off the replicas again.
 func (l *peerLoad) forget() {
 	for _, c := range l.counts {
@@ -76,13 +93,13 @@
 	}
 }
 
-// Expire forgets the counts of routers that fell silent.
-func (t *Table) Expire() {
+// Expire forgets the counts of routers that were silent for longer than ttl.
+func (t *Table) Expire(ttl time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	for router, load := range t.loads {
-		if now.Sub(load.at) > peerLoadTTL {
+		if now.Sub(load.at) > ttl {
 			load.forget()
 			delete(t.loads, router)
 		}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -20,6 +20,7 @@
 	prefill  meter
 	good     uint32
 	bad      uint32
+	recorded time.Time // when good or bad changed last
 }
 
 func newReplica(e Entry) *Replica { return &Replica{entry: e, hash: HashOf(e.ID)} }
@@ -60,6 +61,7 @@
 func (r *Replica) Record(now time.Time, o Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.recorded = now
 	if o == Good {
 		r.good++
 		r.reach.answered = now
@@ -69,11 +71,12 @@
 	r.standing.record(now, o)
 }
 
-// counts returns the outcomes of the own requests since the start.
-func (r *Replica) counts() (good, bad uint32) {
+// counts returns the outcomes of the own requests since the start, and the time
+// of the last one.
+func (r *Replica) counts() (good, bad uint32, last time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.good, r.bad
+	return r.good, r.bad, r.recorded
 }
 
 // learn takes outcomes that another router saw into the standing.
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -115,8 +115,13 @@
 	if a.Held() != 4 {
 		t.Errorf("held = %d, want 4", a.Held())
 	}
-	b.now = b.now.Add(2 * peerLoadTTL)
-	b.Expire()
+	b.Learn("r1", 1, nil)
+	if a.Held() != 3 {
+		t.Errorf("held = %d after a beat without the replica, want 3", a.Held())
+	}
+	const ttl = time.Second
+	b.now = b.now.Add(2 * ttl)
+	b.Expire(ttl)
 	if a.Held() != 1 {
 		t.Errorf("held = %d after the others fell silent, want 1", a.Held())
 	}
