--- /dev/null
+++ b/edge/reading_test.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"testing"
+	"time"
+)
+
+// TestReading has routers that read lists, hear of them or are cut off, and
+// checks how old they take the last outage for.
+func TestReading(t *testing.T) {
+	const gap = 2 * time.Second
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	tests := []struct {
+		name string
+		play func(l *reading)
+		want float64 // second at which the last outage ended
+	}{
+		{"steady reads", func(l *reading) {
+			for s := 0.5; s < 20; s += 0.7 {
+				l.read(at(s), at(s), gap)
+			}
+		}, 0.5},
+		{"store away", func(l *reading) {
+			l.read(at(1), at(1), gap)
+			l.read(at(9), at(9), gap)
+		}, 9},
+		{"cut off while others read", func(l *reading) {
+			l.read(at(1), at(1), gap)
+			l.heard(at(9), at(8.8), at(1), gap)
+			l.read(at(9.5), at(9.5), gap)
+		}, 1},
+		{"all saw the store away", func(l *reading) {
+			l.read(at(1), at(1), gap)
+			l.heard(at(9), at(8.8), at(8.8), gap)
+			l.read(at(9.5), at(9.5), gap)
+		}, 8.8},
+		{"told by a router whose list is old", func(l *reading) {
+			l.read(at(1), at(1), gap)
+			l.read(at(9), at(9), gap)
+			l.heard(at(9.1), at(2), at(0.2), gap)
+		}, 9},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l reading
+			l.start(start)
+			tt.play(&l)
+			if _, outage := l.last(); !outage.Equal(at(tt.want)) {
+				t.Errorf("outage ended at %v, want %v s", outage.Sub(start), tt.want)
+			}
+		})
+	}
+}
--- a/edge/router.go
+++ b/edge/router.go
@@ -99,6 +99,7 @@
 func (r *Router) init() {
 	s := r.Settings
 	r.clock = NewClock()
+	r.reading.start(r.clock.Now())
 	r.current = routing.NewCurrent()
 	r.table = replicas.NewTable(r.clock)
 	r.pool = relay.NewPool(r.clock)
--- a/edge/state.go
+++ b/edge/state.go
@@ -27,8 +27,9 @@
 	b.Configuration = r.current.Revision()
 	b.Digest = r.table.Digest()
 	b.ReadAge = unknownAge
-	if at, _ := r.reading.last(); !at.IsZero() {
+	if at, outage := r.reading.last(); !at.IsZero() {
 		b.ReadAge = r.clock.Now().Sub(at)
+		b.OutageAge = r.clock.Now().Sub(outage)
 	}
 	b.Stopping = r.stopping.Load()
 	b.Counts = r.table.Counts()
@@ -43,7 +44,8 @@
 		r.logChanges(b.Name, r.table.Offer(b.Changes))
 	}
 	if b.ReadAge < unknownAge {
-		r.reading.heard(r.clock.Now().Add(-b.ReadAge))
+		now := r.clock.Now()
+		r.reading.heard(now, now.Add(-b.ReadAge), now.Add(-b.OutageAge), r.outageGap())
 	}
 	r.table.Learn(b.Name, b.Incarnation, b.Counts)
 	r.directory.Hear(b.Placements)
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -30,6 +30,8 @@
 	Digest uint64
 	// ReadAge is the age of the newest list of replicas from the store.
 	ReadAge time.Duration
+	// OutageAge is the time since the last outage of the store ended.
+	OutageAge time.Duration
 	// Stopping routers take no new connections soon.
 	Stopping bool
 	// Counts are the router's own counts at replicas.
@@ -53,6 +55,7 @@
 	beatChange
 	beatKnown
 	beatPlacements
+	beatOutageAge
 )
 
 // The field numbers of a member.
@@ -88,6 +91,7 @@
 	out = appendNumber(out, beatConfiguration, uint64(b.Configuration))
 	out = appendNumber(out, beatDigest, b.Digest)
 	out = appendNumber(out, beatReadAge, uint64(b.ReadAge.Milliseconds()))
+	out = appendNumber(out, beatOutageAge, uint64(b.OutageAge.Milliseconds()))
 	out = appendFlag(out, beatStopping, b.Stopping)
 	var packed []byte
 	for _, c := range b.Counts {
@@ -122,6 +126,8 @@
 			b.Digest = v
 		case beatReadAge:
 			b.ReadAge = time.Duration(v) * time.Millisecond
+		case beatOutageAge:
+			b.OutageAge = time.Duration(v) * time.Millisecond
 		case beatStopping:
 			b.Stopping = v != 0
 		case beatCounts:
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// lapseHold is how long an entry that went missing around an outage of the
-	// store stays in use: its replica may be alive and write it again.
-	lapseHold = 2 * time.Second
 	// changeTTL is how long a change is told to other routers.
 	changeTTL = 2 * time.Second
 )
@@ -22,7 +19,6 @@
 	entry   Entry
 	replica *Replica
 	changed time.Time
-	missing time.Time // when the entry was first missed in a snapshot
 }
 
 // view is the immutable result that requests read.
@@ -88,8 +84,9 @@
 }
 
 // Snapshot takes the store's whole list at a revision. Entries that it lacks are
-// gone; if the store was away shortly before, only after they stayed away for a
-// while. It returns the entries that changed what may be chosen.
+// gone, unless they may have lapsed in an outage of the store, so that living
+// replicas will write them again. It returns the entries that changed what may be
+// chosen.
 func (t *Table) Snapshot(revision int64, entries []Entry, lapsed bool) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -103,14 +100,10 @@
 		}
 	}
 	for id, rec := range t.records {
-		if listed[id] || rec.entry.Gone || rec.entry.Revision > revision {
-			rec.missing = time.Time{}
-			continue
+		if lapsed {
+			break
 		}
-		if rec.missing.IsZero() {
-			rec.missing = now
-		}
-		if lapsed && now.Sub(rec.missing) < lapseHold {
+		if listed[id] || rec.entry.Gone || rec.entry.Revision > revision {
 			continue
 		}
 		gone := rec.entry
@@ -139,7 +132,6 @@
 	if e.Revision <= rec.entry.Revision {
 		return false
 	}
-	rec.missing = time.Time{}
 	same := rec.entry.sameUse(&e)
 	reborn := rec.entry.Gone && !e.Gone || rec.entry.Address != e.Address || rec.entry.Born != e.Born || rec.entry.Service != e.Service
 	rec.entry = e
