Parts are fetched from replicas that live and are near; two starts of a replica are told apart

A source now has to have answered some router within 2.5 s and not to be lost; one in the chosen replica's zone is preferred. A replica that starts again under its id is another holder. Ruled out: lost cache by concurrent first reads (15 of 118 slow starts).

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -19,7 +19,7 @@
 	var choice placing.Choice
 	var ok bool
 	if t.route.Cached && len(t.call.Prompt) > 0 {
-		choice, ok = t.choosePrompt(candidates)
+		choice, ok = t.choosePrompt(sound, candidates)
 	} else {
 		choice, ok = placing.Call{Zone: f.Zone, Spread: xxhash.Sum64String(t.call.ID)}.Choose(candidates)
 	}
@@ -37,7 +37,7 @@
 
 // choosePrompt picks a replica by the shared parts of the prompt and tells the
 // directory. A replica that lacks the longest part is given one to fetch from.
-func (t *task) choosePrompt(candidates []placing.Candidate) (placing.Choice, bool) {
+func (t *task) choosePrompt(sound []*replicas.Replica, candidates []placing.Candidate) (placing.Choice, bool) {
 	d := t.front.Directory
 	shared := t.sharedParts()
 	longest := shared[len(shared)-1].ID
@@ -46,29 +46,28 @@
 	if !ok {
 		return choice, false
 	}
-	chosen := candidates[choice.Index].Hash
+	chosen := sound[choice.Index]
 	t.source = ""
 	if choice.Reason != placing.Holder {
 		t.source = t.sourceOf(shared, chosen)
 	}
 	for _, p := range shared {
-		d.Place(placing.Placement{Key: p.ID, Replica: chosen})
+		d.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()})
 	}
 	return choice, true
 }
 
-// sourceOf returns the address of the least loaded replica that holds the longest
-// shared part that any other replica than the chosen one holds; "" if none does.
-func (t *task) sourceOf(shared []Part, chosen uint32) string {
-	now := t.front.Clock.Now()
+// sourceOf returns the address of a replica that holds the longest shared part
+// that any other replica than the chosen one holds; "" if none does.
+func (t *task) sourceOf(shared []Part, chosen *replicas.Replica) string {
 	for i := len(shared) - 1; i >= 0; i-- {
 		var best *replicas.Replica
 		for _, hash := range t.front.Directory.Holders(shared[i].ID) {
-			if hash == chosen && i < len(shared)-1 {
+			if hash == chosen.Hash() && i < len(shared)-1 {
 				return "" // it holds as much as any other
 			}
 			r, ok := t.front.Table.Find(hash)
-			if ok && r.Service() == t.serviceName && !r.Avoided(now) && (best == nil || r.Held() < best.Held()) {
+			if ok && r != chosen && t.maySend(r) && (best == nil || nearer(r, best, chosen.Zone())) {
 				best = r
 			}
 		}
@@ -79,6 +78,21 @@
 	return ""
 }
 
+// maySend reports whether a replica can be expected to hand parts on. One that is
+// lost or has answered nobody lately would only delay the request.
+func (t *task) maySend(r *replicas.Replica) bool {
+	now := t.front.Clock.Now()
+	return r.Service() == t.serviceName && !r.Lost() && !r.Avoided(now) && r.Alive(now)
+}
+
+// nearer orders sources by zone, then by load.
+func nearer(a, b *replicas.Replica, zone string) bool {
+	if near := a.Zone() == zone; near != (b.Zone() == zone) {
+		return near
+	}
+	return a.Held() < b.Held()
+}
+
 // sharedParts returns the parts of the prompt that other requests share: all but
 // the last one, which is the request's own.
 func (t *task) sharedParts() []Part {
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -65,7 +65,7 @@
 			b := newBed(t, tt.route, tt.scripts...)
 			// The first replica has the least to do: the others hold requests.
 			for i, id := range []string{"b", "c"} {
-				if r, ok := b.front.Table.Find(replicas.HashOf(id)); ok {
+				if r, ok := b.front.Table.Find(replicas.HashOf(id, 0)); ok {
 					for range i + 1 {
 						defer r.Hold()()
 					}
--- a/replicas/entry.go
+++ b/replicas/entry.go
@@ -1,6 +1,10 @@
 package replicas
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Entry is what the platform says of one replica at a revision of its store.
 type Entry struct {
@@ -40,5 +44,13 @@
 	return d.Sum64()
 }
 
-// HashOf returns the short form of a replica's id in messages between routers.
-func HashOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// HashOf returns the short form of one start of a replica in messages between
+// routers. A replica that starts again under its id holds nothing of before.
+func HashOf(id string, born int64) uint32 {
+	d := xxhash.New()
+	d.WriteString(id)
+	if born != 0 {
+		d.Write(binary.BigEndian.AppendUint64(nil, uint64(born)))
+	}
+	return uint32(d.Sum64())
+}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// aliveFor is how long an answer shows that a replica lives.
+const aliveFor = 2500 * time.Millisecond
+
 // Replica is one start of a replica with its load and its standing.
 type Replica struct {
 	entry Entry
@@ -21,9 +24,19 @@
 	good     uint32
 	bad      uint32
 	recorded time.Time // when good or bad changed last
+	alive    time.Time // when a request of any router ended well last
 }
 
-func newReplica(e Entry) *Replica { return &Replica{entry: e, hash: HashOf(e.ID)} }
+func newReplica(e Entry) *Replica { return &Replica{entry: e, hash: HashOf(e.ID, e.Born)} }
+
+// next returns the replica for a changed entry: a new one if the replica started
+// again or if fields changed that others read without a lock.
+func (r *Replica) next(e Entry, reborn bool) *Replica {
+	if reborn || r.entry.Slots != e.Slots || r.entry.Zone != e.Zone {
+		return newReplica(e)
+	}
+	return r
+}
 
 // ID returns the id under which the replica registered.
 func (r *Replica) ID() string { return r.entry.ID }
@@ -65,6 +78,7 @@
 	if o == Good {
 		r.good++
 		r.reach.answered = now
+		r.alive = now
 	} else {
 		r.bad++
 	}
@@ -84,6 +98,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.standing.add(now, float64(good), float64(bad))
+	if good > 0 {
+		r.alive = now
+	}
+}
+
+// Alive reports whether a request of any router ended well a short time ago.
+func (r *Replica) Alive(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.alive.IsZero() && now.Sub(r.alive) < aliveFor
 }
 
 // Ratio returns the recent outcomes, decayed, and the part of them that failed.
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -133,14 +133,17 @@
 		return false
 	}
 	same := rec.entry.sameUse(&e)
-	reborn := rec.entry.Gone && !e.Gone || rec.entry.Address != e.Address || rec.entry.Born != e.Born || rec.entry.Service != e.Service
+	reborn := rec.entry.Address != e.Address || rec.entry.Born != e.Born || rec.entry.Service != e.Service
+	if e.Born == 0 && rec.entry.Gone {
+		reborn = true // it does not say when it started
+	}
 	rec.entry = e
 	if same {
 		return false
 	}
 	rec.changed = now
-	if reborn && !e.Gone {
-		rec.replica = newReplica(e)
+	if !e.Gone {
+		rec.replica = rec.replica.next(e, reborn)
 	}
 	return true
 }
