--- a/cmd/peridotusher/operate.go
+++ b/cmd/peridotusher/operate.go
@@ -82,16 +82,28 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "explain",
-		Usage: "show why a chat goes where it goes",
-		Description: "Shows version, rule and ranking of engines as one router sees them now.\n" +
-			"Example: peridotusher explain --org shop-athina --model stylist --chat chat-7" + exitCodes,
+		Usage: "show why a chat goes where it goes, or what happened to a request",
+		Description: "With --org, --model and --chat it shows version, rule and ranking of engines as one router sees them now.\n" +
+			"With --id it reads logs of routers, from FILES or standard input, and shows one request's story across them.\n" +
+			"Example: peridotusher explain --org shop-athina --model stylist --chat chat-7\n" +
+			"Example: peridotusher explain --id 5aed36012fbd6701 edge-1.log edge-2.log" + exitCodes,
+		ArgsUsage: "[FILES]",
 		Flags: routerFlags(
-			&cli.StringFlag{Name: "org", Usage: "`ORGANISATION` of the chat", Required: true},
-			&cli.StringFlag{Name: "model", Usage: "`MODEL` that is asked", Required: true},
-			&cli.StringFlag{Name: "chat", Usage: "the chat's prompt_cache_key or X-Chat-Id", Required: true},
+			&cli.StringFlag{Name: "id", Usage: "`ID` of a request in the logs"},
+			&cli.StringFlag{Name: "org", Usage: "`ORGANISATION` of the chat"},
+			&cli.StringFlag{Name: "model", Usage: "`MODEL` that is asked"},
+			&cli.StringFlag{Name: "chat", Usage: "the chat's prompt_cache_key or X-Chat-Id"},
 			&cli.StringFlag{Name: "class", Usage: "`CLASS` of the request, the organisation's default if empty"},
 		),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if cmd.IsSet("id") {
+				return explainRequest(cmd)
+			}
+			for _, name := range []string{"org", "model", "chat"} {
+				if !cmd.IsSet(name) {
+					return cli.Exit("explain takes --id, or --org, --model and --chat: --"+name+" is missing", exitInvalid)
+				}
+			}
 			explanation, err := clientOf(cmd).Explain(ctx, cmd.String("org"), cmd.String("model"), cmd.String("chat"), cmd.String("class"))
 			if err != nil {
 				return failed(err)
--- /dev/null
+++ b/edge/settings_test.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// rendered returns deploy/edge.ini as the platform fills it in.
+func rendered(t *testing.T, seeds bool) string {
+	t.Helper()
+	text, err := os.ReadFile("../deploy/edge.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]string{
+		"node": "edge-a-1", "zone": "a", "limits.memory-mb": "284", "listen.front": "10.1.0.40:8227", "listen.ready": "10.1.0.40:8220",
+		"ip": "10.1.0.40", "internal-port-range": "7340,7355", "seeds": "10.1.0.40:8229,10.2.0.29:8229", "platform.addr": "10.200.1.7:8223",
+		"bounds.drain-ms": "2000", "bounds.grace-s": "8", "bounds.config-ms": "2000", "bounds.retry-budget-ratio": "0.2",
+		"bounds.retry-budget-extra": "56", "bounds.budget-window-s": "10", "bounds.cap-multiplier": "2",
+	}
+	section := regexp.MustCompile(`(?s)\{\{#seeds\.0}}(.*?)\{\{/seeds\.0}}\n?`)
+	kept := ""
+	if seeds {
+		kept = "$1"
+	}
+	out := section.ReplaceAllString(string(text), kept)
+	return regexp.MustCompile(`\{\{([^}]*)}}`).ReplaceAllStringFunc(out, func(m string) string {
+		name := strings.Trim(m, "{}")
+		value, ok := values[name]
+		if !ok {
+			t.Errorf("the template names %s", name)
+		}
+		return value
+	})
+}
+
+func TestTemplate(t *testing.T) {
+	for _, seeds := range []bool{true, false} {
+		s, problems := Parse("edge.ini", []byte(rendered(t, seeds)))
+		if len(problems) > 0 {
+			t.Fatalf("problems: %v", problems)
+		}
+		want := boundSection{drain: 2 * time.Second, stop: 8 * time.Second, configuration: 2 * time.Second, ratio: 0.2, extra: 56, window: 10 * time.Second, multiple: 2}
+		if diff := cmp.Diff(want, s.bounds, cmp.AllowUnexported(boundSection{})); diff != "" {
+			t.Errorf("bounds (-want +got):\n%s", diff)
+		}
+		wantSeeds := []string{"10.1.0.40:8229", "10.2.0.29:8229"}
+		if !seeds {
+			wantSeeds = nil
+		}
+		if diff := cmp.Diff(wantSeeds, s.peers.seeds); diff != "" {
+			t.Errorf("seeds (-want +got):\n%s", diff)
+		}
+		if s.Name() != "edge-a-1" || s.Store() != "10.200.1.7:8223" || s.PeerAddress() != "10.1.0.40" {
+			t.Errorf("settings = %+v", s)
+		}
+	}
+}
+
+func TestProblems(t *testing.T) {
+	tests := []struct{ name, from, to string }{
+		{"missing name", "name = edge-a-1\n", ""},
+		{"no address", "clients = 10.1.0.40:8227", "clients = here"},
+		{"negative time", "drain = 2000ms", "drain = -1s"},
+		{"unknown key", "[store]", "[store]\ncolour = red"},
+		{"unknown section", "[store]", "[shop]\n[store]"},
+	}
+	for _, tt := range tests {
+		text := rendered(t, true)
+		if !strings.Contains(text, tt.from) {
+			t.Fatalf("%s: the template lacks %q", tt.name, tt.from)
+		}
+		if s, problems := Parse("edge.ini", []byte(strings.Replace(text, tt.from, tt.to, 1))); s != nil || len(problems) == 0 {
+			t.Errorf("%s: no problem is reported", tt.name)
+		}
+	}
+}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,199 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/replicas"
+)
+
+func sampleBeat() Beat {
+	return Beat{
+		Member:        Member{Name: "r1", Address: "10.0.0.1:7000", Zone: "a", Incarnation: 1764800000000},
+		Configuration: 12, Digest: 1 << 63, ReadAge: 450 * time.Millisecond, OutageAge: time.Hour, Stopping: true,
+		Counts:     []replicas.Count{{Replica: 1 << 31, Held: 3, Good: 1000, Bad: 2}, {Replica: 7}},
+		Changes:    []replicas.Entry{{ID: "i-1", Service: "s", Address: "10.0.0.9:80", Zone: "b", Slots: 64, Born: 5, Leaving: true, Gone: true, Revision: 99}},
+		Placements: []placing.Placement{{Key: 1 << 60, Replica: 5}},
+		Known:      []Member{{Name: "r2", Address: "10.0.0.2:7000", Zone: "b", Incarnation: 4}},
+	}
+}
+
+func TestBeatOnTheWire(t *testing.T) {
+	want := sampleBeat()
+	var got Beat
+	if err := got.unmarshal(want.marshal()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("beat (-want +got):\n%s", diff)
+	}
+}
+
+func TestCutBeats(t *testing.T) {
+	b := sampleBeat()
+	data := b.marshal()
+	for n := range data {
+		var got Beat
+		_ = got.unmarshal(data[:n]) // must not panic; some cuts are whole messages
+	}
+}
+
+func TestWholeOnTheWire(t *testing.T) {
+	want := Whole{Configuration: []byte("{}"), Revision: 4, Entries: sampleBeat().Changes}
+	var got Whole
+	if err := got.unmarshal(want.marshal()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+}
+
+func TestMembers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMembers(Member{Name: "r0"}, peridotusher.ClockFunc(func() time.Time { return now }))
+	names := func() []string {
+		out := []string{}
+		for _, s := range m.alive() {
+			out = append(out, s.Name)
+		}
+		return out
+	}
+	beat := func(name string, incarnation int64) bool {
+		return m.hear(&Beat{Member: Member{Name: name, Address: name + ":1", Incarnation: incarnation}, Known: []Member{{Name: "told", Address: "told:1"}}})
+	}
+	if beat("r0", 1) {
+		t.Error("the router heard itself")
+	}
+	beat("r1", 5)
+	beat("r2", 5)
+	if diff := cmp.Diff([]string{"r1", "r2"}, names()); diff != "" {
+		t.Errorf("alive (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"r1:1", "r2:1", "told:1"}, m.addresses()); diff != "" {
+		t.Errorf("addresses (-want +got):\n%s", diff)
+	}
+	if beat("r1", 4) {
+		t.Error("a late beat of an earlier start was taken")
+	}
+	now = now.Add(2 * aliveLeast)
+	if !beat("r1", 4) {
+		t.Error("a start after the clock was set back was not taken")
+	}
+	if diff := cmp.Diff([]string{"r1"}, names()); diff != "" {
+		t.Errorf("alive after a silence (-want +got):\n%s", diff)
+	}
+	now = now.Add(2 * rememberFor)
+	if got := m.addresses(); len(got) != 0 {
+		t.Errorf("addresses after a long silence: %v", got)
+	}
+}
+
+// testState is a router's state with one configuration number.
+type testState struct {
+	mu       sync.Mutex
+	revision int64
+	heard    int
+}
+
+func (s *testState) Fill(b *Beat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.Configuration = s.revision
+}
+
+func (s *testState) Hear(*Beat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard++
+}
+
+func (s *testState) Whole() *Whole {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Whole{Revision: s.revision, Configuration: make([]byte, 600<<10)}
+}
+
+func (s *testState) Take(w *Whole) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = max(s.revision, w.Revision)
+	return nil
+}
+
+func (s *testState) Differs(configuration int64, _ uint64) (newer, different bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return configuration > s.revision, false
+}
+
+func (s *testState) get() (revision int64, heard int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision, s.heard
+}
+
+type discard struct{}
+
+func (discard) Event(string, ...any) {}
+
+// TestNodesFindEachOther starts routers that know one seed only, and has a
+// configuration of half a megabyte travel from one to all.
+func TestNodesFindEachOther(t *testing.T) {
+	const routers = 4
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	states := make([]*testState, routers)
+	nodes := make([]*Node, routers)
+	var seed string
+	for i := range routers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		datagrams, err := net.ListenPacket("udp4", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		states[i] = &testState{}
+		nodes[i] = &Node{Self: Member{Name: string(rune('a' + i)), Address: l.Addr().String(), Incarnation: 1}, State: states[i],
+			Clock: peridotusher.ClockFunc(time.Now), Log: discard{}}
+		nodes[i].Init()
+		if i == 0 {
+			seed = l.Addr().String()
+		}
+		nodes[i].SetSeeds([]string{seed})
+		group.Go(func() error { return nodes[i].Run(ctx, datagrams, l) })
+	}
+	defer func() {
+		cancel()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	}()
+	states[2].mu.Lock()
+	states[2].revision = 7
+	states[2].mu.Unlock()
+	for range 400 {
+		done := true
+		ranks := map[int]bool{}
+		for i, s := range states {
+			revision, heard := s.get()
+			done = done && revision == 7 && heard > 0 && len(nodes[i].Alive()) == routers-1
+			ranks[nodes[i].Rank("topic")] = true
+		}
+		if done && len(ranks) == routers {
+			return
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	t.Fatal("the routers never knew each other and the configuration")
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -11,7 +11,11 @@
 func (t *task) choose() (*replicas.Replica, bool) {
 	f := t.front
 	now := f.Clock.Now()
-	sound := replicas.Sound(now, t.others())
+	others := t.others()
+	for _, j := range replicas.Judge(now, others) {
+		f.Log.Event("avoided", "replica", j.ID(), "service", j.Service(), "samples", j.Samples, "failed", j.Failed, "usual", j.Usual)
+	}
+	sound := replicas.Sound(now, others)
 	candidates := make([]placing.Candidate, len(sound))
 	for i, r := range sound {
 		candidates[i] = placing.Candidate{Hash: r.Hash(), Zone: r.Zone(), Held: r.Held(), Slots: r.Slots(), Prefill: r.Prefill(now)}
--- /dev/null
+++ b/relay/explain_test.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"peridotusher.example/peridotusher/eventlog"
+	"peridotusher.example/peridotusher/routing"
+)
+
+// TestCauseFromLogs brings failures about and finds their causes in the logs
+// alone.
+func TestCauseFromLogs(t *testing.T) {
+	broken := streamHead + chunk(event(1)) + chunk(event(2)+"id: 3\nda")
+	tests := []struct {
+		name    string
+		route   routing.Route
+		scripts []script
+		request string
+		story   []string // kind and the words that show the cause
+	}{
+		{
+			name: "refused though replicas look free", route: once, scripts: []script{nil}, request: get(""),
+			story: []string{"try verdict=not-run connection refused", "lost dependency=replica", "denied status=503 why=no_replica"},
+		},
+		{
+			name: "stream cut midway", route: stream, scripts: []script{reset(broken)}, request: post("Prompt: a bb\r\nContent-Length: 0\r\n", ""),
+			story: []string{`try error=the stream broke after event "2" verdict=may-have-run`, "cut at=failed"},
+		},
+		{
+			name: "call that may have run", route: once, scripts: []script{reset("")}, request: get(""),
+			story: []string{"try verdict=may-have-run connection reset", "denied status=502 sends=1"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var out bytes.Buffer
+			log := eventlog.New(&out)
+			b := newBed(t, tt.route, tt.scripts...)
+			b.front.Log = log
+			b.ask(tt.request)
+			for range 100 {
+				if b.front.Active() == 0 {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			if err := log.Run(ctx); err != nil {
+				t.Fatal(err)
+			}
+			lines, err := eventlog.Read(&out, "r")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got []string
+			for i, l := range eventlog.Story(lines, "1") {
+				got = append(got, l.Kind)
+				if i >= len(tt.story) {
+					continue
+				}
+				for _, word := range strings.Fields(tt.story[i])[1:] {
+					name, value, ok := strings.Cut(word, "=")
+					if ok && !strings.HasPrefix(l.Fields[name], value) || !ok && !strings.Contains(l.Fields["error"], word) {
+						t.Errorf("event %s %v lacks %s", l.Kind, l.Fields, word)
+					}
+				}
+			}
+			var want []string
+			for _, s := range tt.story {
+				kind, _, _ := strings.Cut(s, " ")
+				want = append(want, kind)
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("story (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/replicas/judge.go
+++ b/replicas/judge.go
@@ -15,10 +15,8 @@
 )
 
 // Sound returns the replicas that may be chosen: it leaves out those that are
-// lost or avoided at the moment, and begins to avoid those that fail far more
-// often than the others. It returns all of them if none would be left.
+// lost or avoided at the moment. It returns all of them if none would be left.
 func Sound(now time.Time, all []*Replica) []*Replica {
-	judge(now, all)
 	sound := make([]*Replica, 0, len(all))
 	for _, r := range all {
 		if !r.Avoided(now) && !r.Lost() {
@@ -38,7 +36,18 @@
 	return now.Before(r.standing.until)
 }
 
-func judge(now time.Time, all []*Replica) {
+// Judged is a replica that is avoided from now on.
+type Judged struct {
+	*Replica
+	// Samples is the number of recent outcomes, Failed the part of them that
+	// failed, Usual that at the other replicas.
+	Samples, Failed, Usual float64
+}
+
+// Judge begins to avoid replicas that fail far more often than the others of
+// their service, and returns them.
+func Judge(now time.Time, all []*Replica) []Judged {
+	var judged []Judged
 	var sumSamples, sumBad float64
 	avoided := 0
 	for _, r := range all {
@@ -63,6 +72,8 @@
 			r.standing.avoid(now)
 			r.mu.Unlock()
 			avoided++
+			judged = append(judged, Judged{Replica: r, Samples: samples, Failed: failed, Usual: usual})
 		}
 	}
+	return judged
 }
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -164,6 +164,9 @@
 					}
 				}
 			}
+			if got := len(Judge(b.now, all)); got != tt.avoid {
+				t.Errorf("%d replicas are judged, want %d", got, tt.avoid)
+			}
 			sound := Sound(b.now, all)
 			if got := len(all) - len(sound); got != tt.avoid {
 				t.Errorf("%d replicas are avoided, want %d", got, tt.avoid)
