--- a/edge/router.go
+++ b/edge/router.go
@@ -34,6 +34,9 @@
 	// small fleet, countsRounds in how many rounds of beats it may be missed.
 	countsLeast  = 1500 * time.Millisecond
 	countsRounds = 3
+	// bodyPart is the part of the host's memory for request bodies: one in so many.
+	bodyPart = 6
+	megabyte = 1 << 20
 	// readyTime bounds a readiness question.
 	readyTime = 2 * time.Second
 )
@@ -122,7 +125,7 @@
 	r.front = &relay.Front{
 		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
-		Directory: r.directory,
+		Directory: r.directory, Multiple: s.bounds.multiple, BodyMemory: int64(s.router.memory) * megabyte / bodyPart,
 	}
 }
 
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -36,11 +36,10 @@
 }
 
 type boundSection struct {
-	drain, stop   time.Duration
-	ratio, extra  float64
-	window        time.Duration
-	multiple      float64
-	configuration time.Duration
+	drain, stop  time.Duration
+	ratio, extra float64
+	window       time.Duration
+	multiple     float64
 }
 
 const (
@@ -84,8 +83,6 @@
 		Value: ini.Of(ini.Duration(0, longest), func(b *boundSection) *time.Duration { return &b.drain })},
 	{Name: "stop", Default: "8s", Text: "Time from SIGTERM to SIGKILL.",
 		Value: ini.Of(ini.Duration(0, longest), func(b *boundSection) *time.Duration { return &b.stop })},
-	{Name: "apply", Default: "2000ms", Text: "Time in which a configuration is in force everywhere.",
-		Value: ini.Of(ini.Duration(0, longest), func(b *boundSection) *time.Duration { return &b.configuration })},
 	{Name: "ratio", Default: "0.2", Text: "Repeats of requests as a part of the requests to a service.",
 		Value: ini.Of(ini.Float(0, 1), func(b *boundSection) *float64 { return &b.ratio })},
 	{Name: "extra", Default: "50", Text: "Repeats of requests beyond that part, for the whole fleet.",
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -20,7 +20,7 @@
 	values := map[string]string{
 		"node": "edge-a-1", "zone": "a", "limits.memory-mb": "284", "listen.front": "10.1.0.40:8227", "listen.ready": "10.1.0.40:8220",
 		"ip": "10.1.0.40", "internal-port-range": "7340,7355", "seeds": "10.1.0.40:8229,10.2.0.29:8229", "platform.addr": "10.200.1.7:8223",
-		"bounds.drain-ms": "2000", "bounds.grace-s": "8", "bounds.config-ms": "2000", "bounds.retry-budget-ratio": "0.2",
+		"bounds.drain-ms": "2000", "bounds.grace-s": "8", "bounds.retry-budget-ratio": "0.2",
 		"bounds.retry-budget-extra": "56", "bounds.budget-window-s": "10", "bounds.cap-multiplier": "2",
 	}
 	section := regexp.MustCompile(`(?s)\{\{#seeds\.0}}(.*?)\{\{/seeds\.0}}\n?`)
@@ -45,7 +45,7 @@
 		if len(problems) > 0 {
 			t.Fatalf("problems: %v", problems)
 		}
-		want := boundSection{drain: 2 * time.Second, stop: 8 * time.Second, configuration: 2 * time.Second, ratio: 0.2, extra: 56, window: 10 * time.Second, multiple: 2}
+		want := boundSection{drain: 2 * time.Second, stop: 8 * time.Second, ratio: 0.2, extra: 56, window: 10 * time.Second, multiple: 2}
 		if diff := cmp.Diff(want, s.bounds, cmp.AllowUnexported(boundSection{})); diff != "" {
 			t.Errorf("bounds (-want +got):\n%s", diff)
 		}
--- a/placing/doc.go
+++ b/placing/doc.go
@@ -4,5 +4,5 @@
 //
 // # Usage
 //
-//	choice, ok := placing.Prompt{Key: key, Holders: directory.Holders(key)}.Choose(candidates)
+//	choice, ok := placing.Prompt{Key: key, Multiple: 2, Holders: directory.Holders(key)}.Choose(candidates)
 package placing
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -23,8 +23,8 @@
 	cs := fleet(18)
 	moved := 0
 	for key := range uint64(1000) {
-		before, _ := Prompt{Key: key * 7919}.Choose(cs)
-		after, _ := Prompt{Key: key * 7919}.Choose(cs[1:])
+		before, _ := Prompt{Multiple: 2, Key: key * 7919}.Choose(cs)
+		after, _ := Prompt{Multiple: 2, Key: key * 7919}.Choose(cs[1:])
 		if cs[before.Index].Hash != cs[1:][after.Index].Hash {
 			moved++
 		}
@@ -36,7 +36,7 @@
 
 func TestPromptStaysWithHolder(t *testing.T) {
 	cs := fleet(18)
-	p := Prompt{Key: 99, Holders: []uint32{7}}
+	p := Prompt{Multiple: 2, Key: 99, Holders: []uint32{7}}
 	if c, _ := p.Choose(cs); cs[c.Index].Hash != 7 || c.Reason != "holder" {
 		t.Errorf("choice = %+v, want the replica that holds the part", c)
 	}
@@ -52,7 +52,7 @@
 
 func TestPromptSpreadsOverHolders(t *testing.T) {
 	cs := fleet(18)
-	p := Prompt{Key: 99, Holders: []uint32{3, 9}}
+	p := Prompt{Multiple: 2, Key: 99, Holders: []uint32{3, 9}}
 	chosen := map[uint32]int{}
 	for range 20 {
 		c, _ := p.Choose(cs)
@@ -66,7 +66,7 @@
 
 func TestPromptLeavesReadingHome(t *testing.T) {
 	cs := fleet(18)
-	p := Prompt{Key: 99}
+	p := Prompt{Multiple: 2, Key: 99}
 	home, _ := p.Choose(cs)
 	cs[home.Index].Prefill = 2 * prefillBound
 	if next, _ := p.Choose(cs); next.Index == home.Index {
@@ -79,7 +79,7 @@
 	cs := fleet(18)
 	var holders []uint32
 	for range 60 {
-		c, _ := Prompt{Key: 5, Holders: holders}.Choose(cs)
+		c, _ := Prompt{Multiple: 2, Key: 5, Holders: holders}.Choose(cs)
 		cs[c.Index].Held++
 		if !slices.Contains(holders, cs[c.Index].Hash) {
 			holders = append(holders, cs[c.Index].Hash)
@@ -96,10 +96,10 @@
 		cs[i].Held = 64
 	}
 	cs[4].Held = 63
-	if c, ok := (Prompt{Key: 1}).Choose(cs); !ok || c.Index != 4 {
+	if c, ok := (Prompt{Multiple: 2, Key: 1}).Choose(cs); !ok || c.Index != 4 {
 		t.Errorf("choice = %+v, %v; want the replica with one slot", c, ok)
 	}
-	if _, ok := (Prompt{}).Choose(nil); ok {
+	if _, ok := (Prompt{Multiple: 2}).Choose(nil); ok {
 		t.Error("a choice among no replicas")
 	}
 }
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -3,15 +3,15 @@
 import "slices"
 
 const (
-	// homeFactor and homeExtra limit what a replica may hold, compared with the
-	// mean of its service, to read a part that it does not have.
-	homeFactor = 1.4
-	homeExtra  = 2.0
-	// holderFactor and holderExtra are the same for a replica that has the part.
-	// They stay below the limit of the service, twice the mean and three, since
-	// the counts of other routers are some tenths of a second old.
-	holderFactor = 1.9
-	holderExtra  = 2.5
+	// homePart and homeExtra limit what a replica may hold to read a part that it
+	// does not have: a part of the service's limit, and some requests.
+	homePart  = 0.7
+	homeExtra = 2.0
+	// holderPart and holderExtra are the same for a replica that has the part.
+	// They stay below the limit itself, since the counts of other routers are
+	// some tenths of a second old.
+	holderPart  = 0.95
+	holderExtra = 2.5
 	// prefillBound is the number of waiting prompt tokens above which a replica
 	// is passed over if another one may serve: a quarter of a second of reading.
 	prefillBound = 12000
@@ -21,6 +21,8 @@
 type Prompt struct {
 	// Key identifies the longest shared part of the prompt.
 	Key uint64
+	// Multiple is the limit of what a replica may hold, as a multiple of the mean.
+	Multiple float64
 	// Holders are the replicas that are taken to have the part cached.
 	Holders []uint32
 }
@@ -39,12 +41,12 @@
 			continue
 		}
 		if slices.Contains(p.Holders, c.Hash) {
-			if float64(c.Held+1) <= holderFactor*m+holderExtra && p.lighter(candidates, i, holder) {
+			if float64(c.Held+1) <= holderPart*p.Multiple*m+holderExtra && p.lighter(candidates, i, holder) {
 				holder = i
 			}
 			continue
 		}
-		room := float64(c.Held+1) <= homeFactor*m+homeExtra && c.Prefill <= prefillBound
+		room := float64(c.Held+1) <= homePart*p.Multiple*m+homeExtra && c.Prefill <= prefillBound
 		if room && (home < 0 || rank(p.Key, c.Hash) > rank(p.Key, candidates[home].Hash)) {
 			home = i
 		}
--- a/relay/body.go
+++ b/relay/body.go
@@ -98,7 +98,7 @@
 
 // reserve takes bytes off the memory for bodies.
 func (t *task) reserve(n int64) bool {
-	if t.front.bodies.Add(n) > bodyMemory {
+	if t.front.bodies.Add(n) > t.front.BodyMemory {
 		t.front.bodies.Add(-n)
 		return false
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -46,7 +46,7 @@
 	shared := t.sharedParts()
 	longest := shared[len(shared)-1].ID
 	holders := d.Holders(longest)
-	choice, ok := placing.Prompt{Key: longest, Holders: holders}.Choose(candidates)
+	choice, ok := placing.Prompt{Key: longest, Multiple: t.front.Multiple, Holders: holders}.Choose(candidates)
 	if !ok {
 		return choice, false
 	}
--- a/relay/front.go
+++ b/relay/front.go
@@ -28,8 +28,6 @@
 	headerTime = 10 * time.Second
 	// writeMargin is how long after the deadline a client may take to read.
 	writeMargin = 300 * time.Millisecond
-	// bodyMemory is the number of bytes of request bodies held at once.
-	bodyMemory = 48 << 20
 )
 
 // Front serves clients. Its fields are set before Run.
@@ -46,6 +44,10 @@
 	Pool      *Pool
 	Log       Log
 	Metrics   *Metrics
+	// Multiple limits the requests at a replica, as a multiple of the mean.
+	Multiple float64
+	// BodyMemory limits the bytes of request bodies that are held at once.
+	BodyMemory int64
 	// Routers returns how many routers share the retry budget.
 	Routers func() int
 
