Refuse at once what no replica can run, with the time to come back

Now a request goes to a replica only below its slots, less by rank of priority and for an organisation far above an even share; the time to come back follows from refusals per answer.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
 )
@@ -15,7 +16,7 @@
 	for _, j := range replicas.Judge(now, others) {
 		f.Log.Event("avoided", "replica", j.ID(), "service", j.Service(), "samples", j.Samples, "failed", j.Failed, "usual", j.Usual)
 	}
-	sound := replicas.Sound(now, others)
+	sound := t.withRoom(replicas.Sound(now, others))
 	candidates := make([]placing.Candidate, len(sound))
 	for i, r := range sound {
 		candidates[i] = placing.Candidate{Hash: r.Hash(), Zone: r.Zone(), Held: r.Held(), Slots: r.Slots(), Prefill: r.Prefill(now)}
@@ -39,6 +40,30 @@
 	return r, true
 }
 
+// withRoom returns the replicas that may get the request without being
+// overloaded.
+func (t *task) withRoom(sound []*replicas.Replica) []*replicas.Replica {
+	r := overload.Request{Priority: t.priority(), Engine: t.engine(), Draw: uniform(t.call.ID + "room")}
+	if t.organisation != nil {
+		r.Organisation = t.organisation.Name
+	}
+	rooms := make([]*replicas.Replica, 0, len(sound))
+	for _, replica := range sound {
+		r.Slots = replica.Slots()
+		if replica.Held() < t.front.Gate.Limit(r) {
+			rooms = append(rooms, replica)
+		}
+	}
+	t.full = len(rooms) == 0 && len(sound) > 0
+	return rooms
+}
+
+// engine reports whether the service runs a model.
+func (t *task) engine() bool {
+	s, ok := t.doc.Services[t.serviceName]
+	return ok && s.Engine != nil
+}
+
 // choosePrompt picks a replica by the shared parts of the prompt and tells the
 // directory. A replica that lacks the longest part is given one to fetch from.
 func (t *task) choosePrompt(sound []*replicas.Replica, candidates []placing.Candidate) (placing.Choice, bool) {
--- a/relay/final.go
+++ b/relay/final.go
@@ -35,6 +35,9 @@
 
 // comeBack returns the time after which the client may try again.
 func (t *task) comeBack() time.Duration {
+	if t.full {
+		return t.front.Gate.Refuse(t.serviceName)
+	}
 	if len(t.front.Table.Ready(t.serviceName)) == 0 {
 		return retryUnready
 	}
@@ -81,6 +84,7 @@
 	t.front.Log.Event("answered", "id", t.call.ID, "route", t.routeName(), "status", x.resp.StatusCode,
 		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean, "part", t.part(), "source", t.source,
 		"sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "took", took)
+	t.front.Gate.Answered(t.serviceName, took)
 	t.front.Metrics.answered(t.routeName(), "answered", took)
 	t.front.Metrics.placed(t.routeName(), t.choice.Reason)
 }
--- a/relay/front.go
+++ b/relay/front.go
@@ -15,6 +15,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
@@ -44,6 +45,8 @@
 	Pool      *Pool
 	Log       Log
 	Metrics   *Metrics
+	// Gate refuses requests that no replica can run in time.
+	Gate *overload.Gate
 	// Multiple limits the requests at a replica, as a multiple of the mean.
 	Multiple float64
 	// BodyMemory limits the bytes of request bodies that are held at once.
@@ -190,10 +193,12 @@
 }
 
 // service picks the service of the request by the route's shares.
-func (t *task) service() string {
+func (t *task) service() string { return t.route.Service(uniform(t.call.ID)) }
+
+// uniform maps a text to a number that is uniform in [0, 1).
+func uniform(text string) float64 {
 	const mantissaBits = 53
-	point := float64(xxhash.Sum64String(t.call.ID)>>(64-mantissaBits)) / (1 << mantissaBits)
-	return t.route.Service(point)
+	return float64(xxhash.Sum64String(text)>>(64-mantissaBits)) / (1 << mantissaBits)
 }
 
 // jitter spreads d by a quarter to both sides.
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -15,6 +15,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
@@ -115,7 +116,7 @@
 	b.front = &Front{
 		Zone: "a", Clock: clock, Current: current, Table: table, Directory: placing.NewDirectory(clock), Dialect: testDialect{},
 		Budget: budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, clock),
-		Pool:   NewPool(clock), Log: discard{}, Routers: func() int { return 1 }, Multiple: 2, BodyMemory: 1 << 20,
+		Pool:   NewPool(clock), Log: discard{}, Routers: func() int { return 1 }, Gate: overload.NewGate(clock), Multiple: 2, BodyMemory: 1 << 20,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/relay/task.go
+++ b/relay/task.go
@@ -48,6 +48,7 @@
 	tried      map[string]bool // ids of replicas not to be tried again
 	failure    *peridotusher.Failure
 
+	full    bool // whether all replicas had as much as they can run
 	choice  placing.Choice
 	source  string        // address of a replica that holds shared parts of the prompt
 	held    int           // requests at the chosen replica when it was chosen
@@ -64,8 +65,17 @@
 	t.serviceName = t.service()
 	t.tried = make(map[string]bool, 2)
 	f.Budget.Request(t.serviceName)
+	organisation := ""
+	if t.organisation != nil {
+		organisation = t.organisation.Name
+	}
+	defer f.Gate.Take(organisation)()
 	for {
 		r, ok := t.choose()
+		if !ok && t.full {
+			t.giveUp(ctx, "overload")
+			return
+		}
 		if !ok {
 			t.giveUp(ctx, "no_replica")
 			return
@@ -200,9 +210,13 @@
 // urgency maps the priority of the organisation or route to the engines' scale.
 func (t *task) urgency() int {
 	const first, step, last = 2, 2, 9
-	p := t.route.Priority
+	return min(first+step*t.priority(), last)
+}
+
+// priority returns the rank of the request: the organisation's if it has one.
+func (t *task) priority() int {
 	if t.organisation != nil && t.organisation.Priority != nil {
-		p = *t.organisation.Priority
+		return *t.organisation.Priority
 	}
-	return min(first+step*p, last)
+	return t.route.Priority
 }
