--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -49,6 +49,9 @@
 	if s.Organisation != "" {
 		h.Set("Organisation", s.Organisation)
 	}
+	if s.Source != "" {
+		h.Set("Source", s.Source)
+	}
 	if s.After != "" {
 		h.Set("Last-Event-Id", s.After)
 	}
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
@@ -90,6 +91,39 @@
 	}
 }
 
+// TestSourceLives has parts of a prompt at replicas that answered, did not answer
+// and cannot be reached: only the first may be named as a source.
+func TestSourceLives(t *testing.T) {
+	b := newBed(t, stream, from, from, from, from)
+	f := b.front
+	byID := func(id string) *replicas.Replica {
+		r, ok := f.Table.Find(replicas.HashOf(id, 0))
+		if !ok {
+			t.Fatalf("no replica %s", id)
+		}
+		return r
+	}
+	const prompt = "Prompt: a bb ccc\r\nContent-Length: 0\r\n"
+	key := testDialect{}.Call(http.Header{"Prompt": {"a bb ccc"}}).Prompt[1].ID
+	for _, id := range []string{"b", "c", "d"} {
+		f.Directory.Hear([]placing.Placement{{Key: key, Replica: byID(id).Hash()}})
+		for range 4 {
+			defer byID(id).Hold()() // no room: the prompt goes to a
+		}
+	}
+	now := f.Clock.Now()
+	byID("c").Record(now, replicas.Good)
+	byID("d").Record(now, replicas.Good)
+	b.front.lose(byID("d"))
+	if resp, _, _ := b.ask(post(prompt, "")); resp == nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("answer = %v", resp)
+	}
+	r := b.requests()[0]
+	if got := r.header.Get("Source"); r.replica != "a" || got != byID("c").Address() {
+		t.Errorf("replica %s was told the source %q, want a and %q", r.replica, got, byID("c").Address())
+	}
+}
+
 func TestEvents(t *testing.T) {
 	text := event(1) + "data: no id\n\n" + "id: 7\r\ndata: x\r\n\r\n" + ": comment\n\n"
 	for cut := range len(text) {
