--- a/relay/choose.go
+++ b/relay/choose.go
@@ -95,7 +95,7 @@
 			if hash == chosen.Hash() && i < len(shared)-1 {
 				return "" // it holds as much as any other
 			}
-			r, ok := t.front.Table.Find(hash)
+			r, ok := t.front.Table.Source(hash)
 			if ok && r != chosen && t.maySend(r) && (best == nil || nearer(r, best, chosen.Zone())) {
 				best = r
 			}
--- a/replicas/load.go
+++ b/replicas/load.go
@@ -93,11 +93,17 @@
 	}
 }
 
-// Expire forgets the counts of routers that were silent for longer than ttl.
+// Expire forgets the counts of routers that were silent for longer than ttl, and
+// replicas that are gone for long.
 func (t *Table) Expire(ttl time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
+	for id, rec := range t.records {
+		if rec.entry.Gone && now.Sub(rec.changed) > tombstoneFor {
+			delete(t.records, id)
+		}
+	}
 	for router, load := range t.loads {
 		if now.Sub(load.at) > ttl {
 			load.forget()
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -12,6 +12,12 @@
 const (
 	// changeTTL is how long a change is told to other routers.
 	changeTTL = 2 * time.Second
+	// goneFor is how long a replica that is gone can still be named as a source:
+	// some serve on for seconds.
+	goneFor = 10 * time.Second
+	// tombstoneFor is how long it is remembered that a replica is gone, so that
+	// an older entry does not bring it back.
+	tombstoneFor = 10 * time.Minute
 )
 
 // record is the table's row of one id.
@@ -25,6 +31,7 @@
 type view struct {
 	ready  map[string][]*Replica
 	all    map[uint32]*Replica
+	gone   map[uint32]*Replica // gone a short time ago
 	digest uint64
 }
 
@@ -59,6 +66,17 @@
 	return r, ok
 }
 
+// Source returns the replica with the short id hash, also one that is gone since
+// a short time.
+func (t *Table) Source(hash uint32) (*Replica, bool) {
+	v := t.view.Load()
+	if r, ok := v.all[hash]; ok {
+		return r, true
+	}
+	r, ok := v.gone[hash]
+	return r, ok
+}
+
 // Replicas calls f for each replica that is not gone.
 func (t *Table) Replicas(f func(*Replica)) {
 	for _, r := range t.view.Load().all {
@@ -150,9 +168,13 @@
 
 // publish builds the view from the records.
 func (t *Table) publish() {
-	v := &view{ready: make(map[string][]*Replica), all: make(map[uint32]*Replica)}
+	v := &view{ready: make(map[string][]*Replica), all: make(map[uint32]*Replica), gone: make(map[uint32]*Replica)}
+	now := t.clock.Now()
 	for _, rec := range t.records {
 		if rec.entry.Gone {
+			if now.Sub(rec.changed) < goneFor {
+				v.gone[rec.replica.hash] = rec.replica
+			}
 			continue
 		}
 		v.all[rec.replica.hash] = rec.replica
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -61,6 +61,9 @@
 	if diff := cmp.Diff([]string{"b"}, ids(b.Ready("s"))); diff != "" {
 		t.Errorf("ready (-want +got):\n%s", diff)
 	}
+	if _, ok := b.Source(HashOf("a", 1)); !ok {
+		t.Error("a replica that has just gone is no source, though it may serve on")
+	}
 	// Another router's older word does not bring it back; a rebirth does.
 	b.Offer([]Entry{entry("a", 3)})
 	if n := len(b.Ready("s")); n != 1 {
@@ -72,6 +75,21 @@
 	}
 }
 
+func TestGoneReplicasAreForgotten(t *testing.T) {
+	b := newBed()
+	b.Snapshot(10, []Entry{entry("a", 3)}, false)
+	b.Snapshot(12, nil, false)
+	b.Expire(time.Second)
+	if n := len(b.Entries()); n != 1 {
+		t.Errorf("%d entries right after the replica went, want 1", n)
+	}
+	b.now = b.now.Add(2 * tombstoneFor)
+	b.Expire(time.Second)
+	if n := len(b.Entries()); n != 0 {
+		t.Errorf("%d entries after %v, want none", n, 2*tombstoneFor)
+	}
+}
+
 func TestLapsedEntriesStayForAWhile(t *testing.T) {
 	b := newBed()
 	b.Snapshot(10, []Entry{entry("a", 3), entry("b", 4)}, false)
