One wait and one backoff for all packages; settings are loaded in one place

A wait bounded by a context stood eight times, a backoff twice, the reading of a settings file twice. Package pause and ini.Load take their place.

--- a/answertest/calls_test.go
+++ b/answertest/calls_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/testbed"
 )
 
@@ -118,7 +119,7 @@
 				if reply.Final() {
 					return nil
 				}
-				hold(ctx, retryPause)
+				pause.For(ctx, retryPause)
 			}
 			return nil
 		})
--- a/answertest/chaos.go
+++ b/answertest/chaos.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher/faultproxy"
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/testbed"
 )
 
@@ -31,7 +32,7 @@
 		name := names[c.Rand.IntN(len(names))]
 		c.counts[name]++
 		c.Faults[name](ctx)
-		hold(ctx, c.Pause)
+		pause.For(ctx, c.Pause)
 	}
 	return nil
 }
@@ -39,16 +40,6 @@
 // Counts returns how often each fault was brought about.
 func (c *Chaos) Counts() map[string]int { return c.counts }
 
-// hold waits for the duration or until ctx ends.
-func hold(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // router returns one of the routers.
 func (c *Chaos) router() *testbed.Router { return c.Bed.Routers[c.Rand.IntN(len(c.Bed.Routers))] }
 
@@ -56,7 +47,7 @@
 func (c *Chaos) KillRouter(ctx context.Context) {
 	r := c.router()
 	r.Kill()
-	hold(ctx, 300*time.Millisecond)
+	pause.For(ctx, 300*time.Millisecond)
 	// A router that does not start leaves its share to the others.
 	_ = r.Start()
 }
@@ -65,35 +56,35 @@
 func (c *Chaos) PauseRouter(ctx context.Context) {
 	r := c.router()
 	r.Pause()
-	hold(ctx, 2500*time.Millisecond)
+	pause.For(ctx, 2500*time.Millisecond)
 	r.Resume()
 }
 
 // StoreOutage makes the store refuse everything.
 func (c *Chaos) StoreOutage(ctx context.Context) {
 	c.Bed.Store.SetDown(true)
-	hold(ctx, 400*time.Millisecond)
+	pause.For(ctx, 400*time.Millisecond)
 	c.Bed.Store.SetDown(false)
 }
 
 // SlowStore delays every answer of the store.
 func (c *Chaos) SlowStore(ctx context.Context) {
 	c.Bed.Store.SetDelay(700 * time.Millisecond)
-	hold(ctx, 500*time.Millisecond)
+	pause.For(ctx, 500*time.Millisecond)
 	c.Bed.Store.SetDelay(0)
 }
 
 // LostStoreAnswers cuts the connections of writes that took effect.
 func (c *Chaos) LostStoreAnswers(ctx context.Context) {
 	c.Bed.Store.LoseAnswers(5)
-	hold(ctx, 100*time.Millisecond)
+	pause.For(ctx, 100*time.Millisecond)
 }
 
 // SilentLinks makes the open connections between a zone and the rest silent.
 func (c *Chaos) SilentLinks(ctx context.Context) {
 	zones := slices.Sorted(maps.Keys(c.Bed.Lists))
 	c.Bed.Links.Each(zones[c.Rand.IntN(len(zones))], func(p *faultproxy.Proxy) { p.SilenceOpen() })
-	hold(ctx, 100*time.Millisecond)
+	pause.For(ctx, 100*time.Millisecond)
 }
 
 // ServiceFaults lets calls fail before they run, after it and in the answer.
@@ -102,27 +93,27 @@
 	s.FailBefore(1)
 	s.FailDuring(1)
 	s.FailAfter(1)
-	hold(ctx, 50*time.Millisecond)
+	pause.For(ctx, 50*time.Millisecond)
 }
 
 // SilentService makes a service run calls without an answer.
 func (c *Chaos) SilentService(ctx context.Context) {
 	s := c.Bed.Services[c.Rand.IntN(len(c.Bed.Services))]
 	s.SetSilent(true)
-	hold(ctx, 100*time.Millisecond)
+	pause.For(ctx, 100*time.Millisecond)
 	s.SetSilent(false)
 }
 
 // SilentEngine makes the open streams of an engine silent.
 func (c *Chaos) SilentEngine(ctx context.Context) {
 	c.engine().SilenceOpen()
-	hold(ctx, 50*time.Millisecond)
+	pause.For(ctx, 50*time.Millisecond)
 }
 
 // CrossedEvents makes an engine send events of other streams.
 func (c *Chaos) CrossedEvents(ctx context.Context) {
 	c.engine().Cross(3)
-	hold(ctx, 50*time.Millisecond)
+	pause.For(ctx, 50*time.Millisecond)
 }
 
 // CrashEngine ends an engine for good and lists a new one in its zone.
@@ -132,7 +123,7 @@
 	c.Bed.Unlist(e.Name)
 	// Without a new engine the others take the load.
 	_, _ = c.Bed.AddEngine(e.Zone)
-	hold(ctx, 500*time.Millisecond)
+	pause.For(ctx, 500*time.Millisecond)
 }
 
 func (c *Chaos) engine() *testbed.Engine { return c.Bed.Engines[c.Rand.IntN(len(c.Bed.Engines))] }
--- a/answertest/streams_test.go
+++ b/answertest/streams_test.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/standin"
 	"peridotusher.example/peridotusher/testbed"
 )
@@ -81,7 +82,7 @@
 		if err == nil && !refused {
 			return
 		}
-		hold(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
--- a/callers/caller.go
+++ b/callers/caller.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"peridotusher.example/peridotusher/pause"
 )
 
 // Caller is one caller.
@@ -57,14 +59,7 @@
 
 // Pause waits around d, and returns false when ctx ends first.
 func (c *Caller) Pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d/2 + time.Duration(c.Rand.Int64N(int64(d))))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return pause.For(ctx, d/2+time.Duration(c.Rand.Int64N(int64(d))))
 }
 
 // send sends a request to a router that is ready and notes who answered.
--- a/config/editor.go
+++ b/config/editor.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/store"
 )
 
@@ -118,7 +119,7 @@
 // retry attempts an edit until it is accepted, refused or cannot win.
 func (e *Editor) retry(ctx context.Context, plan planFunc) (Accepted, error) {
 	change := uuid.NewString()
-	backoff := store.Backoff{Base: retryBase, Max: retryMax}
+	backoff := pause.Backoff{Base: retryBase, Max: retryMax}
 	last := errContended
 	var lost *proposal
 	for attempt := range maxAttempts {
--- a/config/source.go
+++ b/config/source.go
@@ -117,15 +117,3 @@
 
 // Revision returns the revision in force, zero before the first.
 func (s *Source) Revision() uint64 { return s.current.Load().Revision() }
-
-// wait returns after d, or false when ctx has ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/config/watch.go
+++ b/config/watch.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/store"
 )
 
@@ -30,10 +31,10 @@
 // followStore watches the store while this router is one of its zone's
 // watchers, and else reads the head now and then.
 func (s *Source) followStore(ctx context.Context) error {
-	backoff := store.Backoff{Base: storeRetryBase, Max: storeRetryMax, Rand: s.Rand}
+	backoff := pause.Backoff{Base: storeRetryBase, Max: storeRetryMax, Rand: s.Rand}
 	failures := 0
 	// The peers get a moment to offer their state before the store is read.
-	wait(ctx, s.Interval/2+time.Duration(s.Rand()*float64(s.Interval)))
+	pause.For(ctx, s.Interval/2+time.Duration(s.Rand()*float64(s.Interval)))
 	audit := s.Clock.Now().Add(s.auditDelay())
 	for ctx.Err() == nil {
 		watching := s.isWatcher()
@@ -48,7 +49,7 @@
 		}
 		if err == nil || errors.Is(err, store.ErrWatchEnded) || errors.Is(err, errBehind) {
 			failures = 0
-			wait(ctx, s.Interval)
+			pause.For(ctx, s.Interval)
 			continue
 		}
 		s.Log.WithError(err).Debug("configuration not read from the store")
@@ -108,7 +109,7 @@
 // superviseWatch reads the head regularly. It returns an error, which ends the
 // watch, when the watch missed a change or this router is no longer a watcher.
 func (s *Source) superviseWatch(ctx context.Context) error {
-	for wait(ctx, s.Poll) {
+	for pause.For(ctx, s.Poll) {
 		if !s.isWatcher() {
 			return store.ErrWatchEnded
 		}
--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"peridotusher.example/peridotusher/pause"
 )
 
 const (
@@ -28,14 +30,15 @@
 
 // followConfiguration keeps the configuration current until ctx ends.
 func (r *Router) followConfiguration(ctx context.Context) error {
-	pause := backoff{first: retryFirst, last: retryLast}
+	retry := pause.Backoff{Base: retryFirst, Max: retryLast}
+	failures := 0
 	after := int64(0)
 	settled := false
 	for ctx.Err() == nil {
 		began := r.clock.Now()
 		if r.current.Load() != nil && r.node.Rank(watchTopic) >= watchers {
 			after = 0 // read whole when it is this router's turn
-			sleep(ctx, watcherLook)
+			pause.For(ctx, watcherLook)
 			continue
 		}
 		next, err := r.nextConfiguration(ctx, after)
@@ -45,17 +48,18 @@
 		if err != nil {
 			r.storeAnswered("configuration", err)
 			after = 0 // what happened meanwhile is read whole
-			sleep(ctx, pause.next())
+			pause.For(ctx, retry.Delay(failures))
+			failures++
 			continue
 		}
 		r.storeAnswered("configuration", nil)
-		pause.reset()
+		failures = 0
 		after = next
 		if !settled && after != 0 {
 			settled = true
-			sleep(ctx, settleFor)
+			pause.For(ctx, settleFor)
 		}
-		sleep(ctx, watchPace-r.clock.Now().Sub(began))
+		pause.For(ctx, watchPace-r.clock.Now().Sub(began))
 	}
 	return nil
 }
@@ -67,7 +71,7 @@
 		doc, at, err := r.Source.Document(ctx)
 		if err != nil || doc == nil {
 			if err == nil {
-				sleep(ctx, retryFirst)
+				pause.For(ctx, retryFirst)
 			}
 			return 0, err
 		}
@@ -83,16 +87,3 @@
 	}
 	return next, nil
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/edge/list.go
+++ b/edge/list.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"peridotusher.example/peridotusher/pause"
 )
 
 const (
@@ -28,7 +30,8 @@
 // routers the first in a common order reads the list; the others hear of it and
 // step in, one after the other, if they don't.
 func (r *Router) followReplicas(ctx context.Context) error {
-	pause := backoff{first: retryFirst, last: retryLast}
+	retry := pause.Backoff{Base: retryFirst, Max: retryLast}
+	failures := 0
 	for ctx.Err() == nil {
 		at, _ := r.reading.last()
 		wait := r.listPace()
@@ -36,7 +39,7 @@
 			wait += r.node.SpreadTime() + time.Duration(rank)*listStep
 		}
 		if !at.IsZero() && r.clock.Now().Sub(at) < wait {
-			sleep(ctx, listLook)
+			pause.For(ctx, listLook)
 			continue
 		}
 		if err := r.readList(ctx); err != nil {
@@ -44,11 +47,12 @@
 				return nil
 			}
 			r.storeAnswered("replicas", err)
-			sleep(ctx, pause.next())
+			pause.For(ctx, retry.Delay(failures))
+			failures++
 			continue
 		}
 		r.storeAnswered("replicas", nil)
-		pause.reset()
+		failures = 0
 	}
 	return nil
 }
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"os"
 	"time"
 
 	"peridotusher.example/peridotusher/ini"
@@ -95,13 +94,7 @@
 
 // Load reads the settings from a file. It returns no settings if there is any
 // problem.
-func Load(path string) (*Settings, []ini.Problem) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, []ini.Problem{ini.NewProblem(path, 0, err.Error())}
-	}
-	return Parse(path, text)
-}
+func Load(path string) (*Settings, []ini.Problem) { return ini.Load(path, Parse) }
 
 // Parse reads the settings from a text.
 func Parse(name string, text []byte) (*Settings, []ini.Problem) {
--- a/entry/cachehints.go
+++ b/entry/cachehints.go
@@ -9,6 +9,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/engine"
+	"peridotusher.example/peridotusher/pause"
 )
 
 const (
@@ -62,7 +63,7 @@
 			return nil
 		})
 		h.Log.WithError(err).WithField("engine", e.ID()).Debug("cache events ended; opening them again")
-		if pause(ctx, hintRetry) != nil {
+		if !pause.For(ctx, hintRetry) {
 			return nil
 		}
 	}
--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -12,6 +12,7 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
 	"peridotusher.example/peridotusher/engine"
+	"peridotusher.example/peridotusher/pause"
 )
 
 const (
@@ -164,7 +165,7 @@
 		if s.ctx.Err() != nil || s.host.Clock.Now().After(end) {
 			return err
 		}
-		wait(s.ctx, continueRetry)
+		pause.For(s.ctx, continueRetry)
 	}
 }
 
--- a/entry/claimqueue.go
+++ b/entry/claimqueue.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/store"
 )
 
@@ -48,7 +49,7 @@
 // run writes batches until nothing waits.
 func (q *claimQueue) run(ctx context.Context) {
 	for {
-		wait(ctx, q.begun.Add(claimGather).Sub(q.table.Clock.Now()))
+		pause.For(ctx, q.begun.Add(claimGather).Sub(q.table.Clock.Now()))
 		q.begun = q.table.Clock.Now()
 		batch := q.take()
 		if len(batch) == 0 {
@@ -299,16 +300,3 @@
 		w.done <- reply
 	}
 }
-
-// wait waits for the duration or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/orders.go
+++ b/entry/orders.go
@@ -10,6 +10,7 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/engine"
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/weights"
 )
 
@@ -111,8 +112,8 @@
 			lease.maintain(ctx, ttl, h.leadsZone())
 			wait = ttl / leaseRenewals
 		}
-		if err := pause(ctx, wait); err != nil {
-			return err
+		if !pause.For(ctx, wait) {
+			return ctx.Err()
 		}
 	}
 }
@@ -209,20 +210,8 @@
 func every(ctx context.Context, interval time.Duration, fn func(ctx context.Context)) error {
 	for {
 		fn(ctx)
-		if err := pause(ctx, interval); err != nil {
-			return err
+		if !pause.For(ctx, interval) {
+			return ctx.Err()
 		}
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/entry/transfer_cache.go
+++ b/entry/transfer_cache.go
@@ -7,6 +7,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/engine"
+	"peridotusher.example/peridotusher/pause"
 )
 
 const (
@@ -57,7 +58,7 @@
 	for ctx.Err() == nil {
 		// A broken connection is opened again after the last event seen.
 		_ = models.CacheEvents(ctx, address, v.last(), v.take)
-		if pause(ctx, eventRetry) != nil {
+		if !pause.For(ctx, eventRetry) {
 			return
 		}
 	}
--- /dev/null
+++ b/ini/load.go
@@ -0,0 +1,13 @@
+package ini
+
+import "os"
+
+// Load reads a file and parses its text. It returns nothing but the problem if
+// the file cannot be read.
+func Load[T any](path string, parse func(name string, text []byte) (*T, []Problem)) (*T, []Problem) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []Problem{NewProblem(path, 0, err.Error())}
+	}
+	return parse(path, text)
+}
--- a/loadtest/client.go
+++ b/loadtest/client.go
@@ -88,18 +88,6 @@
 	return c.bed.Routers[0]
 }
 
-// wait waits for d, and returns false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // refused reads the verdict of an answer that is not a stream.
 func (r *result) refused(resp *http.Response) {
 	r.verdict = peridotusher.ParseVerdict(resp.Header.Get("X-Verdict"))
--- a/loadtest/run.go
+++ b/loadtest/run.go
@@ -13,6 +13,7 @@
 
 	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/examples"
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/standin"
 	"peridotusher.example/peridotusher/testbed"
 )
@@ -126,7 +127,7 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { source.run(ctx); return nil })
-	wait(ctx, warmUp)
+	pause.For(ctx, warmUp)
 	run := &measurement{test: t, bed: bed, traffic: source, faults: f}
 	group.Go(func() error { return run.collect(ctx, cancel) })
 	if err := group.Wait(); err != nil {
--- a/loadtest/scenario.go
+++ b/loadtest/scenario.go
@@ -8,6 +8,7 @@
 
 	"peridotusher.example/peridotusher/faultproxy"
 	"peridotusher.example/peridotusher/hosts"
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/testbed"
 )
 
@@ -75,9 +76,9 @@
 
 // surges lets one organisation surge in the middle half of the run.
 func (f *faults) surges(ctx context.Context) error {
-	wait(ctx, f.length/4)
+	pause.For(ctx, f.length/4)
 	f.surge(true)
-	wait(ctx, f.length/2)
+	pause.For(ctx, f.length/2)
 	f.surge(false)
 	return nil
 }
@@ -85,13 +86,13 @@
 // churn replaces one engine in twenty at each interval, in turn by a graceful
 // leave and by a crash.
 func (f *faults) churn(ctx context.Context) error {
-	for n := 0; wait(ctx, churnInterval/2); n++ {
+	for n := 0; pause.For(ctx, churnInterval/2); n++ {
 		live := f.liveEngines()
 		e := live[f.rand.IntN(len(live))]
 		f.mark(e.Name, false)
 		if n%2 == 0 {
 			f.bed.Leave(e.Name)
-			wait(ctx, leaveTime)
+			pause.For(ctx, leaveTime)
 			f.waitIdle(ctx, e)
 		}
 		e.Stop()
@@ -101,7 +102,7 @@
 			return err
 		}
 		f.mark(added.Name, true)
-		wait(ctx, churnInterval/2)
+		pause.For(ctx, churnInterval/2)
 	}
 	return nil
 }
@@ -109,14 +110,14 @@
 // waitIdle waits until an engine has no work.
 func (f *faults) waitIdle(ctx context.Context, e *testbed.Engine) {
 	const step = 50 * time.Millisecond
-	for stats := e.Stats(); stats.Running+stats.Waiting > 0 && wait(ctx, step); stats = e.Stats() {
+	for stats := e.Stats(); stats.Running+stats.Waiting > 0 && pause.For(ctx, step); stats = e.Stats() {
 	}
 }
 
 // flap takes one engine in and out of the lists.
 func (f *faults) flap(ctx context.Context) {
 	e := f.bed.Engines[0]
-	for listed := true; wait(ctx, flapInterval); listed = !listed {
+	for listed := true; pause.For(ctx, flapInterval); listed = !listed {
 		if listed {
 			f.mark(e.Name, false)
 			f.bed.Unlist(e.Name)
@@ -130,26 +131,26 @@
 
 // crash kills one router and starts it again later.
 func (f *faults) crash(ctx context.Context) error {
-	wait(ctx, f.length/3)
+	pause.For(ctx, f.length/3)
 	r := f.bed.Routers[f.rand.IntN(len(f.bed.Routers))]
 	r.Kill()
-	wait(ctx, f.length/3)
+	pause.For(ctx, f.length/3)
 	return r.Start()
 }
 
 // cut cuts the last zone off for a while.
 func (f *faults) cut(ctx context.Context) {
-	wait(ctx, f.length/3)
+	pause.For(ctx, f.length/3)
 	f.bed.CutZone("c")
-	wait(ctx, cutTime)
+	pause.For(ctx, cutTime)
 	f.bed.HealZone("c")
 }
 
 // outage takes the store away for the middle half of the run.
 func (f *faults) outage(ctx context.Context) {
-	wait(ctx, f.length/4)
+	pause.For(ctx, f.length/4)
 	f.bed.Store.SetDown(true)
-	wait(ctx, f.length/2)
+	pause.For(ctx, f.length/2)
 	f.bed.Store.SetDown(false)
 }
 
@@ -160,9 +161,9 @@
 		func(p *faultproxy.Proxy) { p.SilenceOpen() },
 		func(p *faultproxy.Proxy) { p.Cut() },
 	}
-	for n := 0; wait(ctx, linkFaultPause); n++ {
+	for n := 0; pause.For(ctx, linkFaultPause); n++ {
 		f.bed.Links.Each("b", acts[n%len(acts)])
-		wait(ctx, linkFaultTime)
+		pause.For(ctx, linkFaultTime)
 		f.bed.HealZone("b")
 	}
 }
--- a/loadtest/traffic.go
+++ b/loadtest/traffic.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"peridotusher.example/peridotusher/pause"
 	"peridotusher.example/peridotusher/testbed"
 )
 
@@ -49,7 +50,7 @@
 func (t *traffic) chats(ctx context.Context, n int) {
 	r := rand.New(rand.NewPCG(t.seed, uint64(n)))
 	org := zipf(r, len(organisations))
-	if !wait(ctx, time.Duration(r.Int64N(int64(meanTurn())))) {
+	if !pause.For(ctx, time.Duration(r.Int64N(int64(meanTurn())))) {
 		return
 	}
 	for k := 0; ctx.Err() == nil; k++ {
@@ -68,7 +69,7 @@
 		if answer.whole {
 			messages = append(messages, message{Role: "assistant", Content: answer.text})
 		}
-		if !wait(ctx, pause(r)) {
+		if !pause.For(ctx, turnPause(r)) {
 			return
 		}
 	}
@@ -78,7 +79,7 @@
 func (t *traffic) stream(ctx context.Context, n int, rate float64, send func(context.Context, *rand.Rand, int)) {
 	r := rand.New(rand.NewPCG(t.seed, uint64(n)))
 	var group errgroup.Group
-	for k := 0; wait(ctx, time.Duration(r.ExpFloat64()/rate*float64(time.Second))); k++ {
+	for k := 0; pause.For(ctx, time.Duration(r.ExpFloat64()/rate*float64(time.Second))); k++ {
 		own := rand.New(rand.NewPCG(t.seed+uint64(n), uint64(k)))
 		group.Go(func() error { send(ctx, own, k); return nil })
 	}
--- a/loadtest/workload.go
+++ b/loadtest/workload.go
@@ -94,8 +94,8 @@
 	return label + " " + strings.Repeat(word, tokens*bytesPerToken/len(word))
 }
 
-// pause draws the time until a chat's next turn.
-func pause(r *rand.Rand) time.Duration {
+// turnPause draws the time until a chat's next turn.
+func turnPause(r *rand.Rand) time.Duration {
 	mean := shortPause
 	if r.Float64() < longShare {
 		mean = longPause
--- a/store/backoff.go
+++ b/pause/backoff.go
@@ -1,4 +1,4 @@
-package store
+package pause
 
 import (
 	"context"
@@ -35,12 +35,8 @@
 
 // Wait waits for the delay after the given attempt, or until ctx is done.
 func (b Backoff) Wait(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(b.Delay(attempt))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !For(ctx, b.Delay(attempt)) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
--- a/store/backoff_test.go
+++ b/pause/backoff_test.go
@@ -1,4 +1,4 @@
-package store_test
+package pause_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"peridotusher.example/peridotusher/store"
+	"peridotusher.example/peridotusher/pause"
 )
 
 func TestBackoffDelay(t *testing.T) {
@@ -18,7 +18,7 @@
 		{0.5, []time.Duration{75, 150, 300, 375, 375}},
 	}
 	for _, test := range tests {
-		b := store.Backoff{Base: 100, Max: 500, Rand: func() float64 { return test.random }}
+		b := pause.Backoff{Base: 100, Max: 500, Rand: func() float64 { return test.random }}
 		var got []time.Duration
 		for attempt := range test.want {
 			got = append(got, b.Delay(attempt))
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -5,12 +5,12 @@
 	"io"
 	"net"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/pause"
 )
 
 // cutsToSuspect is the number of connections cut in a row that make a router suspect.
@@ -31,7 +31,7 @@
 		}
 		if err != nil {
 			n.Log.WithError(err).Warn("connection not accepted")
-			wait(ctx, n.Heartbeat)
+			pause.For(ctx, n.Heartbeat)
 			continue
 		}
 		n.group.Go(func() error {
@@ -41,16 +41,6 @@
 	}
 }
 
-// wait returns after d or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // dialMissing dials the members that have no session and whose backoff is over.
 func (n *Node) dialMissing(ctx context.Context) {
 	members := n.Members.Targets()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,8 +1,6 @@
 package settings
 
 import (
-	"os"
-
 	"peridotusher.example/peridotusher/ini"
 )
 
@@ -43,13 +41,7 @@
 func (s *Settings) Stream() Stream { return s.stream }
 
 // Load reads the settings from a file. It returns no settings if there is any problem.
-func Load(path string) (*Settings, []ini.Problem) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, []ini.Problem{ini.NewProblem(path, 0, err.Error())}
-	}
-	return Parse(path, text)
-}
+func Load(path string) (*Settings, []ini.Problem) { return ini.Load(path, Parse) }
 
 // Parse reads the settings from a text. It returns no settings if there is any problem.
 func Parse(name string, text []byte) (*Settings, []ini.Problem) {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/pause"
 )
 
 // Defaults of an Engine.
@@ -123,7 +124,7 @@
 	ticker := time.NewTicker(engineReapInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		pause, busy := e.admit()
+		rest, busy := e.admit()
 		if !busy {
 			select {
 			case <-ctx.Done():
@@ -132,7 +133,7 @@
 			}
 			continue
 		}
-		sleep(ctx, pause)
+		pause.For(ctx, rest)
 		e.step()
 	}
 }
--- a/standin/engine_cachewire.go
+++ b/standin/engine_cachewire.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"peridotusher.example/peridotusher/pause"
 )
 
 // enginePublishInterval is the time between two looks for new cache events.
@@ -35,7 +37,7 @@
 		if control.Flush() != nil {
 			return
 		}
-		sleep(r.Context(), enginePublishInterval)
+		pause.For(r.Context(), enginePublishInterval)
 	}
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -56,18 +56,3 @@
 		Message string `json:"message"`
 	}{"too many requests"})
 }
-
-// sleep waits for d, and returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/standin/store.go
+++ b/standin/store.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/pause"
 )
 
 const (
@@ -137,7 +138,7 @@
 		s.calls.Refused++
 	}
 	s.mu.Unlock()
-	if !sleep(r.Context(), delay) {
+	if !pause.For(r.Context(), delay) {
 		return false
 	}
 	if down {
