--- a/edge/settings.go
+++ b/edge/settings.go
@@ -18,6 +18,7 @@
 type routerSection struct {
 	name, zone string
 	memory     int // MB
+	files      int
 }
 
 type listenSection struct {
@@ -54,6 +55,8 @@
 		Value: ini.Of(ini.String(), func(r *routerSection) *string { return &r.zone })},
 	{Name: "memory", Default: "256", Text: "Memory of the host, in MB.",
 		Value: ini.Of(ini.Int(1, mostMB), func(r *routerSection) *int { return &r.memory })},
+	{Name: "files", Default: "4096", Text: "Descriptors that the process may open; half of them are for clients.",
+		Value: ini.Of(ini.Int(64, mostMB), func(r *routerSection) *int { return &r.files })},
 }
 
 var listenFields = []ini.Field[listenSection]{
--- a/relay/front.go
+++ b/relay/front.go
@@ -51,6 +51,8 @@
 	Multiple float64
 	// BodyMemory limits the bytes of request bodies that are held at once.
 	BodyMemory int64
+	// Connections limits the connections of clients.
+	Connections int
 	// Routers returns how many routers share the retry budget.
 	Routers func() int
 
@@ -76,9 +78,10 @@
 		ConnState:         conns.state,
 		ErrorLog:          nil,
 	}
+	limited := &limitListener{Listener: l, most: int64(f.Connections), refused: func() { f.Log.Event("refused", "connections", f.Connections) }}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve clients")
 		}
 		return nil
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -238,3 +238,35 @@
 	}
 	<-closed
 }
+
+// TestConnectionLimit opens more connections than are allowed: those beyond are
+// closed, and a place is free again when one ends.
+func TestConnectionLimit(t *testing.T) {
+	b := newBed(t, once, say(fine, true))
+	var open []net.Conn
+	for range b.front.Connections {
+		c, err := net.Dial("tcp", b.url)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		open = append(open, c)
+	}
+	// The last one is answered, so all of them were accepted.
+	if resp, _, _ := b.askOn(open[len(open)-1], bufio.NewReader(open[len(open)-1]), get("")); resp == nil {
+		t.Fatal("a connection within the limit got no answer")
+	}
+	if resp, _, _ := b.ask(get("")); resp != nil {
+		t.Errorf("a connection beyond the limit was answered %d", resp.StatusCode)
+	}
+	if err := open[0].Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range 200 {
+		if resp, _, _ := b.ask(get("")); resp != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("no place became free")
+}
