Large fleets: loads from replicas' reports, compressed configurations, cheap checks, quicker lists

Now it travels compressed, and the reader asks for changes and reads it whole every 5 s. Cause 3: counts of other routers are 2.8 s old at 82 routers; replicas' own reports pass from router to router there.

--- a/edge/list.go
+++ b/edge/list.go
@@ -4,18 +4,25 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"peridotusher.example/peridotusher/pause"
+	"peridotusher.example/peridotusher/routing"
 )
 
 const (
 	// listPace is the time between two lists of replicas, as a part of the time
 	// in which a leaving one may get requests.
-	listPace = 0.33
+	listPace = 0.25
 	// listStep is how much longer each further router waits for the list of
 	// another one before it reads itself.
 	listStep = 90 * time.Millisecond
 	// listLook is the time between two decisions to read or not.
 	listLook = 40 * time.Millisecond
+	// checkWait is how long a check for changes may wait.
+	checkWait = time.Millisecond
+	// wholeEvery is the time between two whole reads of the configuration.
+	wholeEvery = 5 * time.Second
 	// listTopic orders the routers that read the list.
 	listTopic = "list"
 	// outageMemory is how long after an outage of the store missing entries are
@@ -63,15 +70,6 @@
 	if err != nil {
 		return err
 	}
-	// A watch may miss a change that the store makes while it drops history, or
-	// hang; the newest configuration is read along with the list.
-	doc, _, err := r.Source.Document(ctx)
-	if err != nil {
-		return err
-	}
-	if doc != nil {
-		r.offer(doc, "list")
-	}
 	r.reading.read(r.clock.Now(), began, r.outageGap())
 	_, outage := r.reading.last()
 	changed := r.table.Snapshot(revision, entries, began.Sub(outage) < outageMemory)
@@ -80,6 +78,35 @@
 	for _, key := range malformed {
 		r.malformed(key)
 	}
+	return r.checkConfiguration(ctx)
+}
+
+// checkConfiguration looks for a change that no watch told of: a watch may hang,
+// or miss a change that the store makes while it drops history. It asks for
+// changes since the last time that the configuration was read itself, since what
+// an empty answer says of the revisions between is not certain, and reads it whole
+// now and then.
+func (r *Router) checkConfiguration(ctx context.Context) error {
+	if r.readAt != 0 && r.clock.Now().Sub(r.readWhole) < wholeEvery {
+		doc, _, err := r.Source.NextDocument(ctx, r.readAt, checkWait)
+		if err == nil {
+			if doc != nil {
+				r.offer(doc, "list")
+				r.readAt = doc.Revision
+			}
+			return nil
+		}
+		r.readAt = 0
+		if !errors.Is(err, routing.ErrForgotten) {
+			return err
+		}
+	}
+	doc, at, err := r.Source.Document(ctx)
+	if err != nil || doc == nil {
+		return err
+	}
+	r.offer(doc, "list")
+	r.readAt, r.readWhole = at, r.clock.Now()
 	return nil
 }
 
--- a/edge/router.go
+++ b/edge/router.go
@@ -35,6 +35,9 @@
 	// small fleet, countsRounds in how many rounds of beats it may be missed.
 	countsLeast  = 1500 * time.Millisecond
 	countsRounds = 3
+	// wideCover is the time of a round of beats from which other routers' counts
+	// are older than what replicas tell.
+	wideCover = 600 * time.Millisecond
 	// bodyPart is the part of the host's memory for request bodies: one in so many.
 	bodyPart = 6
 	megabyte = 1 << 20
@@ -65,6 +68,10 @@
 	set       *metrics.Set
 	reading   reading
 	listed    atomic.Bool
+	// readAt is the revision at which the reader of the list read the configuration
+	// whole, readWhole when.
+	readAt    int64
+	readWhole time.Time
 	stopping  atomic.Bool
 	bounds    atomic.Pointer[boundSection]
 
@@ -231,6 +238,7 @@
 		if gap := r.clock.Adjust(); gap > 0 {
 			r.Log.Event("standstill", "length", gap)
 		}
+		r.table.SetWide(r.node.CoverTime() > wideCover)
 		r.table.Expire(max(countsLeast, countsRounds*r.node.CoverTime()))
 		r.pool.Prune()
 	}
--- a/edge/source.go
+++ b/edge/source.go
@@ -14,7 +14,8 @@
 	// revision from which to wait for the next one.
 	Document(ctx context.Context) (*routing.Document, int64, error)
 	// NextDocument waits for a configuration newer than a revision and returns
-	// nil and the revision to go on from if there was none.
+	// nil and the revision to go on from if there was none. The error is
+	// routing.ErrForgotten if the changes since the revision are no longer known.
 	NextDocument(ctx context.Context, after int64, wait time.Duration) (*routing.Document, int64, error)
 	// Replicas reads the whole list of replicas at a revision; malformed are the
 	// entries that name none.
--- a/edge/state.go
+++ b/edge/state.go
@@ -8,8 +8,12 @@
 	"peridotusher.example/peridotusher/routing"
 )
 
-// changesMost is the number of changes of replicas in a beat.
-const changesMost = 12
+// changesMost and reportsMost are the numbers of changes of replicas and of their
+// reports in a beat.
+const (
+	changesMost = 32
+	reportsMost = 32
+)
 
 // placementsLeast is how long a new placement is told: several beats, since one
 // may be lost.
@@ -33,6 +37,7 @@
 	}
 	b.Stopping = r.stopping.Load()
 	b.Counts = r.table.Counts()
+	b.Reports = r.table.Reports(reportsMost)
 	b.Changes = r.table.Recent(changesMost)
 	b.Placements = r.directory.Recent(max(placementsLeast, r.node.CoverTime()+r.node.SpreadTime()))
 }
@@ -48,6 +53,7 @@
 		r.reading.heard(now, now.Add(-b.ReadAge), now.Add(-b.OutageAge), r.outageGap())
 	}
 	r.table.Learn(b.Name, b.Incarnation, b.Counts)
+	r.table.HearReports(b.Reports)
 	r.directory.Hear(b.Placements)
 }
 
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -36,6 +36,8 @@
 	Stopping bool
 	// Counts are the router's own counts at replicas.
 	Counts []replicas.Count
+	// Reports are the newest loads that replicas told, in a wide fleet.
+	Reports []replicas.Report
 	// Changes are the latest changes of replicas.
 	Changes []replicas.Entry
 	// Placements are the latest choices of replicas for parts of prompts.
@@ -56,6 +58,7 @@
 	beatKnown
 	beatPlacements
 	beatOutageAge
+	beatReports
 )
 
 // The field numbers of a member.
@@ -79,11 +82,11 @@
 	entryRevision
 )
 
-// countNumbers and placementNumbers are the numbers of integers in a packed
-// count and placement.
+// The numbers of integers in packed parts of a beat.
 const (
 	countNumbers     = 4
 	placementNumbers = 2
+	reportNumbers    = 3
 )
 
 func (b *Beat) marshal() []byte {
@@ -112,7 +115,14 @@
 		packed = protowire.AppendVarint(packed, p.Key)
 		packed = protowire.AppendVarint(packed, uint64(p.Replica))
 	}
-	return appendBytes(out, beatPlacements, packed)
+	out = appendBytes(out, beatPlacements, packed)
+	packed = nil
+	for _, r := range b.Reports {
+		packed = protowire.AppendVarint(packed, uint64(r.Replica))
+		packed = protowire.AppendVarint(packed, uint64(max(r.Load, 0)))
+		packed = protowire.AppendVarint(packed, uint64(r.Age.Milliseconds()))
+	}
+	return appendBytes(out, beatReports, packed)
 }
 
 func (b *Beat) unmarshal(data []byte) error {
@@ -134,6 +144,8 @@
 			return b.unmarshalCounts(raw)
 		case beatPlacements:
 			return b.unmarshalPlacements(raw)
+		case beatReports:
+			return b.unmarshalReports(raw)
 		case beatChange:
 			e, err := unmarshalEntry(raw)
 			b.Changes = append(b.Changes, e)
@@ -171,6 +183,18 @@
 	return nil
 }
 
+func (b *Beat) unmarshalReports(raw []byte) (err error) {
+	for len(raw) > 0 {
+		var numbers [reportNumbers]uint64
+		if raw, err = consume(raw, numbers[:]); err != nil {
+			return err
+		}
+		age := time.Duration(numbers[2]) * time.Millisecond
+		b.Reports = append(b.Reports, replicas.Report{Replica: uint32(numbers[0]), Load: int32(numbers[1]), Age: age})
+	}
+	return nil
+}
+
 func (b *Beat) unmarshalCounts(raw []byte) (err error) {
 	for len(raw) > 0 {
 		var numbers [countNumbers]uint64
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -21,6 +22,7 @@
 		Configuration: 12, Digest: 1 << 63, ReadAge: 450 * time.Millisecond, OutageAge: time.Hour, Stopping: true,
 		Counts:     []replicas.Count{{Replica: 1 << 31, Held: 3, Good: 1000, Bad: 2}, {Replica: 7}},
 		Changes:    []replicas.Entry{{ID: "i-1", Service: "s", Address: "10.0.0.9:80", Zone: "b", Slots: 64, Born: 5, Leaving: true, Gone: true, Revision: 99}},
+		Reports:    []replicas.Report{{Replica: 8, Load: 70, Age: 30 * time.Millisecond}},
 		Placements: []placing.Placement{{Key: 1 << 60, Replica: 5}},
 		Known:      []Member{{Name: "r2", Address: "10.0.0.2:7000", Zone: "b", Incarnation: 4}},
 	}
@@ -47,9 +49,17 @@
 }
 
 func TestWholeOnTheWire(t *testing.T) {
-	want := Whole{Configuration: []byte("{}"), Revision: 4, Entries: sampleBeat().Changes}
+	text := bytes.Repeat([]byte(`{"name":"r-2yhvz3p","kind":"streaming"},`), 10000)
+	want := Whole{Configuration: text, Revision: 4, Entries: sampleBeat().Changes}
+	data, err := want.marshal()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > len(text)/10 {
+		t.Errorf("%d bytes for a configuration of %d", len(data), len(text))
+	}
 	var got Whole
-	if err := got.unmarshal(want.marshal()); err != nil {
+	if err := got.unmarshal(data); err != nil {
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sort"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +25,7 @@
 	beatFan = 8
 	// spreadRounds is the number of rounds in which news reaches nearly all
 	// routers of a large fleet.
-	spreadRounds = 3
+	spreadRounds = 2
 	// knownEvery is the number of rounds between two beats that name other
 	// routers, knownMost how many they name.
 	knownEvery = 7
@@ -63,6 +64,10 @@
 	seeds   atomic.Pointer[[]string]
 	round   int
 	bytes   atomic.Int64
+
+	encodeMu  sync.Mutex
+	encoded   []byte // the whole state for others, as encoded last
+	encodedAt time.Time
 }
 
 // Init prepares the node; it must be called before any other method.
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -27,6 +27,8 @@
 	differentFor = time.Second
 	// largestState bounds the size of a whole state, in bytes.
 	largestState = 8 << 20
+	// encodedFor is how long an encoded state is handed out again.
+	encodedFor = 60 * time.Millisecond
 	// sessions bounds the number of sessions served at once.
 	sessions = 8
 )
@@ -47,20 +49,28 @@
 	wholeEntry
 )
 
-func (w *Whole) marshal() []byte {
-	out := appendBytes(nil, wholeConfiguration, w.Configuration)
+// marshal encodes the state; the configuration, which may have megabytes of text,
+// is compressed.
+func (w *Whole) marshal() ([]byte, error) {
+	packed, err := compress(w.Configuration)
+	if err != nil {
+		return nil, err
+	}
+	out := appendBytes(nil, wholeConfiguration, packed)
 	out = appendNumber(out, wholeRevision, uint64(w.Revision))
 	for _, e := range w.Entries {
 		out = appendBytes(out, wholeEntry, marshalEntry(e))
 	}
-	return out
+	return out, nil
 }
 
 func (w *Whole) unmarshal(data []byte) error {
 	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
 		switch n {
 		case wholeConfiguration:
-			w.Configuration = raw
+			text, err := decompress(raw)
+			w.Configuration = text
+			return err
 		case wholeRevision:
 			w.Revision = int64(v)
 		case wholeEntry:
@@ -123,7 +133,10 @@
 	if err != nil {
 		return err
 	}
-	data := n.State.Whole().marshal()
+	data, err := n.whole()
+	if err != nil {
+		return err
+	}
 	size := binary.BigEndian.AppendUint32(nil, uint32(len(data)))
 	if _, err := stream.Write(append(size, data...)); err != nil {
 		return err
@@ -135,6 +148,21 @@
 	return nil
 }
 
+// whole returns the encoded state. A configuration is fetched by many routers at
+// once, so the encoding is kept for a moment.
+func (n *Node) whole() ([]byte, error) {
+	n.encodeMu.Lock()
+	defer n.encodeMu.Unlock()
+	if now := n.Clock.Now(); n.encoded == nil || now.Sub(n.encodedAt) > encodedFor {
+		data, err := n.State.Whole().marshal()
+		if err != nil {
+			return nil, err
+		}
+		n.encoded, n.encodedAt = data, now
+	}
+	return n.encoded, nil
+}
+
 // fetch gets the whole state of another router.
 func (n *Node) fetch(ctx context.Context, address string) (*Whole, error) {
 	ctx, cancel := context.WithTimeout(ctx, sessionTime)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -25,6 +25,9 @@
 // final answer.
 func (t *task) answer(ctx context.Context, x *exchange, sent time.Time) bool {
 	f := t.front
+	if x.reply.Slots > 0 && !x.reply.Misdirected {
+		x.replica.Told(f.Clock.Now(), x.reply.Running+x.reply.Waiting)
+	}
 	if x.reply.NotRun || x.reply.Misdirected {
 		return t.notRun(x)
 	}
--- a/replicas/load.go
+++ b/replicas/load.go
@@ -20,11 +20,11 @@
 type peerLoad struct {
 	incarnation int64
 	at          time.Time
-	counts      map[uint32]told
+	counts      map[uint32]addedCount
 }
 
-// told is one count with the replica to whose load it was added.
-type told struct {
+// addedCount is one count with the replica to whose load it was added.
+type addedCount struct {
 	Count
 	replica *Replica
 }
@@ -51,14 +51,14 @@
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	old := t.loads[router]
-	fresh := &peerLoad{incarnation: incarnation, at: now, counts: make(map[uint32]told, len(counts))}
+	fresh := &peerLoad{incarnation: incarnation, at: now, counts: make(map[uint32]addedCount, len(counts))}
 	for _, c := range counts {
 		r, ok := t.Find(c.Replica)
 		if !ok {
 			continue
 		}
-		fresh.counts[c.Replica] = told{Count: c, replica: r}
-		r.others.Add(c.Held)
+		fresh.counts[c.Replica] = addedCount{Count: c, replica: r}
+		r.others.counted.Add(c.Held)
 		if old == nil || old.incarnation != incarnation {
 			continue
 		}
@@ -89,13 +89,14 @@
 // forget takes the held requests off the replicas again.
 func (l *peerLoad) forget() {
 	for _, c := range l.counts {
-		c.replica.others.Add(-c.Held)
+		c.replica.others.counted.Add(-c.Held)
 	}
 }
 
 // Expire forgets the counts of routers that were silent for longer than ttl, and
 // replicas that are gone for long.
 func (t *Table) Expire(ttl time.Duration) {
+	t.weighReports(t.clock.Now())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -15,18 +15,34 @@
 	hash  uint32
 
 	own    atomic.Int32
-	others atomic.Int32
+	others others
 
 	mu       sync.Mutex
 	standing standing
 	reach    reach
 	prefill  meter
+	told     told
 	good     uint32
 	bad      uint32
 	recorded time.Time // when good or bad changed last
 	alive    time.Time // when a request of any router ended well last
 }
 
+// others is the load that other routers' requests make at a replica: counted from
+// what the routers tell, or as the replica told.
+type others struct {
+	counted  atomic.Int32
+	told     atomic.Int32
+	byReport atomic.Bool
+}
+
+func (o *others) load() int {
+	if o.byReport.Load() {
+		return int(o.told.Load())
+	}
+	return int(o.counted.Load())
+}
+
 func newReplica(e Entry) *Replica { return &Replica{entry: e, hash: HashOf(e.ID, e.Born)} }
 
 // next returns the replica for a changed entry: a new one if the replica started
@@ -58,7 +74,7 @@
 
 // Held returns the number of requests at the replica: the own ones and those
 // that other routers told of.
-func (r *Replica) Held() int { return int(r.own.Load()) + int(r.others.Load()) }
+func (r *Replica) Held() int { return int(r.own.Load()) + r.others.load() }
 
 // Own returns the number of the own requests at the replica.
 func (r *Replica) Own() int { return int(r.own.Load()) }
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -44,6 +44,7 @@
 	loads   map[string]*peerLoad
 
 	view atomic.Pointer[view]
+	wide atomic.Bool
 }
 
 // NewTable returns an empty Table.
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -268,3 +268,42 @@
 		t.Errorf("%d of %d replicas are chosen from after the cut", got, len(all))
 	}
 }
+
+// TestReportsInAWideFleet takes loads from what replicas tell instead of from
+// counts that are many seconds old.
+func TestReportsInAWideFleet(t *testing.T) {
+	b := newBed()
+	b.Offer([]Entry{entry("a", 3), entry("b", 3)})
+	a, other := b.Ready("s")[0], b.Ready("s")[1]
+	defer a.Hold()()
+	b.Learn("r1", 1, []Count{{Replica: a.Hash(), Held: 3}, {Replica: other.Hash(), Held: 2}})
+	a.Told(b.now, 9)
+	b.Expire(time.Minute)
+	if a.Held() != 4 || len(b.Reports(10)) != 0 {
+		t.Errorf("held = %d with %d reports in a small fleet, want 4 and none", a.Held(), len(b.Reports(10)))
+	}
+	b.SetWide(true)
+	b.Expire(time.Minute)
+	if a.Held() != 9 || other.Held() != 2 {
+		t.Errorf("held = %d and %d, want 9 as told and 2 as counted", a.Held(), other.Held())
+	}
+	release := a.Hold()
+	if a.Held() != 10 {
+		t.Errorf("held = %d after one more of its own, want 10", a.Held())
+	}
+	release()
+	b.now = b.now.Add(reportTTL / 2)
+	if diff := cmp.Diff([]Report{{Replica: a.Hash(), Load: 9, Age: reportTTL / 2}}, b.Reports(10)); diff != "" {
+		t.Errorf("reports (-want +got):\n%s", diff)
+	}
+	b.HearReports([]Report{{Replica: a.Hash(), Load: 30, Age: reportTTL}, {Replica: other.Hash(), Load: 5}})
+	b.Expire(time.Minute)
+	if a.Held() != 9 || other.Held() != 5 {
+		t.Errorf("held = %d and %d after an old and a new report, want 9 and 5", a.Held(), other.Held())
+	}
+	b.now = b.now.Add(2 * reportTTL)
+	b.Expire(time.Minute)
+	if a.Held() != 4 || other.Held() != 2 {
+		t.Errorf("held = %d and %d after the reports grew old, want 4 and 2", a.Held(), other.Held())
+	}
+}
--- a/routing/current.go
+++ b/routing/current.go
@@ -3,8 +3,13 @@
 import (
 	"sync"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
 )
 
+// ErrForgotten means that the changes since a revision are no longer known.
+var ErrForgotten = errors.New("the changes since this revision are no longer known")
+
 // Current holds the newest document that was offered.
 type Current struct {
 	mu      sync.Mutex
