--- a/edge/router.go
+++ b/edge/router.go
@@ -133,7 +133,8 @@
 	r.front = &relay.Front{
 		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
-		Directory: r.directory, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock), BodyMemory: int64(s.router.memory) * megabyte / bodyPart, Connections: s.router.files / 2,
+		Directory: r.directory, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock),
+		BodyMemory: int64(s.router.memory) * megabyte / bodyPart, Connections: s.router.files / 2,
 	}
 }
 
