Read once more: dead methods out, ratios and differences computed once, one way to report problems

Nothing behaves otherwise. Judge took each replica's ratio twice in the path of every request, catchUp asked every router twice; both once now. contains searched a list twice: slices.Contains. The problems of a file were printed the same way by four commands: invalid.

--- a/cmd/peridotusher/check.go
+++ b/cmd/peridotusher/check.go
@@ -24,11 +24,8 @@
 			if err != nil {
 				return cli.Exit(err, exitFailure)
 			}
-			for _, p := range problems {
-				fmt.Fprintln(cmd.Root().ErrWriter, p)
-			}
-			if len(problems) > 0 {
-				return cli.Exit("", exitInvalid)
+			if err := invalid(cmd, problems); err != nil {
+				return err
 			}
 			fmt.Fprintln(cmd.Root().Writer, "ok")
 			return nil
--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -28,6 +28,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
+
+	"peridotusher.example/peridotusher/ini"
 )
 
 // The exit codes.
@@ -85,3 +87,15 @@
 	}
 	return exitFailure
 }
+
+// invalid prints the problems of a file and returns the error that ends the
+// command with exitInvalid; nil if there are none.
+func invalid(cmd *cli.Command, problems []ini.Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	for _, p := range problems {
+		fmt.Fprintln(cmd.Root().ErrWriter, p)
+	}
+	return cli.Exit("", exitInvalid)
+}
--- a/cmd/peridotusher/plan.go
+++ b/cmd/peridotusher/plan.go
@@ -60,11 +60,8 @@
 			return nil, cli.Exit(err, exitFailure)
 		}
 		doc, problems := document.Parse(path, text)
-		for _, p := range problems {
-			fmt.Fprintln(cmd.Root().ErrWriter, p)
-		}
-		if len(problems) > 0 {
-			return nil, cli.Exit("", exitInvalid)
+		if err := invalid(cmd, problems); err != nil {
+			return nil, err
 		}
 		return doc, nil
 	}
--- a/cmd/peridotusher/platform.go
+++ b/cmd/peridotusher/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"os"
 	"runtime/debug"
@@ -32,11 +31,8 @@
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			path := cmd.String("settings")
 			cfg, problems := edge.Load(path)
-			if len(problems) > 0 {
-				for _, p := range problems {
-					fmt.Fprintln(cmd.Root().ErrWriter, p)
-				}
-				return cli.Exit("", exitInvalid)
+			if err := invalid(cmd, problems); err != nil {
+				return err
 			}
 			debug.SetGCPercent(heapGrowth)
 			return runEdge(ctx, cfg, path, cmd.String("metrics"))
--- a/cmd/peridotusher/serve.go
+++ b/cmd/peridotusher/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 
 	"github.com/sirupsen/logrus"
@@ -24,11 +23,8 @@
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			cfg, problems := settings.Load(cmd.String("settings"))
-			if len(problems) > 0 {
-				for _, p := range problems {
-					fmt.Fprintln(cmd.Root().ErrWriter, p)
-				}
-				return cli.Exit("", exitInvalid)
+			if err := invalid(cmd, problems); err != nil {
+				return err
 			}
 			return serve(ctx, cfg, cmd.Uint32("protocol"))
 		},
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -81,13 +81,6 @@
 	}
 }
 
-// learn adds a router that is not known from beats.
-func (m *members) learn(k Member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.introduce(m.clock.Now(), k)
-}
-
 // aliveFor is how long a router counts as alive after its last beat.
 func (m *members) aliveFor() time.Duration {
 	return max(aliveLeast, aliveRounds*coverTime(len(m.known)))
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sort"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,7 +63,6 @@
 	members *members
 	seeds   atomic.Pointer[[]string]
 	round   int
-	bytes   atomic.Int64
 
 	encodeMu  sync.Mutex
 	encoded   []byte // the whole state for others, as encoded last
@@ -82,12 +81,6 @@
 // Routers returns the number of routers that share in the fleet's sums.
 func (n *Node) Routers() int { return n.members.count() }
 
-// Learn adds a router known from elsewhere.
-func (n *Node) Learn(m Member) { n.members.learn(m) }
-
-// Sent returns the number of bytes of beats sent so far.
-func (n *Node) Sent() int64 { return n.bytes.Load() }
-
 // Alive returns the other routers that were heard lately.
 func (n *Node) Alive() []Member {
 	alive := n.members.alive()
@@ -178,9 +171,7 @@
 		}
 		if _, err := datagrams.WriteTo(data, to); err != nil {
 			n.Log.Event("peer", "address", address, "error", err)
-			continue
 		}
-		n.bytes.Add(int64(len(data)))
 	}
 }
 
@@ -201,7 +192,7 @@
 	}
 	if n.round%knownEvery == 1 || len(all) == 0 {
 		for _, seed := range *n.seeds.Load() {
-			if seed != n.Self.Address && !contains(all, seed) {
+			if seed != n.Self.Address && !slices.Contains(all, seed) {
 				all = append(all, seed)
 			}
 		}
@@ -209,19 +200,6 @@
 	return all
 }
 
-func contains(list []string, s string) bool {
-	i := sort.SearchStrings(list, s)
-	if i < len(list) && list[i] == s {
-		return true
-	}
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // receive takes beats in until the socket is closed.
 func (n *Node) receive(ctx context.Context, datagrams net.PacketConn) error {
 	buf := make([]byte, largestBeat)
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -141,10 +141,7 @@
 	if _, err := stream.Write(append(size, data...)); err != nil {
 		return err
 	}
-	// The peer closes the session once it has read everything.
-	if _, err := stream.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
-		return nil
-	}
+	_, _ = stream.Read(make([]byte, 1)) // ends when the peer has read everything and closes
 	return nil
 }
 
@@ -211,23 +208,24 @@
 			return nil
 		case <-tick.C:
 		}
-		var from []string
-		different := false
+		var from, different []string
 		for _, s := range n.members.alive() {
 			newer, differs := n.State.Differs(s.configuration, s.digest)
 			if newer {
 				from = append(from, s.Address)
 			}
-			different = different || differs
+			if differs {
+				different = append(different, s.Address)
+			}
 		}
 		now := n.Clock.Now()
 		switch {
-		case !different:
+		case len(different) == 0:
 			since = time.Time{}
 		case since.IsZero():
 			since = now
 		case now.Sub(since) > differentFor && len(from) == 0:
-			from = n.different()
+			from = different
 			since = now
 		}
 		if len(from) > 0 {
@@ -236,17 +234,6 @@
 	}
 }
 
-// different returns the routers whose replicas differ.
-func (n *Node) different() []string {
-	var from []string
-	for _, s := range n.members.alive() {
-		if _, differs := n.State.Differs(s.configuration, s.digest); differs {
-			from = append(from, s.Address)
-		}
-	}
-	return from
-}
-
 func (n *Node) fetchFrom(ctx context.Context, address string) {
 	w, err := n.fetch(ctx, address)
 	if err == nil {
--- a/replicas/judge.go
+++ b/replicas/judge.go
@@ -33,7 +33,7 @@
 func (r *Replica) Avoided(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Before(r.standing.until)
+	return r.standing.avoided(now)
 }
 
 // Judged is a replica that is avoided from now on.
@@ -50,16 +50,17 @@
 	var judged []Judged
 	var sumSamples, sumBad float64
 	avoided := 0
-	for _, r := range all {
-		samples, failed := r.Ratio(now)
-		sumSamples += samples
-		sumBad += samples * failed
-		if r.Avoided(now) {
+	ratios := make([]ratio, len(all))
+	for i, r := range all {
+		ratios[i] = r.ratio(now)
+		sumSamples += ratios[i].samples
+		sumBad += ratios[i].samples * ratios[i].failed
+		if ratios[i].avoided {
 			avoided++
 		}
 	}
-	for _, r := range all {
-		samples, failed := r.Ratio(now)
+	for i, r := range all {
+		samples, failed := ratios[i].samples, ratios[i].failed
 		if samples < judgeSamples || float64(avoided+1) > benchedPart*float64(len(all)) {
 			continue
 		}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -76,9 +76,6 @@
 // that other routers told of.
 func (r *Replica) Held() int { return int(r.own.Load()) + r.others.load() }
 
-// Own returns the number of the own requests at the replica.
-func (r *Replica) Own() int { return int(r.own.Load()) }
-
 // Hold counts a request in; the function that it returns counts it out.
 func (r *Replica) Hold() (release func()) {
 	r.own.Add(1)
@@ -126,11 +123,18 @@
 	return !r.alive.IsZero() && now.Sub(r.alive) < aliveFor
 }
 
-// Ratio returns the recent outcomes, decayed, and the part of them that failed.
-func (r *Replica) Ratio(now time.Time) (samples, failed float64) {
+// ratio is a replica's recent record: the outcomes, decayed, the part of them that
+// failed, and whether the replica is avoided.
+type ratio struct {
+	samples, failed float64
+	avoided         bool
+}
+
+func (r *Replica) ratio(now time.Time) ratio {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.standing.ratio(now)
+	samples, failed := r.standing.ratio(now)
+	return ratio{samples: samples, failed: failed, avoided: r.standing.avoided(now)}
 }
 
 // AddPrefill tells that prompt tokens were sent to be read at the replica.
--- a/replicas/standing.go
+++ b/replicas/standing.go
@@ -73,9 +73,12 @@
 	return samples, s.bad / samples
 }
 
+// avoided reports whether the replica is avoided at the moment.
+func (s *standing) avoided(now time.Time) bool { return now.Before(s.until) }
+
 // avoid benches the replica for a time that doubles while trouble goes on.
 func (s *standing) avoid(now time.Time) {
-	if now.Before(s.until) {
+	if s.avoided(now) {
 		return
 	}
 	s.bench = min(max(2*s.bench, shortestBench), longestBench)
--- a/routing/current.go
+++ b/routing/current.go
@@ -12,15 +12,12 @@
 
 // Current holds the newest document that was offered.
 type Current struct {
-	mu      sync.Mutex
-	doc     atomic.Pointer[Document]
-	changed chan struct{}
+	mu  sync.Mutex
+	doc atomic.Pointer[Document]
 }
 
 // NewCurrent returns a Current without a document.
-func NewCurrent() *Current {
-	return &Current{changed: make(chan struct{})}
-}
+func NewCurrent() *Current { return &Current{} }
 
 // Load returns the document in force, or nil if none is known yet.
 func (c *Current) Load() *Document { return c.doc.Load() }
@@ -43,14 +40,5 @@
 		return false
 	}
 	c.doc.Store(d)
-	close(c.changed)
-	c.changed = make(chan struct{})
 	return true
 }
-
-// Changed returns a channel that is closed at the next change.
-func (c *Current) Changed() <-chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.changed
-}
