Who holds which part survives a restart of one router or of all

Ruled out: parts dropped by replicas (no eviction seen in their lists), a holder that is taken for silent (10 of 600).

Change: placements are numbered by router; one that missed some takes over the whole inventory, as does one that starts. If nobody knows, because all started anew, each asks the replicas for their parts, in an order of its own, and tells at once.

--- a/edge/router.go
+++ b/edge/router.go
@@ -68,6 +68,8 @@
 	set       *metrics.Set
 	reading   reading
 	listed    atomic.Bool
+	// settled is whether the router knows what replicas held before it started.
+	settled atomic.Bool
 	// readAt is the revision at which the reader of the list read the configuration
 	// whole, readWhole when.
 	readAt    int64
@@ -92,6 +94,7 @@
 	}
 	group.Go(func() error { return r.followConfiguration(run) })
 	group.Go(func() error { return r.followReplicas(run) })
+	group.Go(func() error { return r.settle(run) })
 	group.Go(func() error { return r.keepHouse(run) })
 	group.Go(func() error { return r.followSettings(run) })
 	r.Log.Event("start", "router", r.Settings.Name(), "zone", r.Settings.router.zone)
@@ -114,7 +117,6 @@
 	r.current = routing.NewCurrent()
 	r.table = replicas.NewTable(r.clock)
 	r.pool = relay.NewPool(r.clock)
-	r.directory = placing.NewDirectory(r.clock)
 	r.set = metrics.NewSet()
 	r.trouble = make(map[string]bool)
 	r.reported = make(map[string]bool)
@@ -126,6 +128,7 @@
 		},
 		State: state{r}, Clock: r.clock, Log: r.Log,
 	}
+	r.directory = placing.NewDirectory(r.clock, placing.Origin{Name: s.router.name, Incarnation: r.node.Self.Incarnation})
 	r.node.Init()
 	r.node.SetSeeds(r.seeds(s))
 	r.bounds.Store(&s.bounds)
--- /dev/null
+++ b/edge/settle.go
@@ -0,0 +1,113 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher/pause"
+	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/replicas"
+)
+
+const (
+	// settleLook is the time between two looks for replicas to ask.
+	settleLook = 40 * time.Millisecond
+	// alone is how long a router asks by itself, since no other one may have been
+	// heard yet; then those that were heard share the replicas among them.
+	alone = 500 * time.Millisecond
+	// askAlone bounds the replicas that a router asks by itself.
+	askAlone = 32
+	// askFor is the time after which the routers have asked all replicas.
+	askFor = 1500 * time.Millisecond
+	// askTime bounds a question for the parts of a replica.
+	askTime = time.Second
+	// askAtOnce is the number of replicas asked at once.
+	askAtOnce = 4
+	// partsTopic and an id order the routers that ask a replica.
+	partsTopic = "parts/"
+)
+
+// settle learns which parts of prompts the replicas hold, if no other router
+// knows: when all started anew. The routers share the replicas among them and
+// tell each other. It ends when the router knows, or another one that does has
+// told it.
+func (r *Router) settle(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(askAtOnce)
+	asked := make(map[uint32]bool)
+	var began time.Time
+	r.node.Join(ctx)
+	for ctx.Err() == nil && !r.settled.Load() {
+		if began.IsZero() && r.Ready() {
+			began = r.clock.Now()
+		}
+		if !began.IsZero() {
+			since := r.clock.Now().Sub(began)
+			for _, replica := range r.toAsk(since, asked) {
+				group.Go(func() error {
+					r.askParts(ctx, replica)
+					return nil
+				})
+			}
+			if since > askFor {
+				r.settled.Store(true)
+			}
+		}
+		pause.For(ctx, settleLook)
+	}
+	return group.Wait()
+}
+
+// toAsk returns the replicas that this router is to ask now, and marks them: those
+// with a model that were not asked and of which nothing is known.
+func (r *Router) toAsk(since time.Duration, asked map[uint32]bool) []*replicas.Replica {
+	doc := r.current.Load()
+	if doc == nil {
+		return nil
+	}
+	var out []*replicas.Replica
+	r.table.Replicas(func(replica *replicas.Replica) {
+		service, ok := doc.Services[replica.Service()]
+		if !ok || service.Engine == nil || asked[replica.Hash()] || replica.Lost() || r.directory.Knows(replica.Hash()) {
+			return
+		}
+		if since < alone || r.node.Rank(partsTopic+replica.ID()) == 0 {
+			out = append(out, replica)
+		}
+	})
+	slices.SortFunc(out, func(a, b *replicas.Replica) int {
+		return cmp.Compare(r.node.Order(partsTopic+a.ID()), r.node.Order(partsTopic+b.ID()))
+	})
+	if since < alone {
+		out = out[:min(len(out), max(askAlone-len(asked), 0))]
+	}
+	for _, replica := range out {
+		asked[replica.Hash()] = true
+	}
+	return out
+}
+
+// askParts learns which parts a replica holds, unless another router has told
+// meanwhile.
+func (r *Router) askParts(ctx context.Context, replica *replicas.Replica) {
+	if r.directory.Knows(replica.Hash()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	parts, err := r.Source.Parts(ctx, replica.Address())
+	if err != nil {
+		r.Log.Event("parts", "replica", replica.ID(), "error", err)
+		return
+	}
+	for _, part := range parts {
+		r.directory.Place(placing.Placement{Key: part, Replica: replica.Hash()})
+	}
+	replica.Record(r.clock.Now(), replicas.Good)
+	r.node.Tell()
+	r.Log.Event("parts", "replica", replica.ID(), "parts", len(parts))
+}
--- /dev/null
+++ b/edge/settle_test.go
@@ -0,0 +1,168 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+// holding is a source of which only the parts of replicas are asked.
+type holding struct {
+	Source
+	parts map[string][]uint64
+}
+
+func (h holding) Parts(_ context.Context, address string) ([]uint64, error) {
+	parts, ok := h.parts[address]
+	if !ok {
+		return nil, fmt.Errorf("nobody at %s", address)
+	}
+	return parts, nil
+}
+
+// modelReplicas is the number of replicas with a model.
+const modelReplicas = 12
+
+// newFleet returns routers that know a list of replicas with and without a model.
+func newFleet(t *testing.T, n int) []*Router {
+	t.Helper()
+	doc := &routing.Document{Revision: 1, Services: map[string]*routing.Service{
+		"model": {Engine: &routing.Engine{}}, "plain": {},
+	}}
+	entries := []replicas.Entry{{ID: "p", Service: "plain", Address: "plain", Slots: 4, Revision: 1}}
+	parts := map[string][]uint64{}
+	for i := range modelReplicas {
+		e := replicas.Entry{ID: fmt.Sprint("m", i), Service: "model", Address: fmt.Sprint("model", i), Slots: 4, Revision: 1}
+		entries = append(entries, e)
+		parts[e.Address] = []uint64{uint64(100 + i)}
+	}
+	var fleet []*Router
+	var seeds []string
+	for i := range n {
+		r := newTestRouter(t)
+		r.node.Self = mesh.Member{Name: fmt.Sprint("r", i), Address: fmt.Sprint("10.0.0.", i, ":1"), Incarnation: 1}
+		r.node.Init()
+		r.Source = holding{parts: parts}
+		r.current.Offer(doc)
+		r.table.Offer(entries)
+		seeds = append(seeds, r.node.Self.Address)
+		fleet = append(fleet, r)
+	}
+	for _, r := range fleet {
+		r.node.SetSeeds(seeds[:min(n, 3)]) // as many as the platform names
+	}
+	return fleet
+}
+
+// TestRoutersAskInOrdersOfTheirOwn starts all routers at once, none of which has
+// heard of another: each asks all, beginning with other replicas.
+func TestRoutersAskInOrdersOfTheirOwn(t *testing.T) {
+	first := map[string]bool{}
+	for _, r := range newFleet(t, 5) {
+		asked := map[uint32]bool{}
+		out := r.toAsk(0, asked)
+		if len(out) != modelReplicas {
+			t.Fatalf("%d replicas are asked, want %d", len(out), modelReplicas)
+		}
+		first[out[0].ID()] = true
+		if again := r.toAsk(0, asked); len(again) != 0 {
+			t.Errorf("%d replicas are asked again", len(again))
+		}
+	}
+	if len(first) < 3 {
+		t.Errorf("five routers begin with %v", first)
+	}
+}
+
+// TestWideFleetIsShared has more replicas than a router asks by itself.
+func TestWideFleetIsShared(t *testing.T) {
+	const more = 5 * askAlone
+	r := newFleet(t, 3)[0]
+	var entries []replicas.Entry
+	for i := range more {
+		entries = append(entries, replicas.Entry{ID: fmt.Sprint("x", i), Service: "model", Address: "x", Slots: 4, Revision: 1})
+	}
+	r.table.Offer(entries)
+	asked := map[uint32]bool{}
+	if got := len(r.toAsk(0, asked)); got != askAlone {
+		t.Errorf("%d replicas are asked at first, want %d", got, askAlone)
+	}
+	if got := len(r.toAsk(alone/2, asked)); got != 0 {
+		t.Errorf("%d more are asked before other routers had time", got)
+	}
+	if got := len(r.toAsk(alone, asked)); got != more+modelReplicas-askAlone {
+		t.Errorf("%d more are asked by a router that heard of no other, want %d", got, more+modelReplicas-askAlone)
+	}
+}
+
+// TestKnownReplicasAreNotAsked has a router that knows of one replica and has asked
+// another one.
+func TestKnownReplicasAreNotAsked(t *testing.T) {
+	r := newFleet(t, 5)[0]
+	known, asked := replicas.HashOf("m3", 0), replicas.HashOf("m4", 0)
+	r.directory.Hear(placing.Origin{Name: "r1", Incarnation: 1},
+		placing.News{Placements: []placing.Placement{{Key: 1, Replica: known}}, Told: 1})
+	if got := len(r.toAsk(0, map[uint32]bool{asked: true})); got != modelReplicas-2 {
+		t.Errorf("%d replicas are asked, want %d", got, modelReplicas-2)
+	}
+}
+
+// TestPartsAreKnownAfterAllRestart has all routers start at once while the
+// replicas go on: the routers learn who holds what, and those that start later
+// take it over without a question.
+func TestPartsAreKnownAfterAllRestart(t *testing.T) {
+	fleet := newFleet(t, 3)
+	for _, r := range fleet {
+		for _, replica := range r.toAsk(0, map[uint32]bool{}) {
+			r.askParts(context.Background(), replica)
+		}
+	}
+	for _, r := range fleet {
+		for _, other := range fleet {
+			if other != r {
+				r.directory.Take(state{other}.Whole().Inventory)
+			}
+		}
+		r.settled.Store(true)
+	}
+	late := newFleet(t, 1)[0]
+	summary := mesh.Summary{Router: "r1", Configuration: 1, Digest: late.table.Digest(), Settled: true}
+	if got := (state{late}).Lacks(summary); got != mesh.Behind {
+		t.Errorf("a router that starts later lacks %v, want %v", got, mesh.Behind)
+	}
+	whole := state{fleet[1]}.Whole()
+	if err := (state{late}).Take(whole); err != nil {
+		t.Fatal(err)
+	}
+	if got := (state{late}).Lacks(summary); got != mesh.Nothing {
+		t.Errorf("after it took over a state it lacks %v", got)
+	}
+	if asks := late.toAsk(time.Second, map[uint32]bool{}); len(asks) != 0 {
+		t.Errorf("it asks %d replicas more", len(asks))
+	}
+	for i := range modelReplicas {
+		want := []uint32{replicas.HashOf(fmt.Sprint("m", i), 0)}
+		if diff := cmp.Diff(want, late.directory.Holders(uint64(100+i))); diff != "" {
+			t.Errorf("holders of part %d (-want +got):\n%s", 100+i, diff)
+		}
+	}
+}
+
+func TestSilentReplicaIsNoHolder(t *testing.T) {
+	r := newFleet(t, 1)[0]
+	r.Source = holding{}
+	for _, replica := range r.toAsk(0, map[uint32]bool{}) {
+		r.askParts(context.Background(), replica)
+		if replica.Alive(r.clock.Now()) || r.directory.Knows(replica.Hash()) {
+			t.Errorf("%s counts as answered", replica.ID())
+		}
+	}
+}
--- a/edge/source.go
+++ b/edge/source.go
@@ -20,4 +20,6 @@
 	// Replicas reads the whole list of replicas at a revision; malformed are the
 	// entries that name none.
 	Replicas(ctx context.Context) (entries []replicas.Entry, revision int64, malformed []string, err error)
+	// Parts returns the parts of prompts that the replica at the address holds.
+	Parts(ctx context.Context, address string) ([]uint64, error)
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
@@ -39,7 +40,8 @@
 	b.Counts = r.table.Counts()
 	b.Reports = r.table.Reports(reportsMost)
 	b.Changes = r.table.Recent(changesMost)
-	b.Placements = r.directory.Recent(max(placementsLeast, r.node.CoverTime()+r.node.SpreadTime()))
+	b.Settled = r.settled.Load()
+	b.News = r.directory.Recent(max(placementsLeast, r.node.CoverTime()+r.node.SpreadTime()))
 }
 
 // Hear implements mesh.State.
@@ -54,12 +56,16 @@
 	}
 	r.table.Learn(b.Name, b.Incarnation, b.Counts)
 	r.table.HearReports(b.Reports)
-	r.directory.Hear(b.Placements)
+	r.directory.Hear(placing.Origin{Name: b.Name, Incarnation: b.Incarnation}, b.News)
 }
 
 // Whole implements mesh.State.
 func (s state) Whole() *mesh.Whole {
-	w := &mesh.Whole{Entries: s.r.table.Entries()}
+	w := &mesh.Whole{Entries: s.r.table.Entries(), Settled: s.r.settled.Load()}
+	w.Inventory = s.r.directory.Inventory(func(replica uint32) bool {
+		_, ok := s.r.table.Source(replica)
+		return ok
+	})
 	if doc := s.r.current.Load(); doc != nil {
 		w.Configuration, w.Revision = doc.Source, doc.Revision
 	}
@@ -69,6 +75,10 @@
 // Take implements mesh.State.
 func (s state) Take(w *mesh.Whole) error {
 	s.r.logChanges("peer", s.r.table.Offer(w.Entries))
+	s.r.directory.Take(w.Inventory)
+	if w.Settled {
+		s.r.settled.Store(true)
+	}
 	if len(w.Entries) > 0 {
 		s.r.listed.Store(true)
 	}
@@ -83,9 +93,17 @@
 	return nil
 }
 
-// Differs implements mesh.State.
-func (s state) Differs(configuration int64, digest uint64) (newer, different bool) {
-	return configuration > s.r.current.Revision(), digest != s.r.table.Digest()
+// Lacks implements mesh.State.
+func (s state) Lacks(other mesh.Summary) mesh.Lack {
+	switch {
+	case other.Configuration > s.r.current.Revision():
+		return mesh.Newer
+	case s.r.directory.Behind(other.Router), other.Settled && !s.r.settled.Load():
+		return mesh.Behind
+	case other.Digest != s.r.table.Digest():
+		return mesh.Different
+	}
+	return mesh.Nothing
 }
 
 // offer puts a configuration in force if it is newer.
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -40,8 +40,10 @@
 	Reports []replicas.Report
 	// Changes are the latest changes of replicas.
 	Changes []replicas.Entry
-	// Placements are the latest choices of replicas for parts of prompts.
-	Placements []placing.Placement
+	// News are the latest choices of replicas for parts of prompts.
+	News placing.News
+	// Settled routers know what replicas held before these started.
+	Settled bool
 	// Known are other routers that were heard lately.
 	Known []Member
 }
@@ -59,6 +61,8 @@
 	beatPlacements
 	beatOutageAge
 	beatReports
+	beatTold
+	beatSettled
 )
 
 // The field numbers of a member.
@@ -110,12 +114,9 @@
 	for _, m := range b.Known {
 		out = appendBytes(out, beatKnown, m.marshal())
 	}
-	packed = nil
-	for _, p := range b.Placements {
-		packed = protowire.AppendVarint(packed, p.Key)
-		packed = protowire.AppendVarint(packed, uint64(p.Replica))
-	}
-	out = appendBytes(out, beatPlacements, packed)
+	out = appendBytes(out, beatPlacements, packPlacements(b.News.Placements))
+	out = appendNumber(out, beatTold, b.News.Told)
+	out = appendFlag(out, beatSettled, b.Settled)
 	packed = nil
 	for _, r := range b.Reports {
 		packed = protowire.AppendVarint(packed, uint64(r.Replica))
@@ -143,7 +144,13 @@
 		case beatCounts:
 			return b.unmarshalCounts(raw)
 		case beatPlacements:
-			return b.unmarshalPlacements(raw)
+			placements, err := unpackPlacements(raw)
+			b.News.Placements = placements
+			return err
+		case beatTold:
+			b.News.Told = v
+		case beatSettled:
+			b.Settled = v != 0
 		case beatReports:
 			return b.unmarshalReports(raw)
 		case beatChange:
@@ -172,15 +179,24 @@
 	return packed, nil
 }
 
-func (b *Beat) unmarshalPlacements(raw []byte) (err error) {
+func packPlacements(placements []placing.Placement) []byte {
+	var packed []byte
+	for _, p := range placements {
+		packed = protowire.AppendVarint(packed, p.Key)
+		packed = protowire.AppendVarint(packed, uint64(p.Replica))
+	}
+	return packed
+}
+
+func unpackPlacements(raw []byte) (placements []placing.Placement, err error) {
 	for len(raw) > 0 {
 		var numbers [placementNumbers]uint64
 		if raw, err = consume(raw, numbers[:]); err != nil {
-			return err
+			return nil, err
 		}
-		b.Placements = append(b.Placements, placing.Placement{Key: numbers[0], Replica: uint32(numbers[1])})
+		placements = append(placements, placing.Placement{Key: numbers[0], Replica: uint32(numbers[1])})
 	}
-	return nil
+	return placements, nil
 }
 
 func (b *Beat) unmarshalReports(raw []byte) (err error) {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -31,11 +31,10 @@
 // seen is a router with its latest beat.
 type seen struct {
 	Member
-	added         time.Time
-	heard         time.Time // zero if never
-	configuration int64
-	digest        uint64
-	stopping      bool
+	Summary
+	added    time.Time
+	heard    time.Time // zero if never
+	stopping bool
 }
 
 func newMembers(self Member, clock peridotusher.Clock) *members {
@@ -59,7 +58,7 @@
 	if b.Incarnation < s.Incarnation && now.Sub(s.heard) < m.aliveFor() {
 		return false
 	}
-	s.Member, s.heard, s.configuration, s.digest, s.stopping = b.Member, now, b.Configuration, b.Digest, b.Stopping
+	s.Member, s.Summary, s.heard, s.stopping = b.Member, b.summary(), now, b.Stopping
 	for _, k := range b.Known {
 		m.introduce(now, k)
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -20,11 +20,12 @@
 	return Beat{
 		Member:        Member{Name: "r1", Address: "10.0.0.1:7000", Zone: "a", Incarnation: 1764800000000},
 		Configuration: 12, Digest: 1 << 63, ReadAge: 450 * time.Millisecond, OutageAge: time.Hour, Stopping: true,
-		Counts:     []replicas.Count{{Replica: 1 << 31, Held: 3, Good: 1000, Bad: 2}, {Replica: 7}},
-		Changes:    []replicas.Entry{{ID: "i-1", Service: "s", Address: "10.0.0.9:80", Zone: "b", Slots: 64, Born: 5, Leaving: true, Gone: true, Revision: 99}},
-		Reports:    []replicas.Report{{Replica: 8, Load: 70, Age: 30 * time.Millisecond}},
-		Placements: []placing.Placement{{Key: 1 << 60, Replica: 5}},
-		Known:      []Member{{Name: "r2", Address: "10.0.0.2:7000", Zone: "b", Incarnation: 4}},
+		Counts:  []replicas.Count{{Replica: 1 << 31, Held: 3, Good: 1000, Bad: 2}, {Replica: 7}},
+		Changes: []replicas.Entry{{ID: "i-1", Service: "s", Address: "10.0.0.9:80", Zone: "b", Slots: 64, Born: 5, Leaving: true, Gone: true, Revision: 99}},
+		Reports: []replicas.Report{{Replica: 8, Load: 70, Age: 30 * time.Millisecond}},
+		News:    placing.News{Placements: []placing.Placement{{Key: 1 << 60, Replica: 5}}, Told: 12},
+		Settled: true,
+		Known:   []Member{{Name: "r2", Address: "10.0.0.2:7000", Zone: "b", Incarnation: 4}},
 	}
 }
 
@@ -50,7 +51,9 @@
 
 func TestWholeOnTheWire(t *testing.T) {
 	text := bytes.Repeat([]byte(`{"name":"r-2yhvz3p","kind":"streaming"},`), 10000)
-	want := Whole{Configuration: text, Revision: 4, Entries: sampleBeat().Changes}
+	want := Whole{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true}
+	want.Inventory.Placements = []placing.Placement{{Key: 1 << 60, Replica: 5}, {Key: 3, Replica: 1 << 31}}
+	want.Inventory.Heard = []placing.Heard{{Origin: placing.Origin{Name: "r1", Incarnation: 8}, Told: 3}, {Origin: placing.Origin{Name: "r2"}}}
 	data, err := want.marshal()
 	if err != nil {
 		t.Fatal(err)
@@ -139,10 +142,13 @@
 	return nil
 }
 
-func (s *testState) Differs(configuration int64, _ uint64) (newer, different bool) {
+func (s *testState) Lacks(other Summary) Lack {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return configuration > s.revision, false
+	if other.Configuration > s.revision {
+		return Newer
+	}
+	return Nothing
 }
 
 func (s *testState) get() (revision int64, heard int) {
@@ -207,3 +213,31 @@
 	}
 	t.Fatal("the routers never knew each other and the configuration")
 }
+
+func TestCatchUpPace(t *testing.T) {
+	const pace = 300 * time.Millisecond
+	start := time.Unix(100, 0)
+	both := map[Lack][]string{Behind: {"b"}, Different: {"d"}}
+	steps := []struct {
+		after time.Duration
+		lacks map[Lack][]string
+		want  []string
+	}{
+		{0, nil, nil},
+		{0, both, []string{"b"}},
+		{100 * time.Millisecond, both, nil},
+		{200 * time.Millisecond, map[Lack][]string{Newer: {"n"}, Behind: {"b"}}, []string{"n"}},
+		{300 * time.Millisecond, both, []string{"b"}},
+		{400 * time.Millisecond, map[Lack][]string{Nothing: {"x"}}, nil},
+		{500 * time.Millisecond, map[Lack][]string{Different: {"d"}}, nil},
+		{time.Second, map[Lack][]string{Different: {"d"}}, nil},
+		{1600 * time.Millisecond, map[Lack][]string{Different: {"d"}}, []string{"d"}},
+		{1700 * time.Millisecond, map[Lack][]string{Different: {"d"}}, nil},
+	}
+	var c catching
+	for i, s := range steps {
+		if diff := cmp.Diff(s.want, c.from(start.Add(s.after), s.lacks, pace)); diff != "" {
+			t.Errorf("step %d, routers to fetch from (-want +got):\n%s", i, diff)
+		}
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -44,10 +44,36 @@
 	Whole() *Whole
 	// Take takes the whole state of another router in.
 	Take(w *Whole) error
-	// Differs reports whether the other router has what this one lacks.
-	Differs(configuration int64, digest uint64) (newer, different bool)
+	// Lacks returns what the other router has that this one lacks.
+	Lacks(other Summary) Lack
 }
 
+// Summary says how much another router knows, as its latest beat told.
+type Summary struct {
+	Router        string
+	Configuration int64
+	Digest        uint64
+	Settled       bool
+}
+
+func (b *Beat) summary() Summary {
+	return Summary{Router: b.Name, Configuration: b.Configuration, Digest: b.Digest, Settled: b.Settled}
+}
+
+// Lack is what a router lacks of another one's state.
+type Lack int
+
+// What may be lacking, from what can wait longest.
+const (
+	Nothing Lack = iota
+	// Different replicas are known, maybe for a moment only.
+	Different
+	// Behind are routers that missed placements.
+	Behind
+	// Newer is a configuration that has to be in force soon.
+	Newer
+)
+
 // Log takes one line for each change of belief. It must not block.
 type Log interface {
 	Event(kind string, fields ...any)
@@ -62,7 +88,10 @@
 
 	members *members
 	seeds   atomic.Pointer[[]string]
-	round   int
+	// news asks for a round of beats at once, missed for a look at what others know.
+	news   chan struct{}
+	missed chan struct{}
+	round  int
 
 	encodeMu  sync.Mutex
 	encoded   []byte // the whole state for others, as encoded last
@@ -72,6 +101,8 @@
 // Init prepares the node; it must be called before any other method.
 func (n *Node) Init() {
 	n.members = newMembers(n.Self, n.Clock)
+	n.news = make(chan struct{}, 1)
+	n.missed = make(chan struct{}, 1)
 	n.seeds.Store(&[]string{})
 }
 
@@ -104,6 +135,40 @@
 	return rank
 }
 
+// Order is the router's place in an order of its own for the topic, by which it
+// goes through things that all routers go through.
+func (n *Node) Order(topic string) uint64 { return placeOf(topic, n.Self.Name) }
+
+// Join takes over the state of the first seed that answers within a moment, so
+// that a router that starts knows at once what the others know.
+func (n *Node) Join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinTime)
+	defer cancel()
+	var group errgroup.Group
+	for _, seed := range *n.seeds.Load() {
+		if seed == n.Self.Address {
+			continue
+		}
+		group.Go(func() error {
+			n.fetchFrom(ctx, seed)
+			cancel() // one is enough
+			return nil
+		})
+	}
+	_ = group.Wait() // each fetch has logged its error
+}
+
+// Tell sends a round of beats at once.
+func (n *Node) Tell() { signal(n.news) }
+
+// signal wakes the reader of the channel, which may be awake already.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Run sends and receives beats and serves sessions until ctx ends.
 func (n *Node) Run(ctx context.Context, datagrams net.PacketConn, l net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -149,6 +214,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+		case <-n.news:
 		}
 		n.sendRound(datagrams)
 		timer.Reset(roundTime(n.members.count() - 1))
@@ -220,8 +286,12 @@
 			n.Log.Event("peer", "error", err)
 			continue
 		}
-		if n.members.hear(&b) {
-			n.State.Hear(&b)
+		if !n.members.hear(&b) {
+			continue
+		}
+		n.State.Hear(&b)
+		if lack := n.State.Lacks(b.summary()); lack == Newer || lack == Behind {
+			signal(n.missed)
 		}
 	}
 }
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -12,16 +12,18 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/encoding/protowire"
-
-	"peridotusher.example/peridotusher/replicas"
 )
 
 const (
 	// sessionTime bounds a fetch of the whole state.
 	sessionTime = 1500 * time.Millisecond
+	// joinTime bounds the first fetch after the start.
+	joinTime = 30 * time.Millisecond
 	// lookEvery is the time between two looks for routers that know more.
 	lookEvery = 100 * time.Millisecond
+	// behindPart is the least time between two fetches of placements that were
+	// missed, as a part of the time in which all routers get a beat.
+	behindPart = 4
 	// differentFor is how long the replicas of two routers may differ before
 	// one fetches them: changes travel in beats meanwhile.
 	differentFor = time.Second
@@ -33,55 +35,6 @@
 	sessions = 8
 )
 
-// Whole is the state of a router that another one lacks.
-type Whole struct {
-	// Configuration is the source of the configuration in force, nil if none.
-	Configuration []byte
-	// Revision is the revision of that configuration.
-	Revision int64
-	Entries  []replicas.Entry
-}
-
-// The field numbers of a whole state.
-const (
-	wholeConfiguration protowire.Number = iota + 1
-	wholeRevision
-	wholeEntry
-)
-
-// marshal encodes the state; the configuration, which may have megabytes of text,
-// is compressed.
-func (w *Whole) marshal() ([]byte, error) {
-	packed, err := compress(w.Configuration)
-	if err != nil {
-		return nil, err
-	}
-	out := appendBytes(nil, wholeConfiguration, packed)
-	out = appendNumber(out, wholeRevision, uint64(w.Revision))
-	for _, e := range w.Entries {
-		out = appendBytes(out, wholeEntry, marshalEntry(e))
-	}
-	return out, nil
-}
-
-func (w *Whole) unmarshal(data []byte) error {
-	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
-		switch n {
-		case wholeConfiguration:
-			text, err := decompress(raw)
-			w.Configuration = text
-			return err
-		case wholeRevision:
-			w.Revision = int64(v)
-		case wholeEntry:
-			e, err := unmarshalEntry(raw)
-			w.Entries = append(w.Entries, e)
-			return err
-		}
-		return nil
-	})
-}
-
 // placeOf orders routers for a topic.
 func placeOf(topic, name string) uint64 { return xxhash.Sum64String(topic + "\x00" + name) }
 
@@ -168,10 +121,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = c.Close() }() // everything was read
-	if err := c.SetDeadline(time.Now().Add(sessionTime)); err != nil {
-		return nil, err
-	}
+	defer func() { _ = c.Close() }()                         // everything was read
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })() // a pending read ends with an error
 	session, err := yamux.Client(c, sessionConfig())
 	if err != nil {
 		return nil, err
@@ -201,39 +152,53 @@
 func (n *Node) catchUp(ctx context.Context) error {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
-	var since time.Time
+	var c catching
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+		case <-n.missed:
 		}
-		var from, different []string
+		lacks := make(map[Lack][]string)
 		for _, s := range n.members.alive() {
-			newer, differs := n.State.Differs(s.configuration, s.digest)
-			if newer {
-				from = append(from, s.Address)
-			}
-			if differs {
-				different = append(different, s.Address)
-			}
-		}
-		now := n.Clock.Now()
-		switch {
-		case len(different) == 0:
-			since = time.Time{}
-		case since.IsZero():
-			since = now
-		case now.Sub(since) > differentFor && len(from) == 0:
-			from = different
-			since = now
+			lack := n.State.Lacks(s.Summary)
+			lacks[lack] = append(lacks[lack], s.Address)
 		}
+		from := c.from(n.Clock.Now(), lacks, n.CoverTime()/behindPart)
 		if len(from) > 0 {
 			n.fetchFrom(ctx, from[rand.IntN(len(from))])
 		}
 	}
 }
 
+// catching decides when the state of another router is fetched.
+type catching struct {
+	behind    time.Time // when missed placements were fetched last
+	different time.Time // since when replicas differ
+}
+
+// from returns the routers of which one is to be fetched from now, none if that
+// can wait. pace is the least time between two fetches of missed placements.
+func (c *catching) from(now time.Time, lacks map[Lack][]string, pace time.Duration) []string {
+	if len(lacks[Different]) == 0 {
+		c.different = time.Time{}
+	} else if c.different.IsZero() {
+		c.different = now
+	}
+	switch {
+	case len(lacks[Newer]) > 0:
+		return lacks[Newer]
+	case len(lacks[Behind]) > 0 && now.Sub(c.behind) >= pace:
+		c.behind = now
+		return lacks[Behind]
+	case len(lacks[Different]) > 0 && now.Sub(c.different) > differentFor:
+		c.different = now
+		return lacks[Different]
+	}
+	return nil
+}
+
 func (n *Node) fetchFrom(ctx context.Context, address string) {
 	w, err := n.fetch(ctx, address)
 	if err == nil {
@@ -243,5 +208,6 @@
 		n.Log.Event("fetch", "address", address, "error", err)
 		return
 	}
-	n.Log.Event("fetch", "address", address, "revision", w.Revision, "entries", len(w.Entries))
+	n.Log.Event("fetch", "address", address, "revision", w.Revision, "entries", len(w.Entries),
+		"placements", len(w.Inventory.Placements))
 }
--- a/placing/directory.go
+++ b/placing/directory.go
@@ -14,10 +14,6 @@
 	keysMost = 20000
 	// holdFor is how long a part is taken to be cached after its last use.
 	holdFor = 90 * time.Second
-	// tellLongest is how long new placements are kept to be told.
-	tellLongest = 10 * time.Second
-	// recentMost bounds the placements that wait to be told.
-	recentMost = 256
 )
 
 // Placement says that a replica has read a part.
@@ -37,21 +33,25 @@
 // dropped a part. It is safe for concurrent use.
 type Directory struct {
 	clock peridotusher.Clock
+	self  Origin
 
-	mu     sync.Mutex
-	keys   map[uint64][]holder
-	recent []told
+	mu   sync.Mutex
+	keys map[uint64][]holder
+	// known counts the parts that each replica is remembered for.
+	known map[uint32]int
+	// recent are the newest placements of this router, the last of them the one
+	// with the number told.
+	recent []dated
+	told   uint64
+	heard  map[string]hearing
 }
 
-// told is a placement that other routers have to hear of.
-type told struct {
-	Placement
-	at time.Time
-}
-
-// NewDirectory returns an empty Directory.
-func NewDirectory(clock peridotusher.Clock) *Directory {
-	return &Directory{clock: clock, keys: make(map[uint64][]holder)}
+// NewDirectory returns an empty Directory of a router's start.
+func NewDirectory(clock peridotusher.Clock, self Origin) *Directory {
+	return &Directory{
+		clock: clock, self: self,
+		keys: make(map[uint64][]holder), known: make(map[uint32]int), heard: make(map[string]hearing),
+	}
 }
 
 // Place notes that the router sends a prompt with the part to the replica. Other
@@ -63,37 +63,14 @@
 	if !d.note(p, now) {
 		return
 	}
-	if len(d.recent) >= recentMost {
-		d.recent = d.recent[1:]
-	}
-	d.recent = append(d.recent, told{p, now})
+	d.tell(p, now)
 }
 
-// Hear notes placements of another router.
-func (d *Directory) Hear(placements []Placement) {
+// Knows reports whether any part is remembered for the replica.
+func (d *Directory) Knows(replica uint32) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock.Now()
-	for _, p := range placements {
-		d.note(p, now)
-	}
-}
-
-// Recent returns the new placements of the last moments.
-func (d *Directory) Recent(last time.Duration) []Placement {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	for len(d.recent) > 0 && now.Sub(d.recent[0].at) > tellLongest {
-		d.recent = d.recent[1:]
-	}
-	out := make([]Placement, 0, len(d.recent))
-	for _, t := range d.recent {
-		if now.Sub(t.at) <= last {
-			out = append(out, t.Placement)
-		}
-	}
-	return out
+	return d.known[replica] > 0
 }
 
 // Holders returns the replicas that are taken to have the part cached.
@@ -130,13 +107,31 @@
 				oldest = i
 			}
 		}
+		d.forget(list[oldest].replica)
 		list[oldest] = holder{p.Replica, now}
+		d.known[p.Replica]++
 		return true
 	}
 	d.keys[p.Key] = append(list, holder{p.Replica, now})
+	d.known[p.Replica]++
 	return true
 }
 
+// forget takes one part off those that the replica is remembered for.
+func (d *Directory) forget(replica uint32) {
+	if d.known[replica]--; d.known[replica] <= 0 {
+		delete(d.known, replica)
+	}
+}
+
+// remove forgets a part.
+func (d *Directory) remove(key uint64) {
+	for _, h := range d.keys[key] {
+		d.forget(h.replica)
+	}
+	delete(d.keys, key)
+}
+
 // drop forgets parts that were not used for long, or any if there are none.
 func (d *Directory) drop(now time.Time) {
 	const share = keysMost / 8
@@ -148,7 +143,7 @@
 			fresh = fresh || h.used.After(since)
 		}
 		if !fresh {
-			delete(d.keys, key)
+			d.remove(key)
 			dropped++
 		}
 	}
@@ -156,7 +151,7 @@
 		if dropped >= share {
 			return
 		}
-		delete(d.keys, key)
+		d.remove(key)
 		dropped++
 	}
 }
--- /dev/null
+++ b/placing/news_test.go
@@ -0,0 +1,120 @@
+package placing
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"peridotusher.example/peridotusher"
+)
+
+// exchangeClock is the time of the directories of a test.
+type exchangeClock struct{ now time.Time }
+
+func (c *exchangeClock) Now() time.Time { return c.now }
+
+var _ peridotusher.Clock = (*exchangeClock)(nil)
+
+// all keeps every replica.
+func all(uint32) bool { return true }
+
+func TestMissedPlacements(t *testing.T) {
+	r1, restarted := Origin{"r1", 1}, Origin{"r1", 2}
+	placements := func(keys ...uint64) []Placement {
+		var out []Placement
+		for _, key := range keys {
+			out = append(out, Placement{key, 7})
+		}
+		return out
+	}
+	type hearing struct {
+		from Origin
+		news News
+	}
+	tests := []struct {
+		name  string
+		heard []hearing
+		want  bool
+	}{
+		{"nothing told", []hearing{{r1, News{}}}, false},
+		{"from the start", []hearing{{r1, News{placements(1, 2), 2}}, {r1, News{placements(2, 3), 3}}}, false},
+		{"again", []hearing{{r1, News{placements(1, 2), 2}}, {r1, News{nil, 2}}}, false},
+		{"older ones late", []hearing{{r1, News{placements(1, 2, 3), 3}}, {r1, News{placements(2), 2}}}, false},
+		{"started later than the other", []hearing{{r1, News{nil, 40}}}, true},
+		{"a gap", []hearing{{r1, News{placements(1), 1}}, {r1, News{placements(3), 3}}}, true},
+		{"a gap, then a whole beat", []hearing{{r1, News{placements(3), 3}}, {r1, News{placements(4), 4}}}, true},
+		{"the other restarts", []hearing{{r1, News{placements(1), 1}}, {restarted, News{placements(2), 1}}}, false},
+		{"a gap after a restart", []hearing{{r1, News{placements(1), 1}}, {restarted, News{placements(2), 5}}}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := NewDirectory(&exchangeClock{time.Unix(100, 0)}, Origin{"r0", 1})
+			for _, h := range test.heard {
+				d.Hear(h.from, h.news)
+			}
+			if got := d.Behind("r1"); got != test.want {
+				t.Errorf("behind = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestRestartedRouterKnowsHolders plays a restart: the router takes over what one
+// other router knows, and has missed nothing of the third.
+func TestRestartedRouterKnowsHolders(t *testing.T) {
+	clock := &exchangeClock{time.Unix(100, 0)}
+	r1, r2 := Origin{"r1", 1}, Origin{"r2", 1}
+	first, second := NewDirectory(clock, r1), NewDirectory(clock, r2)
+	for key := range uint64(300) {
+		first.Place(Placement{key, uint32(key % 5)})
+		second.Hear(r1, first.Recent(time.Second))
+	}
+	second.Place(Placement{1000, 3})
+	restarted := NewDirectory(clock, Origin{"r0", 2})
+	clock.now = clock.now.Add(time.Minute)
+	restarted.Hear(r1, first.Recent(time.Second))
+	if !restarted.Behind("r1") || len(restarted.Holders(7)) != 0 || restarted.Knows(2) {
+		t.Fatal("the restarted router knows what it cannot know")
+	}
+	restarted.Take(second.Inventory(all))
+	if restarted.Behind("r1") || restarted.Behind("r2") {
+		t.Error("the restarted router counts as behind")
+	}
+	for key := range uint64(300) {
+		if diff := cmp.Diff([]uint32{uint32(key % 5)}, restarted.Holders(key)); diff != "" {
+			t.Fatalf("holders of %d (-want +got):\n%s", key, diff)
+		}
+	}
+	if !restarted.Knows(3) {
+		t.Error("nothing is known of a replica")
+	}
+}
+
+func TestInventoryLeavesOut(t *testing.T) {
+	clock := &exchangeClock{time.Unix(100, 0)}
+	d := NewDirectory(clock, Origin{"r0", 1})
+	d.Place(Placement{1, 10})
+	d.Place(Placement{2, 11})
+	d.Hear(Origin{"r1", 1}, News{Told: 9}) // missed
+	d.Hear(Origin{"r2", 1}, News{[]Placement{{3, 10}}, 1})
+	got := d.Inventory(func(replica uint32) bool { return replica != 11 })
+	slices.SortFunc(got.Placements, func(a, b Placement) int { return int(a.Key) - int(b.Key) })
+	want := Inventory{
+		Placements: []Placement{{1, 10}, {3, 10}},
+		Heard:      []Heard{{Origin{"r0", 1}, 2}, {Origin{"r2", 1}, 1}},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("inventory (-want +got):\n%s", diff)
+	}
+	// An older view must not hide what was missed since.
+	d.Take(Inventory{Heard: []Heard{{Origin{"r1", 1}, 8}}})
+	if !d.Behind("r1") {
+		t.Error("a view older than the gap closed it")
+	}
+	clock.now = clock.now.Add(2 * holdFor)
+	if got := d.Inventory(all); len(got.Placements) != 0 {
+		t.Errorf("old placements are handed on: %v", got.Placements)
+	}
+}
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -117,19 +117,19 @@
 
 func TestDirectory(t *testing.T) {
 	now := time.Unix(100, 0)
-	d := NewDirectory(peridotusher.ClockFunc(func() time.Time { return now }))
+	d := NewDirectory(peridotusher.ClockFunc(func() time.Time { return now }), Origin{Name: "r0", Incarnation: 1})
 	d.Place(Placement{Key: 1, Replica: 10})
-	d.Hear([]Placement{{Key: 1, Replica: 11}, {Key: 2, Replica: 12}})
+	d.Hear(Origin{Name: "r1", Incarnation: 1}, News{Placements: []Placement{{Key: 1, Replica: 11}, {Key: 2, Replica: 12}}, Told: 2})
 	if diff := cmp.Diff([]uint32{10, 11}, d.Holders(1)); diff != "" {
 		t.Errorf("holders (-want +got):\n%s", diff)
 	}
 	d.Place(Placement{Key: 1, Replica: 11}) // known already
-	if diff := cmp.Diff([]Placement{{Key: 1, Replica: 10}}, d.Recent(time.Second)); diff != "" {
+	if diff := cmp.Diff(News{Placements: []Placement{{Key: 1, Replica: 10}}, Told: 1}, d.Recent(time.Second)); diff != "" {
 		t.Errorf("recent placements (-want +got):\n%s", diff)
 	}
 	now = now.Add(2 * time.Second)
-	if got := d.Recent(time.Second); len(got) != 0 {
-		t.Errorf("old placements are told: %v", got)
+	if diff := cmp.Diff(News{Told: 1}, d.Recent(time.Second)); diff != "" {
+		t.Errorf("news of old placements (-want +got):\n%s", diff)
 	}
 	now = now.Add(2 * holdFor)
 	if got := d.Holders(1); len(got) != 0 {
@@ -139,11 +139,14 @@
 
 func TestDirectoryIsBounded(t *testing.T) {
 	now := time.Unix(100, 0)
-	d := NewDirectory(peridotusher.ClockFunc(func() time.Time { return now }))
+	d := NewDirectory(peridotusher.ClockFunc(func() time.Time { return now }), Origin{Name: "r0", Incarnation: 1})
 	for key := range uint64(3 * keysMost) {
-		d.Hear([]Placement{{Key: key, Replica: uint32(key)}})
+		d.Place(Placement{Key: key, Replica: uint32(key)})
 	}
-	if len(d.keys) > keysMost {
-		t.Errorf("%d parts are remembered, limit %d", len(d.keys), keysMost)
+	if len(d.keys) > keysMost || len(d.known) > keysMost {
+		t.Errorf("%d parts of %d replicas are remembered, limit %d", len(d.keys), len(d.known), keysMost)
+	}
+	if n := len(d.Recent(time.Second).Placements); n > recentMost {
+		t.Errorf("%d placements are told, limit %d", n, recentMost)
 	}
 }
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -117,7 +117,7 @@
 	current := routing.NewCurrent()
 	current.Offer(doc)
 	b.front = &Front{
-		Zone: "a", Clock: clock, Current: current, Table: table, Directory: placing.NewDirectory(clock), Dialect: testDialect{},
+		Zone: "a", Clock: clock, Current: current, Table: table, Directory: placing.NewDirectory(clock, placing.Origin{Name: "r0", Incarnation: 1}), Dialect: testDialect{},
 		Budget: budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, clock),
 		Pool:   NewPool(clock), Log: discard{}, Routers: func() int { return 1 }, Gate: overload.NewGate(clock), Multiple: 2, BodyMemory: 1 << 20, Connections: 100,
 	}
