--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -26,6 +26,7 @@
 	bad      uint32
 	recorded time.Time // when good or bad changed last
 	alive    time.Time // when a request of any router ended well last
+	left     time.Time // since when the replica leaves or is gone, zero if it does not
 }
 
 // others is the load that other routers' requests make at a replica: counted from
@@ -123,6 +124,25 @@
 	return !r.alive.IsZero() && now.Sub(r.alive) < aliveFor
 }
 
+// leave notes whether the replica leaves or is gone.
+func (r *Replica) leave(now time.Time, leaves bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !leaves:
+		r.left = time.Time{}
+	case r.left.IsZero():
+		r.left = now
+	}
+}
+
+// handsOn reports whether others can still fetch what the replica holds.
+func (r *Replica) handsOn(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left.IsZero() || now.Sub(r.left) < handOnFor
+}
+
 // ratio is a replica's recent record: the outcomes, decayed, the part of them that
 // failed, and whether the replica is avoided.
 type ratio struct {
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -12,9 +12,9 @@
 const (
 	// changeTTL is how long a change is told to other routers.
 	changeTTL = 2 * time.Second
-	// goneFor is how long a replica that is gone can still be named as a source:
-	// some serve on for seconds.
-	goneFor = 10 * time.Second
+	// handOnFor is how long a replica that leaves or is gone still hands on what
+	// it holds.
+	handOnFor = 3 * time.Second
 	// tombstoneFor is how long it is remembered that a replica is gone, so that
 	// an older entry does not bring it back.
 	tombstoneFor = 10 * time.Minute
@@ -71,11 +71,14 @@
 // a short time.
 func (t *Table) Source(hash uint32) (*Replica, bool) {
 	v := t.view.Load()
-	if r, ok := v.all[hash]; ok {
-		return r, true
+	r, ok := v.all[hash]
+	if !ok {
+		r, ok = v.gone[hash]
 	}
-	r, ok := v.gone[hash]
-	return r, ok
+	if !ok || !r.handsOn(t.clock.Now()) {
+		return nil, false
+	}
+	return r, true
 }
 
 // Replicas calls f for each replica that is not gone.
@@ -145,7 +148,9 @@
 		if e.Gone {
 			return false
 		}
-		t.records[e.ID] = &record{entry: e, replica: newReplica(e), changed: now}
+		rec := &record{entry: e, replica: newReplica(e), changed: now}
+		rec.replica.leave(now, !e.usable())
+		t.records[e.ID] = rec
 		return true
 	}
 	if e.Revision <= rec.entry.Revision {
@@ -164,6 +169,7 @@
 	if !e.Gone {
 		rec.replica = rec.replica.next(e, reborn)
 	}
+	rec.replica.leave(now, !e.usable())
 	return true
 }
 
@@ -173,7 +179,7 @@
 	now := t.clock.Now()
 	for _, rec := range t.records {
 		if rec.entry.Gone {
-			if now.Sub(rec.changed) < goneFor {
+			if rec.replica.handsOn(now) {
 				v.gone[rec.replica.hash] = rec.replica
 			}
 			continue
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -75,6 +75,39 @@
 	}
 }
 
+// TestLeavingReplicaHandsOn has a replica leave and go: it can be a source for a
+// time that begins with the first of the two.
+func TestLeavingReplicaHandsOn(t *testing.T) {
+	b := newBed()
+	b.Offer([]Entry{entry("a", 1)})
+	source := func() bool {
+		_, ok := b.Source(HashOf("a", 1))
+		return ok
+	}
+	b.now = b.now.Add(time.Minute)
+	if !source() {
+		t.Error("a ready replica is no source")
+	}
+	leaving := entry("a", 2)
+	leaving.Leaving = true
+	b.Offer([]Entry{leaving})
+	b.now = b.now.Add(handOnFor / 2)
+	gone := entry("a", 3)
+	gone.Gone = true
+	b.Offer([]Entry{gone})
+	if !source() {
+		t.Error("a replica that left a short time ago is no source")
+	}
+	b.now = b.now.Add(handOnFor / 2)
+	if source() {
+		t.Error("a replica that left long ago is a source")
+	}
+	b.Offer([]Entry{entry("a", 4)})
+	if !source() {
+		t.Error("a replica that is ready again is no source")
+	}
+}
+
 func TestGoneReplicasAreForgotten(t *testing.T) {
 	b := newBed()
 	b.Snapshot(10, []Entry{entry("a", 3)}, false)
