TestKilledRouter and TestPlannedStop: all streams run when the router stops

On a machine that was still building, the second router joined while the streams began and took over an engine; a new owner admits little for 2 s (takeoverTime). Seven streams began, five waited, the seven ended, and the router was killed when nothing was left to cut (seen in the log: five callers gone at 2,999 ms, seven answers at 3,084 ms).

--- a/answertest/stop_test.go
+++ b/answertest/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,21 +14,26 @@
 	"peridotusher.example/peridotusher/testbed"
 )
 
-// openStreams begins streams at the first router and waits until each has
-// its first event.
+// openStreams begins streams at the first router and waits until all of them run
+// at once. Callers that get nothing before that begin again: the engines' first
+// reports are missing yet, an engine changes owners, or the bound holds them back.
 func openStreams(t *testing.T, bed *testbed.Bed, streams []*Streamed, group *errgroup.Group, after func(i int, err error) error) {
 	t.Helper()
+	setSlow(bed, slowly)
 	client := newHTTPClient()
+	var running atomic.Bool
 	for i := range streams {
 		streams[i] = &Streamed{}
 		c := newChat(fmt.Sprint(i), stopTokens)
 		group.Go(func() error {
 			for {
 				err := c.receive(context.Background(), client, bed.Routers[0].URL, streams[i])
-				if streams[i].Verdict != "not-run" {
+				if running.Load() {
 					return after(i, err)
 				}
-				// The engines' first reports are missing yet, or the bound holds the request back.
+				if streams[i].Request != "" && streams[i].Verdict != "not-run" {
+					return fmt.Errorf("stream %d ended before all ran: %+v, %w", i, streams[i], err)
+				}
 				*streams[i] = Streamed{}
 				time.Sleep(retryPause)
 			}
@@ -36,22 +42,34 @@
 	eventually(t, "running streams", func() bool {
 		n := 0
 		for _, e := range bed.Engines {
-			n += len(e.Stats().Runs)
+			n += e.Stats().Running
 		}
-		return n >= len(streams)
+		return n == len(streams)
 	})
+	running.Store(true)
 }
 
-// stopTokens is the length of the answers, a few seconds.
-const stopTokens = 100
+const (
+	// stopTokens is the length of the answers: while slow, longer than the streams
+	// may take to be admitted.
+	stopTokens = 1000
+	// slowly is how much longer a token takes while streams are to stay open.
+	slowly = 20
+)
 
-// slowerEngine leaves time to stop a router in the middle of an answer.
-func slowerEngine(e *standin.Engine) { e.TokenTime = 30 * time.Millisecond }
+// stopEngine makes answers that take a second or two.
+func stopEngine(e *standin.Engine) { e.TokenTime = 1500 * time.Microsecond }
+
+func setSlow(bed *testbed.Bed, factor float64) {
+	for _, e := range bed.Engines {
+		e.SetSlow(factor)
+	}
+}
 
 // TestPlannedStopCutsNothing stops a router with streams and calls in flight.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	t.Parallel()
-	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: slowerEngine})
+	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: stopEngine})
 	streams := make([]*Streamed, 12)
 	var group errgroup.Group
 	openStreams(t, bed, streams, &group, func(i int, err error) error {
@@ -73,6 +91,9 @@
 		})
 	}
 	bed.Routers[0].Terminate()
+	// The streams outlast the beginning of the stop.
+	time.Sleep(300 * time.Millisecond)
+	setSlow(bed, 1)
 	if err := group.Wait(); err != nil {
 		t.Error(err)
 	}
@@ -99,7 +120,7 @@
 // gets the rest at the other router.
 func TestKilledRouter(t *testing.T) {
 	t.Parallel()
-	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: slowerEngine})
+	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 2, EnginesPerZone: 3, Engine: stopEngine})
 	streams := make([]*Streamed, 12)
 	client := newHTTPClient()
 	var group errgroup.Group
@@ -112,6 +133,7 @@
 	// Every caller has a part of its answer by now.
 	time.Sleep(300 * time.Millisecond)
 	bed.Routers[0].Kill()
+	setSlow(bed, 1)
 	if err := group.Wait(); err != nil {
 		t.Error(err)
 	}
