A large part of a prompt is read once: prompts with it wait while it is read

Change: a router tells at once when a read of 2,000 shared tokens or more begins and ends; other prompts with the part wait for the first event, half of their objective at most. Load that it answers: several sessions that use one large context at once.

Tried before and left out: each part kept at replicas of two zones. What a copy costs is a sixth of reading it again; it pays only if more than one part in six loses its holder to a crash or a cut while it is in use.

--- a/edge/router.go
+++ b/edge/router.go
@@ -62,6 +62,7 @@
 	current   *routing.Current
 	table     *replicas.Table
 	directory *placing.Directory
+	reads     *placing.Reads
 	node      *mesh.Node
 	front     *relay.Front
 	pool      *relay.Pool
@@ -129,6 +130,7 @@
 		State: state{r}, Clock: r.clock, Log: r.Log,
 	}
 	r.directory = placing.NewDirectory(r.clock, placing.Origin{Name: s.router.name, Incarnation: r.node.Self.Incarnation})
+	r.reads = placing.NewReads(r.clock)
 	r.node.Init()
 	r.node.SetSeeds(r.seeds(s))
 	r.bounds.Store(&s.bounds)
@@ -136,7 +138,7 @@
 	r.front = &relay.Front{
 		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
-		Directory: r.directory, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock),
+		Directory: r.directory, Reads: r.reads, Tell: r.node.Tell, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock),
 		BodyMemory: int64(s.router.memory) * megabyte / bodyPart, Connections: s.router.files / 2,
 	}
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -41,6 +41,7 @@
 	b.Reports = r.table.Reports(reportsMost)
 	b.Changes = r.table.Recent(changesMost)
 	b.Settled = r.settled.Load()
+	b.Reads = r.reads.Own()
 	b.News = r.directory.Recent(max(placementsLeast, r.node.CoverTime()+r.node.SpreadTime()))
 }
 
@@ -56,6 +57,7 @@
 	}
 	r.table.Learn(b.Name, b.Incarnation, b.Counts)
 	r.table.HearReports(b.Reports)
+	r.reads.Hear(b.Name, b.Reads)
 	r.directory.Hear(placing.Origin{Name: b.Name, Incarnation: b.Incarnation}, b.News)
 }
 
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -42,6 +42,8 @@
 	Changes []replicas.Entry
 	// News are the latest choices of replicas for parts of prompts.
 	News placing.News
+	// Reads are large parts that replicas read just now for this router's requests.
+	Reads []placing.Placement
 	// Settled routers know what replicas held before these started.
 	Settled bool
 	// Known are other routers that were heard lately.
@@ -63,6 +65,7 @@
 	beatReports
 	beatTold
 	beatSettled
+	beatReads
 )
 
 // The field numbers of a member.
@@ -117,6 +120,7 @@
 	out = appendBytes(out, beatPlacements, packPlacements(b.News.Placements))
 	out = appendNumber(out, beatTold, b.News.Told)
 	out = appendFlag(out, beatSettled, b.Settled)
+	out = appendBytes(out, beatReads, packPlacements(b.Reads))
 	packed = nil
 	for _, r := range b.Reports {
 		packed = protowire.AppendVarint(packed, uint64(r.Replica))
@@ -147,6 +151,10 @@
 			placements, err := unpackPlacements(raw)
 			b.News.Placements = placements
 			return err
+		case beatReads:
+			reads, err := unpackPlacements(raw)
+			b.Reads = reads
+			return err
 		case beatTold:
 			b.News.Told = v
 		case beatSettled:
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -24,6 +24,7 @@
 		Changes: []replicas.Entry{{ID: "i-1", Service: "s", Address: "10.0.0.9:80", Zone: "b", Slots: 64, Born: 5, Leaving: true, Gone: true, Revision: 99}},
 		Reports: []replicas.Report{{Replica: 8, Load: 70, Age: 30 * time.Millisecond}},
 		News:    placing.News{Placements: []placing.Placement{{Key: 1 << 60, Replica: 5}}, Told: 12},
+		Reads:   []placing.Placement{{Key: 9, Replica: 6}},
 		Settled: true,
 		Known:   []Member{{Name: "r2", Address: "10.0.0.2:7000", Zone: "b", Incarnation: 4}},
 	}
--- a/relay/front.go
+++ b/relay/front.go
@@ -40,11 +40,15 @@
 	Table   *replicas.Table
 	// Directory says which replicas hold which parts of prompts.
 	Directory *placing.Directory
-	Dialect   Dialect
-	Budget    *budget.Budget
-	Pool      *Pool
-	Log       Log
-	Metrics   *Metrics
+	// Reads says which replicas are reading which parts just now.
+	Reads *placing.Reads
+	// Tell lets the other routers know of a read that begins or ends.
+	Tell    func()
+	Dialect Dialect
+	Budget  *budget.Budget
+	Pool    *Pool
+	Log     Log
+	Metrics *Metrics
 	// Gate refuses requests that no replica can run in time.
 	Gate *overload.Gate
 	// Multiple limits the requests at a replica, as a multiple of the mean.
--- /dev/null
+++ b/relay/read.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"peridotusher.example/peridotusher/pause"
+	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/replicas"
+)
+
+const (
+	// largeRead is the number of shared prompt tokens from which it pays to wait
+	// for another request that has them read: some tens of milliseconds.
+	largeRead = 2000
+	// readWaitPart bounds the wait, as a part of the route's latency objective.
+	readWaitPart = 0.5
+	// readLook is the time between two looks whether the read has ended.
+	readLook = 4 * time.Millisecond
+)
+
+// awaitRead waits while the replica reads the longest shared part of the prompt
+// for another request, so that it need not read it twice.
+func (t *task) awaitRead(ctx context.Context, r *replicas.Replica) {
+	p, large := t.largePart(r)
+	if !large {
+		return
+	}
+	f := t.front
+	began := f.Clock.Now()
+	limit := time.Duration(readWaitPart * float64(t.route.Objective))
+	for f.Reads.Reading(p) && f.Clock.Now().Sub(began) < limit && ctx.Err() == nil {
+		pause.For(ctx, readLook)
+	}
+	t.waited = f.Clock.Now().Sub(began)
+}
+
+// beginRead notes that the replica reads or fetches the longest shared part of the
+// prompt, if it does not have it, until the first event or the end of the try.
+func (t *task) beginRead(r *replicas.Replica) (end func()) {
+	t.reading = func() {}
+	p, large := t.largePart(r)
+	if !large || t.choice.Reason == placing.Holder {
+		return t.reading
+	}
+	f := t.front
+	read := f.Reads.Begin(p)
+	f.Tell()
+	ended := false
+	t.reading = func() {
+		if !ended {
+			ended = true
+			read()
+			f.Tell()
+		}
+	}
+	return t.reading
+}
+
+// largePart returns the longest shared part of the prompt at the replica, and
+// whether the shared parts are large.
+func (t *task) largePart(r *replicas.Replica) (p placing.Placement, large bool) {
+	if !t.route.Cached || len(t.call.Prompt) == 0 {
+		return placing.Placement{}, false
+	}
+	shared := t.sharedParts()
+	tokens := 0
+	for _, part := range shared {
+		tokens += part.Tokens
+	}
+	return placing.Placement{Key: shared[len(shared)-1].ID, Replica: r.Hash()}, tokens >= largeRead
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,6 +21,7 @@
 	once       = routing.Route{Kind: routing.NonIdempotent, Attempts: 1, Timeout: 2 * time.Second, Objective: time.Second}
 	repeatable = routing.Route{Kind: routing.Idempotent, Attempts: 2, Timeout: 2 * time.Second, Objective: time.Second}
 	resumable  = routing.Route{Kind: routing.Streaming, Attempts: 2, Timeout: 3 * time.Second, Objective: 500 * time.Millisecond, Resumable: true, Cached: true}
+	patient    = routing.Route{Kind: routing.Streaming, Attempts: 1, Timeout: time.Minute, Objective: time.Minute, Cached: true}
 	stream     = routing.Route{Kind: routing.Streaming, Attempts: 1, Timeout: 3 * time.Second, Objective: 500 * time.Millisecond, Cached: true}
 )
 
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -30,7 +30,11 @@
 		c.Patience = d
 	}
 	for i, part := range strings.Fields(h.Get("Prompt")) {
-		c.Prompt = append(c.Prompt, Part{ID: uint64(len(part)*1000 + i), Tokens: 100})
+		tokens := 100
+		if strings.HasPrefix(part, "large") {
+			tokens = largeRead
+		}
+		c.Prompt = append(c.Prompt, Part{ID: uint64(len(part)*1000 + i), Tokens: tokens})
 	}
 	return c
 }
@@ -118,6 +122,7 @@
 	current.Offer(doc)
 	b.front = &Front{
 		Zone: "a", Clock: clock, Current: current, Table: table, Directory: placing.NewDirectory(clock, placing.Origin{Name: "r0", Incarnation: 1}), Dialect: testDialect{},
+		Reads: placing.NewReads(clock), Tell: func() {},
 		Budget: budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, clock),
 		Pool:   NewPool(clock), Log: discard{}, Routers: func() int { return 1 }, Gate: overload.NewGate(clock), Multiple: 2, BodyMemory: 1 << 20, Connections: 100,
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -43,6 +43,7 @@
 			previous = now
 			if first == 0 {
 				first = now.Sub(sent)
+				t.reading()
 				if !t.goesOn(whole) {
 					t.blame(x, "a resumed stream repeats events")
 					return false
--- a/relay/task.go
+++ b/relay/task.go
@@ -52,6 +52,8 @@
 	choice  placing.Choice
 	source  string        // address of a replica that holds shared parts of the prompt
 	held    int           // requests at the chosen replica when it was chosen
+	reading func()        // ends the replica's read of the prompt's longest shared part
+	waited  time.Duration // for another request's read of that part
 	started bool          // whether the answer's head was written
 	last    string        // id of the last event that the client got
 	pause   time.Duration // longest pause between two events of a replica
@@ -141,6 +143,8 @@
 	t.tried[r.ID()] = true
 	release := r.Hold()
 	defer release()
+	t.awaitRead(ctx, r)
+	defer t.beginRead(r)()
 	sent := f.Clock.Now()
 	x, failure := send(ctx, f.Pool, r, t.outgoing(r, sent), f.Dialect)
 	if failure != nil {
