A key whose claim cannot be read is not told "not run"

The router knows that this call did not run, but not whether an earlier one with the key did, and the verdict is about the key, as it is for a key beyond its window.

Ruled out: a claim lost by the store (the claim was there), a longer wait (the outage may last longer than any call).

Change: the verdict is may-have-run, still with 503 and Retry-After; a repeat with the same key is safe. Two tests asked for not-run and now ask for exactly may-have-run; the verdict table has the case that failed, without a fault of timing: the call runs, the store goes down, the repeat. It fails on the parent commit.

--- a/answertest/verdicts_test.go
+++ b/answertest/verdicts_test.go
@@ -103,12 +103,21 @@
 		{
 			name:   "store down",
 			before: func(string, string) { b.Store.SetDown(true) }, after: func() { b.Store.SetDown(false) },
-			want: told{503, "not-run", "store_unavailable", 0}, repeat: told{200, "ran", "", 1},
+			want: told{503, "may-have-run", "store_unavailable", 0}, repeat: told{200, "ran", "", 1},
+		},
+		{
+			name: "store down at the repeat of a call that ran",
+			before: func(path, key string) {
+				b.call(http.MethodPut, path, key, "waist")
+				b.Store.SetDown(true)
+			},
+			after: func() { b.Store.SetDown(false) },
+			want:  told{503, "may-have-run", "store_unavailable", 1}, repeat: told{200, "ran", "", 1},
 		},
 		{
 			name:   "store slow",
 			before: func(string, string) { b.Store.SetDelay(4 * time.Second) }, after: func() { b.Store.SetDelay(0) },
-			want: told{503, "not-run", "store_unavailable", 0},
+			want: told{503, "may-have-run", "store_unavailable", 0},
 		},
 		{
 			name:   "store answer lost",
--- a/entry/claimtable.go
+++ b/entry/claimtable.go
@@ -269,8 +269,9 @@
 // errClosed means that the router stops and writes no more claims.
 var errClosed = errors.New("the router is stopping")
 
-// claimsDown is the Failure of a change that could not be written.
+// claimsDown is the Failure of a change that could not be written. An earlier call
+// with the key may have run, since its claim was not read either.
 func claimsDown(err error) error {
 	retryAfter := max(peridotusher.AsFailure(err).RetryAfter(), claimRetryAfter)
-	return peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseStoreDown, err).WithRetryAfter(retryAfter)
+	return peridotusher.FailWith(peridotusher.MayHaveRun, peridotusher.CauseStoreDown, err).WithRetryAfter(retryAfter)
 }
--- a/entry/claimtable_test.go
+++ b/entry/claimtable_test.go
@@ -149,7 +149,7 @@
 	}
 	failure := peridotusher.AsFailure(err)
 	got := []any{failure.Verdict(), failure.Cause(), failure.RetryAfter() > 0}
-	if diff := cmp.Diff([]any{peridotusher.NotRun, peridotusher.CauseStoreDown, true}, got); diff != "" {
+	if diff := cmp.Diff([]any{peridotusher.MayHaveRun, peridotusher.CauseStoreDown, true}, got); diff != "" {
 		t.Errorf("failure (-want +got):\n%s", diff)
 	}
 	f.store.SetDown(false)
