--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,32 @@
+package edge
+
+import "fmt"
+
+// countState registers gauges of what the router knows.
+func (r *Router) countState() {
+	r.set.NewGauge("peridotusher_configuration_revision", func() float64 { return float64(r.current.Revision()) })
+	r.set.NewGauge("peridotusher_list_age_seconds", func() float64 {
+		at, _ := r.reading.last()
+		if at.IsZero() {
+			return -1
+		}
+		return r.clock.Now().Sub(at).Seconds()
+	})
+	r.set.NewGauge("peridotusher_routers", func() float64 { return float64(r.node.Routers()) })
+	r.set.NewGauge("peridotusher_active_requests", func() float64 { return float64(r.front.Active()) })
+	r.set.NewGauge("peridotusher_ready", func() float64 {
+		if r.Ready() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// countCall counts a call of the store by its kind and outcome.
+func (r *Router) countCall(call string, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	r.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_store_calls_total{call=%q,outcome=%q}", call, outcome)).Inc()
+}
--- a/edge/router.go
+++ b/edge/router.go
@@ -119,6 +119,7 @@
 	r.table = replicas.NewTable(r.clock)
 	r.pool = relay.NewPool(r.clock)
 	r.set = metrics.NewSet()
+	r.countState()
 	r.trouble = make(map[string]bool)
 	r.reported = make(map[string]bool)
 	port := strconv.Itoa(s.peers.ports[0])
@@ -250,8 +251,10 @@
 	}
 }
 
-// storeAnswered logs when a call of the store begins to fail or to succeed.
+// storeAnswered counts a call of the store and logs when it begins to fail or to
+// succeed.
 func (r *Router) storeAnswered(call string, err error) {
+	r.countCall(call, err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if (err != nil) == r.trouble[call] {
--- a/relay/final.go
+++ b/relay/final.go
@@ -83,10 +83,11 @@
 	took := t.front.Clock.Now().Sub(t.began)
 	t.front.Log.Event("answered", "id", t.call.ID, "route", t.routeName(), "status", x.resp.StatusCode,
 		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean, "part", t.part(), "source", t.source,
-		"waited", t.waited, "sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "took", took)
+		"waited", t.waited, "own", t.own, "sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "took", took)
 	t.front.Gate.Answered(t.serviceName, took)
 	t.front.Metrics.answered(t.routeName(), "answered", took)
-	t.front.Metrics.placed(t.routeName(), t.choice.Reason)
+	t.front.Metrics.placed(t.routeName(), t.choice.Reason, t.partsHow())
+	t.front.Metrics.own(t.routeName(), t.own, t.waited)
 }
 
 func (t *task) routeName() string {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -47,11 +47,42 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("peridotusher_request_seconds{route=%q}", route)).Update(took.Seconds())
 }
 
-func (m *Metrics) placed(route, reason string) {
+// own counts the time that the router itself took before it sent the request, and
+// the time for which it held the request back for another one's read.
+func (m *Metrics) own(route string, took, waited time.Duration) {
 	if m == nil {
 		return
 	}
-	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_placed_total{route=%q,reason=%q}", m.label(route), reason)).Inc()
+	route = m.label(route)
+	m.set.GetOrCreateHistogram(fmt.Sprintf("peridotusher_own_seconds{route=%q}", route)).Update(took.Seconds())
+	if waited > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("peridotusher_read_wait_seconds{route=%q}", route)).Update(waited.Seconds())
+	}
+}
+
+// placed counts a choice of a replica, and how it gets the shared parts of the
+// prompt: held, fetched or read; none for a request without any.
+func (m *Metrics) placed(route, reason, parts string) {
+	if m == nil {
+		return
+	}
+	route = m.label(route)
+	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_placed_total{route=%q,reason=%q}", route, reason)).Inc()
+	if parts != "" {
+		m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_parts_total{route=%q,how=%q}", route, parts)).Inc()
+	}
+}
+
+// repeated counts what the retry budget said to a request to be sent once more.
+func (m *Metrics) repeated(route string, allowed bool) {
+	if m == nil {
+		return
+	}
+	outcome := "refused"
+	if allowed {
+		outcome = "allowed"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_repeats_total{route=%q,outcome=%q}", m.label(route), outcome)).Inc()
 }
 
 func (m *Metrics) cut(route string) {
--- a/relay/read.go
+++ b/relay/read.go
@@ -20,11 +20,11 @@
 )
 
 // awaitRead waits while the replica reads the longest shared part of the prompt
-// for another request, so that it need not read it twice.
-func (t *task) awaitRead(ctx context.Context, r *replicas.Replica) {
+// for another request, so that it need not read it twice. It returns how long.
+func (t *task) awaitRead(ctx context.Context, r *replicas.Replica) time.Duration {
 	p, large := t.largePart(r)
 	if !large {
-		return
+		return 0
 	}
 	f := t.front
 	began := f.Clock.Now()
@@ -32,7 +32,7 @@
 	for f.Reads.Reading(p) && f.Clock.Now().Sub(began) < limit && ctx.Err() == nil {
 		pause.For(ctx, readLook)
 	}
-	t.waited = f.Clock.Now().Sub(began)
+	return f.Clock.Now().Sub(began)
 }
 
 // beginRead notes that the replica reads or fetches the longest shared part of the
@@ -57,6 +57,19 @@
 	return t.reading
 }
 
+// partsHow says how the replica gets the shared parts of the prompt.
+func (t *task) partsHow() string {
+	switch {
+	case !t.route.Cached || len(t.call.Prompt) == 0:
+		return ""
+	case t.choice.Reason == placing.Holder:
+		return "held"
+	case t.source != "":
+		return "fetched"
+	}
+	return "read"
+}
+
 // largePart returns the longest shared part of the prompt at the replica, and
 // whether the shared parts are large.
 func (t *task) largePart(r *replicas.Replica) (p placing.Placement, large bool) {
--- a/relay/task.go
+++ b/relay/task.go
@@ -54,6 +54,9 @@
 	held    int           // requests at the chosen replica when it was chosen
 	reading func()        // ends the replica's read of the prompt's longest shared part
 	waited  time.Duration // for another request's read of that part
+	ready   time.Time     // when the request was read and admitted
+	spent   time.Duration // on tries that failed
+	own     time.Duration // the router's own time until the last send
 	started bool          // whether the answer's head was written
 	last    string        // id of the last event that the client got
 	pause   time.Duration // longest pause between two events of a replica
@@ -64,6 +67,7 @@
 	f := t.front
 	ctx, cancel := context.WithTimeout(t.r.Context(), t.until.Sub(f.Clock.Now()))
 	defer cancel()
+	t.ready = f.Clock.Now()
 	t.serviceName = t.service()
 	t.tried = make(map[string]bool, 2)
 	f.Budget.Request(t.serviceName)
@@ -112,6 +116,7 @@
 		return false
 	}
 	t.paid = t.front.Budget.Repeat(t.serviceName, t.front.Routers())
+	t.front.Metrics.repeated(t.routeName(), t.paid)
 	return t.paid
 }
 
@@ -143,9 +148,11 @@
 	t.tried[r.ID()] = true
 	release := r.Hold()
 	defer release()
-	t.awaitRead(ctx, r)
+	t.waited += t.awaitRead(ctx, r)
 	defer t.beginRead(r)()
 	sent := f.Clock.Now()
+	t.own = sent.Sub(t.ready) - t.spent - t.waited
+	defer func() { t.spent += f.Clock.Now().Sub(sent) }()
 	x, failure := send(ctx, f.Pool, r, t.outgoing(r, sent), f.Dialect)
 	if failure != nil {
 		t.sendFailed(ctx, r, failure)
