--- a/caller/server.go
+++ b/caller/server.go
@@ -7,12 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/httpserve"
 )
 
 // ChatCall is one caller's request to a model.
@@ -123,23 +122,13 @@
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
 	}
-	var group errgroup.Group
-	group.Go(func() error {
-		err := httpServer.Serve(s.Listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
-	group.Go(func() error {
-		<-ctx.Done()
+	return httpserve.Until(ctx, httpServer, s.Listener, func() error {
 		s.stopping.Store(true)
 		time.Sleep(s.Settle)
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
 		return httpServer.Shutdown(drainCtx)
 	})
-	return group.Wait()
 }
 
 // Handler returns the routes.
--- a/edge/router.go
+++ b/edge/router.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
@@ -224,12 +225,7 @@
 // serve answers on a listener until ctx ends.
 func serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readyTime, IdleTimeout: time.Minute}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // Serve returns the reason
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", l.Addr())
-	}
-	return nil
+	return httpserve.Until(ctx, server, l, server.Close)
 }
 
 // keepHouse forgets what is old until ctx ends.
--- a/operator/server.go
+++ b/operator/server.go
@@ -9,11 +9,9 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
-
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/peer"
 )
 
@@ -55,19 +53,7 @@
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	httpServer := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
-	var group errgroup.Group
-	group.Go(func() error {
-		err := httpServer.Serve(s.Listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return httpServer.Close()
-	})
-	return group.Wait()
+	return httpserve.Until(ctx, httpServer, s.Listener, httpServer.Close)
 }
 
 // Handler returns the routes.
--- a/relay/front.go
+++ b/relay/front.go
@@ -10,11 +10,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/budget"
+	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/replicas"
@@ -84,26 +84,21 @@
 	}
 	limited := &limitListener{Listener: l, most: int64(f.Connections), refused: func() { f.Log.Event("refused", "connections", f.Connections) }}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve clients")
-		}
-		return nil
-	})
 	group.Go(func() error {
 		conns.closeIdle(ctx, f.idleTimeout)
 		return nil
 	})
 	group.Go(func() error { return f.reachLost(ctx) })
 	group.Go(func() error {
-		<-ctx.Done()
-		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
-		defer cancel()
-		if err := server.Shutdown(last); err != nil {
-			f.Log.Event("cut", "requests", f.active.Load(), "error", err)
-			return server.Close()
-		}
-		return nil
+		return httpserve.Until(ctx, server, limited, func() error {
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+			defer cancel()
+			if err := server.Shutdown(last); err != nil {
+				f.Log.Event("cut", "requests", f.active.Load(), "error", err)
+				return server.Close()
+			}
+			return nil
+		})
 	})
 	return group.Wait()
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -8,28 +8,14 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
-
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/httpserve"
 )
 
 // platformServe answers requests on l until ctx is done, then cuts them.
 func platformServe(ctx context.Context, l net.Listener, handler http.Handler) error {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error {
-		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	})
-	group.Go(func() error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return group.Wait()
+	return httpserve.Until(ctx, server, l, server.Close)
 }
 
 // platformNow reads the clock, or the wall clock if there is none.
