Decoded fields that nothing reads are out

The longest pause of a route, the health path and connections of a service, the figures of an engine, the header timeout and the output tokens of a prompt were decoded for each document or request and used by nothing.

--- a/edge/settle.go
+++ b/edge/settle.go
@@ -75,7 +75,7 @@
 	var out []*replicas.Replica
 	r.table.Replicas(func(replica *replicas.Replica) {
 		service, ok := doc.Services[replica.Service()]
-		if !ok || service.Engine == nil || asked[replica.Hash()] || replica.Lost() || r.directory.Knows(replica.Hash()) {
+		if !ok || !service.Model || asked[replica.Hash()] || replica.Lost() || r.directory.Knows(replica.Hash()) {
 			return
 		}
 		if up < alone || r.node.Rank(partsTopic+replica.ID()) == 0 {
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -35,7 +35,7 @@
 func newFleet(t *testing.T, n int) []*Router {
 	t.Helper()
 	doc := &routing.Document{Revision: 1, Services: map[string]*routing.Service{
-		"model": {Engine: &routing.Engine{}}, "plain": {},
+		"model": {Model: true}, "plain": {},
 	}}
 	entries := []replicas.Entry{{ID: "p", Service: "plain", Address: "plain", Slots: 4, Revision: 1}}
 	parts := map[string][]uint64{}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -61,7 +61,7 @@
 // engine reports whether the service runs a model.
 func (t *task) engine() bool {
 	s, ok := t.doc.Services[t.serviceName]
-	return ok && s.Engine != nil
+	return ok && s.Model
 }
 
 // choosePrompt picks a replica by the shared parts of the prompt and tells the
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -15,8 +15,6 @@
 	Patience time.Duration
 	// Prompt lists the parts of a prompt in order; empty for plain calls.
 	Prompt []Part
-	// OutputTokens is the largest number of tokens to generate.
-	OutputTokens int
 }
 
 // Part is a part of a prompt that may be shared with other prompts.
--- a/routing/document.go
+++ b/routing/document.go
@@ -35,8 +35,6 @@
 	Timeout time.Duration
 	// Objective is the latency objective: for streams up to the first event.
 	Objective time.Duration
-	// Pause is the longest pause between two events of a stream in time.
-	Pause time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
 	Shares   []Share
@@ -73,28 +71,18 @@
 	return ""
 }
 
-// Engine describes the model engines of a service; zero for plain services.
-type Engine struct {
-	Slots          int
-	CapacityTokens int
-	Backups        bool
-	Moves          bool
-}
-
 // Service is a group of replicas that answer the same requests.
 type Service struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int
-	Engine         *Engine
+	Name string
+	// Model is whether the replicas run a model, and so keep parts of prompts.
+	Model bool
 }
 
 // Limits bound what a client may send and how long it may take.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Organisation is a customer of the operators with its keys.
