Read once more: a refused seed does not end the join; nothing polls for a prompt

Found in the log of a planned restart: a seed that refuses the connection at once (it restarts too) cancelled the fetches from the other seeds. The new test has such a seed and one that answers 8 ms later; it fails on the old code.

--- a/edge/settle.go
+++ b/edge/settle.go
@@ -40,17 +40,14 @@
 	group.SetLimit(askAtOnce)
 	asked := make(map[uint32]bool)
 	started := r.clock.Now()
-	var began time.Time
 	r.node.Join(ctx)
+	select {
+	case <-r.directory.Wanted():
+	case <-ctx.Done():
+	}
+	began := r.clock.Now()
 	for ctx.Err() == nil && !r.settled.Load() {
-		pause.For(ctx, settleLook)
-		if !r.Ready() || !r.directory.Wanted() {
-			continue
-		}
 		now := r.clock.Now()
-		if began.IsZero() {
-			began = now
-		}
 		for _, replica := range r.toAsk(now.Sub(started), asked) {
 			group.Go(func() error {
 				r.askParts(ctx, replica)
@@ -60,6 +57,7 @@
 		if now.Sub(began) > askFor {
 			r.settled.Store(true)
 		}
+		pause.For(ctx, settleLook)
 	}
 	return group.Wait()
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -280,3 +280,54 @@
 		t.Error("a router that knows nearly all is told again")
 	}
 }
+
+// slowListener accepts connections a moment later.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	time.Sleep(8 * time.Millisecond)
+	return c, err
+}
+
+// TestJoinTakesTheSeedThatAnswers has a seed at which nobody listens and one that
+// knows a configuration: the first one's refusal does not end the fetch.
+func TestJoinTakesTheSeedThatAnswers(t *testing.T) {
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	gone, alive := listen(), listen()
+	if err := gone.Close(); err != nil {
+		t.Fatal(err)
+	}
+	clock := peridotusher.ClockFunc(time.Now)
+	seed := &Node{Self: Member{Name: "seed"}, State: &testState{revision: 7}, Clock: clock, Log: discard{}}
+	seed.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return seed.serve(ctx, slowListener{alive}) })
+	state := &testState{}
+	n := &Node{Self: Member{Name: "new", Address: "127.0.0.1:1"}, State: state, Clock: clock, Log: discard{}}
+	n.Init()
+	n.SetSeeds([]string{gone.Addr().String(), alive.Addr().String(), n.Self.Address})
+	for range 50 { // a busy machine may take longer than the time to join
+		n.Join(ctx)
+		if revision, _ := state.get(); revision == 7 {
+			break
+		}
+	}
+	if revision, _ := state.get(); revision != 7 {
+		t.Error("the seed's state was not taken over")
+	}
+	cancel()
+	if err := alive.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -154,8 +154,9 @@
 			continue
 		}
 		group.Go(func() error {
-			n.fetchFrom(ctx, seed)
-			cancel() // one is enough
+			if n.fetchFrom(ctx, seed) {
+				cancel() // one is enough
+			}
 			return nil
 		})
 	}
@@ -262,9 +263,9 @@
 }
 
 // welcome returns a beat for the sender of b that names many routers, nil if it
-// knows enough of them: it started a short time ago.
+// knows enough of them or does not say how many.
 func (n *Node) welcome(b *Beat) *Beat {
-	if b.Routers*welcomeRatio > n.members.count() {
+	if b.Routers == 0 || b.Routers*welcomeRatio > n.members.count() {
 		return nil
 	}
 	reply := n.fill()
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -214,15 +214,17 @@
 	return nil
 }
 
-func (n *Node) fetchFrom(ctx context.Context, address string) {
+// fetchFrom takes the state of another router over and reports whether it could.
+func (n *Node) fetchFrom(ctx context.Context, address string) bool {
 	w, err := n.fetch(ctx, address)
 	if err == nil {
 		err = n.State.Take(w)
 	}
 	if err != nil {
 		n.Log.Event("fetch", "address", address, "error", err)
-		return
+		return false
 	}
 	n.Log.Event("fetch", "address", address, "revision", w.Revision, "entries", len(w.Entries),
 		"placements", len(w.Inventory.Placements))
+	return true
 }
--- a/placing/directory.go
+++ b/placing/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"peridotusher.example/peridotusher"
@@ -36,8 +35,9 @@
 	clock peridotusher.Clock
 	self  Origin
 
-	// wanted is whether holders of any part were asked for.
-	wanted atomic.Bool
+	// wanted is closed when the holders of any part are asked for.
+	wanted chan struct{}
+	first  sync.Once
 
 	mu   sync.Mutex
 	keys map[uint64][]holder
@@ -54,7 +54,7 @@
 func NewDirectory(clock peridotusher.Clock, self Origin) *Directory {
 	return &Directory{
 		clock: clock, self: self,
-		keys: make(map[uint64][]holder), known: make(map[uint32]int), heard: make(map[string]hearing),
+		wanted: make(chan struct{}), keys: make(map[uint64][]holder), known: make(map[uint32]int), heard: make(map[string]hearing),
 	}
 }
 
@@ -70,8 +70,9 @@
 	d.tell(p, now)
 }
 
-// Wanted reports whether the holders of any part were asked for.
-func (d *Directory) Wanted() bool { return d.wanted.Load() }
+// Wanted returns a channel that is closed when the holders of any part are asked
+// for.
+func (d *Directory) Wanted() <-chan struct{} { return d.wanted }
 
 // Knows reports whether any part is remembered for the replica.
 func (d *Directory) Knows(replica uint32) bool {
@@ -82,7 +83,7 @@
 
 // Holders returns the replicas that are taken to have the part cached.
 func (d *Directory) Holders(key uint64) []uint32 {
-	d.wanted.Store(true)
+	d.first.Do(func() { close(d.wanted) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	since := d.clock.Now().Add(-holdFor)
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -118,17 +118,17 @@
 func TestDirectory(t *testing.T) {
 	now := time.Unix(100, 0)
 	d := NewDirectory(peridotusher.ClockFunc(func() time.Time { return now }), Origin{Name: "r0", Incarnation: 1})
-	if d.Wanted() {
+	select {
+	case <-d.Wanted():
 		t.Error("holders were asked for before anybody asked")
+	default:
 	}
 	d.Place(Placement{Key: 1, Replica: 10})
 	d.Hear(Origin{Name: "r1", Incarnation: 1}, News{Placements: []Placement{{Key: 1, Replica: 11}, {Key: 2, Replica: 12}}, Told: 2})
 	if diff := cmp.Diff([]uint32{10, 11}, d.Holders(1)); diff != "" {
 		t.Errorf("holders (-want +got):\n%s", diff)
 	}
-	if !d.Wanted() {
-		t.Error("nobody asked for holders")
-	}
+	<-d.Wanted()                            // the test does not end if nobody asked
 	d.Place(Placement{Key: 1, Replica: 11}) // known already
 	if diff := cmp.Diff(News{Placements: []Placement{{Key: 1, Replica: 10}}, Told: 1}, d.Recent(time.Second)); diff != "" {
 		t.Errorf("recent placements (-want +got):\n%s", diff)
