Read once more: once-functions, and repeated lines in one piece

Four counters were released through a sync.Once and a closure each, one of them beside a flag of its own: sync.OnceFunc does that. The part of its time that an idle connection is used stood twice in the pool, as did the mark of a body in fill.

--- a/overload/gate.go
+++ b/overload/gate.go
@@ -104,8 +104,7 @@
 	defer g.mu.Unlock()
 	g.inFlight++
 	g.held[organisation]++
-	var once sync.Once
-	return func() { once.Do(func() { g.release(organisation) }) }
+	return sync.OnceFunc(func() { g.release(organisation) })
 }
 
 func (g *Gate) release(organisation string) {
--- a/placing/reads.go
+++ b/placing/reads.go
@@ -43,8 +43,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.own[p]++
-	var once sync.Once
-	return func() { once.Do(func() { r.end(p) }) }
+	return sync.OnceFunc(func() { r.end(p) })
 }
 
 func (r *Reads) end(p Placement) {
--- a/relay/body.go
+++ b/relay/body.go
@@ -51,13 +51,12 @@
 )
 
 func (t *task) fill(length, limit int64) error {
+	t.framed = true
 	if length >= 0 {
-		t.framed = true
 		t.body = make([]byte, length)
 		_, err := io.ReadFull(t.r.Body, t.body)
 		return err
 	}
-	t.framed = true
 	buf := make([]byte, 0, inlineBody)
 	for {
 		if len(buf) == cap(buf) {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -42,8 +42,8 @@
 		if c == nil {
 			return dial(ctx, r.Address(), dialTimeout)
 		}
-		age := p.clock.Now().Sub(c.idle)
-		if age < c.lasts*3/5 && (!once || age < freshFor) && c.quiet() {
+		now := p.clock.Now()
+		if c.kept(now) && (!once || now.Sub(c.idle) < freshFor) && c.quiet() {
 			return c, nil
 		}
 		_ = c.Close() // an idle connection has nothing to lose
@@ -62,6 +62,10 @@
 	return c
 }
 
+// kept reports whether the replica keeps the idle connection open for some time
+// yet, as far as its answer told.
+func (c *conn) kept(now time.Time) bool { return now.Sub(c.idle) < c.lasts*3/5 }
+
 // put keeps a connection whose answer has ended.
 func (p *Pool) put(r *replicas.Replica, c *conn, lasts time.Duration) {
 	if lasts <= 0 || c.br.Buffered() > 0 {
@@ -96,7 +100,7 @@
 	for id, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idle) < c.lasts*3/5 {
+			if c.kept(now) {
 				kept = append(kept, c)
 			} else {
 				_ = c.Close() // nothing to lose
--- a/relay/read.go
+++ b/relay/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"peridotusher.example/peridotusher/pause"
@@ -46,14 +47,10 @@
 	f := t.front
 	read := f.Reads.Begin(p)
 	f.Tell()
-	ended := false
-	t.reading = func() {
-		if !ended {
-			ended = true
-			read()
-			f.Tell()
-		}
-	}
+	t.reading = sync.OnceFunc(func() {
+		read()
+		f.Tell()
+	})
 	return t.reading
 }
 
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -80,8 +80,7 @@
 // Hold counts a request in; the function that it returns counts it out.
 func (r *Replica) Hold() (release func()) {
 	r.own.Add(1)
-	var once sync.Once
-	return func() { once.Do(func() { r.own.Add(-1) }) }
+	return sync.OnceFunc(func() { r.own.Add(-1) })
 }
 
 // Record takes the outcome of a request into the replica's standing.
