peer: a session in use is not closed as idle

Cause: closeIdle looked at the last use of a session and closed it in two steps, and a call that waits for its reply did not count as use. A session that reach had just handed to an ask, or one whose ask waits for long, was closed under it ("session was idle"; seen once under -race at load 18). Also a closed session stayed in the table until its goroutines ended, was handed out, and refused a new one dialled by the other side.

Now the look and the close are one step, calls that wait keep the session, closed sessions are not handed out, and a message that met an idle close before it was sent takes a new session, once.

Ruled out: a longer Idle (the race stays, only rarer).

--- a/peer/digest.go
+++ b/peer/digest.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"sync"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -131,13 +130,6 @@
 	s.used = s.conn.clock.Now()
 }
 
-// lastUse returns the time of the last message other than a heartbeat.
-func (s *session) lastUse() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.used
-}
-
 // zoneLoads holds the loads in the last heartbeats of the zone's routers.
 type zoneLoads struct {
 	mu       sync.Mutex
--- a/peer/links.go
+++ b/peer/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"peridotusher.example/peridotusher"
@@ -141,14 +142,33 @@
 		return
 	}
 	links := n.linkSessions()
+	since := n.Clock.Now().Add(-n.Idle)
 	for _, s := range n.sessions.all() {
 		far := s.peer.Zone() != n.Self.Zone() && s.dialer == n.Self.ID()
-		if far && !slices.Contains(links, s) && n.Clock.Now().Sub(s.lastUse()) >= n.Idle {
-			s.close(errIdle)
+		if far && !slices.Contains(links, s) {
+			s.closeIdle(since)
 		}
 	}
 }
 
+// over carries a message over the session with a router. It takes a new session
+// once if the first was closed as idle before anything was sent on it.
+func (n *Node) over(ctx context.Context, to peridotusher.RouterID, carry func(*session) error) error {
+	s, err := n.reach(ctx, to)
+	if err != nil {
+		return err
+	}
+	err = carry(s)
+	var link *LinkError
+	if !errors.As(err, &link) || link.Sent() || !errors.Is(err, errIdle) {
+		return err
+	}
+	if s, err = n.reach(ctx, to); err != nil {
+		return err
+	}
+	return carry(s)
+}
+
 // reach returns the session with a router. With sparse links it dials a router
 // of another zone and waits for the session.
 func (n *Node) reach(ctx context.Context, to peridotusher.RouterID) (*session, error) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -158,11 +158,12 @@
 	if err != nil {
 		return err
 	}
-	s, err := n.reach(ctx, to)
-	if err != nil {
+	var answer []byte
+	err = n.over(ctx, to, func(s *session) error {
+		got, err := s.call(ctx, kind, body)
+		answer = got
 		return err
-	}
-	answer, err := s.call(ctx, kind, body)
+	})
 	if err != nil || reply == nil {
 		return err
 	}
@@ -177,11 +178,9 @@
 	if err != nil {
 		return err
 	}
-	s, err := n.reach(ctx, to)
-	if err != nil {
-		return err
-	}
-	return s.send(ctx, &Envelope{Kind: uint32(kind), Body: body})
+	return n.over(ctx, to, func(s *session) error {
+		return s.send(ctx, &Envelope{Kind: uint32(kind), Body: body})
+	})
 }
 
 // session returns the session with a router, or a LinkError at once.
--- a/peer/session.go
+++ b/peer/session.go
@@ -204,6 +204,11 @@
 func (s *session) close(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.end(err)
+}
+
+// end ends the session. Its caller holds mu.
+func (s *session) end(err error) {
 	if s.closed {
 		return
 	}
@@ -212,6 +217,23 @@
 	close(s.done)
 }
 
+// closeIdle ends the session if no call waits on it and it was last used by
+// since. No call begins between the look and the close.
+func (s *session) closeIdle(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending) == 0 && !s.used.After(since) {
+		s.end(errIdle)
+	}
+}
+
+// ended reports whether the session was closed.
+func (s *session) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // cause returns the error that ended the session.
 func (s *session) cause() error {
 	s.mu.Lock()
--- a/peer/table.go
+++ b/peer/table.go
@@ -28,7 +28,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, ok := t.sessions[s.peer.ID()]
-	if ok && !replaces(s, old) {
+	if ok && !old.ended() && !replaces(s, old) {
 		return false
 	}
 	t.sessions[s.peer.ID()] = s
@@ -58,12 +58,15 @@
 	}
 }
 
-// get returns the session with a router.
+// get returns the open session with a router.
 func (t *sessionTable) get(id peridotusher.RouterID) (*session, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.sessions[id]
-	return s, ok
+	if !ok || s.ended() {
+		return nil, false
+	}
+	return s, true
 }
 
 // all returns the present sessions.
