A planned stop meets no request on an idle connection

With requests logged after SIGTERM (one machine after another, listening for 6.8 s), the last request on a new connection came 1.36 s after SIGTERM, all later ones, 394 in eight stops, came on connections that had been idle. A request whose packet is lost just before the close comes again 0.2 s later and meets it.

Now answers announce Keep-Alive: timeout=2, below the 2.8 s until the close with two resends in a row, and an answer that was begun before the stop, whose head announced reuse, ends together with its connection.

Ruled out: listening longer (requests come at an even rate for 6.6 s), refusing late requests (a refusal costs callers a try; the close comes anyway), closing idle connections at SIGTERM (the same race, earlier).

Tests: TestReuseIsAnnounced, TestStopEndsConnections (fails without the hook: the connection stays), TestStopLeavesTime.

--- a/edge/router.go
+++ b/edge/router.go
@@ -28,6 +28,10 @@
 	// the balancer asks each second and needs two misses. Requests taken later
 	// than that may not end before the kill.
 	outOfRotation = 2800 * time.Millisecond
+	// reuse is how long clients may use idle connections again. With resends of
+	// what the network lost it is below outOfRotation, so that no request is on its
+	// way on a connection that a stop closes.
+	reuse = 2 * time.Second
 	// stopMargin is the time before the kill at which a stop ends.
 	stopMargin = 400 * time.Millisecond
 	// houseEvery is the time between two rounds of housekeeping.
@@ -141,7 +145,7 @@
 		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
 		Directory: r.directory, Reads: r.reads, Tell: r.node.Tell, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock),
-		BodyMemory: int64(s.router.memory) * megabyte / bodyPart, Connections: s.router.files / 2,
+		BodyMemory: int64(s.router.memory) * megabyte / bodyPart, Connections: s.router.files / 2, Reuse: reuse,
 	}
 }
 
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -61,6 +61,11 @@
 	if outOfRotation <= asks || outOfRotation >= requestsCounted {
 		t.Errorf("new connections are taken for %v, want between %v and %v", outOfRotation, asks, requestsCounted)
 	}
+	// Two packets in a row are lost: they are sent again after 0.2 and 0.4 s.
+	const resends = 600 * time.Millisecond
+	if r.front.Reuse < time.Second || r.front.Reuse+resends > outOfRotation {
+		t.Errorf("clients may use idle connections again for %v, they are closed %v after a stop began", r.front.Reuse, outOfRotation)
+	}
 	if left, stop := r.graceLeft(), r.bounds.Load().stop; left < stop/2 || outOfRotation+left >= stop {
 		t.Errorf("requests have %v of the %v to the kill", left, stop)
 	}
--- a/relay/body.go
+++ b/relay/body.go
@@ -17,7 +17,7 @@
 		return true
 	}
 	if limit > 0 && length > limit {
-		t.w.Header().Set("Connection", "close") // the body is not read
+		announceClose(t.w.Header()) // the body is not read
 		t.deny(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
@@ -84,7 +84,7 @@
 
 // bodyFailed answers a request whose body did not come. It has not run.
 func (t *task) bodyFailed(err error) {
-	t.w.Header().Set("Connection", "close")
+	announceClose(t.w.Header())
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		t.deny(http.StatusRequestEntityTooLarge, "body_too_large")
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -21,18 +21,25 @@
 // connTable closes the connections of clients that are idle too long. The limit
 // may change while connections are open.
 type connTable struct {
-	clock peridotusher.Clock
+	clock    peridotusher.Clock
+	stopping func() bool
 
 	mu   sync.Mutex
 	idle map[net.Conn]time.Time
 }
 
-func newConnTable(clock peridotusher.Clock) *connTable {
-	return &connTable{clock: clock, idle: make(map[net.Conn]time.Time)}
+func newConnTable(clock peridotusher.Clock, stopping func() bool) *connTable {
+	return &connTable{clock: clock, stopping: stopping, idle: make(map[net.Conn]time.Time)}
 }
 
-// state is the server's ConnState hook.
+// state is the server's ConnState hook. An answer that was begun before a stop did
+// not announce that its connection ends: it is closed together with the answer,
+// when the client cannot yet have sent another request.
 func (t *connTable) state(c net.Conn, s http.ConnState) {
+	if s == http.StateIdle && t.stopping() {
+		_ = c.Close() // the server notices
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s == http.StateIdle {
--- a/relay/front.go
+++ b/relay/front.go
@@ -57,6 +57,9 @@
 	BodyMemory int64
 	// Connections limits the connections of clients.
 	Connections int
+	// Reuse is how long clients may use an idle connection again, in whole
+	// seconds; answers announce it. 0 announces nothing.
+	Reuse time.Duration
 	// Routers returns how many routers share the retry budget.
 	Routers func() int
 
@@ -74,7 +77,7 @@
 // Run serves clients on the listener until ctx ends, then closes it and ends the
 // requests in flight, for at most grace.
 func (f *Front) Run(ctx context.Context, l net.Listener, grace time.Duration) error {
-	conns := newConnTable(f.Clock)
+	conns := newConnTable(f.Clock, f.stopping.Load)
 	server := &http.Server{
 		Handler:           f,
 		MaxHeaderBytes:    headerRoom,
@@ -120,9 +123,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if f.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	f.announce(w.Header())
 	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
 		f.Log.Event("socket", "error", err)
 	}
@@ -134,6 +135,32 @@
 	}
 }
 
+// announce tells the client whether it may use the connection again. A client
+// that keeps to the time sends nothing on a connection that a stop closes.
+func (f *Front) announce(h http.Header) {
+	switch {
+	case f.stopping.Load():
+		announceClose(h)
+	case f.reuse() >= time.Second:
+		h.Set("Connection", "keep-alive")
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(f.reuse()/time.Second)))
+	}
+}
+
+// reuse returns how long clients may leave a connection idle and use it again.
+func (f *Front) reuse() time.Duration {
+	if idle := f.idleTimeout(); idle > 0 {
+		return min(f.Reuse, idle)
+	}
+	return f.Reuse
+}
+
+// announceClose tells the client that the connection ends with the answer.
+func announceClose(h http.Header) {
+	h.Del("Keep-Alive")
+	h.Set("Connection", "close")
+}
+
 // admit checks the request against the configuration and reads its body. It
 // answers the request itself if it may not go on.
 func (t *task) admit() bool {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -271,3 +271,67 @@
 	}
 	t.Error("no place became free")
 }
+
+// TestReuseIsAnnounced has answers of a replica and of the router itself tell how
+// long their connection may be used again, until the router stops.
+func TestReuseIsAnnounced(t *testing.T) {
+	answer := say("HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nKeep-Alive: timeout=60\r\nContent-Length: 2\r\n\r\nok", true)
+	type told struct{ Connection, KeepAlive string }
+	for name, raw := range map[string]string{"answered": get(""), "denied": strings.Replace(get(""), "/", "/nowhere/", 1)} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, repeatable, answer, answer)
+			b.front.Reuse = 2500 * time.Millisecond
+			for _, want := range []told{{"keep-alive", "timeout=2"}, {"close", ""}} {
+				resp, _, _ := b.ask(raw)
+				if resp == nil {
+					t.Fatal("no answer")
+				}
+				connection := resp.Header.Get("Connection")
+				if resp.Close {
+					connection = "close" // the reader takes the header out
+				}
+				if diff := cmp.Diff(want, told{connection, resp.Header.Get("Keep-Alive")}); diff != "" {
+					t.Errorf("connection (-want +got):\n%s", diff)
+				}
+				b.front.Stop()
+			}
+		})
+	}
+}
+
+// TestStopEndsConnections has a router stop while a stream runs and another
+// connection is idle: the stream's connection ends with its answer, the idle one
+// serves a last request.
+func TestStopEndsConnections(t *testing.T) {
+	running, goOn := make(chan struct{}), make(chan struct{})
+	slow := func(c net.Conn, _ *http.Request, _ string) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: 2\r\n\r\no") // checked at the client
+		close(running)
+		<-goOn
+		_, _ = io.WriteString(c, "k")
+		return false
+	}
+	b := newBed(t, patient, slow)
+	b.front.Reuse = 2 * time.Second
+	idle := b.dial()
+	if resp, _, _ := b.askOn(idle, bufio.NewReader(idle), strings.Replace(get(""), "/", "/nowhere/", 1)); resp == nil || resp.Close {
+		t.Fatalf("the idle connection was not kept: %v", resp)
+	}
+	busy := b.dial()
+	b.group.Go(func() error {
+		<-running
+		b.front.Stop()
+		close(goOn)
+		return nil
+	})
+	reader := bufio.NewReader(busy)
+	if _, body, whole := b.askOn(busy, reader, get("")); !whole || body != "ok" {
+		t.Fatalf("the answer in flight is %q, whole %v", body, whole)
+	}
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("after the answer in flight: %v, want the connection's end", err)
+	}
+	if resp, _, _ := b.askOn(idle, bufio.NewReader(idle), strings.Replace(get(""), "/", "/nowhere/", 1)); resp == nil || !resp.Close {
+		t.Errorf("the idle connection's last answer is %v", resp)
+	}
+}
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -225,13 +225,20 @@
 
 // ask sends a raw request and returns the answer and whether its body is whole.
 func (b *bed) ask(raw string) (resp *http.Response, body string, whole bool) {
+	b.t.Helper()
+	c := b.dial()
+	return b.askOn(c, bufio.NewReader(c), raw)
+}
+
+// dial opens a connection to the front for the length of the test.
+func (b *bed) dial() net.Conn {
 	b.t.Helper()
 	c, err := net.Dial("tcp", b.url)
 	if err != nil {
 		b.t.Fatal(err)
 	}
 	b.t.Cleanup(func() { _ = c.Close() })
-	return b.askOn(c, bufio.NewReader(c), raw)
+	return c
 }
 
 func (b *bed) askOn(c net.Conn, br *bufio.Reader, raw string) (resp *http.Response, body string, whole bool) {
