A request whose body did not come in time is told when to come back

Cause: 408 is a promise that the request has not run, but it named no time. Test: TestDenied asks for Retry-After with 408 and for none with the others; failed before (told to come back after "").

--- a/relay/body.go
+++ b/relay/body.go
@@ -91,7 +91,7 @@
 	case errors.Is(err, errNoMemory):
 		t.refuse(http.StatusServiceUnavailable, "no_memory", retryBusy)
 	default:
-		t.deny(http.StatusRequestTimeout, "body_incomplete")
+		t.refuse(http.StatusRequestTimeout, "body_incomplete", retryFailed)
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -151,6 +151,11 @@
 		resp, _, _ := b.ask(tt.raw)
 		if resp == nil || resp.StatusCode != tt.status {
 			t.Errorf("%s: answer = %v, want status %d", tt.name, resp, tt.status)
+			continue
+		}
+		back, comesBack := resp.Header.Get("Retry-After"), tt.status == http.StatusRequestTimeout
+		if (back != "") != comesBack {
+			t.Errorf("%s: told to come back after %q, want a time: %v", tt.name, back, comesBack)
 		}
 	}
 	if n := len(b.requests()); n != 0 {
