Beats fit the budget for control: fewer, smaller, without what is known

Cause: nothing measured control traffic on the platform.

Now a round each 250 ms in any fleet, counts and changes told for 1 s where a round reaches all, other routers named seldom while all say that they know as many, replicas as four bytes. A wide fleet tells 24 counts and 16 reports.

Also: the packed lists of a beat are decoded by one loop.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -13,6 +13,9 @@
 		return r.clock.Now().Sub(at).Seconds()
 	})
 	r.set.NewGauge("peridotusher_routers", func() float64 { return float64(r.node.Routers()) })
+	r.set.NewGauge("peridotusher_beats_total", func() float64 { return float64(r.node.Traffic().Beats) })
+	r.set.NewGauge("peridotusher_beat_bytes_total", func() float64 { return float64(r.node.Traffic().BeatBytes) })
+	r.set.NewGauge("peridotusher_state_bytes_total", func() float64 { return float64(r.node.Traffic().StateBytes) })
 	r.set.NewGauge("peridotusher_active_requests", func() float64 { return float64(r.front.Active()) })
 	r.set.NewGauge("peridotusher_ready", func() float64 {
 		if r.Ready() {
--- a/edge/state.go
+++ b/edge/state.go
@@ -13,16 +13,20 @@
 // reports in a beat.
 const (
 	changesMost = 32
-	reportsMost = 32
+	reportsMost = 16
 )
 
-// placementsLeast and placementsRounds are how long a new placement is told, in
-// rounds in which all routers get a beat: several beats, since one may be lost.
+// toldLeast and toldRounds are how long news are told, in rounds in which all
+// routers get a beat: several beats, since one may be lost.
 const (
-	placementsLeast  = 700 * time.Millisecond
-	placementsRounds = 2
+	toldLeast  = time.Second
+	toldRounds = 2
 )
 
+// changesTold bounds how long a change of a replica is told: each router that
+// hears of it tells it on.
+const changesTold = 2 * time.Second
+
 // unknownAge stands in a beat for a list that was never read.
 const unknownAge = time.Hour
 
@@ -40,12 +44,13 @@
 		b.OutageAge = r.clock.Now().Sub(outage)
 	}
 	b.Stopping = r.stopping.Load()
-	b.Counts = r.table.Counts()
+	told := max(toldLeast, toldRounds*r.node.CoverTime()+r.node.SpreadTime())
+	b.Counts = r.table.Counts(told)
 	b.Reports = r.table.Reports(reportsMost)
-	b.Changes = r.table.Recent(changesMost)
+	b.Changes = r.table.Recent(changesMost, min(told, changesTold))
 	b.Settled = r.settled.Load()
 	b.Reads = r.reads.Own()
-	b.News = r.directory.Recent(max(placementsLeast, placementsRounds*r.node.CoverTime()+r.node.SpreadTime()))
+	b.News = r.directory.Recent(told)
 }
 
 // Hear implements mesh.State.
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -23,6 +23,8 @@
 
 // Beat is what a router tells the others.
 type Beat struct {
+	// Member is the sender. Its address is not in the message: it is the
+	// datagram's source.
 	Member
 	// Configuration is the revision of the configuration in force.
 	Configuration int64
@@ -93,15 +95,17 @@
 	entryRevision
 )
 
-// The numbers of integers in packed parts of a beat.
+// The numbers of integers beside the replica in packed parts of a beat.
 const (
-	countNumbers     = 4
-	placementNumbers = 2
-	reportNumbers    = 3
+	countNumbers     = 3
+	placementNumbers = 1
+	reportNumbers    = 2
 )
 
 func (b *Beat) marshal() []byte {
-	out := appendBytes(nil, beatMember, b.Member.marshal())
+	self := b.Member
+	self.Address = "" // the datagram's source
+	out := appendBytes(nil, beatMember, self.marshal())
 	out = appendNumber(out, beatConfiguration, uint64(b.Configuration))
 	out = appendNumber(out, beatDigest, b.Digest)
 	out = appendNumber(out, beatReadAge, uint64(b.ReadAge.Milliseconds()))
@@ -109,7 +113,7 @@
 	out = appendFlag(out, beatStopping, b.Stopping)
 	var packed []byte
 	for _, c := range b.Counts {
-		packed = protowire.AppendVarint(packed, uint64(c.Replica))
+		packed = protowire.AppendFixed32(packed, c.Replica)
 		packed = protowire.AppendVarint(packed, uint64(max(c.Held, 0)))
 		packed = protowire.AppendVarint(packed, uint64(c.Good))
 		packed = protowire.AppendVarint(packed, uint64(c.Bad))
@@ -128,7 +132,7 @@
 	out = appendNumber(out, beatRouters, uint64(b.Routers))
 	packed = nil
 	for _, r := range b.Reports {
-		packed = protowire.AppendVarint(packed, uint64(r.Replica))
+		packed = protowire.AppendFixed32(packed, r.Replica)
 		packed = protowire.AppendVarint(packed, uint64(max(r.Load, 0)))
 		packed = protowire.AppendVarint(packed, uint64(r.Age.Milliseconds()))
 	}
@@ -182,61 +186,57 @@
 	})
 }
 
-// consume decodes integers from the front of packed and returns the rest.
-func consume(packed []byte, numbers []uint64) (rest []byte, err error) {
-	for i := range numbers {
-		v, n := protowire.ConsumeVarint(packed)
+// eachPacked calls f for each element of a packed list: a replica and as many
+// numbers as there is room for.
+func eachPacked(raw []byte, numbers []uint64, f func(replica uint32)) error {
+	for len(raw) > 0 {
+		replica, n := protowire.ConsumeFixed32(raw)
 		if n < 0 {
-			return nil, protowire.ParseError(n)
+			return protowire.ParseError(n)
+		}
+		raw = raw[n:]
+		for i := range numbers {
+			numbers[i], n = protowire.ConsumeVarint(raw)
+			if n < 0 {
+				return protowire.ParseError(n)
+			}
+			raw = raw[n:]
 		}
-		numbers[i], packed = v, packed[n:]
+		f(replica)
 	}
-	return packed, nil
+	return nil
 }
 
 func packPlacements(placements []placing.Placement) []byte {
 	var packed []byte
 	for _, p := range placements {
+		packed = protowire.AppendFixed32(packed, p.Replica)
 		packed = protowire.AppendVarint(packed, p.Key)
-		packed = protowire.AppendVarint(packed, uint64(p.Replica))
 	}
 	return packed
 }
 
-func unpackPlacements(raw []byte) (placements []placing.Placement, err error) {
-	for len(raw) > 0 {
-		var numbers [placementNumbers]uint64
-		if raw, err = consume(raw, numbers[:]); err != nil {
-			return nil, err
-		}
-		placements = append(placements, placing.Placement{Key: numbers[0], Replica: uint32(numbers[1])})
-	}
-	return placements, nil
+func unpackPlacements(raw []byte) ([]placing.Placement, error) {
+	var placements []placing.Placement
+	var n [placementNumbers]uint64
+	err := eachPacked(raw, n[:], func(replica uint32) {
+		placements = append(placements, placing.Placement{Key: n[0], Replica: replica})
+	})
+	return placements, err
 }
 
-func (b *Beat) unmarshalReports(raw []byte) (err error) {
-	for len(raw) > 0 {
-		var numbers [reportNumbers]uint64
-		if raw, err = consume(raw, numbers[:]); err != nil {
-			return err
-		}
-		age := time.Duration(numbers[2]) * time.Millisecond
-		b.Reports = append(b.Reports, replicas.Report{Replica: uint32(numbers[0]), Load: int32(numbers[1]), Age: age})
-	}
-	return nil
+func (b *Beat) unmarshalReports(raw []byte) error {
+	var n [reportNumbers]uint64
+	return eachPacked(raw, n[:], func(replica uint32) {
+		b.Reports = append(b.Reports, replicas.Report{Replica: replica, Load: int32(n[0]), Age: time.Duration(n[1]) * time.Millisecond})
+	})
 }
 
-func (b *Beat) unmarshalCounts(raw []byte) (err error) {
-	for len(raw) > 0 {
-		var numbers [countNumbers]uint64
-		if raw, err = consume(raw, numbers[:]); err != nil {
-			return err
-		}
-		b.Counts = append(b.Counts, replicas.Count{
-			Replica: uint32(numbers[0]), Held: int32(numbers[1]), Good: uint32(numbers[2]), Bad: uint32(numbers[3]),
-		})
-	}
-	return nil
+func (b *Beat) unmarshalCounts(raw []byte) error {
+	var n [countNumbers]uint64
+	return eachPacked(raw, n[:], func(replica uint32) {
+		b.Counts = append(b.Counts, replicas.Count{Replica: replica, Held: int32(n[0]), Good: uint32(n[1]), Bad: uint32(n[2])})
+	})
 }
 
 func (m *Member) marshal() []byte {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -124,6 +124,19 @@
 	return out
 }
 
+// agree reports whether all routers that were heard say that they know as many as
+// this one.
+func (m *members) agree() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.known {
+		if s.routers != len(m.known)+1 {
+			return false
+		}
+	}
+	return true
+}
+
 // count returns the number of routers that are remembered, with the own one.
 func (m *members) count() int {
 	m.mu.Lock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -38,11 +38,47 @@
 	if err := got.unmarshal(want.marshal()); err != nil {
 		t.Fatal(err)
 	}
+	want.Address = "" // it is the datagram's source
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("beat (-want +got):\n%s", diff)
 	}
 }
 
+// TestBeatsFitTheBudget has a router of today's fleets, with a dozen requests a
+// second, tell seven others: control may take 6 KB a second.
+func TestBeatsFitTheBudget(t *testing.T) {
+	const others, budget = 7, 6 << 10
+	b := Beat{
+		Member:        Member{Name: "edge-attica-a-1", Address: "10.1.0.40:7340", Zone: "attica-a", Incarnation: 1764800000000},
+		Configuration: 1000, Digest: 1 << 63, ReadAge: 450 * time.Millisecond, OutageAge: time.Minute, Settled: true, Routers: others + 1,
+		News: placing.News{Placements: []placing.Placement{{Key: 1 << 47, Replica: 1 << 31}, {Key: 1 << 46, Replica: 1 << 31}}, Told: 300},
+	}
+	for i := range 12 {
+		b.Counts = append(b.Counts, replicas.Count{Replica: 1<<31 + uint32(i), Held: 1, Good: 300, Bad: 3})
+	}
+	perSecond := float64(others*(len(b.marshal())+datagramOverhead)) / beatEvery.Seconds()
+	if perSecond > budget {
+		t.Errorf("beats take %.0f bytes a second, want at most %d", perSecond, budget)
+	}
+}
+
+// TestKnownRoutersAreNamedSeldom has a router hear of others that know as many
+// routers as it does, then of one that knows fewer.
+func TestKnownRoutersAreNamedSeldom(t *testing.T) {
+	n := &Node{Self: Member{Name: "self", Address: "self:1"}, Clock: peridotusher.ClockFunc(time.Now), Log: discard{}}
+	n.Init()
+	for _, name := range []string{"r1", "r2"} {
+		n.members.hear(&Beat{Member: Member{Name: name, Address: name + ":1", Incarnation: 1}, Routers: 3})
+	}
+	if got := n.knownRounds(); got != knownSeldom {
+		t.Errorf("all know all: named each %d rounds, want %d", got, knownSeldom)
+	}
+	n.members.hear(&Beat{Member: Member{Name: "r2", Address: "r2:1", Incarnation: 2}, Routers: 2})
+	if got := n.knownRounds(); got != knownEvery {
+		t.Errorf("one knows fewer: named each %d rounds, want %d", got, knownEvery)
+	}
+}
+
 func TestCutBeats(t *testing.T) {
 	b := sampleBeat()
 	data := b.marshal()
@@ -207,6 +243,9 @@
 		for i, s := range states {
 			revision, heard := s.get()
 			done = done && revision == 7 && heard > 0 && len(nodes[i].Alive()) == routers-1
+			for _, m := range nodes[i].Alive() {
+				done = done && m.Address == nodes[m.Name[0]-'a'].Self.Address
+			}
 			ranks[nodes[i].Rank("topic")] = true
 		}
 		if done && len(ranks) == routers {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	// beatEvery is the time between two rounds of beats, beatSlow that in a
-	// fleet of which a round covers only a part.
-	beatEvery = 150 * time.Millisecond
-	beatSlow  = 250 * time.Millisecond
+	// beatEvery is the time between two rounds of beats.
+	beatEvery = 250 * time.Millisecond
 	// beatFan is the number of routers that get a beat in a round; a larger
 	// fleet is covered in several rounds.
 	beatFan = 8
@@ -27,9 +25,12 @@
 	// routers of a large fleet.
 	spreadRounds = 2
 	// knownEvery is the number of rounds between two beats that name other
-	// routers, knownMost how many they name.
+	// routers while some router knows fewer, knownMost how many they name.
 	knownEvery = 7
 	knownMost  = 8
+	// knownSeldom is the number of rounds between two such beats when all routers
+	// say that they know as many.
+	knownSeldom = 8 * knownEvery
 	// welcomeRatio is how many times as many routers a router knows that names
 	// some to another one at once, welcomeMost how many.
 	welcomeRatio = 2
@@ -97,6 +98,8 @@
 	missed chan struct{}
 	round  int
 
+	traffic traffic
+
 	encodeMu  sync.Mutex
 	encoded   []byte // the whole state for others, as encoded last
 	encodedAt time.Time
@@ -188,27 +191,17 @@
 	return group.Wait()
 }
 
-// roundTime is the time between two rounds in a fleet of some other routers.
-func roundTime(others int) time.Duration {
-	if others > 2*beatFan {
-		return beatSlow
-	}
-	return beatEvery
-}
-
 // coverTime is the time in which every other router gets a beat.
 func coverTime(others int) time.Duration {
 	rounds := (others + beatFan - 1) / beatFan
-	return time.Duration(max(rounds, 1)) * roundTime(others)
+	return time.Duration(max(rounds, 1)) * beatEvery
 }
 
 // CoverTime is the time in which every other router gets a beat.
 func (n *Node) CoverTime() time.Duration { return coverTime(n.members.count() - 1) }
 
 // SpreadTime is the time in which news reaches nearly all routers.
-func (n *Node) SpreadTime() time.Duration {
-	return spreadRounds * roundTime(n.members.count()-1)
-}
+func (n *Node) SpreadTime() time.Duration { return spreadRounds * beatEvery }
 
 // beat sends a round of beats at regular times.
 func (n *Node) beat(ctx context.Context, datagrams net.PacketConn) error {
@@ -222,14 +215,14 @@
 		case <-n.news:
 		}
 		n.sendRound(datagrams)
-		timer.Reset(roundTime(n.members.count() - 1))
+		timer.Reset(beatEvery)
 	}
 }
 
 func (n *Node) sendRound(datagrams net.PacketConn) {
 	b := n.fill()
 	n.round++
-	if n.round%knownEvery == 1 {
+	if n.round%n.knownRounds() == 1 {
 		b.Known = n.introductions(knownMost)
 	}
 	data := b.marshal()
@@ -238,6 +231,14 @@
 	}
 }
 
+// knownRounds is the number of rounds between two beats that name other routers.
+func (n *Node) knownRounds() int {
+	if n.members.agree() {
+		return knownSeldom
+	}
+	return knownEvery
+}
+
 // fill returns a beat of this moment.
 func (n *Node) fill() *Beat {
 	b := &Beat{Member: n.Self, Routers: n.members.count()}
@@ -249,6 +250,7 @@
 	to, err := net.ResolveUDPAddr("udp4", address)
 	if err == nil {
 		_, err = datagrams.WriteTo(data, to)
+		n.traffic.beat(len(data))
 	}
 	if err != nil {
 		n.Log.Event("peer", "address", address, "error", err)
@@ -295,7 +297,7 @@
 func (n *Node) receive(ctx context.Context, datagrams net.PacketConn) error {
 	buf := make([]byte, largestBeat)
 	for {
-		size, _, err := datagrams.ReadFrom(buf)
+		size, from, err := datagrams.ReadFrom(buf)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -311,6 +313,7 @@
 			n.Log.Event("peer", "error", err)
 			continue
 		}
+		b.Address = from.String() // a router sends from where it is reached
 		if !n.members.hear(&b) {
 			continue
 		}
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -96,6 +96,7 @@
 	if _, err := stream.Write(append(size, data...)); err != nil {
 		return err
 	}
+	n.traffic.state(len(data))
 	_, _ = stream.Read(make([]byte, 1)) // ends when the peer has read everything and closes
 	return nil
 }
--- a/replicas/load.go
+++ b/replicas/load.go
@@ -1,10 +1,14 @@
 package replicas
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// countsTold is how long changed outcomes are told: longer than every other
-// router takes to get a beat of a fleet of a hundred.
-const countsTold = 4 * time.Second
+// countsWide bounds the counts that are told at once in a wide fleet, where loads
+// are taken from reports. Outcomes are sums, so that a later count makes up for one
+// that was not told.
+const countsWide = 24
 
 // Count is what one router knows first hand of a replica.
 type Count struct {
@@ -30,18 +34,30 @@
 }
 
 // Counts returns the router's own counts of the replicas at which it has
-// requests or had some a short time ago. Of the others it has none, and their
-// outcomes are as told before.
-func (t *Table) Counts() []Count {
+// requests or has seen outcomes within told, those with the newest outcomes first.
+// Of the others it has no requests, and their outcomes are as told before.
+func (t *Table) Counts(told time.Duration) []Count {
+	type dated struct {
+		Count
+		last time.Time
+	}
 	now := t.clock.Now()
-	var counts []Count
+	var recent []dated
 	t.Replicas(func(r *Replica) {
 		good, bad, last := r.counts()
 		held := r.own.Load()
-		if held != 0 || now.Sub(last) < countsTold {
-			counts = append(counts, Count{Replica: r.hash, Held: held, Good: good, Bad: bad})
+		if held != 0 || now.Sub(last) < told {
+			recent = append(recent, dated{Count{Replica: r.hash, Held: held, Good: good, Bad: bad}, last})
 		}
 	})
+	slices.SortFunc(recent, func(a, b dated) int { return b.last.Compare(a.last) })
+	if t.wide.Load() {
+		recent = recent[:min(len(recent), countsWide)]
+	}
+	counts := make([]Count, len(recent))
+	for i, c := range recent {
+		counts[i] = c.Count
+	}
 	return counts
 }
 
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -10,8 +10,6 @@
 )
 
 const (
-	// changeTTL is how long a change is told to other routers.
-	changeTTL = 2 * time.Second
 	// handOnFor is how long a replica that leaves or is gone still hands on what
 	// it holds.
 	handOnFor = 3 * time.Second
@@ -196,15 +194,15 @@
 	t.view.Store(v)
 }
 
-// Recent returns the entries whose use changed a short time ago, newest first,
-// at most limit of them.
-func (t *Table) Recent(limit int) []Entry {
+// Recent returns the entries whose use changed within told, newest first, at most
+// limit of them.
+func (t *Table) Recent(limit int, told time.Duration) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
 	var recent []*record
 	for _, rec := range t.records {
-		if now.Sub(rec.changed) < changeTTL {
+		if now.Sub(rec.changed) < told {
 			recent = append(recent, rec)
 		}
 	}
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -340,3 +340,35 @@
 		t.Errorf("held = %d and %d after the reports grew old, want 4 and 2", a.Held(), other.Held())
 	}
 }
+
+// TestCountsOfTheLastMoments has a router with requests at some of many replicas:
+// it tells where it has requests or saw outcomes a moment ago, in a wide fleet of
+// the latest ones only.
+func TestCountsOfTheLastMoments(t *testing.T) {
+	const many, told = 40, time.Second
+	b := newBed()
+	var entries []Entry
+	for i := range many {
+		entries = append(entries, entry(fmt.Sprint("i", i), 1))
+	}
+	b.Offer(entries)
+	ready := b.Ready("s")
+	defer ready[0].Hold()()
+	ready[1].Record(b.now, Good)
+	b.now = b.now.Add(2 * told)
+	ready[2].Record(b.now, Failed)
+	want := []Count{{Replica: ready[2].Hash(), Bad: 1}, {Replica: ready[0].Hash(), Held: 1}}
+	if diff := cmp.Diff(want, b.Counts(told)); diff != "" {
+		t.Errorf("counts (-want +got):\n%s", diff)
+	}
+	for _, r := range ready {
+		r.Record(b.now, Good)
+	}
+	if n := len(b.Counts(told)); n != many {
+		t.Errorf("%d counts are told, want %d", n, many)
+	}
+	b.SetWide(true)
+	if n := len(b.Counts(told)); n != countsWide {
+		t.Errorf("%d counts are told in a wide fleet, want %d", n, countsWide)
+	}
+}
