Very large fleets: news spreads in few rounds, fetches bring only what is lacking

Causes, each with a test that failed before: - Routers that start together told the same 8 of the sorted addresses in each round: 25 of 370 had heard news after three rounds. Now in an order of each router's own: 307; the time allowed for news follows the size of the fleet. - Each fetch brought the configuration, all replicas and all known parts of prompts. Now the asker says what it wants, and replicas come by those of 64 parts of the table that differ. - At a start each router ranked itself among all others for each replica each 15 ms. Above 512 model replicas none is asked. - Placements were told twice to all. Now once, gaps are noticed by number; above 160 routers they are told only where others would not look.

--- a/edge/router.go
+++ b/edge/router.go
@@ -43,6 +43,9 @@
 	// wideCover is the time of a round of beats from which other routers' counts
 	// are older than what replicas tell.
 	wideCover = 600 * time.Millisecond
+	// vastCover is the same from which placements are told only if the others
+	// expect them elsewhere: a fleet of more than 160 routers.
+	vastCover = 5 * time.Second
 	// bodyPart is the part of the host's memory for request bodies: one in so many.
 	bodyPart = 6
 	megabyte = 1 << 20
@@ -246,6 +249,7 @@
 			r.Log.Event("standstill", "length", gap)
 		}
 		r.table.SetWide(r.node.CoverTime() > wideCover)
+		r.directory.SetVast(r.node.CoverTime() > vastCover)
 		r.table.Expire(max(countsLeast, countsRounds*r.node.CoverTime()))
 		r.pool.Prune()
 	}
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -27,6 +27,10 @@
 	askTime = time.Second
 	// askAtOnce is the number of replicas asked at once.
 	askAtOnce = 4
+	// askedMost is the number of replicas above which none is asked: to tell all
+	// routers of all parts takes longer than to read some again, and prompts go to
+	// the first replica of their part's order, where most parts are.
+	askedMost = 512
 	// partsTopic and an id order the routers that ask a replica.
 	partsTopic = "parts/"
 )
@@ -66,20 +70,19 @@
 // with a model that were not asked and of which nothing is known. up is the time
 // since the router's start.
 func (r *Router) toAsk(up time.Duration, asked map[uint32]bool) []*replicas.Replica {
-	doc := r.current.Load()
-	if doc == nil {
+	models := r.models()
+	if len(models) > askedMost {
 		return nil
 	}
 	var out []*replicas.Replica
-	r.table.Replicas(func(replica *replicas.Replica) {
-		service, ok := doc.Services[replica.Service()]
-		if !ok || !service.Model || asked[replica.Hash()] || replica.Lost() || r.directory.Knows(replica.Hash()) {
-			return
+	for _, replica := range models {
+		if asked[replica.Hash()] || replica.Lost() || r.directory.Knows(replica.Hash()) {
+			continue
 		}
 		if up < alone || r.node.Rank(partsTopic+replica.ID()) == 0 {
 			out = append(out, replica)
 		}
-	})
+	}
 	slices.SortFunc(out, func(a, b *replicas.Replica) int {
 		return cmp.Compare(r.node.Order(partsTopic+a.ID()), r.node.Order(partsTopic+b.ID()))
 	})
@@ -92,6 +95,21 @@
 	return out
 }
 
+// models returns the replicas with a model.
+func (r *Router) models() []*replicas.Replica {
+	doc := r.current.Load()
+	if doc == nil {
+		return nil
+	}
+	var out []*replicas.Replica
+	r.table.Replicas(func(replica *replicas.Replica) {
+		if service, ok := doc.Services[replica.Service()]; ok && service.Model {
+			out = append(out, replica)
+		}
+	})
+	return out
+}
+
 // askParts learns which parts a replica holds, unless another router has told
 // meanwhile.
 func (r *Router) askParts(ctx context.Context, replica *replicas.Replica) {
@@ -106,7 +124,7 @@
 		return
 	}
 	for _, part := range parts {
-		r.directory.Place(placing.Placement{Key: part, Replica: replica.Hash()})
+		r.directory.Place(placing.Placement{Key: part, Replica: replica.Hash()}, false)
 	}
 	replica.Record(r.clock.Now(), replicas.Good)
 	r.node.Tell()
--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -31,6 +31,19 @@
 // modelReplicas is the number of replicas with a model.
 const modelReplicas = 12
 
+// TestManyReplicasAreNotAsked has all routers of a very large fleet start at once.
+func TestManyReplicasAreNotAsked(t *testing.T) {
+	r := newFleet(t, 1)[0]
+	var entries []replicas.Entry
+	for i := range askedMost {
+		entries = append(entries, replicas.Entry{ID: fmt.Sprint("n", i), Service: "model", Address: fmt.Sprint("n", i), Slots: 4, Revision: 1})
+	}
+	r.table.Offer(entries)
+	if n := len(r.toAsk(0, map[uint32]bool{})); n != 0 {
+		t.Errorf("%d replicas are asked", n)
+	}
+}
+
 // newFleet returns routers that know a list of replicas with and without a model.
 func newFleet(t *testing.T, n int) []*Router {
 	t.Helper()
@@ -128,7 +141,7 @@
 	for _, r := range fleet {
 		for _, other := range fleet {
 			if other != r {
-				r.directory.Take(state{other}.Whole().Inventory)
+				r.directory.Take(state{other}.Whole(mesh.Want{Inventory: true}).Inventory)
 			}
 		}
 		r.settled.Store(true)
@@ -138,7 +151,7 @@
 	if got := (state{late}).Lacks(summary); got != mesh.Behind {
 		t.Errorf("a router that starts later lacks %v, want %v", got, mesh.Behind)
 	}
-	whole := state{fleet[1]}.Whole()
+	whole := state{fleet[1]}.Whole(state{late}.Want(mesh.Behind))
 	if err := (state{late}).Take(whole); err != nil {
 		t.Fatal(err)
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -16,12 +16,10 @@
 	reportsMost = 16
 )
 
-// toldLeast and toldRounds are how long news are told, in rounds in which all
-// routers get a beat: several beats, since one may be lost.
-const (
-	toldLeast  = time.Second
-	toldRounds = 2
-)
+// toldLeast is the least time for which news are told: several beats, since one
+// may be lost. A router of a large fleet tells them until all have got a beat; who
+// missed one notices by the numbers of placements, and counts are sums.
+const toldLeast = time.Second
 
 // changesTold bounds how long a change of a replica is told: each router that
 // hears of it tells it on.
@@ -44,7 +42,7 @@
 		b.OutageAge = r.clock.Now().Sub(outage)
 	}
 	b.Stopping = r.stopping.Load()
-	told := max(toldLeast, toldRounds*r.node.CoverTime()+r.node.SpreadTime())
+	told := max(toldLeast, r.node.CoverTime()+r.node.SpreadTime())
 	b.Counts = r.table.Counts(told)
 	b.Reports = r.table.Reports(reportsMost)
 	b.Changes = r.table.Recent(changesMost, min(told, changesTold))
@@ -69,14 +67,27 @@
 	r.directory.Hear(placing.Origin{Name: b.Name, Incarnation: b.Incarnation}, b.News)
 }
 
+// Want implements mesh.State. A newer configuration has to be in force soon, so
+// that nothing else is asked for with it.
+func (s state) Want(lack mesh.Lack) mesh.Want {
+	want := mesh.Want{Revision: s.r.current.Revision(), Inventory: lack == mesh.Behind}
+	if lack != mesh.Newer || !s.r.listed.Load() {
+		want.Replicas = s.r.table.Parts()
+	}
+	return want
+}
+
 // Whole implements mesh.State.
-func (s state) Whole() *mesh.Whole {
-	w := &mesh.Whole{Entries: s.r.table.Entries(), Settled: s.r.settled.Load()}
-	w.Inventory = s.r.directory.Inventory(func(replica uint32) bool {
-		_, ok := s.r.table.Source(replica)
-		return ok
-	})
-	if doc := s.r.current.Load(); doc != nil {
+func (s state) Whole(want mesh.Want) *mesh.Whole {
+	w := &mesh.Whole{Entries: s.r.table.Differing(want.Replicas)}
+	if want.Inventory {
+		w.Settled = s.r.settled.Load()
+		w.Inventory = s.r.directory.Inventory(func(replica uint32) bool {
+			_, ok := s.r.table.Source(replica)
+			return ok
+		})
+	}
+	if doc := s.r.current.Load(); doc != nil && doc.Revision > want.Revision {
 		w.Configuration, w.Revision = doc.Source, doc.Revision
 	}
 	return w
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -7,6 +7,7 @@
 
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
 )
 
 // quiet is a log that keeps nothing.
@@ -70,3 +71,41 @@
 		t.Errorf("requests have %v of the %v to the kill", left, stop)
 	}
 }
+
+// TestFetchesAreSmall has a router that knows all replicas of a large service hear
+// of a newer configuration: it asks for that alone, so that it is in force soon. One
+// that knows nothing asks for the replicas too.
+func TestFetchesAreSmall(t *testing.T) {
+	const many = 1400
+	ahead, knowing, fresh := newTestRouter(t), newTestRouter(t), newTestRouter(t)
+	var entries []replicas.Entry
+	for i := range many {
+		entries = append(entries, replicas.Entry{ID: fmt.Sprint(i), Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Revision: 1})
+	}
+	for _, r := range []*Router{ahead, knowing} {
+		r.table.Offer(entries)
+		r.listed.Store(true)
+	}
+	entries[0].Leaving, entries[0].Revision = true, 2
+	ahead.table.Offer(entries[:1])
+	ahead.current.Offer(&routing.Document{Version: 3, Revision: 9, Source: []byte("text")})
+	tests := []struct {
+		name        string
+		asker       *Router
+		lack        mesh.Lack
+		most, least int
+	}{
+		{"a newer configuration", knowing, mesh.Newer, 0, 0},
+		{"different replicas", knowing, mesh.Different, many / 20, 1},
+		{"a start", fresh, mesh.Newer, many, many},
+	}
+	for _, tt := range tests {
+		w := state{ahead}.Whole(state{tt.asker}.Want(tt.lack))
+		if n := len(w.Entries); n > tt.most || n < tt.least {
+			t.Errorf("%s: %d entries are fetched, want %d to %d", tt.name, n, tt.least, tt.most)
+		}
+		if w.Revision != 9 || len(w.Inventory.Placements) > 0 {
+			t.Errorf("%s: revision %d and %d placements are fetched", tt.name, w.Revision, len(w.Inventory.Placements))
+		}
+	}
+}
--- a/mesh/compress.go
+++ b/mesh/compress.go
@@ -4,15 +4,39 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 )
 
-// compress returns a text compressed; nil for an empty one.
-func compress(text []byte) ([]byte, error) {
+// packer compresses configurations, which may have megabytes of text. Many routers
+// fetch one at once, so the last one is kept.
+type packer struct {
+	mu       sync.Mutex
+	revision int64
+	packed   []byte
+}
+
+// pack returns the configuration of a revision compressed; nil for an empty one.
+func (p *packer) pack(revision int64, text []byte) ([]byte, error) {
 	if len(text) == 0 {
 		return nil, nil
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.packed != nil && p.revision == revision {
+		return p.packed, nil
+	}
+	packed, err := compress(text)
+	if err != nil {
+		return nil, err
+	}
+	p.revision, p.packed = revision, packed
+	return packed, nil
+}
+
+// compress returns a text compressed.
+func compress(text []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -79,6 +79,17 @@
 	}
 }
 
+func TestWantOnTheWire(t *testing.T) {
+	want := Want{Revision: 7, Replicas: []uint64{1 << 63, 0, 5}, Inventory: true}
+	var got Want
+	if err := got.unmarshal(want.marshal()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("want (-want +got):\n%s", diff)
+	}
+}
+
 func TestCutBeats(t *testing.T) {
 	b := sampleBeat()
 	data := b.marshal()
@@ -93,7 +104,7 @@
 	want := Whole{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true}
 	want.Inventory.Placements = []placing.Placement{{Key: 1 << 60, Replica: 5}, {Key: 3, Replica: 1 << 31}}
 	want.Inventory.Heard = []placing.Heard{{Origin: placing.Origin{Name: "r1", Incarnation: 8}, Told: 3}, {Origin: placing.Origin{Name: "r2"}}}
-	data, err := want.marshal()
+	data, err := want.marshal(&packer{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -168,9 +179,18 @@
 	s.heard++
 }
 
-func (s *testState) Whole() *Whole {
+func (s *testState) Want(Lack) Want {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Want{Revision: s.revision}
+}
+
+func (s *testState) Whole(want Want) *Whole {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if want.Revision >= s.revision {
+		return &Whole{}
+	}
 	return &Whole{Revision: s.revision, Configuration: make([]byte, 600<<10)}
 }
 
@@ -263,23 +283,23 @@
 	steps := []struct {
 		after time.Duration
 		lacks map[Lack][]string
-		want  []string
+		want  Lack
 	}{
-		{0, nil, nil},
-		{0, both, []string{"b"}},
-		{100 * time.Millisecond, both, nil},
-		{200 * time.Millisecond, map[Lack][]string{Newer: {"n"}, Behind: {"b"}}, []string{"n"}},
-		{300 * time.Millisecond, both, []string{"b"}},
-		{400 * time.Millisecond, map[Lack][]string{Nothing: {"x"}}, nil},
-		{500 * time.Millisecond, map[Lack][]string{Different: {"d"}}, nil},
-		{time.Second, map[Lack][]string{Different: {"d"}}, nil},
-		{1600 * time.Millisecond, map[Lack][]string{Different: {"d"}}, []string{"d"}},
-		{1700 * time.Millisecond, map[Lack][]string{Different: {"d"}}, nil},
+		{0, nil, Nothing},
+		{0, both, Behind},
+		{100 * time.Millisecond, both, Nothing},
+		{200 * time.Millisecond, map[Lack][]string{Newer: {"n"}, Behind: {"b"}}, Newer},
+		{300 * time.Millisecond, both, Behind},
+		{400 * time.Millisecond, map[Lack][]string{Nothing: {"x"}}, Nothing},
+		{500 * time.Millisecond, map[Lack][]string{Different: {"d"}}, Nothing},
+		{time.Second, map[Lack][]string{Different: {"d"}}, Nothing},
+		{1600 * time.Millisecond, map[Lack][]string{Different: {"d"}}, Different},
+		{1700 * time.Millisecond, map[Lack][]string{Different: {"d"}}, Nothing},
 	}
 	c := catching{behindPace: pace, differentPace: differentFor}
 	for i, s := range steps {
-		if diff := cmp.Diff(s.want, c.from(start.Add(s.after), s.lacks)); diff != "" {
-			t.Errorf("step %d, routers to fetch from (-want +got):\n%s", i, diff)
+		if diff := cmp.Diff(s.want, c.next(start.Add(s.after), s.lacks)); diff != "" {
+			t.Errorf("step %d, what is fetched (-want +got):\n%s", i, diff)
 		}
 	}
 }
@@ -370,3 +390,42 @@
 		t.Error(err)
 	}
 }
+
+// TestNewsSpreadsInAVeryLargeFleet has routers that started together pass news on in
+// rounds at the same times: nearly all hear it in the time that is allowed for it.
+func TestNewsSpreadsInAVeryLargeFleet(t *testing.T) {
+	const fleet = 370
+	clock := peridotusher.ClockFunc(time.Now)
+	var nodes []*Node
+	byAddress := make(map[string]int)
+	for i := range fleet {
+		m := Member{Name: fmt.Sprint("r", i), Address: fmt.Sprint("r", i, ":1"), Incarnation: 1}
+		n := &Node{Self: m, Clock: clock, Log: discard{}}
+		n.Init()
+		nodes, byAddress[m.Address] = append(nodes, n), i
+	}
+	for _, n := range nodes {
+		for _, o := range nodes {
+			n.members.introduce(clock.Now(), o.Self)
+		}
+	}
+	heard := map[int]bool{0: true}
+	for range nodes[0].SpreadTime() / beatEvery {
+		var told []int
+		for i, n := range nodes {
+			n.round++
+			if !heard[i] {
+				continue
+			}
+			for _, address := range n.targets() {
+				told = append(told, byAddress[address])
+			}
+		}
+		for _, i := range told {
+			heard[i] = true
+		}
+	}
+	if len(heard) < fleet*9/10 {
+		t.Errorf("%d of %d routers have heard after %v", len(heard), fleet, nodes[0].SpreadTime())
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,11 +1,11 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,9 +21,9 @@
 	// beatFan is the number of routers that get a beat in a round; a larger
 	// fleet is covered in several rounds.
 	beatFan = 8
-	// spreadRounds is the number of rounds in which news reaches nearly all
-	// routers of a large fleet.
-	spreadRounds = 2
+	// spreadSurplus is how many beats a router gets on average once news is taken to
+	// have reached nearly all: some get several, and some none.
+	spreadSurplus = 2
 	// knownEvery is the number of rounds between two beats that name other
 	// routers while some router knows fewer, knownMost how many they name.
 	knownEvery = 7
@@ -45,9 +45,11 @@
 	Fill(b *Beat)
 	// Hear takes a beat of another router in. It must not keep the beat.
 	Hear(b *Beat)
-	// Whole returns the whole state for a router that lacks it.
-	Whole() *Whole
-	// Take takes the whole state of another router in.
+	// Want returns what to ask another router for that has what this one lacks.
+	Want(lack Lack) Want
+	// Whole returns the state that another router wants.
+	Whole(want Want) *Whole
+	// Take takes the state of another router in.
 	Take(w *Whole) error
 	// Lacks returns what the other router has that this one lacks.
 	Lacks(other Summary) Lack
@@ -99,10 +101,7 @@
 	round  int
 
 	traffic traffic
-
-	encodeMu  sync.Mutex
-	encoded   []byte // the whole state for others, as encoded last
-	encodedAt time.Time
+	packer  packer
 }
 
 // Init prepares the node; it must be called before any other method.
@@ -157,7 +156,7 @@
 			continue
 		}
 		group.Go(func() error {
-			if n.fetchFrom(ctx, seed) {
+			if n.fetchFrom(ctx, seed, Behind) {
 				cancel() // one is enough
 			}
 			return nil
@@ -200,8 +199,15 @@
 // CoverTime is the time in which every other router gets a beat.
 func (n *Node) CoverTime() time.Duration { return coverTime(n.members.count() - 1) }
 
-// SpreadTime is the time in which news reaches nearly all routers.
-func (n *Node) SpreadTime() time.Duration { return spreadRounds * beatEvery }
+// SpreadTime is the time in which news reaches nearly all routers: in each round,
+// each router that has heard tells beatFan others.
+func (n *Node) SpreadTime() time.Duration {
+	rounds := 0
+	for told := 1; told < spreadSurplus*n.members.count(); told *= beatFan + 1 {
+		rounds++
+	}
+	return time.Duration(rounds) * beatEvery
+}
 
 // beat sends a round of beats at regular times.
 func (n *Node) beat(ctx context.Context, datagrams net.PacketConn) error {
@@ -275,11 +281,15 @@
 	return reply
 }
 
-// targets returns the addresses of this round: of a large fleet the next part,
-// and the seeds now and then, since they may come back.
+// targets returns the addresses of this round: of a large fleet the next part, in
+// an order of the router's own, so that routers which started together do not tell
+// the same ones; and the seeds now and then, since they may come back.
 func (n *Node) targets() []string {
 	all := n.members.addresses()
 	if len(all) > beatFan {
+		slices.SortFunc(all, func(a, b string) int {
+			return cmp.Compare(placeOf(n.Self.Name, a), placeOf(n.Self.Name, b))
+		})
 		start := n.round * beatFan % len(all)
 		all = append(all[start:], all[:start]...)[:beatFan]
 	}
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -31,8 +31,8 @@
 	differentFor = time.Second
 	// largestState bounds the size of a whole state, in bytes.
 	largestState = 8 << 20
-	// encodedFor is how long an encoded state is handed out again.
-	encodedFor = 60 * time.Millisecond
+	// largestWant bounds the size of what a router asks for, in bytes.
+	largestWant = 64 << 10
 	// sessions bounds the number of sessions served at once.
 	sessions = 8
 )
@@ -73,7 +73,7 @@
 	}
 }
 
-// answer serves one fetch on a connection.
+// answer serves one fetch on a connection: the peer says what it wants and gets it.
 func (n *Node) answer(c net.Conn) error {
 	defer func() { _ = c.Close() }() // the peer has read what it wanted
 	if err := c.SetDeadline(time.Now().Add(sessionTime)); err != nil {
@@ -88,12 +88,19 @@
 	if err != nil {
 		return err
 	}
-	data, err := n.whole()
+	asked, err := readFrame(stream, largestWant)
 	if err != nil {
 		return err
 	}
-	size := binary.BigEndian.AppendUint32(nil, uint32(len(data)))
-	if _, err := stream.Write(append(size, data...)); err != nil {
+	var want Want
+	if err := want.unmarshal(asked); err != nil {
+		return err
+	}
+	data, err := n.State.Whole(want).marshal(&n.packer)
+	if err != nil {
+		return err
+	}
+	if err := writeFrame(stream, data); err != nil {
 		return err
 	}
 	n.traffic.state(len(data))
@@ -101,23 +108,30 @@
 	return nil
 }
 
-// whole returns the encoded state. A configuration is fetched by many routers at
-// once, so the encoding is kept for a moment.
-func (n *Node) whole() ([]byte, error) {
-	n.encodeMu.Lock()
-	defer n.encodeMu.Unlock()
-	if now := n.Clock.Now(); n.encoded == nil || now.Sub(n.encodedAt) > encodedFor {
-		data, err := n.State.Whole().marshal()
-		if err != nil {
-			return nil, err
-		}
-		n.encoded, n.encodedAt = data, now
+// writeFrame writes the length of a message and the message.
+func writeFrame(w io.Writer, data []byte) error {
+	size := binary.BigEndian.AppendUint32(nil, uint32(len(data)))
+	_, err := w.Write(append(size, data...))
+	return err
+}
+
+// readFrame reads a message of at most limit bytes.
+func readFrame(r io.Reader, limit int) ([]byte, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return nil, err
+	}
+	length := binary.BigEndian.Uint32(size[:])
+	if int64(length) > int64(limit) {
+		return nil, errors.Newf("a message of %d bytes", length)
 	}
-	return n.encoded, nil
+	data := make([]byte, length)
+	_, err := io.ReadFull(r, data)
+	return data, err
 }
 
-// fetch gets the whole state of another router.
-func (n *Node) fetch(ctx context.Context, address string) (*Whole, error) {
+// fetch gets the state that this router wants from another one.
+func (n *Node) fetch(ctx context.Context, address string, want Want) (*Whole, error) {
 	ctx, cancel := context.WithTimeout(ctx, sessionTime)
 	defer cancel()
 	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
@@ -135,16 +149,11 @@
 	if err != nil {
 		return nil, err
 	}
-	var size [4]byte
-	if _, err := io.ReadFull(stream, size[:]); err != nil {
+	if err := writeFrame(stream, want.marshal()); err != nil {
 		return nil, err
 	}
-	length := binary.BigEndian.Uint32(size[:])
-	if length > largestState {
-		return nil, errors.Newf("a state of %d bytes", length)
-	}
-	data := make([]byte, length)
-	if _, err := io.ReadFull(stream, data); err != nil {
+	data, err := readFrame(stream, largestState)
+	if err != nil {
 		return nil, err
 	}
 	w := &Whole{}
@@ -169,9 +178,9 @@
 			lacks[lack] = append(lacks[lack], s.Address)
 		}
 		c.behindPace, c.differentPace = n.behindPace(), max(differentFor, n.CoverTime()+n.SpreadTime())
-		from := c.from(n.Clock.Now(), lacks)
-		if len(from) > 0 {
-			n.fetchFrom(ctx, from[rand.IntN(len(from))])
+		lack := c.next(n.Clock.Now(), lacks)
+		if from := lacks[lack]; lack != Nothing && len(from) > 0 {
+			n.fetchFrom(ctx, from[rand.IntN(len(from))], lack)
 		}
 	}
 }
@@ -194,9 +203,9 @@
 	differentPace time.Duration // for which replicas may differ
 }
 
-// from returns the routers of which one is to be fetched from now, none if that
-// can wait.
-func (c *catching) from(now time.Time, lacks map[Lack][]string) []string {
+// next returns what is to be fetched now of what routers have that this one lacks;
+// Nothing if that can wait.
+func (c *catching) next(now time.Time, lacks map[Lack][]string) Lack {
 	if len(lacks[Different]) == 0 {
 		c.different = time.Time{}
 	} else if c.different.IsZero() {
@@ -204,20 +213,21 @@
 	}
 	switch {
 	case len(lacks[Newer]) > 0:
-		return lacks[Newer]
+		return Newer
 	case len(lacks[Behind]) > 0 && now.Sub(c.behind) >= c.behindPace:
 		c.behind = now
-		return lacks[Behind]
+		return Behind
 	case len(lacks[Different]) > 0 && now.Sub(c.different) > c.differentPace:
 		c.different = now
-		return lacks[Different]
+		return Different
 	}
-	return nil
+	return Nothing
 }
 
-// fetchFrom takes the state of another router over and reports whether it could.
-func (n *Node) fetchFrom(ctx context.Context, address string) bool {
-	w, err := n.fetch(ctx, address)
+// fetchFrom takes over from another router what this one lacks, and reports whether
+// it could.
+func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) bool {
+	w, err := n.fetch(ctx, address, n.State.Want(lack))
 	if err == nil {
 		err = n.State.Take(w)
 	}
--- a/mesh/whole.go
+++ b/mesh/whole.go
@@ -7,7 +7,57 @@
 	"peridotusher.example/peridotusher/replicas"
 )
 
-// Whole is the state of a router that another one lacks.
+// Want is what a router asks another one for.
+type Want struct {
+	// Revision is that of the configuration which the asker has; a newer one is
+	// wanted.
+	Revision int64
+	// Replicas are the digests of the asker's parts of the table of replicas;
+	// entries of parts that differ are wanted, none if it is empty.
+	Replicas []uint64
+	// Inventory asks for what is known of the parts of prompts.
+	Inventory bool
+}
+
+// The field numbers of a want.
+const (
+	wantRevision protowire.Number = iota + 1
+	wantReplicas
+	wantInventory
+)
+
+func (w *Want) marshal() []byte {
+	out := appendNumber(nil, wantRevision, uint64(w.Revision))
+	var packed []byte
+	for _, d := range w.Replicas {
+		packed = protowire.AppendFixed64(packed, d)
+	}
+	out = appendBytes(out, wantReplicas, packed)
+	return appendFlag(out, wantInventory, w.Inventory)
+}
+
+func (w *Want) unmarshal(data []byte) error {
+	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
+		switch n {
+		case wantRevision:
+			w.Revision = int64(v)
+		case wantReplicas:
+			for len(raw) > 0 {
+				d, size := protowire.ConsumeFixed64(raw)
+				if size < 0 {
+					return protowire.ParseError(size)
+				}
+				w.Replicas = append(w.Replicas, d)
+				raw = raw[size:]
+			}
+		case wantInventory:
+			w.Inventory = v != 0
+		}
+		return nil
+	})
+}
+
+// Whole is the state of a router that another one wants.
 type Whole struct {
 	// Configuration is the source of the configuration in force, nil if none.
 	Configuration []byte
@@ -37,10 +87,9 @@
 	heardTold
 )
 
-// marshal encodes the state; the configuration, which may have megabytes of text,
-// is compressed.
-func (w *Whole) marshal() ([]byte, error) {
-	packed, err := compress(w.Configuration)
+// marshal encodes the state with the configuration as p packs it.
+func (w *Whole) marshal(p *packer) ([]byte, error) {
+	packed, err := p.pack(w.Revision, w.Configuration)
 	if err != nil {
 		return nil, err
 	}
--- a/placing/candidate.go
+++ b/placing/candidate.go
@@ -30,6 +30,9 @@
 	Reason string
 	// Mean is the mean load of the candidates, in requests.
 	Mean float64
+	// First is set if the candidate is the first one of the part's rendezvous
+	// order, where any router looks for the part.
+	First bool
 }
 
 // mean returns the mean of the held requests.
--- a/placing/directory.go
+++ b/placing/directory.go
@@ -48,6 +48,7 @@
 	recent []dated
 	told   uint64
 	heard  map[string]hearing
+	vast   bool
 }
 
 // NewDirectory returns an empty Directory of a router's start.
@@ -59,15 +60,23 @@
 }
 
 // Place notes that the router sends a prompt with the part to the replica. Other
-// routers are told if the replica did not hold the part before.
-func (d *Directory) Place(p Placement) {
+// routers are told if the replica did not hold the part before; in a vast fleet
+// only if they do not expect it there anyway.
+func (d *Directory) Place(p Placement, expected bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	if !d.note(p, now) {
-		return
+	if d.note(p, now) && !(d.vast && expected) {
+		d.tell(p, now)
 	}
-	d.tell(p, now)
+}
+
+// SetVast says whether the fleet is so large that telling all routers of every
+// placement takes more than reading some parts again.
+func (d *Directory) SetVast(vast bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.vast = vast
 }
 
 // Wanted returns a channel that is closed when the holders of any part are asked
--- a/placing/news_test.go
+++ b/placing/news_test.go
@@ -68,10 +68,10 @@
 	r1, r2 := Origin{"r1", 1}, Origin{"r2", 1}
 	first, second := NewDirectory(clock, r1), NewDirectory(clock, r2)
 	for key := range uint64(300) {
-		first.Place(Placement{key, uint32(key % 5)})
+		first.Place(Placement{key, uint32(key % 5)}, false)
 		second.Hear(r1, first.Recent(time.Second))
 	}
-	second.Place(Placement{1000, 3})
+	second.Place(Placement{1000, 3}, false)
 	restarted := NewDirectory(clock, Origin{"r0", 2})
 	clock.now = clock.now.Add(time.Minute)
 	restarted.Hear(r1, first.Recent(time.Second))
@@ -95,8 +95,8 @@
 func TestInventoryLeavesOut(t *testing.T) {
 	clock := &exchangeClock{time.Unix(100, 0)}
 	d := NewDirectory(clock, Origin{"r0", 1})
-	d.Place(Placement{1, 10})
-	d.Place(Placement{2, 11})
+	d.Place(Placement{1, 10}, false)
+	d.Place(Placement{2, 11}, false)
 	d.Hear(Origin{"r1", 1}, News{Told: 9}) // missed
 	d.Hear(Origin{"r2", 1}, News{[]Placement{{3, 10}}, 1})
 	got := d.Inventory(func(replica uint32) bool { return replica != 11 })
@@ -118,3 +118,25 @@
 		t.Errorf("old placements are handed on: %v", got.Placements)
 	}
 }
+
+// TestExpectedPlacements has a router place parts where others expect them, and
+// elsewhere: in a vast fleet it tells of the latter only, and knows both.
+func TestExpectedPlacements(t *testing.T) {
+	for _, vast := range []bool{false, true} {
+		d := NewDirectory(peridotusher.ClockFunc(time.Now), Origin{Name: "r0", Incarnation: 1})
+		d.SetVast(vast)
+		expected, elsewhere := Placement{1, 10}, Placement{2, 11}
+		d.Place(expected, true)
+		d.Place(elsewhere, false)
+		want := []Placement{expected, elsewhere}
+		if vast {
+			want = want[1:]
+		}
+		if diff := cmp.Diff(want, d.Recent(time.Minute).Placements); diff != "" {
+			t.Errorf("vast %v, told (-want +got):\n%s", vast, diff)
+		}
+		if len(d.Holders(1)) != 1 || len(d.Holders(2)) != 1 {
+			t.Errorf("vast %v: holders %v and %v", vast, d.Holders(1), d.Holders(2))
+		}
+	}
+}
--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -50,6 +50,23 @@
 	}
 }
 
+// TestFirstOfTheOrder has prompts go to the first replica of their part's order,
+// and past it when it is full.
+func TestFirstOfTheOrder(t *testing.T) {
+	for key := range uint64(20) {
+		cs := fleet(18)
+		p := Prompt{Multiple: 2, Key: key * 7919}
+		before, _ := p.Choose(cs)
+		if !before.First {
+			t.Errorf("key %d: the choice of an idle fleet is not the first one", key)
+		}
+		cs[before.Index].Held = cs[before.Index].Slots
+		if after, _ := p.Choose(cs); after.First {
+			t.Errorf("key %d: the choice past a full replica counts as the first one", key)
+		}
+	}
+}
+
 func TestPromptSpreadsOverHolders(t *testing.T) {
 	cs := fleet(18)
 	p := Prompt{Multiple: 2, Key: 99, Holders: []uint32{3, 9}}
@@ -123,13 +140,13 @@
 		t.Error("holders were asked for before anybody asked")
 	default:
 	}
-	d.Place(Placement{Key: 1, Replica: 10})
+	d.Place(Placement{Key: 1, Replica: 10}, false)
 	d.Hear(Origin{Name: "r1", Incarnation: 1}, News{Placements: []Placement{{Key: 1, Replica: 11}, {Key: 2, Replica: 12}}, Told: 2})
 	if diff := cmp.Diff([]uint32{10, 11}, d.Holders(1)); diff != "" {
 		t.Errorf("holders (-want +got):\n%s", diff)
 	}
-	<-d.Wanted()                            // the test does not end if nobody asked
-	d.Place(Placement{Key: 1, Replica: 11}) // known already
+	<-d.Wanted()                                   // the test does not end if nobody asked
+	d.Place(Placement{Key: 1, Replica: 11}, false) // known already
 	if diff := cmp.Diff(News{Placements: []Placement{{Key: 1, Replica: 10}}, Told: 1}, d.Recent(time.Second)); diff != "" {
 		t.Errorf("recent placements (-want +got):\n%s", diff)
 	}
@@ -147,7 +164,7 @@
 	now := time.Unix(100, 0)
 	d := NewDirectory(peridotusher.ClockFunc(func() time.Time { return now }), Origin{Name: "r0", Incarnation: 1})
 	for key := range uint64(3 * keysMost) {
-		d.Place(Placement{Key: key, Replica: uint32(key)})
+		d.Place(Placement{Key: key, Replica: uint32(key)}, false)
 	}
 	if len(d.keys) > keysMost || len(d.known) > keysMost {
 		t.Errorf("%d parts of %d replicas are remembered, limit %d", len(d.keys), len(d.known), keysMost)
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -35,8 +35,13 @@
 		return Choice{}, false
 	}
 	m := mean(candidates)
-	holder, home := -1, -1
+	holder, home, first := -1, -1, 0
+	var homeRank, firstRank uint64
 	for i, c := range candidates {
+		order := rank(p.Key, c.Hash)
+		if i == 0 || order > firstRank {
+			first, firstRank = i, order
+		}
 		if c.Held >= c.Slots {
 			continue
 		}
@@ -47,8 +52,8 @@
 			continue
 		}
 		room := float64(c.Held+1) <= homePart*p.Multiple*m+homeExtra && c.Prefill <= prefillBound
-		if room && (home < 0 || rank(p.Key, c.Hash) > rank(p.Key, candidates[home].Hash)) {
-			home = i
+		if room && (home < 0 || order > homeRank) {
+			home, homeRank = i, order
 		}
 	}
 	choice := Choice{Mean: m}
@@ -60,6 +65,7 @@
 	default:
 		choice.Index, choice.Reason = leastHeld(candidates), Least
 	}
+	choice.First = choice.Index == first
 	return choice, true
 }
 
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -81,7 +81,8 @@
 		t.source = t.sourceOf(shared, chosen)
 	}
 	for _, p := range shared {
-		d.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()})
+		expected := choice.First || p.ID != longest
+		d.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()}, expected)
 	}
 	return choice, true
 }
--- a/relay/read.go
+++ b/relay/read.go
@@ -46,14 +46,22 @@
 	}
 	f := t.front
 	read := f.Reads.Begin(p)
-	f.Tell()
+	f.tellReads()
 	t.reading = sync.OnceFunc(func() {
 		read()
-		f.Tell()
+		f.tellReads()
 	})
 	return t.reading
 }
 
+// tellReads lets the other routers know at once, unless there are so many that most
+// would hear of the read after its end.
+func (f *Front) tellReads() {
+	if !f.Table.Wide() {
+		f.Tell()
+	}
+}
+
 // partsHow says how the replica gets the shared parts of the prompt.
 func (t *task) partsHow() string {
 	switch {
--- a/replicas/report.go
+++ b/replicas/report.go
@@ -41,6 +41,9 @@
 // than the counts of other routers.
 func (t *Table) SetWide(wide bool) { t.wide.Store(wide) }
 
+// Wide reports whether the fleet is that large.
+func (t *Table) Wide() bool { return t.wide.Load() }
+
 // Reports returns the newest reports, at most limit of them; none in a fleet that
 // is not wide.
 func (t *Table) Reports(limit int) []Report {
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"peridotusher.example/peridotusher"
 )
 
@@ -16,8 +18,13 @@
 	// tombstoneFor is how long it is remembered that a replica is gone, so that
 	// an older entry does not bring it back.
 	tombstoneFor = 10 * time.Minute
+	// partCount is the number of parts of the table that have digests of their own.
+	partCount = 64
 )
 
+// partOf returns the part of the table to which an id belongs.
+func partOf(id string) int { return int(xxhash.Sum64String(id) % partCount) }
+
 // record is the table's row of one id.
 type record struct {
 	entry   Entry
@@ -31,6 +38,7 @@
 	all    map[uint32]*Replica
 	gone   map[uint32]*Replica // gone a short time ago
 	digest uint64
+	parts  [partCount]uint64 // digests of parts of the table
 }
 
 // Table holds the replicas of all services.
@@ -185,7 +193,9 @@
 		v.all[rec.replica.hash] = rec.replica
 		if rec.entry.usable() {
 			v.ready[rec.entry.Service] = append(v.ready[rec.entry.Service], rec.replica)
-			v.digest ^= rec.entry.digest()
+			digest := rec.entry.digest()
+			v.digest ^= digest
+			v.parts[partOf(rec.entry.ID)] ^= digest
 		}
 	}
 	for _, list := range v.ready {
@@ -217,13 +227,29 @@
 	return entries
 }
 
-// Entries returns all entries, those of gone replicas too.
-func (t *Table) Entries() []Entry {
+// Parts returns a digest of the ready replicas of each part of the table, into
+// which replicas fall by their ids.
+func (t *Table) Parts() []uint64 {
+	parts := t.view.Load().parts
+	return parts[:]
+}
+
+// Differing returns the entries, those of gone replicas too, of the parts of which
+// another table has another digest: all if it has a different number of parts, none
+// if it names no parts.
+func (t *Table) Differing(parts []uint64) []Entry {
+	if len(parts) == 0 {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	entries := make([]Entry, 0, len(t.records))
-	for _, rec := range t.records {
-		entries = append(entries, rec.entry)
+	own := t.view.Load().parts
+	var entries []Entry
+	for id, rec := range t.records {
+		part := partOf(id)
+		if len(parts) != len(own) || own[part] != parts[part] {
+			entries = append(entries, rec.entry)
+		}
 	}
 	return entries
 }
--- a/replicas/table_test.go
+++ b/replicas/table_test.go
@@ -113,12 +113,12 @@
 	b.Snapshot(10, []Entry{entry("a", 3)}, false)
 	b.Snapshot(12, nil, false)
 	b.Expire(time.Second)
-	if n := len(b.Entries()); n != 1 {
+	if n := len(b.Differing(make([]uint64, 1))); n != 1 {
 		t.Errorf("%d entries right after the replica went, want 1", n)
 	}
 	b.now = b.now.Add(2 * tombstoneFor)
 	b.Expire(time.Second)
-	if n := len(b.Entries()); n != 0 {
+	if n := len(b.Differing(make([]uint64, 1))); n != 0 {
 		t.Errorf("%d entries after %v, want none", n, 2*tombstoneFor)
 	}
 }
@@ -372,3 +372,36 @@
 		t.Errorf("%d counts are told in a wide fleet, want %d", n, countsWide)
 	}
 }
+
+// TestDifferingEntries has two tables of a large service that differ in one
+// replica: only a small part of the entries passes between them.
+func TestDifferingEntries(t *testing.T) {
+	const many = 3000
+	ahead, behind := newBed(), newBed()
+	var entries []Entry
+	for i := range many {
+		entries = append(entries, entry(fmt.Sprint("i", i), 1))
+	}
+	ahead.Offer(entries)
+	behind.Offer(entries)
+	if got := ahead.Differing(behind.Parts()); len(got) != 0 {
+		t.Errorf("%d entries of equal tables differ", len(got))
+	}
+	leaving := entry("i7", 2)
+	leaving.Leaving = true
+	ahead.Offer([]Entry{leaving})
+	got := ahead.Differing(behind.Parts())
+	if len(got) == 0 || len(got) > 2*many/partCount {
+		t.Errorf("%d entries are handed over for one change", len(got))
+	}
+	behind.Offer(got)
+	if ahead.Digest() != behind.Digest() {
+		t.Error("the tables still differ")
+	}
+	if n := len(ahead.Differing(newBed().Parts())); n != many {
+		t.Errorf("an empty table gets %d of %d entries", n, many)
+	}
+	if n := len(ahead.Differing(nil)); n != 0 {
+		t.Errorf("%d entries are handed over that nobody wants", n)
+	}
+}
