--- a/edge/settle_test.go
+++ b/edge/settle_test.go
@@ -141,7 +141,7 @@
 	for _, r := range fleet {
 		for _, other := range fleet {
 			if other != r {
-				r.directory.Take(state{other}.Whole(mesh.Want{Inventory: true}).Inventory)
+				r.directory.Take(state{other}.Answer(mesh.Want{Inventory: true}).Inventory)
 			}
 		}
 		r.settled.Store(true)
@@ -151,8 +151,8 @@
 	if got := (state{late}).Lacks(summary); got != mesh.Behind {
 		t.Errorf("a router that starts later lacks %v, want %v", got, mesh.Behind)
 	}
-	whole := state{fleet[1]}.Whole(state{late}.Want(mesh.Behind))
-	if err := (state{late}).Take(whole); err != nil {
+	answer := state{fleet[1]}.Answer(state{late}.Want(mesh.Behind))
+	if err := (state{late}).Take(answer); err != nil {
 		t.Fatal(err)
 	}
 	if got := (state{late}).Lacks(summary); got != mesh.Nothing {
--- a/edge/state.go
+++ b/edge/state.go
@@ -77,36 +77,36 @@
 	return want
 }
 
-// Whole implements mesh.State.
-func (s state) Whole(want mesh.Want) *mesh.Whole {
-	w := &mesh.Whole{Entries: s.r.table.Differing(want.Replicas)}
+// Answer implements mesh.State.
+func (s state) Answer(want mesh.Want) *mesh.Answer {
+	a := &mesh.Answer{Entries: s.r.table.Differing(want.Replicas)}
 	if want.Inventory {
-		w.Settled = s.r.settled.Load()
-		w.Inventory = s.r.directory.Inventory(func(replica uint32) bool {
+		a.Settled = s.r.settled.Load()
+		a.Inventory = s.r.directory.Inventory(func(replica uint32) bool {
 			_, ok := s.r.table.Source(replica)
 			return ok
 		})
 	}
 	if doc := s.r.current.Load(); doc != nil && doc.Revision > want.Revision {
-		w.Configuration, w.Revision = doc.Source, doc.Revision
+		a.Configuration, a.Revision = doc.Source, doc.Revision
 	}
-	return w
+	return a
 }
 
 // Take implements mesh.State.
-func (s state) Take(w *mesh.Whole) error {
-	s.r.logChanges("peer", s.r.table.Offer(w.Entries))
-	s.r.directory.Take(w.Inventory)
-	if w.Settled {
+func (s state) Take(a *mesh.Answer) error {
+	s.r.logChanges("peer", s.r.table.Offer(a.Entries))
+	s.r.directory.Take(a.Inventory)
+	if a.Settled {
 		s.r.settled.Store(true)
 	}
-	if len(w.Entries) > 0 {
+	if len(a.Entries) > 0 {
 		s.r.listed.Store(true)
 	}
-	if w.Revision <= s.r.current.Revision() {
+	if a.Revision <= s.r.current.Revision() {
 		return nil
 	}
-	doc, err := s.r.Decode(w.Configuration, w.Revision)
+	doc, err := s.r.Decode(a.Configuration, a.Revision)
 	if err != nil {
 		return err
 	}
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -100,7 +100,7 @@
 		{"a start", fresh, mesh.Newer, many, many},
 	}
 	for _, tt := range tests {
-		w := state{ahead}.Whole(state{tt.asker}.Want(tt.lack))
+		w := state{ahead}.Answer(state{tt.asker}.Want(tt.lack))
 		if n := len(w.Entries); n > tt.most || n < tt.least {
 			t.Errorf("%s: %d entries are fetched, want %d to %d", tt.name, n, tt.least, tt.most)
 		}
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -5,10 +5,12 @@
 //
 // Beats are datagrams and state what is, not what changed, so that a lost one
 // does no harm. A router that hears of a newer configuration, or whose replicas
-// differ for long, fetches the whole state over a yamux session.
+// differ for long, asks another one for what it lacks over a yamux session.
 //
 // # Usage
 //
 //	node := &mesh.Node{Self: self, State: state, Clock: clock, Log: log}
+//	node.Init()
+//	node.SetSeeds(addresses)
 //	err := node.Run(ctx, datagrams, listener)
 package mesh
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -99,9 +99,9 @@
 	}
 }
 
-func TestWholeOnTheWire(t *testing.T) {
+func TestAnswerOnTheWire(t *testing.T) {
 	text := bytes.Repeat([]byte(`{"name":"r-2yhvz3p","kind":"streaming"},`), 10000)
-	want := Whole{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true}
+	want := Answer{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true}
 	want.Inventory.Placements = []placing.Placement{{Key: 1 << 60, Replica: 5}, {Key: 3, Replica: 1 << 31}}
 	want.Inventory.Heard = []placing.Heard{{Origin: placing.Origin{Name: "r1", Incarnation: 8}, Told: 3}, {Origin: placing.Origin{Name: "r2"}}}
 	data, err := want.marshal(&packer{})
@@ -111,7 +111,7 @@
 	if len(data) > len(text)/10 {
 		t.Errorf("%d bytes for a configuration of %d", len(data), len(text))
 	}
-	var got Whole
+	var got Answer
 	if err := got.unmarshal(data); err != nil {
 		t.Fatal(err)
 	}
@@ -185,16 +185,16 @@
 	return Want{Revision: s.revision}
 }
 
-func (s *testState) Whole(want Want) *Whole {
+func (s *testState) Answer(want Want) *Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if want.Revision >= s.revision {
-		return &Whole{}
+		return &Answer{}
 	}
-	return &Whole{Revision: s.revision, Configuration: make([]byte, 600<<10)}
+	return &Answer{Revision: s.revision, Configuration: make([]byte, 600<<10)}
 }
 
-func (s *testState) Take(w *Whole) error {
+func (s *testState) Take(w *Answer) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision = max(s.revision, w.Revision)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -47,10 +47,10 @@
 	Hear(b *Beat)
 	// Want returns what to ask another router for that has what this one lacks.
 	Want(lack Lack) Want
-	// Whole returns the state that another router wants.
-	Whole(want Want) *Whole
+	// Answer returns the state that another router wants.
+	Answer(want Want) *Answer
 	// Take takes the state of another router in.
-	Take(w *Whole) error
+	Take(a *Answer) error
 	// Lacks returns what the other router has that this one lacks.
 	Lacks(other Summary) Lack
 }
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -96,7 +96,7 @@
 	if err := want.unmarshal(asked); err != nil {
 		return err
 	}
-	data, err := n.State.Whole(want).marshal(&n.packer)
+	data, err := n.State.Answer(want).marshal(&n.packer)
 	if err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 }
 
 // fetch gets the state that this router wants from another one.
-func (n *Node) fetch(ctx context.Context, address string, want Want) (*Whole, error) {
+func (n *Node) fetch(ctx context.Context, address string, want Want) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, sessionTime)
 	defer cancel()
 	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
@@ -156,7 +156,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Whole{}
+	w := &Answer{}
 	return w, w.unmarshal(data)
 }
 
--- a/mesh/whole.go
+++ b/mesh/want.go
@@ -57,8 +57,8 @@
 	})
 }
 
-// Whole is the state of a router that another one wants.
-type Whole struct {
+// Answer is the state of a router that another one wants.
+type Answer struct {
 	// Configuration is the source of the configuration in force, nil if none.
 	Configuration []byte
 	// Revision is the revision of that configuration.
@@ -70,14 +70,14 @@
 	Settled bool
 }
 
-// The field numbers of a whole state.
+// The field numbers of an answer.
 const (
-	wholeConfiguration protowire.Number = iota + 1
-	wholeRevision
-	wholeEntry
-	wholePlacements
-	wholeHeard
-	wholeSettled
+	answerConfiguration protowire.Number = iota + 1
+	answerRevision
+	answerEntry
+	answerPlacements
+	answerHeard
+	answerSettled
 )
 
 // The field numbers of how far a router was heard.
@@ -88,46 +88,46 @@
 )
 
 // marshal encodes the state with the configuration as p packs it.
-func (w *Whole) marshal(p *packer) ([]byte, error) {
-	packed, err := p.pack(w.Revision, w.Configuration)
+func (a *Answer) marshal(p *packer) ([]byte, error) {
+	packed, err := p.pack(a.Revision, a.Configuration)
 	if err != nil {
 		return nil, err
 	}
-	out := appendBytes(nil, wholeConfiguration, packed)
-	out = appendNumber(out, wholeRevision, uint64(w.Revision))
-	for _, e := range w.Entries {
-		out = appendBytes(out, wholeEntry, marshalEntry(e))
+	out := appendBytes(nil, answerConfiguration, packed)
+	out = appendNumber(out, answerRevision, uint64(a.Revision))
+	for _, e := range a.Entries {
+		out = appendBytes(out, answerEntry, marshalEntry(e))
 	}
-	out = appendBytes(out, wholePlacements, packPlacements(w.Inventory.Placements))
-	for _, h := range w.Inventory.Heard {
-		out = appendBytes(out, wholeHeard, marshalHeard(h))
+	out = appendBytes(out, answerPlacements, packPlacements(a.Inventory.Placements))
+	for _, h := range a.Inventory.Heard {
+		out = appendBytes(out, answerHeard, marshalHeard(h))
 	}
-	return appendFlag(out, wholeSettled, w.Settled), nil
+	return appendFlag(out, answerSettled, a.Settled), nil
 }
 
-func (w *Whole) unmarshal(data []byte) error {
+func (a *Answer) unmarshal(data []byte) error {
 	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
 		switch n {
-		case wholeConfiguration:
+		case answerConfiguration:
 			text, err := decompress(raw)
-			w.Configuration = text
+			a.Configuration = text
 			return err
-		case wholeRevision:
-			w.Revision = int64(v)
-		case wholeEntry:
+		case answerRevision:
+			a.Revision = int64(v)
+		case answerEntry:
 			e, err := unmarshalEntry(raw)
-			w.Entries = append(w.Entries, e)
+			a.Entries = append(a.Entries, e)
 			return err
-		case wholePlacements:
+		case answerPlacements:
 			placements, err := unpackPlacements(raw)
-			w.Inventory.Placements = placements
+			a.Inventory.Placements = placements
 			return err
-		case wholeHeard:
+		case answerHeard:
 			h, err := unmarshalHeard(raw)
-			w.Inventory.Heard = append(w.Inventory.Heard, h)
+			a.Inventory.Heard = append(a.Inventory.Heard, h)
 			return err
-		case wholeSettled:
-			w.Settled = v != 0
+		case answerSettled:
+			a.Settled = v != 0
 		}
 		return nil
 	})
