--- a/mesh/node.go
+++ b/mesh/node.go
@@ -281,15 +281,12 @@
 	return reply
 }
 
-// targets returns the addresses of this round: of a large fleet the next part, in
-// an order of the router's own, so that routers which started together do not tell
-// the same ones; and the seeds now and then, since they may come back.
+// targets returns the addresses of this round: of a large fleet the next part, and
+// the seeds now and then, since they may come back.
 func (n *Node) targets() []string {
 	all := n.members.addresses()
 	if len(all) > beatFan {
-		slices.SortFunc(all, func(a, b string) int {
-			return cmp.Compare(placeOf(n.Self.Name, a), placeOf(n.Self.Name, b))
-		})
+		all = n.ownOrder(all)
 		start := n.round * beatFan % len(all)
 		all = append(all[start:], all[:start]...)[:beatFan]
 	}
@@ -303,6 +300,17 @@
 	return all
 }
 
+// ownOrder returns the addresses in an order of the router's own, so that routers
+// which started together do not tell the same ones in a round.
+func (n *Node) ownOrder(addresses []string) []string {
+	places := make(map[string]uint64, len(addresses))
+	for _, a := range addresses {
+		places[a] = placeOf(n.Self.Name, a)
+	}
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(places[a], places[b]) })
+	return addresses
+}
+
 // receive takes beats in until the socket is closed.
 func (n *Node) receive(ctx context.Context, datagrams net.PacketConn) error {
 	buf := make([]byte, largestBeat)
