Report on the error budget of a router on the platform

The product's burn counts were not connected there, so nobody saw which route spends its budget. Now each final answer is counted by route and organisation; /report on the counters' address shows the table, and the rates are gauges. Clients' own errors and clients that leave spend nothing. Tests: TestErrorBudget, TestReport.

--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -3,8 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"peridotusher.example/peridotusher"
 )
 
 func TestCounters(t *testing.T) {
@@ -27,3 +31,24 @@
 		}
 	}
 }
+
+// TestReport has a route fail a quarter of its requests, of which half may: the
+// report and the counters say so.
+func TestReport(t *testing.T) {
+	r := newTestRouter(t)
+	for i := range 20 {
+		r.burn.Record(peridotusher.Outcome{Organisation: "shop", Class: "chat", Worth: 1, Objective: 0.5, Good: i >= 5})
+	}
+	for path, wants := range map[string][]string{
+		"/report":  {"chat   all           20        0.7500   0.5", "chat   shop          20        0.7500   0.5"},
+		"/metrics": {`peridotusher_burn_rate{route="chat",organisation="",window="5m0s"} 0.5`, "peridotusher_routers 1"},
+	} {
+		w := httptest.NewRecorder()
+		r.counters().ServeHTTP(w, httptest.NewRequest(http.MethodGet, path, nil))
+		for _, want := range wants {
+			if !strings.Contains(w.Body.String(), want) {
+				t.Errorf("%s lacks %q:\n%s", path, want, w.Body)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/edge/report.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"peridotusher.example/peridotusher"
+)
+
+// burnSeries bounds the series of the report on the error budget, of about 5 KB each.
+const burnSeries = 256
+
+// counters serves the counters and, at /report, the report on the error budget.
+func (r *Router) counters() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		r.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+		writeBurnRates(w, r.burn.Report())
+	})
+	mux.HandleFunc("/report", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		if err := writeReport(w, r.burn.Report()); err != nil {
+			r.Log.Event("report", "error", err)
+		}
+	})
+	return mux
+}
+
+// writeBurnRates writes how many times as fast as evenly each series spends its
+// error budget, by window.
+func writeBurnRates(w io.Writer, report peridotusher.BurnReport) {
+	for _, row := range report.Rows {
+		for _, window := range peridotusher.BurnWindows() {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("peridotusher_burn_rate{route=%q,organisation=%q,window=%q}",
+				row.Key.Class, row.Key.Organisation, window), row.Window(window).Rate(row.Objective))
+		}
+	}
+}
+
+// writeReport writes the report as a table: whole routes first, then organisations.
+func writeReport(w io.Writer, report peridotusher.BurnReport) error {
+	windows := peridotusher.BurnWindows()
+	longest := windows[len(windows)-1]
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "since %s, last %v\n", report.Started.UTC().Format("2006-01-02 15:04:05"), longest)
+	fmt.Fprintln(t, "route\torganisation\trequests\tin time\tobjective\tbudget of 30 days spent\talarms")
+	for _, row := range report.Rows {
+		count := row.Window(longest)
+		organisation := row.Key.Organisation
+		if organisation == "" {
+			organisation = "all"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%.0f\t%.4f\t%g\t%.5f\t%s\n", row.Key.Class, organisation, count.Requests,
+			count.Attained(), row.Objective, row.Spent(), strings.Join(row.Alarms(), ","))
+	}
+	return t.Flush()
+}
--- a/edge/router.go
+++ b/edge/router.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/budget"
 	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/mesh"
@@ -75,6 +76,7 @@
 	front     *relay.Front
 	pool      *relay.Pool
 	set       *metrics.Set
+	burn      *peridotusher.Burn
 	reading   reading
 	listed    atomic.Bool
 	// settled is whether the router knows what replicas held before it started.
@@ -127,6 +129,7 @@
 	r.table = replicas.NewTable(r.clock)
 	r.pool = relay.NewPool(r.clock)
 	r.set = metrics.NewSet()
+	r.burn = peridotusher.NewBurn(peridotusher.ClockFunc(time.Now), burnSeries)
 	r.countState()
 	r.trouble = make(map[string]bool)
 	r.reported = make(map[string]bool)
@@ -147,6 +150,7 @@
 	r.front = &relay.Front{
 		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
+		Burn: r.burn, Share: func() float64 { return r.bounds.Load().share },
 		Directory: r.directory, Reads: r.reads, Tell: r.node.Tell, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock),
 		BodyMemory: int64(s.router.memory) * megabyte / bodyPart, Connections: s.router.files / 2, Reuse: reuse,
 	}
@@ -196,7 +200,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
-	group.Go(func() error { return serve(ctx, counters, http.HandlerFunc(r.answerMetrics)) })
+	group.Go(func() error { return serve(ctx, counters, r.counters()) })
 	return nil
 }
 
@@ -224,11 +228,6 @@
 	}
 }
 
-func (r *Router) answerMetrics(w http.ResponseWriter, _ *http.Request) {
-	r.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
-}
-
 // serve answers on a listener until ctx ends.
 func serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readyTime, IdleTimeout: time.Minute}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -40,6 +40,7 @@
 	ratio, extra float64
 	window       time.Duration
 	multiple     float64
+	share        float64
 }
 
 const (
@@ -93,6 +94,8 @@
 		Value: ini.Of(ini.Duration(time.Second, longest), func(b *boundSection) *time.Duration { return &b.window })},
 	{Name: "multiple", Default: "2", Text: "Requests at a replica as a multiple of the mean.",
 		Value: ini.Of(ini.Float(1, mostMB), func(b *boundSection) *float64 { return &b.multiple })},
+	{Name: "share", Default: "0.95", Text: "Part of the requests of a route that are due whole and in time.",
+		Value: ini.Of(ini.Float(0, 1), func(b *boundSection) *float64 { return &b.share })},
 }
 
 // Load reads the settings from a file. It returns no settings if there is any
--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -45,7 +45,7 @@
 		if len(problems) > 0 {
 			t.Fatalf("problems: %v", problems)
 		}
-		want := boundSection{drain: 2 * time.Second, stop: 8 * time.Second, ratio: 0.2, extra: 56, window: 10 * time.Second, multiple: 2}
+		want := boundSection{drain: 2 * time.Second, stop: 8 * time.Second, ratio: 0.2, extra: 56, window: 10 * time.Second, multiple: 2, share: 0.95}
 		if diff := cmp.Diff(want, s.bounds, cmp.AllowUnexported(boundSection{})); diff != "" {
 			t.Errorf("bounds (-want +got):\n%s", diff)
 		}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -119,6 +119,9 @@
 func (t *task) cut(kind string, err error) {
 	t.front.Log.Event("cut", "id", t.call.ID, "at", kind, "error", err)
 	t.front.Metrics.cut(t.routeName())
+	if kind != "client" {
+		t.spend(false)
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- /dev/null
+++ b/relay/burn.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"peridotusher.example/peridotusher"
+)
+
+// spend counts a request of a route as good, answered whole and in time, or as one
+// that spends the error budget. Each counts alike: routes have no worth.
+func (t *task) spend(good bool) {
+	f := t.front
+	if f.Burn == nil || t.route == nil {
+		return
+	}
+	organisation := ""
+	if t.organisation != nil {
+		organisation = t.organisation.Name
+	}
+	f.Burn.Record(peridotusher.Outcome{
+		Organisation: organisation, Class: f.Metrics.label(t.route.Name), Worth: 1, Objective: f.Share(), Good: good,
+	})
+}
+
+// inTime reports whether a replica's answer with its first event after a time keeps
+// the route's objective.
+func (t *task) inTime(status int, first time.Duration) bool {
+	return status < http.StatusInternalServerError && (t.route.Objective <= 0 || first <= t.route.Objective)
+}
+
+// routersFault reports whether an answer of the router's own spends the error budget:
+// one that the client could not have had better does not.
+func routersFault(status int) bool {
+	return status >= http.StatusInternalServerError || status == http.StatusTooManyRequests
+}
--- a/relay/final.go
+++ b/relay/final.go
@@ -68,6 +68,9 @@
 	t.front.Log.Event("denied", "id", t.call.ID, "route", t.routeName(), "status", status, "why", why,
 		"sends", t.sends, "unsent", t.unsent, "version", t.version(), "took", took, "error", t.reason())
 	t.front.Metrics.answered(t.routeName(), why, took)
+	if routersFault(status) {
+		t.spend(false)
+	}
 	h := t.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := why + "\n"
@@ -85,6 +88,7 @@
 		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean, "part", t.part(), "source", t.source,
 		"waited", t.waited, "own", t.own, "sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "took", took)
 	t.front.Gate.Answered(t.serviceName, took)
+	t.spend(t.inTime(x.resp.StatusCode, first))
 	t.front.Metrics.answered(t.routeName(), "answered", took)
 	t.front.Metrics.placed(t.routeName(), t.choice.Reason, t.partsHow())
 	t.front.Metrics.own(t.routeName(), t.own, t.waited)
--- a/relay/front.go
+++ b/relay/front.go
@@ -49,6 +49,10 @@
 	Pool    *Pool
 	Log     Log
 	Metrics *Metrics
+	// Burn counts what is spent of the error budget; nil counts nothing.
+	Burn *peridotusher.Burn
+	// Share returns the part of the requests that are due whole and in time.
+	Share func() float64
 	// Gate refuses requests that no replica can run in time.
 	Gate *overload.Gate
 	// Multiple limits the requests at a replica, as a multiple of the mean.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -26,6 +26,9 @@
 
 // label bounds the number of label values.
 func (m *Metrics) label(route string) string {
+	if m == nil {
+		return route
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.routes[route] {
--- a/relay/metrics_test.go
+++ b/relay/metrics_test.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"peridotusher.example/peridotusher"
 )
 
 // TestCounters has one prompt read by a replica that lacks its parts, one that
@@ -47,3 +50,37 @@
 		}
 	}
 }
+
+// TestErrorBudget has requests that are answered in time, answered with a replica's
+// failure, refused, and denied for what the client did: the last one spends nothing.
+func TestErrorBudget(t *testing.T) {
+	failing := say("HTTP/1.1 500 Oops\r\nId: ID\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", true)
+	tests := []struct {
+		name          string
+		script        script
+		raw           string
+		requests, bad float64
+	}{
+		{"in time", say(fine, true), get(""), 1, 0},
+		{"failed at the replica", failing, get(""), 1, 1},
+		{"no replica", nil, get(""), 1, 1},
+		{"unknown key", say(fine, true), strings.Replace(get(""), "Key: k", "Key: kk", 1), 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(t, once, tt.script)
+			b.front.Burn = peridotusher.NewBurn(b.front.Clock, 10)
+			b.front.Share = func() float64 { return 0.9 }
+			b.ask(tt.raw)
+			var got peridotusher.BurnCount
+			for _, row := range b.front.Burn.Report().Rows {
+				if row.Key.Organisation == "shop" {
+					got = row.Window(time.Hour)
+				}
+			}
+			if got.Requests != tt.requests || got.Bad != tt.bad {
+				t.Errorf("%v requests, %v of them bad, want %v and %v", got.Requests, got.Bad, tt.requests, tt.bad)
+			}
+		})
+	}
+}
