Read once more: a request without an organisation is counted once

Cause: Record counted a request for its class and for its organisation; on a public route, which has none, both are the same series, so that it counted twice. TestErrorBudget has a public route now (2 requests before, 1 now). Also names and comments of answers between routers.

--- a/burn.go
+++ b/burn.go
@@ -71,7 +71,7 @@
 	return &Burn{clock: clock, limit: limit, started: clock.Now(), series: map[BurnKey]*burnSeries{}}
 }
 
-// Record counts one request for its class and for its organisation.
+// Record counts one request for its class and, if it has one, for its organisation.
 func (b *Burn) Record(o Outcome) {
 	now := b.clock.Now()
 	count := BurnCount{Requests: 1, Worth: o.Worth}
@@ -81,7 +81,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, key := range []BurnKey{{Class: o.Class}, {Organisation: o.Organisation, Class: o.Class}} {
+	keys := []BurnKey{{Class: o.Class}}
+	if o.Organisation != "" {
+		keys = append(keys, BurnKey{Organisation: o.Organisation, Class: o.Class})
+	}
+	for _, key := range keys {
 		s := b.seriesFor(key, now)
 		// An organisation's own objective holds for its series only.
 		if key.Organisation != "" || s.objective == 0 {
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// sessionTime bounds a fetch of the whole state.
+	// sessionTime bounds a fetch.
 	sessionTime = 1500 * time.Millisecond
 	// joinTime bounds the first fetch after the start.
 	joinTime = 30 * time.Millisecond
@@ -29,7 +29,7 @@
 	// differentFor is how long the replicas of two routers may differ at least
 	// before one fetches them: changes travel in beats meanwhile.
 	differentFor = time.Second
-	// largestState bounds the size of a whole state, in bytes.
+	// largestState bounds the size of an answer, in bytes.
 	largestState = 8 << 20
 	// largestWant bounds the size of what a router asks for, in bytes.
 	largestWant = 64 << 10
@@ -156,8 +156,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Answer{}
-	return w, w.unmarshal(data)
+	a := &Answer{}
+	return a, a.unmarshal(data)
 }
 
 // catchUp fetches the state of routers that know more, until ctx ends.
@@ -227,15 +227,15 @@
 // fetchFrom takes over from another router what this one lacks, and reports whether
 // it could.
 func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) bool {
-	w, err := n.fetch(ctx, address, n.State.Want(lack))
+	a, err := n.fetch(ctx, address, n.State.Want(lack))
 	if err == nil {
-		err = n.State.Take(w)
+		err = n.State.Take(a)
 	}
 	if err != nil {
 		n.Log.Event("fetch", "address", address, "error", err)
 		return false
 	}
-	n.Log.Event("fetch", "address", address, "revision", w.Revision, "entries", len(w.Entries),
-		"placements", len(w.Inventory.Placements))
+	n.Log.Event("fetch", "address", address, "revision", a.Revision, "entries", len(a.Entries),
+		"placements", len(a.Inventory.Placements))
 	return true
 }
--- a/mesh/traffic.go
+++ b/mesh/traffic.go
@@ -10,7 +10,7 @@
 type Traffic struct {
 	// Beats is the number of beats, BeatBytes their size with headers.
 	Beats, BeatBytes uint64
-	// StateBytes is the size of the whole states handed out.
+	// StateBytes is the size of the answers to routers that lacked something.
 	StateBytes uint64
 }
 
--- a/relay/metrics_test.go
+++ b/relay/metrics_test.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/routing"
 )
 
 // TestCounters has one prompt read by a replica that lacks its parts, one that
@@ -55,26 +56,30 @@
 // failure, refused, and denied for what the client did: the last one spends nothing.
 func TestErrorBudget(t *testing.T) {
 	failing := say("HTTP/1.1 500 Oops\r\nId: ID\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", true)
+	public := once
+	public.Public = true
 	tests := []struct {
 		name          string
+		route         routing.Route
 		script        script
 		raw           string
 		requests, bad float64
 	}{
-		{"in time", say(fine, true), get(""), 1, 0},
-		{"failed at the replica", failing, get(""), 1, 1},
-		{"no replica", nil, get(""), 1, 1},
-		{"unknown key", say(fine, true), strings.Replace(get(""), "Key: k", "Key: kk", 1), 0, 0},
+		{"in time", once, say(fine, true), get(""), 1, 0},
+		{"in time without a key", public, say(fine, true), get(""), 1, 0},
+		{"failed at the replica", once, failing, get(""), 1, 1},
+		{"no replica", once, nil, get(""), 1, 1},
+		{"unknown key", once, say(fine, true), strings.Replace(get(""), "Key: k", "Key: kk", 1), 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed(t, once, tt.script)
+			b := newBed(t, tt.route, tt.script)
 			b.front.Burn = peridotusher.NewBurn(b.front.Clock, 10)
 			b.front.Share = func() float64 { return 0.9 }
 			b.ask(tt.raw)
 			var got peridotusher.BurnCount
 			for _, row := range b.front.Burn.Report().Rows {
-				if row.Key.Organisation == "shop" {
+				if row.Key.Organisation == "" {
 					got = row.Window(time.Hour)
 				}
 			}
