--- a/edge/router.go
+++ b/edge/router.go
@@ -247,9 +247,10 @@
 		if gap := r.clock.Adjust(); gap > 0 {
 			r.Log.Event("standstill", "length", gap)
 		}
-		r.table.SetWide(r.node.CoverTime() > wideCover)
-		r.directory.SetVast(r.node.CoverTime() > vastCover)
-		r.table.Expire(max(countsLeast, countsRounds*r.node.CoverTime()))
+		cover := r.node.CoverTime()
+		r.table.SetWide(cover > wideCover)
+		r.directory.SetVast(cover > vastCover)
+		r.table.Expire(max(countsLeast, countsRounds*cover))
 		r.pool.Prune()
 	}
 }
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -124,8 +124,8 @@
 	return out
 }
 
-// agree reports whether all routers that were heard say that they know as many as
-// this one.
+// agree reports whether all known routers were heard and say that they know as many
+// as this one.
 func (m *members) agree() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
