A call that its check refuses is told for that, whatever the transport says first

Cause: after a refused write the transport closes the connection, and its reader may tell of that before its writer tells of the write; the round trip takes whichever comes first. The verdict was right each time (not-run). The guard now says itself why a call ended.

--- a/service/call.go
+++ b/service/call.go
@@ -97,7 +97,8 @@
 	t, g := c.fresh(r.Check)
 	resp, err := t.RoundTrip(req)
 	if err != nil {
-		return nil, g.close(err), err
+		written, cause := g.end(err)
+		return nil, written, cause
 	}
 	return resp, true, nil
 }
--- a/service/guard.go
+++ b/service/guard.go
@@ -29,14 +29,19 @@
 	return g.refusal
 }
 
-// close refuses every write that has not begun, and returns whether one has.
-func (g *guard) close(err error) bool {
+// end refuses every write that has not begun. It returns whether one has, and why
+// the call failed: by the check's refusal if there is one, because the transport may
+// tell of the connection that it closed for that instead, else by err.
+func (g *guard) end(err error) (written bool, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.begun && g.refusal == nil {
+	if g.begun {
+		return true, err
+	}
+	if g.refusal == nil {
 		g.refusal = err
 	}
-	return g.begun
+	return false, g.refusal
 }
 
 // guardedConn is a connection whose writes pass a guard.
