A stopping router listens on while its zone's balancer needs it

Now a stop ends 2.8 s after its beginning or 1.8 s after half of the zone's routers are ready again, whichever is later, or 0.3 s before its last moment. Requests that come after 2.8 s and may outlast the stop are refused at once with a time to come back; the others are run.

--- /dev/null
+++ b/edge/leave.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"time"
+
+	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/relay"
+)
+
+const (
+	// outOfRotation is how long after the start of a stop new connections come:
+	// the balancer asks each second and needs two misses. Requests taken later
+	// than that may not end before the kill.
+	outOfRotation = 2800 * time.Millisecond
+	// backInRotation is how long new connections come after enough of the zone's
+	// routers are ready again: the balancer asks each second, and what the network
+	// lost is sent again within 0.6 s.
+	backInRotation = 1800 * time.Millisecond
+	// stopMargin is the time before the kill at which a stop ends.
+	stopMargin = 400 * time.Millisecond
+	// lastAnswers is the time before the end of a stop that is left for the answers
+	// to what came last.
+	lastAnswers = 300 * time.Millisecond
+)
+
+// leave decides how long a stopping router takes new connections. It answers the
+// load of restarts that overlap in one zone: while some but fewer than half of a
+// zone's routers are ready, the balancer uses all of them, also those that stop.
+type leave struct {
+	began time.Time
+	end   time.Time // when the stop has to have ended
+	since time.Time // since when the balancer needs no stopping router
+	few   bool      // whether it needs them
+}
+
+// newLeave starts a stop that is ended by a kill after grace.
+func newLeave(now time.Time, grace time.Duration) *leave {
+	return &leave{began: now, end: now.Add(max(grace-stopMargin, 0)), since: now}
+}
+
+// ending says which requests are taken.
+func (l *leave) ending() relay.Ending {
+	return relay.Ending{AllUntil: l.began.Add(outOfRotation), By: l.end}
+}
+
+// look takes in how many routers of the zone there are and how many are ready.
+func (l *leave) look(now time.Time, zone mesh.ZoneCount) {
+	few := zone.Ready > 0 && 2*zone.Ready < zone.All
+	if l.few && !few {
+		l.since = now
+	}
+	l.few = few
+}
+
+// over reports whether no new connections come any more, or no time is left for them.
+func (l *leave) over(now time.Time) bool {
+	if !now.Before(l.end.Add(-lastAnswers)) {
+		return true
+	}
+	return !l.few && !now.Before(l.began.Add(outOfRotation)) && !now.Before(l.since.Add(backInRotation))
+}
+
+// left returns the time for requests in flight once no new connections are taken.
+func (l *leave) left(now time.Time) time.Duration { return max(l.end.Sub(now), 0) }
--- /dev/null
+++ b/edge/leave_test.go
@@ -0,0 +1,106 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"peridotusher.example/peridotusher/mesh"
+)
+
+// balancer is the part of the platform's balancer that a stop meets: it asks the
+// zone's routers each second, takes one out after two misses, back in after one
+// answer, and uses all of them while fewer than half but some are in rotation.
+type balancer struct {
+	misses []int
+}
+
+func (b *balancer) ask(ready []bool) {
+	for i, ok := range ready {
+		if ok {
+			b.misses[i] = 0
+		} else {
+			b.misses[i]++
+		}
+	}
+}
+
+// uses reports whether new connections go to the router.
+func (b *balancer) uses(router int) bool {
+	in := 0
+	for _, n := range b.misses {
+		if n < 2 {
+			in++
+		}
+	}
+	return b.misses[router] < 2 || in > 0 && 2*in < len(b.misses)
+}
+
+// restart is when a router stops to be ready and when it is ready again.
+type restart struct{ from, until time.Duration }
+
+// TestStopOutlastsTheBalancer plays overlapping restarts of a zone before the
+// balancer, whose questions fall on any part of a second, while some packets are lost:
+// nothing may come to a stopping router after it has closed, unless the kill is near.
+func TestStopOutlastsTheBalancer(t *testing.T) {
+	const (
+		step   = 50 * time.Millisecond
+		resend = 600 * time.Millisecond // two packets in a row are lost
+		grace  = 8 * time.Second
+		lead   = 5 * time.Second // from the start of the play to the stop
+	)
+	tests := []struct {
+		name        string
+		others      []restart // from the stop's beginning on
+		least, most time.Duration
+	}{
+		{"alone in the zone", nil, outOfRotation, outOfRotation + step},
+		{"others are ready", []restart{{}, {}}, outOfRotation, outOfRotation + step},
+		{"both others come back", []restart{{-4 * time.Second, 500 * time.Millisecond}, {-4 * time.Second, 2500 * time.Millisecond}}, 4 * time.Second, 4500 * time.Millisecond},
+		{"one of three comes back", []restart{{-4 * time.Second, 10 * time.Second}, {-4 * time.Second, 500 * time.Millisecond}}, 7 * time.Second, grace},
+		{"another one stops later", []restart{{}, {time.Second, 10 * time.Second}}, 7 * time.Second, grace},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+				start := time.Unix(0, 0)
+				l := newLeave(start, grace)
+				b := &balancer{misses: make([]int, len(tt.others)+1)}
+				closed, came := time.Duration(-1), time.Duration(-1)
+				for at := -lead; at < 2*grace; at += step {
+					ready := make([]bool, len(tt.others)+1)
+					ready[0] = at < 0
+					zone := mesh.ZoneCount{All: len(ready)}
+					for i, o := range tt.others {
+						ready[i+1] = at < o.from || at >= o.until
+						if ready[i+1] {
+							zone.Ready++
+						}
+					}
+					if (at-phase+lead)%time.Second == 0 {
+						b.ask(ready)
+					}
+					if b.uses(0) {
+						came = at
+					}
+					if at < 0 || closed >= 0 {
+						continue
+					}
+					l.look(start.Add(at), zone)
+					if l.over(start.Add(at)) {
+						closed = at
+					}
+				}
+				if closed < tt.least || closed > tt.most {
+					t.Errorf("phase %v: closed after %v, want %v to %v", phase, closed, tt.least, tt.most)
+				}
+				if left := l.left(start.Add(closed)); closed+left >= grace {
+					t.Errorf("phase %v: closed after %v, %v left of %v to the kill", phase, closed, left, grace)
+				}
+				nearKill := closed >= grace-time.Second
+				if len(tt.others) > 0 && !nearKill && came+resend > closed {
+					t.Errorf("phase %v: closed after %v, though the balancer sent connections until %v", phase, closed, came)
+				}
+			}
+		})
+	}
+}
--- a/edge/router.go
+++ b/edge/router.go
@@ -25,18 +25,14 @@
 )
 
 const (
-	// outOfRotation is how long after the start of a stop new connections come:
-	// the balancer asks each second and needs two misses. Requests taken later
-	// than that may not end before the kill.
-	outOfRotation = 2800 * time.Millisecond
 	// reuse is how long clients may use idle connections again. With resends of
 	// what the network lost it is below outOfRotation, so that no request is on its
 	// way on a connection that a stop closes.
 	reuse = 2 * time.Second
-	// stopMargin is the time before the kill at which a stop ends.
-	stopMargin = 400 * time.Millisecond
 	// houseEvery is the time between two rounds of housekeeping.
 	houseEvery = 250 * time.Millisecond
+	// leaveEvery is the time between two looks at the zone's routers while stopping.
+	leaveEvery = 50 * time.Millisecond
 	// countsLeast is how long the counts of a silent router are believed in a
 	// small fleet, countsRounds in how many rounds of beats it may be missed.
 	countsLeast  = 1500 * time.Millisecond
@@ -85,7 +81,7 @@
 	// whole, readWhole when.
 	readAt    int64
 	readWhole time.Time
-	stopping  atomic.Bool
+	stopping  atomic.Pointer[leave]
 	bounds    atomic.Pointer[boundSection]
 
 	mu       sync.Mutex
@@ -187,7 +183,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
-	group.Go(func() error { return r.front.Run(ctx, clients, r.graceLeft()) })
+	group.Go(func() error { return r.front.Run(ctx, clients, r.graceLeft) })
 	ready, err := cfg.Listen(ctx, "tcp4", s.listen.ready)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
@@ -206,20 +202,36 @@
 
 // graceLeft is the time for requests in flight once the front is closed.
 func (r *Router) graceLeft() time.Duration {
-	return max(r.bounds.Load().stop-outOfRotation-stopMargin, 0)
+	now := r.clock.Now()
+	l := r.stopping.Load()
+	if l == nil { // closed for a failure
+		l = newLeave(now, r.bounds.Load().stop)
+	}
+	return l.left(now)
 }
 
 // stop leaves the rotation and waits until no new connections come.
 func (r *Router) stop() {
-	r.stopping.Store(true)
-	r.front.Stop()
+	l := newLeave(r.clock.Now(), r.bounds.Load().stop)
+	r.stopping.Store(l)
+	r.front.Stop(l.ending())
+	r.node.Tell()
 	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active())
-	time.Sleep(outOfRotation)
+	for now := l.began; !l.over(now); now = r.clock.Now() {
+		zone := r.node.Zone()
+		few := l.few
+		l.look(now, zone)
+		if few != l.few {
+			r.Log.Event("needed", "still", l.few, "ready", zone.Ready, "all", zone.All)
+		}
+		time.Sleep(leaveEvery)
+	}
+	r.Log.Event("closing", "active", r.front.Active(), "after", r.clock.Now().Sub(l.began))
 }
 
 // Ready reports whether the router may get connections of clients.
 func (r *Router) Ready() bool {
-	return !r.stopping.Load() && r.current.Load() != nil && r.listed.Load()
+	return r.stopping.Load() == nil && r.current.Load() != nil && r.listed.Load()
 }
 
 func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
--- a/edge/state.go
+++ b/edge/state.go
@@ -41,7 +41,7 @@
 		b.ReadAge = r.clock.Now().Sub(at)
 		b.OutageAge = r.clock.Now().Sub(outage)
 	}
-	b.Stopping = r.stopping.Load()
+	b.Stopping = r.stopping.Load() != nil
 	told := max(toldLeast, r.node.CoverTime()+r.node.SpreadTime())
 	b.Counts = r.table.Counts(told)
 	b.Reports = r.table.Reports(reportsMost)
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -67,9 +67,14 @@
 	if r.front.Reuse < time.Second || r.front.Reuse+resends > outOfRotation {
 		t.Errorf("clients may use idle connections again for %v, they are closed %v after a stop began", r.front.Reuse, outOfRotation)
 	}
-	if left, stop := r.graceLeft(), r.bounds.Load().stop; left < stop/2 || outOfRotation+left >= stop {
+	stop := r.bounds.Load().stop
+	now := r.clock.Now()
+	if left := newLeave(now, stop).left(now.Add(outOfRotation)); left < stop/2 || outOfRotation+left >= stop {
 		t.Errorf("requests have %v of the %v to the kill", left, stop)
 	}
+	if left := r.graceLeft(); left <= 0 || left >= stop {
+		t.Errorf("closed for a failure, requests have %v of %v", left, stop)
+	}
 }
 
 // TestFetchesAreSmall has a router that knows all replicas of a large service hear
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -94,7 +94,7 @@
 	now := m.clock.Now()
 	var out []*seen
 	for _, s := range m.known {
-		if !s.heard.IsZero() && now.Sub(s.heard) < m.aliveFor(s) {
+		if m.isAlive(s, now) {
 			c := *s
 			out = append(out, &c)
 		}
@@ -103,6 +103,33 @@
 	return out
 }
 
+// ZoneCount says how many routers an availability zone has and how many of them are
+// ready: heard lately and not stopping.
+type ZoneCount struct{ Ready, All int }
+
+// zone counts the routers of the own zone. The own router is in All only.
+func (m *members) zone() ZoneCount {
+	n := ZoneCount{All: 1}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	for _, s := range m.known {
+		if s.Zone != m.self.Zone {
+			continue
+		}
+		n.All++
+		if m.isAlive(s, now) && !s.stopping {
+			n.Ready++
+		}
+	}
+	return n
+}
+
+// isAlive reports whether the router was heard a short time ago.
+func (m *members) isAlive(s *seen, now time.Time) bool {
+	return !s.heard.IsZero() && now.Sub(s.heard) < m.aliveFor(s)
+}
+
 // addresses returns where beats are sent, and forgets routers silent for long.
 func (m *members) addresses() []string {
 	m.mu.Lock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -222,6 +222,25 @@
 
 // TestNodesFindEachOther starts routers that know one seed only, and has a
 // configuration of half a megabyte travel from one to all.
+// TestZoneCount counts the routers of the own zone: one is ready, one stops, one is
+// silent, one was only told of, one is in another zone.
+func TestZoneCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMembers(Member{Name: "r0", Zone: "a"}, peridotusher.ClockFunc(func() time.Time { return now }))
+	beat := func(name, zone string, stopping bool) {
+		m.hear(&Beat{Member: Member{Name: name, Zone: zone, Address: name + ":1", Incarnation: 1}, Stopping: stopping})
+	}
+	beat("silent", "a", false)
+	now = now.Add(2 * aliveLeast)
+	beat("ready", "a", false)
+	beat("stops", "a", true)
+	beat("far", "b", false)
+	m.introduce(now, Member{Name: "told", Zone: "a", Address: "told:1", Incarnation: 1})
+	if diff := cmp.Diff(ZoneCount{Ready: 1, All: 5}, m.zone()); diff != "" {
+		t.Errorf("zone (-want +got):\n%s", diff)
+	}
+}
+
 func TestNodesFindEachOther(t *testing.T) {
 	const routers = 4
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -128,6 +128,10 @@
 	return out
 }
 
+// Zone counts the routers of the own availability zone; the own one, which asks
+// because it stops, is in All only.
+func (n *Node) Zone() ZoneCount { return n.members.zone() }
+
 // Rank returns the router's place among the living ones in an order that all of
 // them compute alike for the topic; stopping routers come last.
 func (n *Node) Rank(topic string) int {
--- a/relay/front.go
+++ b/relay/front.go
@@ -67,9 +67,9 @@
 	// Routers returns how many routers share the retry budget.
 	Routers func() int
 
-	bodies   atomic.Int64 // bytes of bodies held
-	stopping atomic.Bool
-	active   atomic.Int64
+	bodies atomic.Int64 // bytes of bodies held
+	ending atomic.Pointer[Ending]
+	active atomic.Int64
 }
 
 // Log takes one line for each decision. It must not block.
@@ -79,9 +79,9 @@
 }
 
 // Run serves clients on the listener until ctx ends, then closes it and ends the
-// requests in flight, for at most grace.
-func (f *Front) Run(ctx context.Context, l net.Listener, grace time.Duration) error {
-	conns := newConnTable(f.Clock, f.stopping.Load)
+// requests in flight, for at most the time that grace returns then.
+func (f *Front) Run(ctx context.Context, l net.Listener, grace func() time.Duration) error {
+	conns := newConnTable(f.Clock, f.stopping)
 	server := &http.Server{
 		Handler:           f,
 		MaxHeaderBytes:    headerRoom,
@@ -98,7 +98,7 @@
 	group.Go(func() error { return f.reachLost(ctx) })
 	group.Go(func() error {
 		return httpserve.Until(ctx, server, limited, func() error {
-			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace())
 			defer cancel()
 			if err := server.Shutdown(last); err != nil {
 				f.Log.Event("cut", "requests", f.active.Load(), "error", err)
@@ -110,8 +110,11 @@
 	return group.Wait()
 }
 
-// Stop begins the graceful stop: from now on each answer closes its connection.
-func (f *Front) Stop() { f.stopping.Store(true) }
+// Stop begins the graceful stop: from now on each answer closes its connection, and
+// requests that may outlast the stop are refused.
+func (f *Front) Stop(e Ending) { f.ending.Store(&e) }
+
+func (f *Front) stopping() bool { return f.ending.Load() != nil }
 
 // Active returns the number of requests in flight.
 func (f *Front) Active() int64 { return f.active.Load() }
@@ -143,7 +146,7 @@
 // that keeps to the time sends nothing on a connection that a stop closes.
 func (f *Front) announce(h http.Header) {
 	switch {
-	case f.stopping.Load():
+	case f.stopping():
 		announceClose(h)
 	case f.reuse() >= time.Second:
 		h.Set("Connection", "keep-alive")
@@ -193,6 +196,10 @@
 		t.organisation = holder
 	}
 	t.deadline()
+	if e := f.ending.Load(); e != nil && !e.Takes(t.began, t.until) {
+		t.refuse(http.StatusServiceUnavailable, "stopping", retryStopping)
+		return false
+	}
 	return t.readBody()
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -298,7 +298,7 @@
 				if diff := cmp.Diff(want, told{connection, resp.Header.Get("Keep-Alive")}); diff != "" {
 					t.Errorf("connection (-want +got):\n%s", diff)
 				}
-				b.front.Stop()
+				b.front.Stop(Ending{AllUntil: b.front.Clock.Now().Add(time.Minute)})
 			}
 		})
 	}
@@ -325,7 +325,7 @@
 	busy := b.dial()
 	b.group.Go(func() error {
 		<-running
-		b.front.Stop()
+		b.front.Stop(Ending{AllUntil: b.front.Clock.Now().Add(time.Minute)})
 		close(goOn)
 		return nil
 	})
@@ -340,3 +340,37 @@
 		t.Errorf("the idle connection's last answer is %v", resp)
 	}
 }
+
+// TestLateRequestsOfAStop has requests come to a router that stops but is still sent
+// connections: what ends before the stop does is run, anything else is told at once to
+// come back, and has not run.
+func TestLateRequestsOfAStop(t *testing.T) {
+	tests := []struct {
+		name   string
+		all    time.Duration // from now on, when the router ceases to take all
+		by     time.Duration // from now on, when it has to have ended
+		status int
+	}{
+		{"not late", time.Minute, 0, http.StatusOK},
+		{"late and short", -time.Second, time.Minute, http.StatusOK},
+		{"late and long", -time.Second, repeatable.Timeout / 2, http.StatusServiceUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBed(t, repeatable, say(fine, true))
+			now := b.front.Clock.Now()
+			b.front.Stop(Ending{AllUntil: now.Add(tt.all), By: now.Add(tt.by)})
+			resp, _, whole := b.ask(get(""))
+			if resp == nil || !whole || resp.StatusCode != tt.status || !resp.Close {
+				t.Fatalf("answer %v, want status %d and the connection's end", resp, tt.status)
+			}
+			refused := tt.status != http.StatusOK
+			if after := resp.Header.Get("Retry-After"); (after != "") != refused {
+				t.Errorf("Retry-After %q", after)
+			}
+			if sent := len(b.requests()); (sent == 0) != refused {
+				t.Errorf("%d requests reached the replica", sent)
+			}
+		})
+	}
+}
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -132,7 +132,7 @@
 	}
 	b.url = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
-	b.group.Go(func() error { return b.front.Run(ctx, l, time.Second) })
+	b.group.Go(func() error { return b.front.Run(ctx, l, func() time.Duration { return time.Second }) })
 	t.Cleanup(func() {
 		cancel()
 		for _, l := range b.listeners {
--- a/relay/task.go
+++ b/relay/task.go
@@ -16,11 +16,12 @@
 	longestRequest = 10 * time.Minute
 	// unsentTries is the number of replicas tried without having sent anything.
 	unsentTries = 4
-	// retryUnready, retryBusy and retryFailed are the times after which a
-	// refused client may come back.
-	retryUnready = 500 * time.Millisecond
-	retryBusy    = 300 * time.Millisecond
-	retryFailed  = 100 * time.Millisecond
+	// retryUnready, retryBusy, retryFailed and retryStopping are the times after
+	// which a refused client may come back; after the last one at another router.
+	retryUnready  = 500 * time.Millisecond
+	retryBusy     = 300 * time.Millisecond
+	retryFailed   = 100 * time.Millisecond
+	retryStopping = 100 * time.Millisecond
 )
 
 // task is one request of a client on its way through the router.
