Routers that start at once ask the seeds before they read the store

The fetch from a seed at the start was tried once, for 30 ms, when seeds knew nothing yet; a seed that knew nothing ended the join of one that another seed would have told. Now the seeds read and the others ask them for up to 0.4 s; what a fetch tells includes how old the list is, so that it is not read again at once. A join ends with the first answer that tells anything. Ruled out: the mesh (routers knew each other, fetches of the newer configuration came after their own reads).

--- /dev/null
+++ b/edge/join_test.go
@@ -0,0 +1,133 @@
+package edge
+
+import (
+	"testing"
+	"time"
+)
+
+// start plays a fleet that starts at once before a store whose link all readers share.
+type start struct {
+	routers   int
+	seedsKnow bool // whether seeds get an answer of the store
+	running   bool // whether the seeds ran and knew all before
+
+	reads int           // whole reads of the store that were begun
+	known time.Duration // when the last router but the seeds knew enough
+}
+
+func (s *start) play() {
+	const (
+		seeds = 3
+		step  = 5 * time.Millisecond
+		fetch = 20 * time.Millisecond // from a seed
+		link  = 125e6                 // bytes a second
+		whole = 900e3                 // bytes of configuration and list
+	)
+	type router struct {
+		joining
+		knows   bool
+		reading float64       // bytes that are still to come
+		fetched time.Duration // when a fetch ends; 0 if none runs
+	}
+	fleet := make([]router, s.routers)
+	for i := range fleet {
+		fleet[i].seed = i < seeds
+		fleet[i].knows = s.running && i < seeds
+	}
+	begin := func(r *router) {
+		if !r.knows && r.reading == 0 && (!r.seed || s.seedsKnow) {
+			s.reads++
+			r.reading = whole
+		}
+	}
+	for up := time.Duration(0); up < 10*time.Second; up += step {
+		readers, left := 0, 0
+		for i := range fleet {
+			if fleet[i].reading > 0 {
+				readers++
+			}
+		}
+		for i := range fleet {
+			r := &fleet[i]
+			if r.reading > 0 {
+				r.reading -= link * step.Seconds() / float64(readers)
+				r.knows = r.knows || r.reading <= 0
+				r.reading = max(r.reading, 0)
+			}
+			if r.fetched > 0 && up >= r.fetched {
+				r.fetched = 0
+				r.knows = r.knows || fleet[0].knows
+			}
+			if r.seed {
+				begin(r)
+				continue
+			}
+			if !r.knows {
+				left++
+				s.known = up
+			}
+			if r.fetched > 0 {
+				continue
+			}
+			switch r.step(up, r.knows) {
+			case joinAsk:
+				r.fetched = up + fetch
+			case joinDone:
+				begin(r)
+			case joinWait:
+			}
+		}
+		if left == 0 {
+			return
+		}
+	}
+}
+
+// TestFleetThatStartsAtOnce checks who reads the store whole, and how soon the last
+// router can serve.
+func TestFleetThatStartsAtOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		start start
+		reads int
+		known time.Duration
+	}{
+		{"a large fleet", start{routers: 370, seedsKnow: true}, 3, 250 * time.Millisecond},
+		{"a small fleet", start{routers: 8, seedsKnow: true}, 3, 250 * time.Millisecond},
+		{"the seeds run", start{routers: 370, running: true, seedsKnow: true}, 0, 50 * time.Millisecond},
+		{"the store refuses the seeds", start{routers: 8}, 5, 600 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := tt.start
+			s.play()
+			if s.reads > tt.reads || s.known > tt.known {
+				t.Errorf("%d whole reads of the store, the last router knew after %v; want at most %d, %v", s.reads, s.known, tt.reads, tt.known)
+			}
+		})
+	}
+}
+
+// TestJoining checks the ends of a join that the play above does not meet.
+func TestJoining(t *testing.T) {
+	tests := []struct {
+		name  string
+		j     joining
+		up    time.Duration
+		knows bool
+		want  joinStep
+	}{
+		{"no seeds", joining{alone: true}, 0, false, joinDone},
+		{"a seed asks the others once", joining{seed: true}, 0, false, joinAsk},
+		{"a seed reads then", joining{seed: true, asked: 1}, joinLook, false, joinDone},
+		{"not yet", joining{asked: 1, next: joinEvery}, joinLook, false, joinWait},
+		{"again", joining{asked: 1, next: joinEvery}, joinEvery, false, joinAsk},
+		{"in vain", joining{asked: 5, next: time.Second}, joinFor, false, joinDone},
+		{"told", joining{asked: 1}, joinLook, true, joinDone},
+	}
+	for _, tt := range tests {
+		if got := tt.j.step(tt.up, tt.knows); got != tt.want {
+			t.Errorf("%s: step %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/edge/list.go
+++ b/edge/list.go
@@ -44,6 +44,7 @@
 	retry := pause.Backoff{Base: retryFirst, Max: retryLast}
 	failures := 0
 	started := r.clock.Now()
+	r.awaitJoin(ctx)
 	for ctx.Err() == nil {
 		at, _ := r.reading.last()
 		wait := r.listPace()
--- a/edge/reading.go
+++ b/edge/reading.go
@@ -14,6 +14,18 @@
 	outage time.Time // when the last outage ended, as far as is known
 }
 
+// unknownAge tells other routers of a list that was never read.
+const unknownAge = time.Hour
+
+// ages returns the ages that other routers are told. An age of 0 is not said.
+func (l *reading) ages(now time.Time) (read, outage time.Duration) {
+	at, ended := l.last()
+	if at.IsZero() {
+		return unknownAge, 0
+	}
+	return max(now.Sub(at), time.Millisecond), now.Sub(ended)
+}
+
 // start begins with nothing known: what was before counts as an outage.
 func (l *reading) start(now time.Time) {
 	l.mu.Lock()
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -44,7 +44,10 @@
 	group.SetLimit(askAtOnce)
 	asked := make(map[uint32]bool)
 	started := r.clock.Now()
-	r.node.Join(ctx)
+	select {
+	case <-r.joined:
+	case <-ctx.Done():
+	}
 	select {
 	case <-r.directory.Wanted():
 	case <-ctx.Done():
--- a/edge/state.go
+++ b/edge/state.go
@@ -25,9 +25,6 @@
 // hears of it tells it on.
 const changesTold = 2 * time.Second
 
-// unknownAge stands in a beat for a list that was never read.
-const unknownAge = time.Hour
-
 // state implements mesh.State with the router's tables.
 type state struct{ r *Router }
 
@@ -36,11 +33,7 @@
 	r := s.r
 	b.Configuration = r.current.Revision()
 	b.Digest = r.table.Digest()
-	b.ReadAge = unknownAge
-	if at, outage := r.reading.last(); !at.IsZero() {
-		b.ReadAge = r.clock.Now().Sub(at)
-		b.OutageAge = r.clock.Now().Sub(outage)
-	}
+	b.ReadAge, b.OutageAge = r.reading.ages(r.clock.Now())
 	b.Stopping = r.stopping.Load() != nil
 	told := max(toldLeast, r.node.CoverTime()+r.node.SpreadTime())
 	b.Counts = r.table.Counts(told)
@@ -57,10 +50,7 @@
 	if len(b.Changes) > 0 {
 		r.logChanges(b.Name, r.table.Offer(b.Changes))
 	}
-	if b.ReadAge < unknownAge {
-		now := r.clock.Now()
-		r.reading.heard(now, now.Add(-b.ReadAge), now.Add(-b.OutageAge), r.outageGap())
-	}
+	r.hearReading(b.ReadAge, b.OutageAge)
 	r.table.Learn(b.Name, b.Incarnation, b.Counts)
 	r.table.HearReports(b.Reports)
 	r.reads.Hear(b.Name, b.Reads)
@@ -80,6 +70,9 @@
 // Answer implements mesh.State.
 func (s state) Answer(want mesh.Want) *mesh.Answer {
 	a := &mesh.Answer{Entries: s.r.table.Differing(want.Replicas)}
+	if len(want.Replicas) > 0 {
+		a.ReadAge, a.OutageAge = s.r.reading.ages(s.r.clock.Now())
+	}
 	if want.Inventory {
 		a.Settled = s.r.settled.Load()
 		a.Inventory = s.r.directory.Inventory(func(replica uint32) bool {
@@ -102,6 +95,7 @@
 	}
 	if len(a.Entries) > 0 {
 		s.r.listed.Store(true)
+		s.r.hearReading(a.ReadAge, a.OutageAge)
 	}
 	if a.Revision <= s.r.current.Revision() {
 		return nil
@@ -135,6 +129,15 @@
 	}
 }
 
+// hearReading takes in how old the newest list that another router knows of is, and
+// how long ago the last outage ended.
+func (r *Router) hearReading(read, outage time.Duration) {
+	if read > 0 && read < unknownAge {
+		now := r.clock.Now()
+		r.reading.heard(now, now.Add(-read), now.Add(-outage), r.outageGap())
+	}
+}
+
 // logChanges logs changes of replicas.
 func (r *Router) logChanges(from string, changed []replicas.Entry) {
 	for _, e := range changed {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -101,7 +101,7 @@
 
 func TestAnswerOnTheWire(t *testing.T) {
 	text := bytes.Repeat([]byte(`{"name":"r-2yhvz3p","kind":"streaming"},`), 10000)
-	want := Answer{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true}
+	want := Answer{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true, ReadAge: time.Second, OutageAge: time.Minute}
 	want.Inventory.Placements = []placing.Placement{{Key: 1 << 60, Replica: 5}, {Key: 3, Replica: 1 << 31}}
 	want.Inventory.Heard = []placing.Heard{{Origin: placing.Origin{Name: "r1", Incarnation: 8}, Told: 3}, {Origin: placing.Origin{Name: "r2"}}}
 	data, err := want.marshal(&packer{})
@@ -393,7 +393,7 @@
 	n.Init()
 	n.SetSeeds([]string{gone.Addr().String(), alive.Addr().String(), n.Self.Address})
 	for range 50 { // a busy machine may take longer than the time to join
-		n.Join(ctx)
+		n.Join(ctx, 0)
 		if revision, _ := state.get(); revision == 7 {
 			break
 		}
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -17,8 +17,10 @@
 const (
 	// sessionTime bounds a fetch.
 	sessionTime = 1500 * time.Millisecond
-	// joinTime bounds the first fetch after the start.
-	joinTime = 30 * time.Millisecond
+	// joinTime bounds the first fetch after the start, joinAgain each later one
+	// until the router has joined.
+	joinTime  = 30 * time.Millisecond
+	joinAgain = 150 * time.Millisecond
 	// lookEvery is the time between two looks for routers that know more.
 	lookEvery = 100 * time.Millisecond
 	// behindPart and behindRounds are the least time between two fetches of
@@ -34,7 +36,7 @@
 	// largestWant bounds the size of what a router asks for, in bytes.
 	largestWant = 64 << 10
 	// sessions bounds the number of sessions served at once.
-	sessions = 8
+	sessions = 32
 )
 
 // placeOf orders routers for a topic.
@@ -224,18 +226,18 @@
 	return Nothing
 }
 
-// fetchFrom takes over from another router what this one lacks, and reports whether
-// it could.
-func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) bool {
+// fetchFrom takes over from another router what this one lacks, and returns it; nil
+// if it could not.
+func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) *Answer {
 	a, err := n.fetch(ctx, address, n.State.Want(lack))
 	if err == nil {
 		err = n.State.Take(a)
 	}
 	if err != nil {
 		n.Log.Event("fetch", "address", address, "error", err)
-		return false
+		return nil
 	}
 	n.Log.Event("fetch", "address", address, "revision", a.Revision, "entries", len(a.Entries),
 		"placements", len(a.Inventory.Placements))
-	return true
+	return a
 }
--- a/mesh/want.go
+++ b/mesh/want.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"peridotusher.example/peridotusher/placing"
@@ -68,8 +70,14 @@
 	Inventory placing.Inventory
 	// Settled is whether that includes what they held before all routers started.
 	Settled bool
+	// ReadAge is the age of the newest list of replicas from the store, OutageAge the
+	// time since the last outage of the store ended.
+	ReadAge, OutageAge time.Duration
 }
 
+// tells reports whether the answering router knew anything.
+func (a *Answer) tells() bool { return a.Revision > 0 || len(a.Entries) > 0 }
+
 // The field numbers of an answer.
 const (
 	answerConfiguration protowire.Number = iota + 1
@@ -78,6 +86,8 @@
 	answerPlacements
 	answerHeard
 	answerSettled
+	answerReadAge
+	answerOutageAge
 )
 
 // The field numbers of how far a router was heard.
@@ -102,6 +112,8 @@
 	for _, h := range a.Inventory.Heard {
 		out = appendBytes(out, answerHeard, marshalHeard(h))
 	}
+	out = appendNumber(out, answerReadAge, uint64(a.ReadAge.Milliseconds()))
+	out = appendNumber(out, answerOutageAge, uint64(a.OutageAge.Milliseconds()))
 	return appendFlag(out, answerSettled, a.Settled), nil
 }
 
@@ -128,6 +140,10 @@
 			return err
 		case answerSettled:
 			a.Settled = v != 0
+		case answerReadAge:
+			a.ReadAge = time.Duration(v) * time.Millisecond
+		case answerOutageAge:
+			a.OutageAge = time.Duration(v) * time.Millisecond
 		}
 		return nil
 	})
