Routers of different forms of beats know of each other and take over nothing else

Now beats, wants and answers carry the number of the form. Of another form the sender, whether it stops and the routers that it names are read; ranks, fetches and states stay within a form, so that each form reads the store for itself during the upgrade. Tests: a beat with a list that this form would misread, ranks among routers of another form, an answer and a question of another form.

--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -53,9 +53,13 @@
 	// Routers is the number of routers that the sender knows, with itself. The
 	// time between two of its beats to a router follows from it.
 	Routers int
+	// Format is the form of the beat; of another form than the own one only the
+	// sender, whether it stops and the routers that it knows are read.
+	Format int
 }
 
-// The field numbers of a beat on the wire.
+// The field numbers of a beat on the wire. The format comes first; its number and
+// those of what is read in every form never change.
 const (
 	beatMember protowire.Number = iota + 1
 	beatConfiguration
@@ -72,6 +76,7 @@
 	beatSettled
 	beatReads
 	beatRouters
+	beatFormat
 )
 
 // The field numbers of a member.
@@ -105,7 +110,8 @@
 func (b *Beat) marshal() []byte {
 	self := b.Member
 	self.Address = "" // the datagram's source
-	out := appendBytes(nil, beatMember, self.marshal())
+	out := appendNumber(nil, beatFormat, uint64(b.Format))
+	out = appendBytes(out, beatMember, self.marshal())
 	out = appendNumber(out, beatConfiguration, uint64(b.Configuration))
 	out = appendNumber(out, beatDigest, b.Digest)
 	out = appendNumber(out, beatReadAge, uint64(b.ReadAge.Milliseconds()))
@@ -142,50 +148,65 @@
 func (b *Beat) unmarshal(data []byte) error {
 	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
 		switch n {
+		case beatFormat:
+			b.Format = int(v)
+			return nil
 		case beatMember:
 			return b.Member.unmarshal(raw)
-		case beatConfiguration:
-			b.Configuration = int64(v)
-		case beatDigest:
-			b.Digest = v
-		case beatReadAge:
-			b.ReadAge = time.Duration(v) * time.Millisecond
-		case beatOutageAge:
-			b.OutageAge = time.Duration(v) * time.Millisecond
 		case beatStopping:
 			b.Stopping = v != 0
-		case beatCounts:
-			return b.unmarshalCounts(raw)
-		case beatPlacements:
-			placements, err := unpackPlacements(raw)
-			b.News.Placements = placements
-			return err
-		case beatReads:
-			reads, err := unpackPlacements(raw)
-			b.Reads = reads
-			return err
-		case beatRouters:
-			b.Routers = int(v)
-		case beatTold:
-			b.News.Told = v
-		case beatSettled:
-			b.Settled = v != 0
-		case beatReports:
-			return b.unmarshalReports(raw)
-		case beatChange:
-			e, err := unmarshalEntry(raw)
-			b.Changes = append(b.Changes, e)
-			return err
+			return nil
 		case beatKnown:
 			var m Member
 			err := m.unmarshal(raw)
 			b.Known = append(b.Known, m)
 			return err
+		case beatRouters:
+			b.Routers = int(v)
+			return nil
 		}
-		return nil
+		if b.Format != format {
+			return nil
+		}
+		return b.unmarshalState(n, v, raw)
 	})
 }
 
+// unmarshalState reads a field of what the sender knows beside the routers.
+func (b *Beat) unmarshalState(n protowire.Number, v uint64, raw []byte) error {
+	switch n {
+	case beatConfiguration:
+		b.Configuration = int64(v)
+	case beatDigest:
+		b.Digest = v
+	case beatReadAge:
+		b.ReadAge = time.Duration(v) * time.Millisecond
+	case beatOutageAge:
+		b.OutageAge = time.Duration(v) * time.Millisecond
+	case beatCounts:
+		return b.unmarshalCounts(raw)
+	case beatPlacements:
+		placements, err := unpackPlacements(raw)
+		b.News.Placements = placements
+		return err
+	case beatReads:
+		reads, err := unpackPlacements(raw)
+		b.Reads = reads
+		return err
+	case beatTold:
+		b.News.Told = v
+	case beatSettled:
+		b.Settled = v != 0
+	case beatReports:
+		return b.unmarshalReports(raw)
+	case beatChange:
+		e, err := unmarshalEntry(raw)
+		b.Changes = append(b.Changes, e)
+		return err
+	}
+	return nil
+}
+
 // eachPacked calls f for each element of a packed list: a replica and as many
 // numbers as there is room for.
 func eachPacked(raw []byte, numbers []uint64, f func(replica uint32)) error {
--- /dev/null
+++ b/mesh/format_test.go
@@ -0,0 +1,89 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/replicas"
+)
+
+// TestBeatOfAnotherForm has a router of another form tell what this one would
+// misread: it is known, counted in its zone and introduced, and nothing else is taken.
+func TestBeatOfAnotherForm(t *testing.T) {
+	sent := sampleBeat()
+	sent.Format = format + 1
+	data := appendBytes(sent.marshal(), beatCounts, []byte{1, 2}) // a count is longer in this form
+	var got Beat
+	if err := got.unmarshal(data); err != nil {
+		t.Fatal(err)
+	}
+	sent.Member.Address = ""
+	want := Beat{Member: sent.Member, Stopping: true, Known: sent.Known, Routers: sent.Routers, Format: sent.Format}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("beat (-want +got):\n%s", diff)
+	}
+}
+
+// TestOtherFormsShareNothing has routers of two forms in one zone: each is the first of
+// its own form for every topic.
+func TestOtherFormsShareNothing(t *testing.T) {
+	clock := peridotusher.ClockFunc(time.Now)
+	n := &Node{Self: Member{Name: "r0", Zone: "a"}, Clock: clock}
+	n.Init()
+	for _, name := range []string{"r1", "r2", "r3", "r4"} {
+		n.members.hear(&Beat{Member: Member{Name: name, Zone: "a", Address: name + ":1", Incarnation: 1}, Format: format + 1})
+	}
+	for _, topic := range []string{"list", "configuration", "parts/i-1", "parts/i-2"} {
+		if rank := n.Rank(topic); rank != 0 {
+			t.Errorf("rank %d for %s among routers of another form", rank, topic)
+		}
+	}
+	if diff := cmp.Diff(ZoneCount{Ready: 4, All: 5}, n.Zone()); diff != "" {
+		t.Errorf("zone (-want +got):\n%s", diff)
+	}
+}
+
+// TestFetchFromAnotherForm has a router of another form ask: it is told nothing but
+// the form, and refuses what it is told.
+func TestFetchFromAnotherForm(t *testing.T) {
+	answer := Answer{Format: format + 1, Entries: []replicas.Entry{{ID: "i-1"}}}
+	data, err := answer.marshal(&packer{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := peridotusher.ClockFunc(time.Now)
+	knowing := &Node{Self: Member{Name: "knowing"}, State: &testState{revision: 7}, Clock: clock, Log: discard{}}
+	knowing.Init()
+	var group errgroup.Group
+	group.Go(func() error { return knowing.serve(ctx, l) })
+	asker := &Node{Self: Member{Name: "asker"}, State: &testState{}, Clock: clock, Log: discard{}}
+	asker.Init()
+	a, err := asker.fetch(ctx, l.Addr().String(), Want{})
+	if err != nil || a.Revision != 7 {
+		t.Errorf("a router of the same form is told %v, %v", a, err)
+	}
+	if _, err := readAnswer(data); !errors.Is(err, errFormat) {
+		t.Errorf("an answer of another form: %v, want %v", err, errFormat)
+	}
+	if a := knowing.reply(Want{Format: format + 1}); a.tells() || a.Format != format {
+		t.Errorf("a router of another form is told %v", a)
+	}
+	cancel()
+	if err := l.Close(); err != nil {
+		t.Error(err)
+	}
+	_ = group.Wait() // ends with the listener
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -35,6 +35,7 @@
 	added    time.Time
 	heard    time.Time // zero if never
 	routers  int       // that it knows
+	format   int
 	stopping bool
 }
 
@@ -59,7 +60,8 @@
 	if b.Incarnation < s.Incarnation && now.Sub(s.heard) < m.aliveFor(s) {
 		return false
 	}
-	s.Member, s.Summary, s.heard, s.stopping, s.routers = b.Member, b.summary(), now, b.Stopping, b.Routers
+	s.Member, s.Summary, s.heard = b.Member, b.summary(), now
+	s.stopping, s.routers, s.format = b.Stopping, b.Routers, b.Format
 	for _, k := range b.Known {
 		m.introduce(now, k)
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -28,6 +28,7 @@
 		Reads:   []placing.Placement{{Key: 9, Replica: 6}},
 		Settled: true,
 		Routers: 82,
+		Format:  format,
 		Known:   []Member{{Name: "r2", Address: "10.0.0.2:7000", Zone: "b", Incarnation: 4}},
 	}
 }
@@ -50,7 +51,7 @@
 	const others, budget = 7, 6 << 10
 	b := Beat{
 		Member:        Member{Name: "edge-attica-a-1", Address: "10.1.0.40:7340", Zone: "attica-a", Incarnation: 1764800000000},
-		Configuration: 1000, Digest: 1 << 63, ReadAge: 450 * time.Millisecond, OutageAge: time.Minute, Settled: true, Routers: others + 1,
+		Configuration: 1000, Digest: 1 << 63, ReadAge: 450 * time.Millisecond, OutageAge: time.Minute, Settled: true, Routers: others + 1, Format: format,
 		News: placing.News{Placements: []placing.Placement{{Key: 1 << 47, Replica: 1 << 31}, {Key: 1 << 46, Replica: 1 << 31}}, Told: 300},
 	}
 	for i := range 12 {
@@ -101,7 +102,7 @@
 
 func TestAnswerOnTheWire(t *testing.T) {
 	text := bytes.Repeat([]byte(`{"name":"r-2yhvz3p","kind":"streaming"},`), 10000)
-	want := Answer{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true, ReadAge: time.Second, OutageAge: time.Minute}
+	want := Answer{Configuration: text, Revision: 4, Entries: sampleBeat().Changes, Settled: true, ReadAge: time.Second, OutageAge: time.Minute, Format: format}
 	want.Inventory.Placements = []placing.Placement{{Key: 1 << 60, Replica: 5}, {Key: 3, Replica: 1 << 31}}
 	want.Inventory.Heard = []placing.Heard{{Origin: placing.Origin{Name: "r1", Incarnation: 8}, Told: 3}, {Origin: placing.Origin{Name: "r2"}}}
 	data, err := want.marshal(&packer{})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -133,11 +133,12 @@
 func (n *Node) Zone() ZoneCount { return n.members.zone() }
 
 // Rank returns the router's place among the living ones in an order that all of
-// them compute alike for the topic; stopping routers come last.
+// them compute alike for the topic; stopping routers come last, those of another form
+// of beats are left out.
 func (n *Node) Rank(topic string) int {
 	self := placeOf(topic, n.Self.Name)
 	rank := 0
-	for _, s := range n.members.alive() {
+	for _, s := range sameFormat(n.members.alive()) {
 		if !s.stopping && placeOf(topic, s.Name) < self {
 			rank++
 		}
@@ -271,7 +272,7 @@
 
 // fill returns a beat of this moment.
 func (n *Node) fill() *Beat {
-	b := &Beat{Member: n.Self, Routers: n.members.count()}
+	b := &Beat{Member: n.Self, Routers: n.members.count(), Format: format}
 	n.State.Fill(b)
 	return b
 }
@@ -359,10 +360,13 @@
 		if !n.members.hear(&b) {
 			continue
 		}
-		n.State.Hear(&b)
 		if reply := n.welcome(&b); reply != nil {
 			n.send(datagrams, reply.marshal(), b.Address)
 		}
+		if b.Format != format {
+			continue
+		}
+		n.State.Hear(&b)
 		if lack := n.State.Lacks(b.summary()); lack == Newer || lack == Behind {
 			signal(n.missed)
 		}
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -98,7 +98,7 @@
 	if err := want.unmarshal(asked); err != nil {
 		return err
 	}
-	data, err := n.State.Answer(want).marshal(&n.packer)
+	data, err := n.reply(want).marshal(&n.packer)
 	if err != nil {
 		return err
 	}
@@ -110,6 +110,27 @@
 	return nil
 }
 
+// reply returns what a router is told that wants something; only the form, if that is
+// another one.
+func (n *Node) reply(want Want) *Answer {
+	a := &Answer{}
+	if want.Format == format {
+		a = n.State.Answer(want)
+	}
+	a.Format = format
+	return a
+}
+
+// readAnswer decodes what another router told.
+func readAnswer(data []byte) (*Answer, error) {
+	a := &Answer{}
+	err := a.unmarshal(data)
+	if a.Format != format {
+		return nil, errFormat
+	}
+	return a, err
+}
+
 // writeFrame writes the length of a message and the message.
 func writeFrame(w io.Writer, data []byte) error {
 	size := binary.BigEndian.AppendUint32(nil, uint32(len(data)))
@@ -151,6 +172,7 @@
 	if err != nil {
 		return nil, err
 	}
+	want.Format = format
 	if err := writeFrame(stream, want.marshal()); err != nil {
 		return nil, err
 	}
@@ -158,8 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Answer{}
-	return a, a.unmarshal(data)
+	return readAnswer(data)
 }
 
 // catchUp fetches the state of routers that know more, until ctx ends.
@@ -175,7 +196,7 @@
 		case <-n.missed:
 		}
 		lacks := make(map[Lack][]string)
-		for _, s := range n.members.alive() {
+		for _, s := range sameFormat(n.members.alive()) {
 			lack := n.State.Lacks(s.Summary)
 			lacks[lack] = append(lacks[lack], s.Address)
 		}
--- a/mesh/want.go
+++ b/mesh/want.go
@@ -19,6 +19,8 @@
 	Replicas []uint64
 	// Inventory asks for what is known of the parts of prompts.
 	Inventory bool
+	// Format is the form that the asker speaks.
+	Format int
 }
 
 // The field numbers of a want.
@@ -26,10 +28,12 @@
 	wantRevision protowire.Number = iota + 1
 	wantReplicas
 	wantInventory
+	wantFormat
 )
 
 func (w *Want) marshal() []byte {
-	out := appendNumber(nil, wantRevision, uint64(w.Revision))
+	out := appendNumber(nil, wantFormat, uint64(w.Format))
+	out = appendNumber(out, wantRevision, uint64(w.Revision))
 	var packed []byte
 	for _, d := range w.Replicas {
 		packed = protowire.AppendFixed64(packed, d)
@@ -54,6 +58,8 @@
 			}
 		case wantInventory:
 			w.Inventory = v != 0
+		case wantFormat:
+			w.Format = int(v)
 		}
 		return nil
 	})
@@ -73,6 +79,8 @@
 	// ReadAge is the age of the newest list of replicas from the store, OutageAge the
 	// time since the last outage of the store ended.
 	ReadAge, OutageAge time.Duration
+	// Format is the form that the answering router speaks.
+	Format int
 }
 
 // tells reports whether the answering router knew anything.
@@ -88,6 +96,7 @@
 	answerSettled
 	answerReadAge
 	answerOutageAge
+	answerFormat
 )
 
 // The field numbers of how far a router was heard.
@@ -103,7 +112,8 @@
 	if err != nil {
 		return nil, err
 	}
-	out := appendBytes(nil, answerConfiguration, packed)
+	out := appendNumber(nil, answerFormat, uint64(a.Format))
+	out = appendBytes(out, answerConfiguration, packed)
 	out = appendNumber(out, answerRevision, uint64(a.Revision))
 	for _, e := range a.Entries {
 		out = appendBytes(out, answerEntry, marshalEntry(e))
@@ -120,6 +130,8 @@
 func (a *Answer) unmarshal(data []byte) error {
 	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
 		switch n {
+		case answerFormat:
+			a.Format = int(v)
 		case answerConfiguration:
 			text, err := decompress(raw)
 			a.Configuration = text
