A connection may take as long for its first head as the configuration says

Cause: max-header-bytes, max-body-bytes and idle-timeout-ms were kept, header-timeout-ms was not read: 10 s whatever it said, so a slower limit would have cut clients that keep to it and a faster one let idle connections hold memory. The table of connections now watches those without a request too. After a standstill of the process the limits begin anew: what came meanwhile has not been read yet.

--- a/relay/conns.go
+++ b/relay/conns.go
@@ -11,25 +11,32 @@
 )
 
 const (
-	// idleMargin is added to the idle timeout, so that a client that reuses a
-	// connection shortly before the timeout does not meet the close.
-	idleMargin = time.Second
-	// idleEvery is the time between two looks for idle connections.
-	idleEvery = time.Second
+	// limitMargin is added to the limits of time, so that a client that keeps to one
+	// of them does not meet the close.
+	limitMargin = time.Second
+	// limitEvery is the time between two looks for connections beyond a limit.
+	limitEvery = time.Second
 )
 
-// connTable closes the connections of clients that are idle too long. The limit
-// may change while connections are open.
+// connLimits are how long a new connection may take for its first request's head, and
+// how long a connection may be idle; 0 for any time.
+type connLimits struct{ head, idle time.Duration }
+
+// connTable closes the connections of clients that take too long. The limits may
+// change while connections are open.
 type connTable struct {
 	clock    peridotusher.Clock
 	stopping func() bool
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
+	mu    sync.Mutex
+	fresh map[net.Conn]time.Time // without a request yet, by when they came
+	idle  map[net.Conn]time.Time // after an answer, by its end
+	// looked is when the table was looked through last.
+	looked time.Time
 }
 
 func newConnTable(clock peridotusher.Clock, stopping func() bool) *connTable {
-	return &connTable{clock: clock, stopping: stopping, idle: make(map[net.Conn]time.Time)}
+	return &connTable{clock: clock, stopping: stopping, fresh: make(map[net.Conn]time.Time), idle: make(map[net.Conn]time.Time)}
 }
 
 // state is the server's ConnState hook. An answer that was begun before a stop did
@@ -42,36 +49,63 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s == http.StateIdle {
+	delete(t.fresh, c)
+	delete(t.idle, c)
+	switch s {
+	case http.StateNew:
+		t.fresh[c] = t.clock.Now()
+	case http.StateIdle:
 		t.idle[c] = t.clock.Now()
-		return
 	}
-	delete(t.idle, c)
 }
 
-// closeIdle closes connections that are idle longer than limit, until ctx ends.
-func (t *connTable) closeIdle(ctx context.Context, limit func() time.Duration) {
-	tick := time.NewTicker(idleEvery)
+// closeLate closes connections beyond the limits, until ctx ends.
+func (t *connTable) closeLate(ctx context.Context, limits func() connLimits) {
+	tick := time.NewTicker(limitEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if d := limit(); d > 0 {
-				t.closeBefore(t.clock.Now().Add(-d - idleMargin))
-			}
+			t.look(limits())
 		}
 	}
 }
 
-func (t *connTable) closeBefore(since time.Time) {
+// look closes the connections that are beyond the limits now. After a standstill of
+// the process requests may have come that are not read yet: all limits begin anew.
+func (t *connTable) look(limits connLimits) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for c, at := range t.idle {
-		if at.Before(since) {
-			_ = c.Close() // no request is on it
-			delete(t.idle, c)
+	now := t.clock.Now()
+	stood := !t.looked.IsZero() && now.Sub(t.looked) > 2*limitEvery
+	t.looked = now
+	if stood {
+		restart(t.fresh, now)
+		restart(t.idle, now)
+		return
+	}
+	closeBefore(t.fresh, now, limits.head)
+	closeBefore(t.idle, now, limits.idle)
+}
+
+func restart(conns map[net.Conn]time.Time, now time.Time) {
+	for c := range conns {
+		conns[c] = now
+	}
+}
+
+// closeBefore closes the connections that are older than the limit; no request is on
+// them.
+func closeBefore(conns map[net.Conn]time.Time, now time.Time, limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	for c, at := range conns {
+		if now.Sub(at) > limit+limitMargin {
+			_ = c.Close() // the server notices
+			delete(conns, c)
 		}
 	}
 }
--- a/relay/front.go
+++ b/relay/front.go
@@ -25,8 +25,10 @@
 	// headerRoom is the largest head of a request that the server reads at all;
 	// the configuration's limit below it is checked for each request.
 	headerRoom = 64 << 10
-	// headerTime bounds the reading of a head until a configuration is known.
-	headerTime = 10 * time.Second
+	// headerTime bounds the reading of a head until a configuration is known,
+	// headerLongest whatever the configuration says.
+	headerTime    = 10 * time.Second
+	headerLongest = time.Minute
 	// writeMargin is how long after the deadline a client may take to read.
 	writeMargin = 300 * time.Millisecond
 )
@@ -85,14 +87,14 @@
 	server := &http.Server{
 		Handler:           f,
 		MaxHeaderBytes:    headerRoom,
-		ReadHeaderTimeout: headerTime,
+		ReadHeaderTimeout: headerLongest,
 		ConnState:         conns.state,
 		ErrorLog:          nil,
 	}
 	limited := &limitListener{Listener: l, most: int64(f.Connections), refused: func() { f.Log.Event("refused", "connections", f.Connections) }}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		conns.closeIdle(ctx, f.idleTimeout)
+		conns.closeLate(ctx, f.connLimits)
 		return nil
 	})
 	group.Go(func() error { return f.reachLost(ctx) })
@@ -119,11 +121,13 @@
 // Active returns the number of requests in flight.
 func (f *Front) Active() int64 { return f.active.Load() }
 
-func (f *Front) idleTimeout() time.Duration {
-	if doc := f.Current.Load(); doc != nil {
-		return doc.Limits.IdleTimeout
+// connLimits returns the limits of the configuration in force.
+func (f *Front) connLimits() connLimits {
+	doc := f.Current.Load()
+	if doc == nil {
+		return connLimits{head: headerTime}
 	}
-	return 0
+	return connLimits{head: doc.Limits.HeaderTimeout, idle: doc.Limits.IdleTimeout}
 }
 
 // ServeHTTP implements http.Handler.
@@ -156,7 +160,7 @@
 
 // reuse returns how long clients may leave a connection idle and use it again.
 func (f *Front) reuse() time.Duration {
-	if idle := f.idleTimeout(); idle > 0 {
+	if idle := f.connLimits().idle; idle > 0 {
 		return min(f.Reuse, idle)
 	}
 	return f.Reuse
--- a/routing/document.go
+++ b/routing/document.go
@@ -82,7 +82,9 @@
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	IdleTimeout time.Duration
+	// HeaderTimeout is how long a request's head may take, IdleTimeout how long a
+	// connection may be idle between two requests.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Organisation is a customer of the operators with its keys.
