--- a/edge/join_test.go
+++ b/edge/join_test.go
@@ -15,49 +15,59 @@
 	known time.Duration // when the last router but the seeds knew enough
 }
 
+// startStep is the time between two looks at a played fleet.
+const startStep = 5 * time.Millisecond
+
+// startedRouter is a router of a played fleet.
+type startedRouter struct {
+	joining
+	knows   bool
+	reading float64       // bytes that are still to come from the store
+	fetched time.Duration // when a fetch from a seed ends; 0 if none runs
+}
+
+// read goes on with a read of the store and ends a fetch.
+func (r *startedRouter) read(up time.Duration, bytes float64, seedKnows bool) {
+	if r.reading > 0 {
+		r.reading -= bytes
+		r.knows = r.knows || r.reading <= 0
+		r.reading = max(r.reading, 0)
+	}
+	if r.fetched > 0 && up >= r.fetched {
+		r.fetched = 0
+		r.knows = r.knows || seedKnows
+	}
+}
+
 func (s *start) play() {
 	const (
 		seeds = 3
-		step  = 5 * time.Millisecond
 		fetch = 20 * time.Millisecond // from a seed
 		link  = 125e6                 // bytes a second
 		whole = 900e3                 // bytes of configuration and list
 	)
-	type router struct {
-		joining
-		knows   bool
-		reading float64       // bytes that are still to come
-		fetched time.Duration // when a fetch ends; 0 if none runs
-	}
-	fleet := make([]router, s.routers)
+	fleet := make([]startedRouter, s.routers)
 	for i := range fleet {
 		fleet[i].seed = i < seeds
 		fleet[i].knows = s.running && i < seeds
 	}
-	begin := func(r *router) {
+	begin := func(r *startedRouter) {
 		if !r.knows && r.reading == 0 && (!r.seed || s.seedsKnow) {
 			s.reads++
 			r.reading = whole
 		}
 	}
-	for up := time.Duration(0); up < 10*time.Second; up += step {
-		readers, left := 0, 0
+	for up, left := time.Duration(0), 1; left > 0 && up < 10*time.Second; up += startStep {
+		readers := 0
 		for i := range fleet {
 			if fleet[i].reading > 0 {
 				readers++
 			}
 		}
+		left = 0
 		for i := range fleet {
 			r := &fleet[i]
-			if r.reading > 0 {
-				r.reading -= link * step.Seconds() / float64(readers)
-				r.knows = r.knows || r.reading <= 0
-				r.reading = max(r.reading, 0)
-			}
-			if r.fetched > 0 && up >= r.fetched {
-				r.fetched = 0
-				r.knows = r.knows || fleet[0].knows
-			}
+			r.read(up, link*startStep.Seconds()/float64(max(readers, 1)), fleet[0].knows)
 			if r.seed {
 				begin(r)
 				continue
@@ -77,9 +87,6 @@
 			case joinWait:
 			}
 		}
-		if left == 0 {
-			return
-		}
 	}
 }
 
--- a/edge/leave_test.go
+++ b/edge/leave_test.go
@@ -38,6 +38,47 @@
 // restart is when a router stops to be ready and when it is ready again.
 type restart struct{ from, until time.Duration }
 
+// playedStop is a stop before the balancer.
+type playedStop struct {
+	closed time.Duration // when the router closed
+	came   time.Duration // when the balancer last sent it connections
+	left   time.Duration // for requests in flight once it was closed
+}
+
+// playStop has a router stop at 0 while the others of its zone restart. The balancer's
+// questions fall on phase.
+func playStop(others []restart, grace, phase, step time.Duration) playedStop {
+	const lead = 5 * time.Second // from the start of the play to the stop
+	start := time.Unix(0, 0)
+	l := newLeave(start, grace)
+	b := &balancer{misses: make([]int, len(others)+1)}
+	p := playedStop{closed: -1}
+	for at := -lead; at < 2*grace; at += step {
+		ready := []bool{at < 0}
+		zone := mesh.ZoneCount{All: len(others) + 1}
+		for _, o := range others {
+			ready = append(ready, at < o.from || at >= o.until)
+			if ready[len(ready)-1] {
+				zone.Ready++
+			}
+		}
+		if (at-phase+lead)%time.Second == 0 {
+			b.ask(ready)
+		}
+		if b.uses(0) {
+			p.came = at
+		}
+		if at < 0 || p.closed >= 0 {
+			continue
+		}
+		l.look(start.Add(at), zone)
+		if l.over(start.Add(at)) {
+			p.closed, p.left = at, l.left(start.Add(at))
+		}
+	}
+	return p
+}
+
 // TestStopOutlastsTheBalancer plays overlapping restarts of a zone before the
 // balancer, whose questions fall on any part of a second, while some packets are lost:
 // nothing may come to a stopping router after it has closed, unless the kill is near.
@@ -46,7 +87,6 @@
 		step   = 50 * time.Millisecond
 		resend = 600 * time.Millisecond // two packets in a row are lost
 		grace  = 8 * time.Second
-		lead   = 5 * time.Second // from the start of the play to the stop
 	)
 	tests := []struct {
 		name        string
@@ -62,43 +102,16 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
-				start := time.Unix(0, 0)
-				l := newLeave(start, grace)
-				b := &balancer{misses: make([]int, len(tt.others)+1)}
-				closed, came := time.Duration(-1), time.Duration(-1)
-				for at := -lead; at < 2*grace; at += step {
-					ready := make([]bool, len(tt.others)+1)
-					ready[0] = at < 0
-					zone := mesh.ZoneCount{All: len(ready)}
-					for i, o := range tt.others {
-						ready[i+1] = at < o.from || at >= o.until
-						if ready[i+1] {
-							zone.Ready++
-						}
-					}
-					if (at-phase+lead)%time.Second == 0 {
-						b.ask(ready)
-					}
-					if b.uses(0) {
-						came = at
-					}
-					if at < 0 || closed >= 0 {
-						continue
-					}
-					l.look(start.Add(at), zone)
-					if l.over(start.Add(at)) {
-						closed = at
-					}
-				}
-				if closed < tt.least || closed > tt.most {
-					t.Errorf("phase %v: closed after %v, want %v to %v", phase, closed, tt.least, tt.most)
+				p := playStop(tt.others, grace, phase, step)
+				if p.closed < tt.least || p.closed > tt.most {
+					t.Errorf("phase %v: closed after %v, want %v to %v", phase, p.closed, tt.least, tt.most)
 				}
-				if left := l.left(start.Add(closed)); closed+left >= grace {
-					t.Errorf("phase %v: closed after %v, %v left of %v to the kill", phase, closed, left, grace)
+				if p.closed+p.left >= grace {
+					t.Errorf("phase %v: closed after %v, %v left of %v to the kill", phase, p.closed, p.left, grace)
 				}
-				nearKill := closed >= grace-time.Second
-				if len(tt.others) > 0 && !nearKill && came+resend > closed {
-					t.Errorf("phase %v: closed after %v, though the balancer sent connections until %v", phase, closed, came)
+				nearKill := p.closed >= grace-time.Second
+				if len(tt.others) > 0 && !nearKill && p.came+resend > p.closed {
+					t.Errorf("phase %v: closed after %v, though the balancer sent connections until %v", phase, p.closed, p.came)
 				}
 			}
 		})
--- a/relay/explain_test.go
+++ b/relay/explain_test.go
@@ -39,47 +39,59 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var out bytes.Buffer
-			log := eventlog.New(&out)
 			b := newBed(t, tt.route, tt.scripts...)
-			b.front.Log = log
-			b.ask(tt.request)
-			for range 100 {
-				if b.front.Active() == 0 {
-					break
-				}
-				time.Sleep(10 * time.Millisecond)
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			cancel()
-			if err := log.Run(ctx); err != nil {
-				t.Fatal(err)
-			}
-			lines, err := eventlog.Read(&out, "r")
-			if err != nil {
-				t.Fatal(err)
-			}
-			var got []string
-			for i, l := range eventlog.Story(lines, "1") {
+			story := logged(t, b, tt.request)
+			var got, want []string
+			for _, l := range story {
 				got = append(got, l.Kind)
-				if i >= len(tt.story) {
-					continue
-				}
-				for _, word := range strings.Fields(tt.story[i])[1:] {
-					name, value, ok := strings.Cut(word, "=")
-					if ok && !strings.HasPrefix(l.Fields[name], value) || !ok && !strings.Contains(l.Fields["error"], word) {
-						t.Errorf("event %s %v lacks %s", l.Kind, l.Fields, word)
-					}
-				}
 			}
-			var want []string
 			for _, s := range tt.story {
 				kind, _, _ := strings.Cut(s, " ")
 				want = append(want, kind)
 			}
 			if diff := cmp.Diff(want, got); diff != "" {
-				t.Errorf("story (-want +got):\n%s", diff)
+				t.Fatalf("story (-want +got):\n%s", diff)
+			}
+			for i, l := range story {
+				checkWords(t, l, strings.Fields(tt.story[i])[1:])
 			}
 		})
 	}
 }
+
+// logged returns the story of request 1, which it makes, from the bed's log.
+func logged(t *testing.T, b *bed, request string) []eventlog.Line {
+	t.Helper()
+	var out bytes.Buffer
+	log := eventlog.New(&out)
+	b.front.Log = log
+	b.ask(request)
+	for range 100 {
+		if b.front.Active() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := log.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	lines, err := eventlog.Read(&out, "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return eventlog.Story(lines, "1")
+}
+
+// checkWords checks that a line has the words: name=value is how a field begins, any
+// other word stands in the error.
+func checkWords(t *testing.T, l eventlog.Line, words []string) {
+	t.Helper()
+	for _, word := range words {
+		name, value, ok := strings.Cut(word, "=")
+		if ok && !strings.HasPrefix(l.Fields[name], value) || !ok && !strings.Contains(l.Fields["error"], word) {
+			t.Errorf("event %s %v lacks %s", l.Kind, l.Fields, word)
+		}
+	}
+}
