A router that starts waits only for seeds that it reaches; a node's end is no error

Now a seed that is not connected to is not waited for; one that is connected to but knows nothing yet is.

TestNodesFindEachOther failed once: 'accept sessions: use of closed network connection'. Cause: the listener is closed when the node's context ends; the accepting loop asked a context derived from it, which hears of the end a moment later. Test with a context that has ended while its channel is still open: fails before, passes after.

--- a/edge/join.go
+++ b/edge/join.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// joinFor is how long after its start a router waits for what another one knows
-	// before it reads the store itself.
+	// joinFor is how long after its start a router waits for what seeds know that
+	// it reaches, before it reads the store itself.
 	joinFor = 400 * time.Millisecond
 	// joinEvery is the time between two questions to seeds.
 	joinEvery = 80 * time.Millisecond
@@ -28,13 +28,15 @@
 
 // joining decides how a router that starts comes to know the configuration and the
 // replicas. It answers the load of a fleet whose routers all start at once: the seeds
-// read the store, the others ask them, so that not everyone reads it whole.
+// read the store, the others ask them, so that not everyone reads it whole. Seeds that
+// are not reached are not waited for.
 type joining struct {
 	seed  bool // whether this router is a seed
 	alone bool // whether there are no other seeds
 
-	asked int
-	next  time.Duration // when to ask again, since the start
+	asked  int
+	silent bool          // whether no seed was reached last
+	next   time.Duration // when to ask again, since the start
 }
 
 // step returns what to do at a time since the start; knows says whether the router
@@ -43,7 +45,7 @@
 	switch {
 	case knows || j.alone:
 		return joinDone
-	case j.asked > 0 && (j.seed || up >= joinFor):
+	case j.asked > 0 && (j.seed || j.silent || up >= joinFor):
 		return joinDone
 	case up < j.next:
 		return joinWait
@@ -65,7 +67,7 @@
 			r.Log.Event("joined", "seed", seed, "asked", j.asked, "knows", r.knows(), "took", r.clock.Now().Sub(began))
 			return nil
 		case joinAsk:
-			r.node.Join(ctx, j.asked-1)
+			j.silent = !r.node.Join(ctx, j.asked-1)
 		case joinWait:
 			pause.For(ctx, joinLook)
 		}
--- a/edge/join_test.go
+++ b/edge/join_test.go
@@ -10,6 +10,7 @@
 	routers   int
 	seedsKnow bool // whether seeds get an answer of the store
 	running   bool // whether the seeds ran and knew all before
+	seedsOff  bool // whether the seeds do not answer
 
 	reads int           // whole reads of the store that were begun
 	known time.Duration // when the last router but the seeds knew enough
@@ -27,7 +28,7 @@
 }
 
 // read goes on with a read of the store and ends a fetch.
-func (r *startedRouter) read(up time.Duration, bytes float64, seedKnows bool) {
+func (r *startedRouter) read(up time.Duration, bytes float64, seedKnows, seedsOff bool) {
 	if r.reading > 0 {
 		r.reading -= bytes
 		r.knows = r.knows || r.reading <= 0
@@ -35,7 +36,8 @@
 	}
 	if r.fetched > 0 && up >= r.fetched {
 		r.fetched = 0
-		r.knows = r.knows || seedKnows
+		r.silent = seedsOff
+		r.knows = r.knows || seedKnows && !seedsOff
 	}
 }
 
@@ -67,9 +69,11 @@
 		left = 0
 		for i := range fleet {
 			r := &fleet[i]
-			r.read(up, link*startStep.Seconds()/float64(max(readers, 1)), fleet[0].knows)
+			r.read(up, link*startStep.Seconds()/float64(max(readers, 1)), fleet[0].knows, s.seedsOff)
 			if r.seed {
-				begin(r)
+				if !s.seedsOff {
+					begin(r)
+				}
 				continue
 			}
 			if !r.knows {
@@ -103,6 +107,7 @@
 		{"a small fleet", start{routers: 8, seedsKnow: true}, 3, 250 * time.Millisecond},
 		{"the seeds run", start{routers: 370, running: true, seedsKnow: true}, 0, 50 * time.Millisecond},
 		{"the store refuses the seeds", start{routers: 8}, 5, 600 * time.Millisecond},
+		{"the seeds are off", start{routers: 8, seedsKnow: true, seedsOff: true}, 5, 100 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -129,6 +134,7 @@
 		{"a seed reads then", joining{seed: true, asked: 1}, joinLook, false, joinDone},
 		{"not yet", joining{asked: 1, next: joinEvery}, joinLook, false, joinWait},
 		{"again", joining{asked: 1, next: joinEvery}, joinEvery, false, joinAsk},
+		{"no seed answers", joining{asked: 1, silent: true, next: joinEvery}, joinLook, false, joinDone},
 		{"in vain", joining{asked: 5, next: time.Second}, joinFor, false, joinDone},
 		{"told", joining{asked: 1}, joinLook, true, joinDone},
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -162,8 +162,9 @@
 
 // Join takes over the state of a seed, so that a router that starts knows at once what
 // the others know. The first attempt, 0, asks all seeds and takes what the first one
-// tells that knows something; each later one asks another seed.
-func (n *Node) Join(ctx context.Context, attempt int) {
+// tells that knows something; each later one asks another seed. It reports whether any
+// seed was reached.
+func (n *Node) Join(ctx context.Context, attempt int) bool {
 	var seeds []string
 	for _, seed := range *n.seeds.Load() {
 		if seed != n.Self.Address {
@@ -179,15 +180,21 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var group errgroup.Group
+	var reached atomic.Bool
 	for _, seed := range seeds {
 		group.Go(func() error {
-			if a := n.fetchFrom(ctx, seed, Behind); a != nil && a.tells() {
+			a, err := n.fetchFrom(ctx, seed, Behind)
+			if !errors.Is(err, errUnreachable) {
+				reached.Store(true)
+			}
+			if a != nil && a.tells() {
 				cancel() // one is enough
 			}
 			return nil
 		})
 	}
 	_ = group.Wait() // each fetch has logged its error
+	return reached.Load()
 }
 
 // Tell sends a round of beats at once.
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -51,7 +51,7 @@
 
 // serve answers fetches until the listener is closed.
 func (n *Node) serve(ctx context.Context, l net.Listener) error {
-	group, ctx := errgroup.WithContext(ctx)
+	var group errgroup.Group // its functions return no errors
 	group.SetLimit(sessions)
 	for {
 		c, err := l.Accept()
@@ -159,7 +159,7 @@
 	defer cancel()
 	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, err
+		return nil, errors.Mark(err, errUnreachable)
 	}
 	defer func() { _ = c.Close() }()                         // everything was read
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })() // a pending read ends with an error
@@ -203,7 +203,7 @@
 		c.behindPace, c.differentPace = n.behindPace(), max(differentFor, n.CoverTime()+n.SpreadTime())
 		lack := c.next(n.Clock.Now(), lacks)
 		if from := lacks[lack]; lack != Nothing && len(from) > 0 {
-			n.fetchFrom(ctx, from[rand.IntN(len(from))], lack)
+			_, _ = n.fetchFrom(ctx, from[rand.IntN(len(from))], lack) // asked again at the next look
 		}
 	}
 }
@@ -247,18 +247,21 @@
 	return Nothing
 }
 
-// fetchFrom takes over from another router what this one lacks, and returns it; nil
-// if it could not.
-func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) *Answer {
+// errUnreachable marks the error of a fetch from a router that was not reached.
+var errUnreachable = errors.New("the router is not reached")
+
+// fetchFrom takes over from another router what this one lacks, and returns it. It
+// logs its error.
+func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) (*Answer, error) {
 	a, err := n.fetch(ctx, address, n.State.Want(lack))
 	if err == nil {
 		err = n.State.Take(a)
 	}
 	if err != nil {
 		n.Log.Event("fetch", "address", address, "error", err)
-		return nil
+		return nil, err
 	}
 	n.Log.Event("fetch", "address", address, "revision", a.Revision, "entries", len(a.Entries),
 		"placements", len(a.Inventory.Placements))
-	return a
+	return a, nil
 }
--- a/mesh/session_test.go
+++ b/mesh/session_test.go
@@ -74,7 +74,7 @@
 	n.Init()
 	n.SetSeeds([]string{gone.Addr().String(), alive.Addr().String(), n.Self.Address})
 	for range 50 { // a busy machine may take longer than the time to join
-		n.Join(ctx, 0)
+		_ = n.Join(ctx, 0) // asked again
 		if revision, _ := state.get(); revision == 7 {
 			break
 		}
@@ -90,3 +90,28 @@
 		t.Error(err)
 	}
 }
+
+// endingContext has ended, but those derived from it have not heard of it yet: its
+// channel is closed after its error is set.
+type endingContext struct{ context.Context }
+
+func (endingContext) Done() <-chan struct{} { return make(chan struct{}) }
+
+func (endingContext) Err() error { return context.Canceled }
+
+// TestServeEndsWithItsContext has a node's listener be closed at the end, before a
+// derived context would tell of it: that is no error.
+func TestServeEndsWithItsContext(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{Self: Member{Name: "r0"}, State: &testState{}, Clock: peridotusher.ClockFunc(time.Now), Log: discard{}}
+	n.Init()
+	if err := n.serve(endingContext{context.Background()}, l); err != nil {
+		t.Errorf("serve: %v", err)
+	}
+}
