A router that never had the list of replicas reads it, whatever others have read

Cause: since routers that start ask the seeds first, one could hear of another's list in a beat before it got one itself; it then waited for its turn and was not ready. Test: the others' list is fresh and the own one missing.

--- a/edge/join_test.go
+++ b/edge/join_test.go
@@ -144,3 +144,31 @@
 		}
 	}
 }
+
+// TestListIsDue has a router hear that others have just read the list: it need not
+// read it too, unless it never got one.
+func TestListIsDue(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed bool
+		age    time.Duration // of the others' list; 0 if none is known
+		want   bool
+	}{
+		{"nothing is known", false, 0, true},
+		{"others have the list", false, 10 * time.Millisecond, true},
+		{"this router has it too", true, 10 * time.Millisecond, false},
+		{"the list is old", true, time.Minute, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newTestRouter(t)
+			r.listed.Store(tt.listed)
+			if tt.age > 0 {
+				r.hearReading(tt.age, time.Hour)
+			}
+			if got := r.listDue(r.clock.Now()); got != tt.want {
+				t.Errorf("due %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/edge/list.go
+++ b/edge/list.go
@@ -46,15 +46,7 @@
 	started := r.clock.Now()
 	r.awaitJoin(ctx)
 	for ctx.Err() == nil {
-		at, _ := r.reading.last()
-		wait := r.listPace()
-		if r.clock.Now().Sub(started) < listStart {
-			wait *= listFirst
-		}
-		if rank := r.node.Rank(listTopic); rank > 0 {
-			wait += r.node.SpreadTime() + time.Duration(rank)*listStep
-		}
-		if !at.IsZero() && r.clock.Now().Sub(at) < wait {
+		if !r.listDue(started) {
 			pause.For(ctx, listLook)
 			continue
 		}
@@ -73,6 +65,23 @@
 	return nil
 }
 
+// listDue reports whether this router is to read the list now: if it has never had
+// one, or if the others' last one is too old.
+func (r *Router) listDue(started time.Time) bool {
+	at, _ := r.reading.last()
+	if at.IsZero() || !r.listed.Load() {
+		return true
+	}
+	wait := r.listPace()
+	if r.clock.Now().Sub(started) < listStart {
+		wait *= listFirst
+	}
+	if rank := r.node.Rank(listTopic); rank > 0 {
+		wait += r.node.SpreadTime() + time.Duration(rank)*listStep
+	}
+	return r.clock.Now().Sub(at) >= wait
+}
+
 func (r *Router) readList(ctx context.Context) error {
 	began := r.clock.Now()
 	entries, revision, malformed, err := r.Source.Replicas(ctx)
