--- a/relay/doc.go
+++ b/relay/doc.go
@@ -10,5 +10,7 @@
 // # Usage
 //
 //	front := &relay.Front{Current: current, Table: table, Dialect: dialect, Budget: b, ...}
-//	cleanup, err := front.Run(ctx, listener)
+//	err := front.Run(ctx, listener, grace) // grace returns the time left once ctx ends
+//
+// front.Stop, called before ctx ends, announces the end to clients.
 package relay
