--- a/edge/leave.go
+++ b/edge/leave.go
@@ -25,17 +25,20 @@
 
 // leave decides how long a stopping router takes new connections. It answers the
 // load of restarts that overlap in one zone: while some but fewer than half of a
-// zone's routers are ready, the balancer uses all of them, also those that stop.
+// zone's routers are ready, the balancer uses all of them, also those that stop. The
+// first one to stop waits no longer than for its requests in flight, so that it is back
+// soon; the others wait for that.
 type leave struct {
 	began time.Time
 	end   time.Time // when the stop has to have ended
 	since time.Time // since when the balancer needs no stopping router
 	few   bool      // whether it needs them
+	first bool      // whether all others of the zone were ready when the stop began
 }
 
-// newLeave starts a stop that is ended by a kill after grace.
-func newLeave(now time.Time, grace time.Duration) *leave {
-	return &leave{began: now, end: now.Add(max(grace-stopMargin, 0)), since: now}
+// newLeave starts a stop that is ended by a kill after grace, of a router in a zone.
+func newLeave(now time.Time, grace time.Duration, zone mesh.ZoneCount) *leave {
+	return &leave{began: now, end: now.Add(max(grace-stopMargin, 0)), since: now, first: zone.Ready == zone.All-1}
 }
 
 // ending says which requests are taken.
@@ -52,12 +55,18 @@
 	l.few = few
 }
 
-// over reports whether no new connections come any more, or no time is left for them.
-func (l *leave) over(now time.Time) bool {
-	if !now.Before(l.end.Add(-lastAnswers)) {
+// over reports whether no new connections come any more, no time is left for them, or
+// the first router to stop has nothing else to do.
+func (l *leave) over(now time.Time, idle bool) bool {
+	switch {
+	case !now.Before(l.end.Add(-lastAnswers)):
+		return true
+	case now.Before(l.began.Add(outOfRotation)):
+		return false
+	case l.first && idle:
 		return true
 	}
-	return !l.few && !now.Before(l.began.Add(outOfRotation)) && !now.Before(l.since.Add(backInRotation))
+	return !l.few && !now.Before(l.since.Add(backInRotation))
 }
 
 // left returns the time for requests in flight once no new connections are taken.
--- a/edge/router.go
+++ b/edge/router.go
@@ -208,19 +208,19 @@
 	now := r.clock.Now()
 	l := r.stopping.Load()
 	if l == nil { // closed for a failure
-		l = newLeave(now, r.bounds.Load().stop)
+		l = newLeave(now, r.bounds.Load().stop, r.node.Zone())
 	}
 	return l.left(now)
 }
 
 // stop leaves the rotation and waits until no new connections come.
 func (r *Router) stop() {
-	l := newLeave(r.clock.Now(), r.bounds.Load().stop)
+	l := newLeave(r.clock.Now(), r.bounds.Load().stop, r.node.Zone())
 	r.stopping.Store(l)
 	r.front.Stop(l.ending())
 	r.node.Tell()
-	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active())
-	for now := l.began; !l.over(now); now = r.clock.Now() {
+	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active(), "first", l.first)
+	for now := l.began; !l.over(now, r.front.Active() == 0); now = r.clock.Now() {
 		zone := r.node.Zone()
 		few := l.few
 		l.look(now, zone)
