Routers of a zone that stop one after the other leave the rotation in turn

A router that would leave fewer than half in rotation now stays in it for 1.5 s more, so that the first one has closed before the zone needs it. The platform counts a router as ready 4 s after SIGTERM at most; it is out after 3.5 s.

--- a/edge/leave.go
+++ b/edge/leave.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// outOfRotation is how long after the start of a stop new connections come:
-	// the balancer asks each second and needs two misses. Requests taken later
-	// than that may not end before the kill.
+	// outOfRotation is how long after a router left the rotation new connections
+	// come: the balancer asks each second and needs two misses. Requests taken later
+	// than that after the start of a stop may not end before the kill.
 	outOfRotation = 2800 * time.Millisecond
+	// leaveLater is how much later a router leaves the rotation if others of its zone
+	// are out of it, so that their listeners are closed before the zone needs them.
+	// The platform allows 4 s with two misses.
+	leaveLater = 1500 * time.Millisecond
 	// backInRotation is how long new connections come after enough of the zone's
 	// routers are ready again: the balancer asks each second, and what the network
 	// lost is sent again within 0.6 s.
@@ -26,10 +30,11 @@
 // leave decides how long a stopping router takes new connections. It answers the
 // load of restarts that overlap in one zone: while some but fewer than half of a
 // zone's routers are ready, the balancer uses all of them, also those that stop. The
-// first one to stop waits no longer than for its requests in flight, so that it is back
-// soon; the others wait for that.
+// others stay in rotation until the first one to stop has closed, and then listen on
+// until it or another one is back.
 type leave struct {
 	began time.Time
+	out   time.Time // when it leaves the rotation
 	end   time.Time // when the stop has to have ended
 	since time.Time // since when the balancer needs no stopping router
 	few   bool      // whether it needs them
@@ -38,9 +43,16 @@
 
 // newLeave starts a stop that is ended by a kill after grace, of a router in a zone.
 func newLeave(now time.Time, grace time.Duration, zone mesh.ZoneCount) *leave {
-	return &leave{began: now, end: now.Add(max(grace-stopMargin, 0)), since: now, first: zone.Ready == zone.All-1}
+	l := &leave{began: now, out: now, end: now.Add(max(grace-stopMargin, 0)), since: now, first: zone.Ready == zone.All-1}
+	if l.look(now, zone); l.few {
+		l.out = now.Add(leaveLater)
+	}
+	return l
 }
 
+// ready reports whether the router is still to be in rotation.
+func (l *leave) ready(now time.Time) bool { return now.Before(l.out) }
+
 // ending says which requests are taken.
 func (l *leave) ending() relay.Ending {
 	return relay.Ending{AllUntil: l.began.Add(outOfRotation), By: l.end}
@@ -55,15 +67,14 @@
 	l.few = few
 }
 
-// over reports whether no new connections come any more, no time is left for them, or
-// the first router to stop has nothing else to do.
-func (l *leave) over(now time.Time, idle bool) bool {
+// over reports whether no new connections come any more, or no time is left for them.
+func (l *leave) over(now time.Time) bool {
 	switch {
 	case !now.Before(l.end.Add(-lastAnswers)):
 		return true
-	case now.Before(l.began.Add(outOfRotation)):
+	case now.Before(l.out.Add(outOfRotation)):
 		return false
-	case l.first && idle:
+	case l.first:
 		return true
 	}
 	return !l.few && !now.Before(l.since.Add(backInRotation))
--- a/edge/router.go
+++ b/edge/router.go
@@ -219,8 +219,8 @@
 	r.stopping.Store(l)
 	r.front.Stop(l.ending())
 	r.node.Tell()
-	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active(), "first", l.first)
-	for now := l.began; !l.over(now, r.front.Active() == 0); now = r.clock.Now() {
+	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active(), "first", l.first, "leaves", l.out.Sub(l.began))
+	for now := l.began; !l.over(now); now = r.clock.Now() {
 		zone := r.node.Zone()
 		few := l.few
 		l.look(now, zone)
@@ -234,7 +234,8 @@
 
 // Ready reports whether the router may get connections of clients.
 func (r *Router) Ready() bool {
-	return r.stopping.Load() == nil && r.knows()
+	l := r.stopping.Load()
+	return r.knows() && (l == nil || l.ready(r.clock.Now()))
 }
 
 func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
