--- a/edge/state.go
+++ b/edge/state.go
@@ -34,7 +34,7 @@
 	b.Configuration = r.current.Revision()
 	b.Digest = r.table.Digest()
 	b.ReadAge, b.OutageAge = r.reading.ages(r.clock.Now())
-	b.Stopping = r.stopping.Load() != nil
+	b.Stopping, b.Ready = r.stopping.Load() != nil, r.Ready()
 	told := max(toldLeast, r.node.CoverTime()+r.node.SpreadTime())
 	b.Counts = r.table.Counts(told)
 	b.Reports = r.table.Reports(reportsMost)
--- a/mesh/beat.go
+++ b/mesh/beat.go
@@ -36,6 +36,8 @@
 	OutageAge time.Duration
 	// Stopping routers take no new connections soon.
 	Stopping bool
+	// Ready routers tell the balancer that they take new connections.
+	Ready bool
 	// Counts are the router's own counts at replicas.
 	Counts []replicas.Count
 	// Reports are the newest loads that replicas told, in a wide fleet.
@@ -54,7 +56,7 @@
 	// time between two of its beats to a router follows from it.
 	Routers int
 	// Format is the form of the beat; of another form than the own one only the
-	// sender, whether it stops and the routers that it knows are read.
+	// sender, whether it stops or is ready and the routers that it knows are read.
 	Format int
 }
 
@@ -77,6 +79,7 @@
 	beatReads
 	beatRouters
 	beatFormat
+	beatUnready
 )
 
 // The field numbers of a member.
@@ -117,6 +120,7 @@
 	out = appendNumber(out, beatReadAge, uint64(b.ReadAge.Milliseconds()))
 	out = appendNumber(out, beatOutageAge, uint64(b.OutageAge.Milliseconds()))
 	out = appendFlag(out, beatStopping, b.Stopping)
+	out = appendFlag(out, beatUnready, !b.Ready)
 	var packed []byte
 	for _, c := range b.Counts {
 		packed = protowire.AppendFixed32(packed, c.Replica)
@@ -146,6 +150,7 @@
 }
 
 func (b *Beat) unmarshal(data []byte) error {
+	b.Ready = true // it is said only if it is not so
 	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
 		switch n {
 		case beatFormat:
@@ -156,6 +161,9 @@
 		case beatStopping:
 			b.Stopping = v != 0
 			return nil
+		case beatUnready:
+			b.Ready = v == 0
+			return nil
 		case beatKnown:
 			var m Member
 			err := m.unmarshal(raw)
--- a/mesh/format_test.go
+++ b/mesh/format_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	sent.Member.Address = ""
-	want := Beat{Member: sent.Member, Stopping: true, Known: sent.Known, Routers: sent.Routers, Format: sent.Format}
+	want := Beat{Member: sent.Member, Stopping: true, Ready: true, Known: sent.Known, Routers: sent.Routers, Format: sent.Format}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("beat (-want +got):\n%s", diff)
 	}
@@ -38,7 +38,7 @@
 	n := &Node{Self: Member{Name: "r0", Zone: "a"}, Clock: clock}
 	n.Init()
 	for _, name := range []string{"r1", "r2", "r3", "r4"} {
-		n.members.hear(&Beat{Member: Member{Name: name, Zone: "a", Address: name + ":1", Incarnation: 1}, Format: format + 1})
+		n.members.hear(&Beat{Member: Member{Name: name, Zone: "a", Address: name + ":1", Incarnation: 1}, Ready: true, Format: format + 1})
 	}
 	for _, topic := range []string{"list", "configuration", "parts/i-1", "parts/i-2"} {
 		if rank := n.Rank(topic); rank != 0 {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -37,6 +37,7 @@
 	routers  int       // that it knows
 	format   int
 	stopping bool
+	ready    bool
 }
 
 func newMembers(self Member, clock peridotusher.Clock) *members {
@@ -61,7 +62,7 @@
 		return false
 	}
 	s.Member, s.Summary, s.heard = b.Member, b.summary(), now
-	s.stopping, s.routers, s.format = b.Stopping, b.Routers, b.Format
+	s.stopping, s.ready, s.routers, s.format = b.Stopping, b.Ready, b.Routers, b.Format
 	for _, k := range b.Known {
 		m.introduce(now, k)
 	}
@@ -105,8 +106,8 @@
 	return out
 }
 
-// ZoneCount says how many routers an availability zone has and how many of them are
-// ready: heard lately and not stopping.
+// ZoneCount says how many routers an availability zone has and how many of them were
+// heard lately and are ready.
 type ZoneCount struct{ Ready, All int }
 
 // zone counts the routers of the own zone. The own router is in All only.
@@ -120,7 +121,7 @@
 			continue
 		}
 		n.All++
-		if m.isAlive(s, now) && !s.stopping {
+		if m.isAlive(s, now) && s.ready {
 			n.Ready++
 		}
 	}
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -51,19 +51,19 @@
 
 // TestNodesFindEachOther starts routers that know one seed only, and has a
 // configuration of half a megabyte travel from one to all.
-// TestZoneCount counts the routers of the own zone: one is ready, one stops, one is
+// TestZoneCount counts the routers of the own zone: one is ready, one is not, one is
 // silent, one was only told of, one is in another zone.
 func TestZoneCount(t *testing.T) {
 	now := time.Unix(1000, 0)
 	m := newMembers(Member{Name: "r0", Zone: "a"}, peridotusher.ClockFunc(func() time.Time { return now }))
-	beat := func(name, zone string, stopping bool) {
-		m.hear(&Beat{Member: Member{Name: name, Zone: zone, Address: name + ":1", Incarnation: 1}, Stopping: stopping})
+	beat := func(name, zone string, ready bool) {
+		m.hear(&Beat{Member: Member{Name: name, Zone: zone, Address: name + ":1", Incarnation: 1}, Ready: ready})
 	}
-	beat("silent", "a", false)
+	beat("silent", "a", true)
 	now = now.Add(2 * aliveLeast)
-	beat("ready", "a", false)
-	beat("stops", "a", true)
-	beat("far", "b", false)
+	beat("ready", "a", true)
+	beat("starts", "a", false)
+	beat("far", "b", true)
 	m.introduce(now, Member{Name: "told", Zone: "a", Address: "told:1", Incarnation: 1})
 	if diff := cmp.Diff(ZoneCount{Ready: 1, All: 5}, m.zone()); diff != "" {
 		t.Errorf("zone (-want +got):\n%s", diff)
