A stopping router whose others are all ready again does not wait for those that stop later

It is first once all others are ready, leaves the rotation as soon as the zone can spare it, and waits its turn also if the zone would be empty.

--- a/edge/leave.go
+++ b/edge/leave.go
@@ -41,15 +41,13 @@
 	end   time.Time // when the stop has to have ended
 	since time.Time // since when the balancer needs no stopping router
 	few   bool      // whether it needs them
-	first bool      // whether all others of the zone were ready when the stop began
+	first bool      // whether all others of the zone were ready since the stop began
 }
 
 // newLeave starts a stop that is ended by a kill after grace, of a router in a zone.
 func newLeave(now time.Time, grace time.Duration, zone mesh.ZoneCount) *leave {
-	l := &leave{began: now, out: now, end: now.Add(max(grace-stopMargin, 0)), since: now, first: zone.Ready == zone.All-1}
-	if l.look(now, zone); l.few {
-		l.out = now.Add(leaveLater)
-	}
+	l := &leave{began: now, out: now.Add(leaveLater), end: now.Add(max(grace-stopMargin, 0)), since: now}
+	l.look(now, zone)
 	return l
 }
 
@@ -63,11 +61,16 @@
 
 // look takes in how many routers of the zone there are and how many are ready.
 func (l *leave) look(now time.Time, zone mesh.ZoneCount) {
-	few := zone.Ready > 0 && 2*zone.Ready < zone.All
-	if l.few && !few {
+	short := zone.All > 1 && 2*zone.Ready < zone.All
+	if !short && now.Before(l.out) {
+		l.out = now
+	}
+	few := short && zone.Ready > 0
+	if l.few && !few && !l.first {
 		l.since = now
 	}
 	l.few = few
+	l.first = l.first || zone.Ready == zone.All-1
 }
 
 // over reports whether no new connections come any more, or no time is left for them.
@@ -75,12 +78,10 @@
 	switch {
 	case !now.Before(l.end.Add(-lastAnswers)):
 		return true
-	case now.Before(l.out.Add(outOfRotation)):
+	case now.Before(l.out.Add(outOfRotation)), now.Before(l.since.Add(backInRotation)):
 		return false
-	case l.first:
-		return true
 	}
-	return !l.few && !now.Before(l.since.Add(backInRotation))
+	return l.first || !l.few
 }
 
 // left returns the time for requests in flight once no new connections are taken.
