--- a/edge/configuration.go
+++ b/edge/configuration.go
@@ -34,10 +34,6 @@
 	failures := 0
 	after := int64(0)
 	settled := false
-	r.awaitJoin(ctx)
-	if r.current.Load() != nil {
-		pause.For(ctx, settleFor)
-	}
 	for ctx.Err() == nil {
 		began := r.clock.Now()
 		if r.current.Load() != nil && r.node.Rank(watchTopic) >= watchers {
--- a/edge/list.go
+++ b/edge/list.go
@@ -44,9 +44,8 @@
 	retry := pause.Backoff{Base: retryFirst, Max: retryLast}
 	failures := 0
 	started := r.clock.Now()
-	r.awaitJoin(ctx)
 	for ctx.Err() == nil {
-		if !r.listDue(started) {
+		if !r.listDue(started, r.node.Rank(listTopic)) {
 			pause.For(ctx, listLook)
 			continue
 		}
@@ -65,9 +64,9 @@
 	return nil
 }
 
-// listDue reports whether this router is to read the list now: if it has never had
-// one, or if the others' last one is too old.
-func (r *Router) listDue(started time.Time) bool {
+// listDue reports whether this router, of a rank among those that read the list, is to
+// read it now: if it has never had one, or if the others' last one is too old.
+func (r *Router) listDue(started time.Time, rank int) bool {
 	at, _ := r.reading.last()
 	if at.IsZero() || !r.listed.Load() {
 		return true
@@ -76,19 +75,28 @@
 	if r.clock.Now().Sub(started) < listStart {
 		wait *= listFirst
 	}
-	if rank := r.node.Rank(listTopic); rank > 0 {
-		wait += r.node.SpreadTime() + time.Duration(rank)*listStep
+	if rank > 0 {
+		wait += r.node.SpreadTime() + time.Duration(rank)*listStep + r.readExcess()
 	}
 	return r.clock.Now().Sub(at) >= wait
 }
 
+// readExcess is how much longer than usual the reader may take: twice what this
+// router's own last list took beyond the pace. Were routers to step in while lists
+// are slow because many read, they would become slower still.
+func (r *Router) readExcess() time.Duration {
+	return 2 * max(time.Duration(r.readTook.Load())-r.listPace(), 0)
+}
+
 func (r *Router) readList(ctx context.Context) error {
 	began := r.clock.Now()
 	entries, revision, malformed, err := r.Source.Replicas(ctx)
 	if err != nil {
 		return err
 	}
-	r.reading.read(r.clock.Now(), began, r.outageGap())
+	now := r.clock.Now()
+	r.readTook.Store(int64(now.Sub(began)))
+	r.reading.read(now, began, r.outageGap())
 	_, outage := r.reading.last()
 	changed := r.table.Snapshot(revision, entries, began.Sub(outage) < outageMemory)
 	r.listed.Store(true)
--- a/edge/router.go
+++ b/edge/router.go
@@ -75,7 +75,7 @@
 	burn      *peridotusher.Burn
 	reading   reading
 	listed    atomic.Bool
-	joined    chan struct{} // closed when the router has joined the others or given up
+	readTook  atomic.Int64 // time that the last list took, in nanoseconds
 	// settled is whether the router knows what replicas held before it started.
 	settled atomic.Bool
 	// readAt is the revision at which the reader of the list read the configuration
@@ -100,7 +100,6 @@
 		stop()
 		return errors.CombineErrors(err, group.Wait())
 	}
-	group.Go(func() error { return r.join(run) })
 	group.Go(func() error { return r.followConfiguration(run) })
 	group.Go(func() error { return r.followReplicas(run) })
 	group.Go(func() error { return r.settle(run) })
@@ -129,7 +128,6 @@
 	r.set = metrics.NewSet()
 	r.burn = peridotusher.NewBurn(peridotusher.ClockFunc(time.Now), burnSeries)
 	r.countState()
-	r.joined = make(chan struct{})
 	r.trouble = make(map[string]bool)
 	r.reported = make(map[string]bool)
 	port := strconv.Itoa(s.peers.ports[0])
@@ -235,7 +233,7 @@
 // Ready reports whether the router may get connections of clients.
 func (r *Router) Ready() bool {
 	l := r.stopping.Load()
-	return r.knows() && (l == nil || l.ready(r.clock.Now()))
+	return r.current.Load() != nil && r.listed.Load() && (l == nil || l.ready(r.clock.Now()))
 }
 
 func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -44,10 +44,7 @@
 	group.SetLimit(askAtOnce)
 	asked := make(map[uint32]bool)
 	started := r.clock.Now()
-	select {
-	case <-r.joined:
-	case <-ctx.Done():
-	}
+	r.node.Join(ctx)
 	select {
 	case <-r.directory.Wanted():
 	case <-ctx.Done():
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -150,51 +150,24 @@
 // goes through things that all routers go through.
 func (n *Node) Order(topic string) uint64 { return placeOf(topic, n.Self.Name) }
 
-// Seeds reports whether this router is a seed, and how many others there are.
-func (n *Node) Seeds() (seed bool, others int) {
-	all := *n.seeds.Load()
-	seed = slices.Contains(all, n.Self.Address)
-	if seed {
-		return true, len(all) - 1
-	}
-	return false, len(all)
-}
-
-// Join takes over the state of a seed, so that a router that starts knows at once what
-// the others know. The first attempt, 0, asks all seeds and takes what the first one
-// tells that knows something; each later one asks another seed. It reports whether any
-// seed was reached.
-func (n *Node) Join(ctx context.Context, attempt int) bool {
-	var seeds []string
-	for _, seed := range *n.seeds.Load() {
-		if seed != n.Self.Address {
-			seeds = append(seeds, seed)
-		}
-	}
-	timeout := joinTime
-	if attempt > 0 && len(seeds) > 0 {
-		start := placeOf(n.Self.Name, "seed") % uint64(len(seeds))
-		seeds = []string{seeds[(start+uint64(attempt))%uint64(len(seeds))]}
-		timeout = joinAgain
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// Join takes over the state of the first seed that answers within a moment and knows
+// something, so that a router that starts knows at once what the others know.
+func (n *Node) Join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinTime)
 	defer cancel()
 	var group errgroup.Group
-	var reached atomic.Bool
-	for _, seed := range seeds {
+	for _, seed := range *n.seeds.Load() {
+		if seed == n.Self.Address {
+			continue
+		}
 		group.Go(func() error {
-			a, err := n.fetchFrom(ctx, seed, Behind)
-			if !errors.Is(err, errUnreachable) {
-				reached.Store(true)
-			}
-			if a != nil && a.tells() {
+			if a := n.fetchFrom(ctx, seed, Behind); a != nil && a.tells() {
 				cancel() // one is enough
 			}
 			return nil
 		})
 	}
 	_ = group.Wait() // each fetch has logged its error
-	return reached.Load()
 }
 
 // Tell sends a round of beats at once.
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -17,10 +17,8 @@
 const (
 	// sessionTime bounds a fetch.
 	sessionTime = 1500 * time.Millisecond
-	// joinTime bounds the first fetch after the start, joinAgain each later one
-	// until the router has joined.
-	joinTime  = 30 * time.Millisecond
-	joinAgain = 150 * time.Millisecond
+	// joinTime bounds the first fetch after the start.
+	joinTime = 30 * time.Millisecond
 	// lookEvery is the time between two looks for routers that know more.
 	lookEvery = 100 * time.Millisecond
 	// behindPart and behindRounds are the least time between two fetches of
@@ -159,7 +157,7 @@
 	defer cancel()
 	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Mark(err, errUnreachable)
+		return nil, err
 	}
 	defer func() { _ = c.Close() }()                         // everything was read
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })() // a pending read ends with an error
@@ -203,7 +201,7 @@
 		c.behindPace, c.differentPace = n.behindPace(), max(differentFor, n.CoverTime()+n.SpreadTime())
 		lack := c.next(n.Clock.Now(), lacks)
 		if from := lacks[lack]; lack != Nothing && len(from) > 0 {
-			_, _ = n.fetchFrom(ctx, from[rand.IntN(len(from))], lack) // asked again at the next look
+			n.fetchFrom(ctx, from[rand.IntN(len(from))], lack)
 		}
 	}
 }
@@ -247,21 +245,18 @@
 	return Nothing
 }
 
-// errUnreachable marks the error of a fetch from a router that was not reached.
-var errUnreachable = errors.New("the router is not reached")
-
-// fetchFrom takes over from another router what this one lacks, and returns it. It
-// logs its error.
-func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) (*Answer, error) {
+// fetchFrom takes over from another router what this one lacks, and returns it; nil
+// if it could not.
+func (n *Node) fetchFrom(ctx context.Context, address string, lack Lack) *Answer {
 	a, err := n.fetch(ctx, address, n.State.Want(lack))
 	if err == nil {
 		err = n.State.Take(a)
 	}
 	if err != nil {
 		n.Log.Event("fetch", "address", address, "error", err)
-		return nil, err
+		return nil
 	}
 	n.Log.Event("fetch", "address", address, "revision", a.Revision, "entries", len(a.Entries),
 		"placements", len(a.Inventory.Placements))
-	return a, nil
+	return a
 }
--- a/mesh/session_test.go
+++ b/mesh/session_test.go
@@ -74,7 +74,7 @@
 	n.Init()
 	n.SetSeeds([]string{gone.Addr().String(), alive.Addr().String(), n.Self.Address})
 	for range 50 { // a busy machine may take longer than the time to join
-		_ = n.Join(ctx, 0) // asked again
+		n.Join(ctx)
 		if revision, _ := state.get(); revision == 7 {
 			break
 		}
