--- a/cmd/peridotusher/platform.go
+++ b/cmd/peridotusher/platform.go
@@ -42,7 +42,7 @@
 
 // runEdge runs a router until ctx ends.
 func runEdge(ctx context.Context, cfg *edge.Settings, path, metricsPort string) error {
-	store, cleanup := platform.NewStore(cfg.Store())
+	store, cleanup := platform.NewClient(cfg.Store())
 	defer cleanup()
 	log := eventlog.New(os.Stdout)
 	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
