A page of the list that the store refuses is asked for again, alone

Cause: at 300 routers that start at once the list (six pages each) is more than the 2,000 calls a second that the store gives; a refused page (429) threw away the pages before it, and the list began anew. The pages are read by edge now, which keeps what it has and asks for a refused page four times.

--- a/edge/list.go
+++ b/edge/list.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"peridotusher.example/peridotusher/pause"
+	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
 
@@ -23,6 +24,8 @@
 	listFirst = 3
 	// listLook is the time between two decisions to read or not.
 	listLook = 40 * time.Millisecond
+	// pageRefused is the number of refusals after which a list is given up.
+	pageRefused = 4
 	// checkWait is how long a check for changes may wait.
 	checkWait = time.Millisecond
 	// wholeEvery is the time between two whole reads of the configuration.
@@ -90,7 +93,7 @@
 
 func (r *Router) readList(ctx context.Context) error {
 	began := r.clock.Now()
-	entries, revision, malformed, err := r.Source.Replicas(ctx)
+	list, err := r.readPages(ctx)
 	if err != nil {
 		return err
 	}
@@ -98,15 +101,43 @@
 	r.readTook.Store(int64(now.Sub(began)))
 	r.reading.read(now, began, r.outageGap())
 	_, outage := r.reading.last()
-	changed := r.table.Snapshot(revision, entries, began.Sub(outage) < outageMemory)
+	changed := r.table.Snapshot(list.Revision, list.Entries, began.Sub(outage) < outageMemory)
 	r.listed.Store(true)
 	r.logChanges("store", changed)
-	for _, key := range malformed {
+	for _, key := range list.Malformed {
 		r.malformed(key)
 	}
 	return r.checkConfiguration(ctx)
 }
 
+// readPages reads the whole list. A page that the store refuses is asked for again:
+// were the list begun anew, many routers that start at once and are refused now and
+// then would hardly ever end it.
+func (r *Router) readPages(ctx context.Context) (replicas.Page, error) {
+	var all replicas.Page
+	retry := pause.Backoff{Base: retryFirst, Max: retryLast}
+	refused := 0
+	for {
+		p, err := r.Source.Replicas(ctx, all.Next)
+		if err != nil {
+			if all.Next == "" || refused >= pageRefused || !pause.For(ctx, retry.Delay(refused)) {
+				return all, err
+			}
+			refused++
+			continue
+		}
+		if all.Revision == 0 {
+			all.Revision = p.Revision
+		}
+		all.Entries = append(all.Entries, p.Entries...)
+		all.Malformed = append(all.Malformed, p.Malformed...)
+		all.Next = p.Next
+		if p.Next == "" {
+			return all, nil
+		}
+	}
+}
+
 // checkConfiguration looks for a change that no watch told of: a watch may hang,
 // or miss a change that the store makes while it drops history. It asks for
 // changes since the last time that the configuration was read itself, since what
--- a/edge/source.go
+++ b/edge/source.go
@@ -17,9 +17,9 @@
 	// nil and the revision to go on from if there was none. The error is
 	// routing.ErrForgotten if the changes since the revision are no longer known.
 	NextDocument(ctx context.Context, after int64, wait time.Duration) (*routing.Document, int64, error)
-	// Replicas reads the whole list of replicas at a revision; malformed are the
-	// entries that name none.
-	Replicas(ctx context.Context) (entries []replicas.Entry, revision int64, malformed []string, err error)
+	// Replicas reads a page of the list of replicas: the first one, or the one that
+	// follows where the page before says.
+	Replicas(ctx context.Context, after string) (replicas.Page, error)
 	// Parts returns the parts of prompts that the replica at the address holds.
 	Parts(ctx context.Context, address string) ([]uint64, error)
 }
