--- a/edge/leave.go
+++ b/edge/leave.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"time"
 
 	"peridotusher.example/peridotusher/mesh"
@@ -37,11 +38,13 @@
 // until it or another one is back.
 type leave struct {
 	began time.Time
-	out   time.Time // when it leaves the rotation
 	end   time.Time // when the stop has to have ended
+
+	mu    sync.Mutex
+	out   time.Time // when it leaves the rotation
 	since time.Time // since when the balancer needs no stopping router
 	few   bool      // whether it needs them
-	first bool      // whether all others of the zone were ready since the stop began
+	first bool      // whether all others of the zone were ready at a time of the stop
 }
 
 // newLeave starts a stop that is ended by a kill after grace, of a router in a zone.
@@ -52,15 +55,22 @@
 }
 
 // ready reports whether the router is still to be in rotation.
-func (l *leave) ready(now time.Time) bool { return now.Before(l.out) }
+func (l *leave) ready(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.out)
+}
 
 // ending says which requests are taken.
 func (l *leave) ending() relay.Ending {
 	return relay.Ending{AllUntil: l.began.Add(takesAll), By: l.end}
 }
 
-// look takes in how many routers of the zone there are and how many are ready.
-func (l *leave) look(now time.Time, zone mesh.ZoneCount) {
+// look takes in how many routers of the zone there are and how many are ready. It
+// returns whether the balancer needs stopping ones, and whether that is new.
+func (l *leave) look(now time.Time, zone mesh.ZoneCount) (needed, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	short := zone.All > 1 && 2*zone.Ready < zone.All
 	if !short && now.Before(l.out) {
 		l.out = now
@@ -69,12 +79,16 @@
 	if l.few && !few && !l.first {
 		l.since = now
 	}
+	changed = few != l.few
 	l.few = few
 	l.first = l.first || zone.Ready == zone.All-1
+	return few, changed
 }
 
 // over reports whether no new connections come any more, or no time is left for them.
 func (l *leave) over(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch {
 	case !now.Before(l.end.Add(-lastAnswers)):
 		return true
--- a/edge/router.go
+++ b/edge/router.go
@@ -217,13 +217,11 @@
 	r.stopping.Store(l)
 	r.front.Stop(l.ending())
 	r.node.Tell()
-	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active(), "first", l.first, "leaves", l.out.Sub(l.began))
+	r.Log.Event("stopping", "router", r.Settings.Name(), "active", r.front.Active(), "ready", l.ready(l.began))
 	for now := l.began; !l.over(now); now = r.clock.Now() {
 		zone := r.node.Zone()
-		few := l.few
-		l.look(now, zone)
-		if few != l.few {
-			r.Log.Event("needed", "still", l.few, "ready", zone.Ready, "all", zone.All)
+		if needed, changed := l.look(now, zone); changed {
+			r.Log.Event("needed", "still", needed, "ready", zone.Ready, "all", zone.All)
 		}
 		time.Sleep(leaveEvery)
 	}
