What a slow list of the own says is not used; eight fetches at once as before

Causes, by what had changed: another router waited for a slow reader twice what its own list took beyond the pace, about 1 s there, and 32 fetches were served at once in place of 8.

--- a/edge/list.go
+++ b/edge/list.go
@@ -79,27 +79,18 @@
 		wait *= listFirst
 	}
 	if rank > 0 {
-		wait += r.node.SpreadTime() + time.Duration(rank)*listStep + r.readExcess()
+		wait += r.node.SpreadTime() + time.Duration(rank)*listStep
 	}
 	return r.clock.Now().Sub(at) >= wait
 }
 
-// readExcess is how much longer than usual the reader may take: twice what this
-// router's own last list took beyond the pace. Were routers to step in while lists
-// are slow because many read, they would become slower still.
-func (r *Router) readExcess() time.Duration {
-	return 2 * max(time.Duration(r.readTook.Load())-r.listPace(), 0)
-}
-
 func (r *Router) readList(ctx context.Context) error {
 	began := r.clock.Now()
 	list, err := r.readPages(ctx)
 	if err != nil {
 		return err
 	}
-	now := r.clock.Now()
-	r.readTook.Store(int64(now.Sub(began)))
-	r.reading.read(now, began, r.outageGap())
+	r.reading.read(r.clock.Now(), began, r.outageGap())
 	_, outage := r.reading.last()
 	changed := r.table.Snapshot(list.Revision, list.Entries, began.Sub(outage) < outageMemory)
 	r.listed.Store(true)
--- a/edge/router.go
+++ b/edge/router.go
@@ -75,7 +75,6 @@
 	burn      *peridotusher.Burn
 	reading   reading
 	listed    atomic.Bool
-	readTook  atomic.Int64 // time that the last list took, in nanoseconds
 	// settled is whether the router knows what replicas held before it started.
 	settled atomic.Bool
 	// readAt is the revision at which the reader of the list read the configuration
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -34,7 +34,7 @@
 	// largestWant bounds the size of what a router asks for, in bytes.
 	largestWant = 64 << 10
 	// sessions bounds the number of sessions served at once.
-	sessions = 32
+	sessions = 8
 )
 
 // placeOf orders routers for a topic.
