An ask takes a new session if the one it was handed ended before anything was sent

Cause: the other side had dialled the session and closed it as idle between its being handed out and used; only the own side's idle close was taken for that. Nothing had been sent, so that a new session is safe whatever ended the old one. Ruled out: a failed dial (that error comes from another place), a call that was sent. Test: both sides' closes; fails before with broken pipe and EOF.

--- a/peer/links.go
+++ b/peer/links.go
@@ -152,7 +152,8 @@
 }
 
 // over carries a message over the session with a router. It takes a new session
-// once if the first was closed as idle before anything was sent on it.
+// once if the first ended before anything was sent on it, as when either side closes
+// it as idle.
 func (n *Node) over(ctx context.Context, to peridotusher.RouterID, carry func(*session) error) error {
 	s, err := n.reach(ctx, to)
 	if err != nil {
@@ -160,7 +161,7 @@
 	}
 	err = carry(s)
 	var link *LinkError
-	if !errors.As(err, &link) || link.Sent() || !errors.Is(err, errIdle) {
+	if !errors.As(err, &link) || link.Sent() {
 		return err
 	}
 	if s, err = n.reach(ctx, to); err != nil {
--- a/peer/session_test.go
+++ b/peer/session_test.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,7 +37,8 @@
 	}
 }
 
-// A session is closed as idle just after it was handed to an ask.
+// A session is closed as idle, by this side or the other one, just after it was handed
+// to an ask.
 func TestAskMeetsAnIdleClose(t *testing.T) {
 	f := startZones(t, 3, plain)
 	f.allLive(t)
@@ -44,20 +47,26 @@
 		_, ok := n.sessions.get(o.Self.ID())
 		return !ok && o.Self.Zone() != n.Self.Zone()
 	})
-	for _, handed := range []bool{false, true} {
+	cases := []struct {
+		handed bool
+		cause  error
+	}{
+		{false, errIdle}, {true, errIdle}, {false, syscall.EPIPE}, {true, syscall.EPIPE}, {true, io.EOF},
+	}
+	for _, c := range cases {
 		stale := idleSession(t, far.Self, n.Self.ID(), wallClock)
-		stale.close(errIdle)
+		stale.close(c.cause)
 		n.sessions.add(stale)
 		calls := 0
 		err := n.over(testContext(t), far.Self.ID(), func(s *session) error {
 			calls++
-			if handed && calls == 1 {
+			if c.handed && calls == 1 {
 				s = stale
 			}
 			return s.send(testContext(t), &Envelope{Kind: uint32(KindFacts)})
 		})
 		if err != nil {
-			t.Errorf("handed the closed session %v: %v", handed, err)
+			t.Errorf("closed for %v, handed %v: %v", c.cause, c.handed, err)
 		}
 	}
 }
