--- a/edge/leave.go
+++ b/edge/leave.go
@@ -47,9 +47,12 @@
 	first bool      // whether all others of the zone were ready at a time of the stop
 }
 
+// stopTime is the time for a stop that is ended by a kill after grace.
+func stopTime(grace time.Duration) time.Duration { return max(grace-stopMargin, 0) }
+
 // newLeave starts a stop that is ended by a kill after grace, of a router in a zone.
 func newLeave(now time.Time, grace time.Duration, zone mesh.ZoneCount) *leave {
-	l := &leave{began: now, out: now.Add(leaveLater), end: now.Add(max(grace-stopMargin, 0)), since: now}
+	l := &leave{began: now, out: now.Add(leaveLater), end: now.Add(stopTime(grace)), since: now}
 	l.look(now, zone)
 	return l
 }
--- a/edge/router.go
+++ b/edge/router.go
@@ -202,12 +202,10 @@
 
 // graceLeft is the time for requests in flight once the front is closed.
 func (r *Router) graceLeft() time.Duration {
-	now := r.clock.Now()
-	l := r.stopping.Load()
-	if l == nil { // closed for a failure
-		l = newLeave(now, r.bounds.Load().stop, r.node.Zone())
+	if l := r.stopping.Load(); l != nil {
+		return l.left(r.clock.Now())
 	}
-	return l.left(now)
+	return stopTime(r.bounds.Load().stop) // closed for a failure
 }
 
 // stop leaves the rotation and waits until no new connections come.
--- a/mesh/format_test.go
+++ b/mesh/format_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -58,10 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clock := peridotusher.ClockFunc(time.Now)
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -58,7 +58,7 @@
 		s = &seen{added: now}
 		m.known[b.Name] = s
 	}
-	if b.Incarnation < s.Incarnation && now.Sub(s.heard) < m.aliveFor(s) {
+	if b.Incarnation < s.Incarnation && m.isAlive(s, now) {
 		return false
 	}
 	s.Member, s.Summary, s.heard = b.Member, b.summary(), now
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -98,10 +98,7 @@
 	nodes := make([]*Node, routers)
 	var seed string
 	for i := range routers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := listen(t)
 		datagrams, err := net.ListenPacket("udp4", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/mesh/session_test.go
+++ b/mesh/session_test.go
@@ -40,6 +40,15 @@
 	}
 }
 
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // slowListener accepts connections a moment later.
 type slowListener struct{ net.Listener }
 
@@ -52,14 +61,7 @@
 // TestJoinTakesTheSeedThatAnswers has a seed at which nobody listens and one that
 // knows a configuration: the first one's refusal does not end the fetch.
 func TestJoinTakesTheSeedThatAnswers(t *testing.T) {
-	listen := func() net.Listener {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		return l
-	}
-	gone, alive := listen(), listen()
+	gone, alive := listen(t), listen(t)
 	if err := gone.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -102,10 +104,7 @@
 // TestServeEndsWithItsContext has a node's listener be closed at the end, before a
 // derived context would tell of it: that is no error.
 func TestServeEndsWithItsContext(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listen(t)
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
--- a/relay/front.go
+++ b/relay/front.go
@@ -151,12 +151,13 @@
 // announce tells the client whether it may use the connection again. A client
 // that keeps to the time sends nothing on a connection that a stop closes.
 func (f *Front) announce(h http.Header) {
-	switch {
-	case f.stopping():
+	if f.stopping() {
 		announceClose(h)
-	case f.reuse() >= time.Second:
+		return
+	}
+	if whole := int(f.reuse() / time.Second); whole > 0 { // seconds
 		h.Set("Connection", "keep-alive")
-		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(f.reuse()/time.Second)))
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(whole))
 	}
 }
 
