In a vast fleet the routers that keep track of a part are asked for its holders

Now each part has two keepers, the first routers of its rendezvous order; who has to place a prompt and knows no holder with room asks the first, or the second if that knows none or is silent for 40 ms, and tells both where it went. Asks follow requests, not the fleet: two datagrams a prompt. Silent keepers are passed over for 2 s, after two in another zone all of that zone. Nothing is told in beats then, so what a router expects elsewhere (SetVast) is gone. Ruled out: deciding at the keeper (the asker's own knowledge of lost and tried replicas would have to travel); all placements in beats (bytes grow with the fleet).

--- a/edge/router.go
+++ b/edge/router.go
@@ -40,9 +40,9 @@
 	// wideCover is the time of a round of beats from which other routers' counts
 	// are older than what replicas tell.
 	wideCover = 600 * time.Millisecond
-	// vastCover is the same from which placements are told only if the others
-	// expect them elsewhere: a fleet of more than 160 routers.
-	vastCover = 5 * time.Second
+	// askCover is the same from which routers ask for the holders of a part in place
+	// of telling all of every placement.
+	askCover = 5 * time.Second
 	// bodyPart is the part of the host's memory for request bodies: one in so many.
 	bodyPart = 6
 	megabyte = 1 << 20
@@ -147,7 +147,7 @@
 		Zone: s.router.zone, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		Budget: shared, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.set), Routers: r.node.Routers,
 		Burn: r.burn, Share: func() float64 { return r.bounds.Load().share },
-		Directory: r.directory, Reads: r.reads, Tell: r.node.Tell, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock),
+		Directory: r.directory, Reads: r.reads, Tell: r.node.Tell, Inquire: r.inquire, Placed: r.placed, Multiple: s.bounds.multiple, Gate: overload.NewGate(r.clock),
 		BodyMemory: int64(s.router.memory) * megabyte / bodyPart, Connections: s.router.files / 2, Reuse: reuse,
 	}
 }
@@ -259,7 +259,7 @@
 		}
 		cover := r.node.CoverTime()
 		r.table.SetWide(cover > wideCover)
-		r.directory.SetVast(cover > vastCover)
+		r.directory.SetAsked(cover > askCover)
 		r.table.Expire(max(countsLeast, countsRounds*cover))
 		r.pool.Prune()
 	}
--- a/edge/settle.go
+++ b/edge/settle.go
@@ -123,9 +123,12 @@
 		r.Log.Event("parts", "replica", replica.ID(), "error", err)
 		return
 	}
-	for _, part := range parts {
-		r.directory.Place(placing.Placement{Key: part, Replica: replica.Hash()}, false)
+	placements := make([]placing.Placement, len(parts))
+	for i, part := range parts {
+		placements[i] = placing.Placement{Key: part, Replica: replica.Hash()}
+		r.directory.Place(placements[i])
 	}
+	r.placed(placements...)
 	replica.Record(r.clock.Now(), replicas.Good)
 	r.node.Tell()
 	r.Log.Event("parts", "replica", replica.ID(), "parts", len(parts))
--- a/edge/state.go
+++ b/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"peridotusher.example/peridotusher/mesh"
@@ -108,6 +109,32 @@
 	return nil
 }
 
+// Holders implements mesh.State.
+func (s state) Holders(key uint64) []uint32 { return s.r.directory.Lend(key) }
+
+// Placed implements mesh.State.
+func (s state) Placed(placements []placing.Placement) { s.r.directory.Learn(placements) }
+
+// inquire has the directory know the holders of a part that the routers know which
+// keep track of it, if the fleet is so large that they are not told to all.
+func (r *Router) inquire(ctx context.Context, key uint64) {
+	if !r.directory.Asked() {
+		return
+	}
+	var found []placing.Placement
+	for _, replica := range r.node.Holders(ctx, key) {
+		found = append(found, placing.Placement{Key: key, Replica: replica})
+	}
+	r.directory.Learn(found)
+}
+
+// placed tells the routers that keep track of the parts, if others ask them.
+func (r *Router) placed(placements ...placing.Placement) {
+	if r.directory.Asked() {
+		r.node.Placed(placements)
+	}
+}
+
 // Lacks implements mesh.State.
 func (s state) Lacks(other mesh.Summary) mesh.Lack {
 	switch {
--- /dev/null
+++ b/mesh/ask.go
@@ -0,0 +1,189 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"peridotusher.example/peridotusher/placing"
+)
+
+// askFor is how long an answer is awaited: a round trip between zones and a router
+// whose processor is busy for a moment.
+const askFor = 40 * time.Millisecond
+
+// The field numbers of the datagrams beside beats; each has one of them only.
+const (
+	callAsk protowire.Number = iota + 32
+	callHolders
+	callPlaced
+)
+
+// The field numbers of a question and of its answer.
+const (
+	askNumber protowire.Number = iota + 1
+	askKey
+	askHolders
+)
+
+// question asks which replicas hold the part with the key, or answers that.
+type question struct {
+	number  uint64 // the same in the answer
+	key     uint64
+	holders []uint32
+}
+
+// asking holds the questions of this router that wait for an answer.
+type asking struct {
+	mu   sync.Mutex
+	last uint64
+	open map[uint64]chan []uint32
+}
+
+// begin returns the number of a new question and where its answer comes.
+func (a *asking) begin() (number uint64, answer <-chan []uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.open == nil {
+		a.open = make(map[uint64]chan []uint32)
+	}
+	a.last++
+	c := make(chan []uint32, 1)
+	a.open[a.last] = c
+	return a.last, c
+}
+
+// end takes the question off those that wait, and hands it the answer if there is one.
+func (a *asking) end(number uint64, holders []uint32, answered bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c, ok := a.open[number]; ok && answered {
+		c <- holders
+	}
+	delete(a.open, number)
+}
+
+// Holders returns the replicas that hold the part with the key, as the routers know
+// that keep track of it: the second one is asked if the first one knows of none or
+// does not answer.
+func (n *Node) Holders(ctx context.Context, key uint64) []uint32 {
+	for _, k := range n.members.keepers(key) {
+		holders, err := n.ask(ctx, k, key)
+		if err != nil {
+			n.Log.Event("silent", "router", k.name, "error", err)
+			n.members.missed(k.name)
+			continue
+		}
+		if len(holders) > 0 {
+			return holders
+		}
+	}
+	return nil
+}
+
+// errNoAnswer is the error of a question that was not answered in time.
+var errNoAnswer = errors.New("no answer in time")
+
+// ask asks one router.
+func (n *Node) ask(ctx context.Context, k keeper, key uint64) ([]uint32, error) {
+	if k.address == "" {
+		return n.State.Holders(key), nil
+	}
+	number, answer := n.asking.begin()
+	defer n.asking.end(number, nil, false)
+	n.call(k.address, callAsk, question{number: number, key: key}.marshal())
+	n.traffic.asked.Add(1)
+	timer := time.NewTimer(askFor)
+	defer timer.Stop()
+	select {
+	case holders := <-answer:
+		n.members.answered(k.name)
+		return holders, nil
+	case <-ctx.Done():
+		return nil, nil // the request has ended, which says nothing of the router
+	case <-timer.C:
+		n.traffic.unanswered.Add(1)
+		return nil, errNoAnswer
+	}
+}
+
+// Placed tells the routers that keep track of the parts which replicas have read them.
+func (n *Node) Placed(placements []placing.Placement) {
+	byKeeper := make(map[string][]placing.Placement)
+	for _, p := range placements {
+		for _, k := range n.members.keepers(p.Key) {
+			byKeeper[k.address] = append(byKeeper[k.address], p)
+		}
+	}
+	for address, told := range byKeeper {
+		if address == "" {
+			n.State.Placed(told)
+			continue
+		}
+		n.call(address, callPlaced, packPlacements(told))
+	}
+}
+
+// call sends a datagram beside the beats; before Run there is nothing to send it with.
+func (n *Node) call(address string, kind protowire.Number, body []byte) {
+	datagrams := n.datagrams.Load()
+	if datagrams == nil {
+		return
+	}
+	n.send(*datagrams, appendBytes(nil, kind, body), address)
+}
+
+// hearCall takes in a datagram that is no beat, and reports whether it was one.
+func (n *Node) hearCall(data []byte, from net.Addr) (bool, error) {
+	kind, _, size := protowire.ConsumeTag(data)
+	if size < 0 || kind < callAsk || kind > callPlaced {
+		return false, nil
+	}
+	return true, eachField(data, func(kind protowire.Number, _ uint64, raw []byte) error {
+		if kind == callPlaced {
+			placements, err := unpackPlacements(raw)
+			if err == nil {
+				n.State.Placed(placements)
+			}
+			return err
+		}
+		var q question
+		if err := q.unmarshal(raw); err != nil {
+			return err
+		}
+		if kind == callHolders {
+			n.asking.end(q.number, q.holders, true)
+			return nil
+		}
+		n.call(from.String(), callHolders, question{number: q.number, holders: n.State.Holders(q.key)}.marshal())
+		return nil
+	})
+}
+
+func (q question) marshal() []byte {
+	out := appendNumber(nil, askNumber, q.number)
+	out = appendNumber(out, askKey, q.key)
+	var packed []byte
+	for _, h := range q.holders {
+		packed = protowire.AppendFixed32(packed, h)
+	}
+	return appendBytes(out, askHolders, packed)
+}
+
+func (q *question) unmarshal(data []byte) error {
+	return eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
+		switch n {
+		case askNumber:
+			q.number = v
+		case askKey:
+			q.key = v
+		case askHolders:
+			return eachPacked(raw, nil, func(replica uint32) { q.holders = append(q.holders, replica) })
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/mesh/keepers.go
@@ -0,0 +1,94 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"peridotusher.example/peridotusher/placing"
+)
+
+const (
+	// keeperCount is the number of routers that keep track of a part: the second one
+	// knows what the first one knew when that stops or is lost.
+	keeperCount = 2
+	// mutedFor is how long a router that did not answer a question is passed over.
+	mutedFor = 2 * time.Second
+	// zoneMissed is the number of questions to another zone, with no answer from
+	// there between, after which the whole zone is passed over.
+	zoneMissed = 2
+)
+
+// keeper is a router that keeps track of a part; the own one has no address.
+type keeper struct {
+	name, address string
+	place         uint64
+}
+
+// zoneAnswers says whether an availability zone answers questions.
+type zoneAnswers struct {
+	missed int       // since its last answer
+	muted  time.Time // until when it is passed over
+}
+
+// keepers returns the routers that keep track of the part with the key, the one to ask
+// first: the first ones of the part's rendezvous order among the living ones of the
+// own form that do not stop. Routers that were asked in vain lately are passed over.
+func (m *members) keepers(key uint64) []keeper {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	best := make([]keeper, 0, keeperCount+1)
+	add := func(k keeper) {
+		at, _ := slices.BinarySearchFunc(best, k, func(a, b keeper) int {
+			if a.place > b.place {
+				return -1
+			}
+			return 1
+		})
+		best = slices.Insert(best, at, k)
+		best = best[:min(len(best), keeperCount)]
+	}
+	add(keeper{name: m.self.Name, place: placing.Score(key, m.hash)})
+	for _, s := range m.known {
+		if s.format != format || s.stopping || now.Before(s.muted) || now.Before(m.zones[s.Zone].muted) || !m.isAlive(s, now) {
+			continue
+		}
+		add(keeper{name: s.Name, address: s.Address, place: placing.Score(key, s.hash)})
+	}
+	return best
+}
+
+// nameHash returns what stands for a router in rendezvous orders.
+func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// answered takes in that a router answered a question.
+func (m *members) answered(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.known[name]; ok {
+		s.muted = time.Time{}
+		delete(m.zones, s.Zone)
+	}
+}
+
+// missed takes in that a router did not answer a question.
+func (m *members) missed(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.known[name]
+	if !ok {
+		return
+	}
+	until := m.clock.Now().Add(mutedFor)
+	s.muted = until
+	if s.Zone == m.self.Zone {
+		return
+	}
+	z := m.zones[s.Zone]
+	if z.missed++; z.missed >= zoneMissed {
+		z = zoneAnswers{muted: until}
+	}
+	m.zones[s.Zone] = z
+}
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -22,10 +22,12 @@
 // members holds the other routers.
 type members struct {
 	self  Member
+	hash  uint64 // of the own name
 	clock peridotusher.Clock
 
 	mu    sync.Mutex
 	known map[string]*seen
+	zones map[string]zoneAnswers
 	// version rises when routers or their addresses change.
 	version uint64
 }
@@ -34,16 +36,21 @@
 type seen struct {
 	Member
 	Summary
+	hash     uint64 // of the name
 	added    time.Time
 	heard    time.Time // zero if never
 	routers  int       // that it knows
 	format   int
 	stopping bool
 	ready    bool
+	muted    time.Time // until when the router is asked nothing
 }
 
 func newMembers(self Member, clock peridotusher.Clock) *members {
-	return &members{self: self, clock: clock, known: make(map[string]*seen)}
+	return &members{
+		self: self, hash: nameHash(self.Name), clock: clock,
+		known: make(map[string]*seen), zones: make(map[string]zoneAnswers),
+	}
 }
 
 // hear takes a beat in and reports whether it is newer than the router's start
@@ -57,7 +64,7 @@
 	now := m.clock.Now()
 	s, ok := m.known[b.Name]
 	if !ok {
-		s = &seen{added: now}
+		s = &seen{added: now, hash: nameHash(b.Name)}
 		m.known[b.Name] = s
 	}
 	if b.Address != s.Address {
@@ -88,7 +95,7 @@
 	}
 	s, ok := m.known[k.Name]
 	if !ok {
-		m.known[k.Name] = &seen{Member: k, added: now}
+		m.known[k.Name] = &seen{Member: k, added: now, hash: nameHash(k.Name)}
 		m.version++
 		return
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/placing"
 )
 
 const (
@@ -51,6 +52,11 @@
 	Answer(want Want) *Answer
 	// Take takes the state of another router in.
 	Take(a *Answer) error
+	// Holders returns the replicas that hold the part with the key, for another router
+	// that is about to use one of them.
+	Holders(key uint64) []uint32
+	// Placed takes in that replicas have read parts of which this router keeps track.
+	Placed(placements []placing.Placement)
 	// Lacks returns what the other router has that this one lacks.
 	Lacks(other Summary) Lack
 }
@@ -107,6 +113,10 @@
 	order   []string
 	ordered uint64
 
+	// datagrams is the socket for beats while Run runs.
+	datagrams atomic.Pointer[net.PacketConn]
+	asking    asking
+
 	traffic traffic
 	packer  packer
 }
@@ -187,6 +197,7 @@
 
 // Run sends and receives beats and serves sessions until ctx ends.
 func (n *Node) Run(ctx context.Context, datagrams net.PacketConn, l net.Listener) error {
+	n.datagrams.Store(&datagrams)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		<-ctx.Done()
@@ -294,11 +305,7 @@
 // targets returns the addresses of this round: of a large fleet the next part, and
 // the seeds now and then, since they may come back.
 func (n *Node) targets() []string {
-	all := n.others()
-	if len(all) > beatFan {
-		start := n.round * beatFan % len(all)
-		all = slices.Concat(all[start:], all[:start])[:beatFan]
-	}
+	all := roundOf(n.others(), n.round)
 	if n.round%knownEvery == 1 || len(all) == 0 {
 		for _, seed := range *n.seeds.Load() {
 			if seed != n.Self.Address && !slices.Contains(all, seed) {
@@ -309,6 +316,16 @@
 	return all
 }
 
+// roundOf returns those of all others that get a beat in a round: in a large fleet the
+// next part of them.
+func roundOf[T any](all []T, round int) []T {
+	if len(all) <= beatFan {
+		return slices.Clone(all)
+	}
+	start := round * beatFan % len(all)
+	return slices.Concat(all[start:], all[:start])[:beatFan]
+}
+
 // others returns the addresses of the other routers in the router's own order, which
 // is made anew only when they change. The slice must not be changed.
 func (n *Node) others() []string {
@@ -345,6 +362,12 @@
 			continue
 		}
 		n.traffic.heard.Add(1)
+		if call, err := n.hearCall(buf[:size], from); call {
+			if err != nil {
+				n.Log.Event("peer", "error", err)
+			}
+			continue
+		}
 		var b Beat
 		if err := b.unmarshal(buf[:size]); err != nil {
 			n.Log.Event("peer", "error", err)
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/placing"
 )
 
 // TestKnownRoutersAreNamedSeldom has a router hear of others that know as many
@@ -35,6 +36,7 @@
 	mu       sync.Mutex
 	revision int64
 	heard    int
+	placed   []placing.Placement
 }
 
 func (s *testState) Fill(b *Beat) {
@@ -86,6 +88,24 @@
 	return s.revision, s.heard
 }
 
+func (s *testState) Holders(key uint64) []uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var holders []uint32
+	for _, p := range s.placed {
+		if p.Key == key {
+			holders = append(holders, p.Replica)
+		}
+	}
+	return holders
+}
+
+func (s *testState) Placed(placements []placing.Placement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.placed = append(s.placed, placements...)
+}
+
 type discard struct{}
 
 func (discard) Event(string, ...any) {}
--- a/mesh/traffic.go
+++ b/mesh/traffic.go
@@ -14,6 +14,9 @@
 	// Heard is the number of beats of other routers, Rounds that of own rounds, Looks
 	// how often was looked at what others know and this router lacks.
 	Heard, Rounds, Looks uint64
+	// Asked is the number of questions for the holders of a part, Unanswered that of
+	// those to which no answer came in time.
+	Asked, Unanswered uint64
 	// StateBytes is the size of the answers to routers that lacked something.
 	StateBytes uint64
 }
@@ -22,6 +25,7 @@
 type traffic struct {
 	beats, beatBytes, stateBytes atomic.Uint64
 	heard, rounds, looks         atomic.Uint64
+	asked, unanswered            atomic.Uint64
 }
 
 func (t *traffic) beat(size int) {
@@ -38,5 +42,6 @@
 	return Traffic{
 		Beats: t.beats.Load(), BeatBytes: t.beatBytes.Load(), StateBytes: t.stateBytes.Load(),
 		Heard: t.heard.Load(), Rounds: t.rounds.Load(), Looks: t.looks.Load(),
+		Asked: t.asked.Load(), Unanswered: t.unanswered.Load(),
 	}
 }
--- a/placing/candidate.go
+++ b/placing/candidate.go
@@ -30,9 +30,6 @@
 	Reason string
 	// Mean is the mean load of the candidates, in requests.
 	Mean float64
-	// First is set if the candidate is the first one of the part's rendezvous
-	// order, where any router looks for the part.
-	First bool
 }
 
 // mean returns the mean of the held requests.
@@ -47,12 +44,15 @@
 	return float64(sum) / float64(len(candidates))
 }
 
-// rank returns the rendezvous score of a key at a replica.
-func rank(key uint64, hash uint32) uint64 {
-	x := key ^ uint64(hash)*0x9e3779b97f4a7c15
+// Score returns the rendezvous score of a key at what the hash stands for.
+func Score(key, hash uint64) uint64 {
+	x := key ^ hash
 	x ^= x >> 33
 	x *= 0xff51afd7ed558ccd
 	x ^= x >> 33
 	x *= 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
 }
+
+// rank returns the rendezvous score of a key at a replica.
+func rank(key uint64, hash uint32) uint64 { return Score(key, uint64(hash)*0x9e3779b97f4a7c15) }
--- a/placing/directory.go
+++ b/placing/directory.go
@@ -48,7 +48,8 @@
 	recent []dated
 	told   uint64
 	heard  map[string]hearing
-	vast   bool
+	// asked is whether routers ask each other in place of telling all.
+	asked bool
 }
 
 // NewDirectory returns an empty Directory of a router's start.
@@ -59,24 +60,56 @@
 	}
 }
 
-// Place notes that the router sends a prompt with the part to the replica. Other
-// routers are told if the replica did not hold the part before; in a vast fleet
-// only if they do not expect it there anyway.
-func (d *Directory) Place(p Placement, expected bool) {
+// Place notes that the router sends a prompt with the part to the replica. All other
+// routers are told if the replica did not hold the part before, unless they ask.
+func (d *Directory) Place(p Placement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	if d.note(p, now) && !(d.vast && expected) {
+	if d.note(p, now) && !d.asked {
 		d.tell(p, now)
 	}
 }
 
-// SetVast says whether the fleet is so large that telling all routers of every
-// placement takes more than reading some parts again.
-func (d *Directory) SetVast(vast bool) {
+// SetAsked says whether the routers ask those that keep track of a part for its
+// holders: in a large fleet news of a placement reaches most routers too late.
+func (d *Directory) SetAsked(asked bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.vast = vast
+	d.asked = asked
+}
+
+// Asked reports whether the routers ask for the holders of a part.
+func (d *Directory) Asked() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked
+}
+
+// Learn notes placements that are known to other routers too.
+func (d *Directory) Learn(placements []Placement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	for _, p := range placements {
+		d.note(p, now)
+	}
+}
+
+// Lend returns the replicas that are taken to have the part cached, for another router
+// that is about to use one of them, so that they stay known.
+func (d *Directory) Lend(key uint64) []uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	var out []uint32
+	for i, h := range d.keys[key] {
+		if now.Sub(h.used) < holdFor {
+			d.keys[key][i].used = now
+			out = append(out, h.replica)
+		}
+	}
+	return out
 }
 
 // Wanted returns a channel that is closed when the holders of any part are asked
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -35,13 +35,9 @@
 		return Choice{}, false
 	}
 	m := mean(candidates)
-	holder, home, first := -1, -1, 0
-	var homeRank, firstRank uint64
+	holder, home := -1, -1
+	var homeRank uint64
 	for i, c := range candidates {
-		order := rank(p.Key, c.Hash)
-		if i == 0 || order > firstRank {
-			first, firstRank = i, order
-		}
 		if c.Held >= c.Slots {
 			continue
 		}
@@ -51,6 +47,7 @@
 			}
 			continue
 		}
+		order := rank(p.Key, c.Hash)
 		room := float64(c.Held+1) <= homePart*p.Multiple*m+homeExtra && c.Prefill <= prefillBound
 		if room && (home < 0 || order > homeRank) {
 			home, homeRank = i, order
@@ -65,7 +62,6 @@
 	default:
 		choice.Index, choice.Reason = leastHeld(candidates), Least
 	}
-	choice.First = choice.Index == first
 	return choice, true
 }
 
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
 
 	"peridotusher.example/peridotusher/overload"
@@ -9,7 +11,7 @@
 )
 
 // choose picks the next replica for the request.
-func (t *task) choose() (*replicas.Replica, bool) {
+func (t *task) choose(ctx context.Context) (*replicas.Replica, bool) {
 	f := t.front
 	now := f.Clock.Now()
 	others := t.others()
@@ -24,7 +26,7 @@
 	var choice placing.Choice
 	var ok bool
 	if t.route.Cached && len(t.call.Prompt) > 0 {
-		choice, ok = t.choosePrompt(sound, candidates)
+		choice, ok = t.choosePrompt(ctx, sound, candidates)
 	} else {
 		choice, ok = placing.Call{Zone: f.Zone, Spread: xxhash.Sum64String(t.call.ID)}.Choose(candidates)
 	}
@@ -66,23 +68,31 @@
 
 // choosePrompt picks a replica by the shared parts of the prompt and tells the
 // directory. A replica that lacks the longest part is given one to fetch from.
-func (t *task) choosePrompt(sound []*replicas.Replica, candidates []placing.Candidate) (placing.Choice, bool) {
+func (t *task) choosePrompt(ctx context.Context, sound []*replicas.Replica, candidates []placing.Candidate) (placing.Choice, bool) {
 	d := t.front.Directory
 	shared := t.sharedParts()
 	longest := shared[len(shared)-1].ID
-	holders := d.Holders(longest)
-	choice, ok := placing.Prompt{Key: longest, Multiple: t.front.Multiple, Holders: holders}.Choose(candidates)
+	prompt := placing.Prompt{Key: longest, Multiple: t.front.Multiple, Holders: d.Holders(longest)}
+	choice, ok := prompt.Choose(candidates)
 	if !ok {
 		return choice, false
 	}
+	if choice.Reason != placing.Holder && !t.inquired {
+		t.inquired = true
+		t.front.Inquire(ctx, longest)
+		prompt.Holders = d.Holders(longest)
+		choice, _ = prompt.Choose(candidates)
+	}
 	chosen := sound[choice.Index]
 	t.source = ""
 	if choice.Reason != placing.Holder {
 		t.source = t.sourceOf(shared, chosen)
 	}
 	for _, p := range shared {
-		expected := choice.First || p.ID != longest
-		d.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()}, expected)
+		d.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()})
+	}
+	if choice.Reason != placing.Holder {
+		t.front.Placed(placing.Placement{Key: longest, Replica: chosen.Hash()})
 	}
 	return choice, true
 }
--- a/relay/task.go
+++ b/relay/task.go
@@ -49,18 +49,21 @@
 	tried      map[string]bool // ids of replicas not to be tried again
 	failure    *peridotusher.Failure
 
-	full    bool // whether all replicas had as much as they can run
-	choice  placing.Choice
-	source  string        // address of a replica that holds shared parts of the prompt
-	held    int           // requests at the chosen replica when it was chosen
-	reading func()        // ends the replica's read of the prompt's longest shared part
-	waited  time.Duration // for another request's read of that part
-	ready   time.Time     // when the request was read and admitted
-	spent   time.Duration // on tries that failed
-	own     time.Duration // the router's own time until the last send
-	started bool          // whether the answer's head was written
-	last    string        // id of the last event that the client got
-	pause   time.Duration // longest pause between two events of a replica
+	full   bool // whether all replicas had as much as they can run
+	choice placing.Choice
+	// inquired is whether other routers were asked for the holders of the prompt's
+	// longest shared part.
+	inquired bool
+	source   string        // address of a replica that holds shared parts of the prompt
+	held     int           // requests at the chosen replica when it was chosen
+	reading  func()        // ends the replica's read of the prompt's longest shared part
+	waited   time.Duration // for another request's read of that part
+	ready    time.Time     // when the request was read and admitted
+	spent    time.Duration // on tries that failed
+	own      time.Duration // the router's own time until the last send
+	started  bool          // whether the answer's head was written
+	last     string        // id of the last event that the client got
+	pause    time.Duration // longest pause between two events of a replica
 }
 
 // run sends the request to replicas until one answers, and passes the answer on.
@@ -78,7 +81,7 @@
 	}
 	defer f.Gate.Take(organisation)()
 	for {
-		r, ok := t.choose()
+		r, ok := t.choose(ctx)
 		if !ok && t.full {
 			t.giveUp(ctx, "overload")
 			return
