Half of the reports in a beat are any recent ones; a model of beats by fleet size

Reports are believed for 2 s. TestAgesBySize plays the beats of 30 to 1,000 routers without a network.

--- /dev/null
+++ b/mesh/model_test.go
@@ -0,0 +1,169 @@
+package mesh
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"peridotusher.example/peridotusher/replicas"
+)
+
+// reportsBelieved is how long reports are handed on.
+const reportsBelieved = 2 * time.Second
+
+// model plays a fleet's beats without a network: routers in rounds at the same pace,
+// each in an order of its own, some beats lost. What is told is the time at which it
+// was so.
+type model struct {
+	rnd    *rand.Rand
+	orders [][]int
+	round  int
+	loss   float64
+}
+
+func newModel(routers int, loss float64) *model {
+	m := &model{rnd: rand.New(rand.NewPCG(1, uint64(routers))), loss: loss}
+	for i := range routers {
+		var order []int
+		for _, o := range m.rnd.Perm(routers) {
+			if o != i {
+				order = append(order, o)
+			}
+		}
+		m.orders = append(m.orders, order)
+	}
+	return m
+}
+
+// beat plays a round: tell is called for each beat that arrives.
+func (m *model) beat(tell func(from, to int)) {
+	m.round++
+	for from, order := range m.orders {
+		for _, to := range roundOf(order, m.round) {
+			if m.rnd.Float64() >= m.loss {
+				tell(from, to)
+			}
+		}
+	}
+}
+
+// since returns how long ago a round was.
+func (m *model) since(round int) time.Duration { return time.Duration(m.round-round) * beatEvery }
+
+// countAges returns the ages of what routers know of each other's own counts, which
+// are told first hand only.
+func (m *model) countAges(rounds int) []time.Duration {
+	n := len(m.orders)
+	heard := make([]int, n*n)
+	for range rounds {
+		m.beat(func(from, to int) { heard[to*n+from] = m.round })
+	}
+	var ages []time.Duration
+	for i, at := range heard {
+		if i/n != i%n {
+			ages = append(ages, m.since(at))
+		}
+	}
+	slices.Sort(ages)
+	return ages
+}
+
+// newsTime returns the time until a part of the routers has heard news of one of them.
+func (m *model) newsTime(part float64) time.Duration {
+	began, heard := m.round, map[int]bool{0: true}
+	for float64(len(heard)) < part*float64(len(m.orders)) {
+		var told []int
+		m.beat(func(from, to int) {
+			if heard[from] {
+				told = append(told, to)
+			}
+		})
+		for _, to := range told {
+			heard[to] = true
+		}
+	}
+	return m.since(began)
+}
+
+// reportAges returns the ages of what routers know of the loads that replicas told in
+// answers: each beat hands on the newest ones, whoever got them.
+func (m *model) reportAges(rounds, of, told int, answersPerRound float64) []time.Duration {
+	n := len(m.orders)
+	newest := make([][]int, n) // by router and replica, the round of the report
+	for i := range newest {
+		newest[i] = slices.Repeat([]int{m.round}, of)
+	}
+	for range rounds {
+		for range int(answersPerRound * float64(of)) {
+			newest[m.rnd.IntN(n)][m.rnd.IntN(of)] = m.round
+		}
+		tellable := make([][]int, n)
+		for i, known := range newest {
+			tellable[i] = m.tellable(known, told)
+		}
+		m.beat(func(from, to int) {
+			for _, r := range tellable[from] {
+				newest[to][r] = max(newest[to][r], newest[from][r])
+			}
+		})
+	}
+	var ages []time.Duration
+	for _, known := range newest {
+		for _, at := range known {
+			ages = append(ages, m.since(at))
+		}
+	}
+	slices.Sort(ages)
+	return ages
+}
+
+// tellable returns the replicas of which a router tells that knows reports of rounds.
+func (m *model) tellable(known []int, most int) []int {
+	reports := make([]replicas.Report, 0, len(known))
+	for r, at := range known {
+		if age := m.since(at); age < reportsBelieved {
+			reports = append(reports, replicas.Report{Replica: uint32(r), Age: age})
+		}
+	}
+	var out []int
+	for _, report := range replicas.Tellable(reports, most) {
+		out = append(out, int(report.Replica))
+	}
+	return out
+}
+
+func percentile(sorted []time.Duration, part float64) time.Duration {
+	return sorted[int(part*float64(len(sorted)-1))]
+}
+
+// TestAgesBySize plays fleets of growing size. First-hand counts grow old in
+// proportion to the fleet, which is why loads are taken from reports and the holders
+// of parts are asked for; news must grow with the logarithm.
+func TestAgesBySize(t *testing.T) {
+	const (
+		loss            = 0.01
+		replicaCount    = 165
+		reportsTold     = 16
+		answersPerRound = 1.7 // of a replica: seven a second
+		newsSlowest     = 1500 * time.Millisecond
+		reportsOldest   = reportsBelieved
+	)
+	for _, routers := range []int{30, 100, 300, 370, 1000} {
+		m := newModel(routers, loss)
+		counts := m.countAges(int(2 * coverTime(routers-1) / beatEvery))
+		half, nearly := m.newsTime(0.5), m.newsTime(0.99)
+		reports := m.reportAges(40, replicaCount, reportsTold, answersPerRound)
+		t.Logf("%4d routers: counts p50 %v p95 %v, news to half %v, to 99 of 100 %v, reports p50 %v p95 %v", routers,
+			percentile(counts, 0.5), percentile(counts, 0.95), half, nearly, percentile(reports, 0.5), percentile(reports, 0.95))
+		if nearly > newsSlowest {
+			t.Errorf("%d routers: 99 of 100 have heard news after %v, want %v", routers, nearly, newsSlowest)
+		}
+		if got := percentile(reports, 0.95); got > reportsOldest {
+			t.Errorf("%d routers: reports are %v old at the 95th percentile, want %v", routers, got, reportsOldest)
+		}
+		if got := percentile(counts, 0.95); got > 2*coverTime(routers-1) {
+			t.Errorf("%d routers: counts are %v old at the 95th percentile, beyond twice the time to tell all", routers, got)
+		}
+	}
+}
--- a/replicas/report.go
+++ b/replicas/report.go
@@ -1,6 +1,8 @@
 package replicas
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -44,8 +46,8 @@
 // Wide reports whether the fleet is that large.
 func (t *Table) Wide() bool { return t.wide.Load() }
 
-// Reports returns the newest reports, at most limit of them; none in a fleet that
-// is not wide.
+// Reports returns reports to be told, at most limit of them; none in a fleet that is
+// not wide.
 func (t *Table) Reports(limit int) []Report {
 	if !t.wide.Load() {
 		return nil
@@ -59,8 +61,19 @@
 			reports = append(reports, Report{Replica: r.hash, Load: r.told.load, Age: age})
 		}
 	})
-	slices.SortFunc(reports, func(a, b Report) int { return int(a.Age - b.Age) })
-	return reports[:min(len(reports), limit)]
+	return Tellable(reports, limit)
+}
+
+// Tellable picks reports to be told, at most limit of them: for one half the newest
+// ones, for the other any, so that those of replicas with few answers spread too.
+func Tellable(reports []Report, limit int) []Report {
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Age, b.Age) })
+	if len(reports) <= limit {
+		return reports
+	}
+	older := reports[limit/2:]
+	rand.Shuffle(len(older), func(i, j int) { older[i], older[j] = older[j], older[i] })
+	return reports[:limit]
 }
 
 // HearReports takes in reports that another router told.
