What another router told is updated in place; very large fleets are remembered

Each beat that was heard copied all sums of its sender, up to one for each replica, 32 times a second. Sums are now changed in place and held requests kept apart. At 1,000 routers a beat comes once in 31 s, but routers were forgotten after 30 s (TestVeryLargeFleetIsRemembered fails before).

--- a/mesh/catch_test.go
+++ b/mesh/catch_test.go
@@ -53,7 +53,7 @@
 		{"nobody", func() {}, nil},
 		{"one is heard", func() { n.members.hear(&Beat{Member: Member{Name: "a", Address: "a:1", Incarnation: 1}}) }, []string{"a:1"}},
 		{"it starts elsewhere", func() { n.members.hear(&Beat{Member: Member{Name: "a", Address: "a:2", Incarnation: 2}}) }, []string{"a:2"}},
-		{"it is silent", func() { now = now.Add(2 * rememberFor) }, nil},
+		{"it is silent", func() { now = now.Add(2 * rememberLeast) }, nil},
 		{"another one is told of", func() { n.Know(Member{Name: "b", Address: "b:1", Incarnation: 1}) }, []string{"b:1"}},
 	}
 	for _, s := range steps {
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -14,9 +14,11 @@
 	// which it may be missed in a large one.
 	aliveLeast  = 1200 * time.Millisecond
 	aliveRounds = 3
-	// rememberFor is how long beats are sent to a silent router, and how long it
-	// shares in the retry budget.
-	rememberFor = 30 * time.Second
+	// rememberLeast is how long beats are sent to a silent router at least, and how
+	// long it shares in the retry budget; rememberRounds the number of times that all
+	// routers got a beat in which it may be missed in a very large fleet.
+	rememberLeast  = 30 * time.Second
+	rememberRounds = 4
 )
 
 // members holds the other routers.
@@ -169,11 +171,17 @@
 	return rank
 }
 
+// rememberFor is how long a silent router is remembered.
+func (m *members) rememberFor() time.Duration {
+	return max(rememberLeast, rememberRounds*coverTime(len(m.known)))
+}
+
 // forget drops routers silent for long and returns the version of what is left.
 func (m *members) forget() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
+	rememberFor := m.rememberFor()
 	for name, s := range m.known {
 		last := s.heard
 		if s.added.After(last) {
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,7 +44,7 @@
 	if diff := cmp.Diff([]string{"r1"}, names()); diff != "" {
 		t.Errorf("alive after a silence (-want +got):\n%s", diff)
 	}
-	now = now.Add(2 * rememberFor)
+	now = now.Add(2 * rememberLeast)
 	m.forget()
 	if got := m.addresses(); len(got) != 0 {
 		t.Errorf("addresses after a long silence: %v", got)
@@ -87,3 +88,19 @@
 		t.Errorf("%d routers are alive after a long silence", n)
 	}
 }
+
+// TestVeryLargeFleetIsRemembered has as many routers as get a beat in 31 s: none is
+// forgotten between two of its beats.
+func TestVeryLargeFleetIsRemembered(t *testing.T) {
+	const fleet = 1000
+	now := time.Unix(1000, 0)
+	m := newMembers(Member{Name: "r0"}, peridotusher.ClockFunc(func() time.Time { return now }))
+	for i := range fleet - 1 {
+		m.hear(&Beat{Member: Member{Name: fmt.Sprint("o", i), Address: "o:1", Incarnation: 1}, Routers: fleet})
+	}
+	now = now.Add(coverTime(fleet-1) + beatEvery)
+	m.forget()
+	if got := m.count(); got != fleet {
+		t.Errorf("%d of %d routers are remembered after a round of beats", got, fleet)
+	}
+}
--- a/replicas/load.go
+++ b/replicas/load.go
@@ -24,15 +24,19 @@
 type peerLoad struct {
 	incarnation int64
 	at          time.Time
-	counts      map[uint32]addedCount
+	held        []heldAt
+	outcomes    map[uint32]outcomes // by replica
 }
 
-// addedCount is one count with the replica to whose load it was added.
-type addedCount struct {
-	Count
+// heldAt is a number of requests with the replica to whose load it was added.
+type heldAt struct {
 	replica *Replica
+	held    int32
 }
 
+// outcomes are the sums that a router told of a replica.
+type outcomes struct{ good, bad uint32 }
+
 // Counts returns the router's own counts of the replicas at which it has
 // requests or has seen outcomes within told, those with the newest outcomes first.
 // Of the others it has no requests, and their outcomes are as told before.
@@ -61,51 +65,47 @@
 	return counts
 }
 
-// Learn takes the counts of another router in.
+// Learn takes the counts of another router in. Of replicas that it does not name it has
+// no requests; their outcomes are as told before.
 func (t *Table) Learn(router string, incarnation int64, counts []Count) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
-	old := t.loads[router]
-	fresh := &peerLoad{incarnation: incarnation, at: now, counts: make(map[uint32]addedCount, len(counts))}
-	for _, c := range counts {
-		r, ok := t.Find(c.Replica)
-		if !ok {
-			continue
-		}
-		fresh.counts[c.Replica] = addedCount{Count: c, replica: r}
-		r.others.counted.Add(c.Held)
-		if old == nil || old.incarnation != incarnation {
-			continue
-		}
-		before, known := old.counts[c.Replica]
-		if known && c.Good >= before.Good && c.Bad >= before.Bad {
-			r.learn(now, c.Good-before.Good, c.Bad-before.Bad)
-		}
+	l := t.loads[router]
+	var before []heldAt
+	if l != nil {
+		before = l.held
 	}
-	if old != nil {
-		old.forget()
-		if old.incarnation == incarnation {
-			fresh.inherit(old)
+	if l == nil || l.incarnation != incarnation {
+		l = &peerLoad{incarnation: incarnation, outcomes: make(map[uint32]outcomes, len(counts))}
+		t.loads[router] = l
+	}
+	l.at, l.held = now, nil
+	for _, c := range counts {
+		if r, ok := t.Find(c.Replica); ok {
+			l.learn(now, r, c)
 		}
 	}
-	t.loads[router] = fresh
+	forget(before) // after the new ones were added, so that no load is too low meanwhile
 }
 
-// inherit keeps the outcomes of replicas that the fresh counts do not name.
-func (l *peerLoad) inherit(old *peerLoad) {
-	for hash, c := range old.counts {
-		if _, ok := l.counts[hash]; !ok {
-			c.Held = 0
-			l.counts[hash] = c
-		}
+// learn takes in one count.
+func (l *peerLoad) learn(now time.Time, r *Replica, c Count) {
+	if c.Held != 0 {
+		r.others.counted.Add(c.Held)
+		l.held = append(l.held, heldAt{r, c.Held})
+	}
+	before, known := l.outcomes[c.Replica]
+	if known && c.Good >= before.good && c.Bad >= before.bad {
+		r.learn(now, c.Good-before.good, c.Bad-before.bad)
 	}
+	l.outcomes[c.Replica] = outcomes{c.Good, c.Bad}
 }
 
-// forget takes the held requests off the replicas again.
-func (l *peerLoad) forget() {
-	for _, c := range l.counts {
-		c.replica.others.counted.Add(-c.Held)
+// forget takes held requests off the replicas again.
+func forget(held []heldAt) {
+	for _, h := range held {
+		h.replica.others.counted.Add(-h.held)
 	}
 }
 
@@ -123,7 +123,7 @@
 	}
 	for router, load := range t.loads {
 		if now.Sub(load.at) > ttl {
-			load.forget()
+			forget(load.held)
 			delete(t.loads, router)
 		}
 	}
