--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -19,6 +19,8 @@
 	r.set.NewGauge(`peridotusher_wakes_total{loop="beat"}`, func() float64 { return float64(r.node.Traffic().Rounds) })
 	r.set.NewGauge(`peridotusher_wakes_total{loop="hear"}`, func() float64 { return float64(r.node.Traffic().Heard) })
 	r.set.NewGauge(`peridotusher_wakes_total{loop="catch"}`, func() float64 { return float64(r.node.Traffic().Looks) })
+	r.set.NewGauge("peridotusher_asked_total", func() float64 { return float64(r.node.Traffic().Asked) })
+	r.set.NewGauge("peridotusher_unanswered_total", func() float64 { return float64(r.node.Traffic().Unanswered) })
 	r.set.NewGauge("peridotusher_active_requests", func() float64 { return float64(r.front.Active()) })
 	r.set.NewGauge("peridotusher_ready", func() float64 {
 		if r.Ready() {
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -7,6 +7,10 @@
 // does no harm. A router that hears of a newer configuration, or whose replicas
 // differ for long, asks another one for what it lacks over a yamux session.
 //
+// In a large fleet news of a placement would reach most routers too late. Each part of
+// a prompt then has keepers, the first routers of its rendezvous order, which are asked
+// for the part's holders and told of new ones in datagrams of their own.
+//
 // # Usage
 //
 //	node := &mesh.Node{Self: self, State: state, Clock: clock, Log: log}
