--- a/placing/directory.go
+++ b/placing/directory.go
@@ -30,8 +30,8 @@
 // prompts with the part.
 type Lent struct {
 	Replica uint32
-	// Recent is about the number of prompts with the part that were sent there within
-	// the last second, so that reports of its load do not include them yet.
+	// Recent is the number of prompts with the part that were sent there lately, so
+	// that reports of its load may not include them; each counts half after 2 s.
 	Recent int
 }
 
