Lost replicas wake what tries them through the table; two tests mended

TestCounters set the front's counters after Run: the bed has them from the start. TestKeepersAreAgreedOn took the wall clock, so that its routers were dead after 1.2 s when each of 80,000 rankings is slow: it has a clock that stands still.

--- a/mesh/ask_test.go
+++ b/mesh/ask_test.go
@@ -44,7 +44,7 @@
 // one that was second.
 func TestKeepersAreAgreedOn(t *testing.T) {
 	const fleet, keys = 40, 2000
-	clock := peridotusher.ClockFunc(time.Now)
+	clock := peridotusher.ClockFunc(func() time.Time { return time.Unix(1000, 0) })
 	nodes := fleetOf(clock, make([]string, fleet)...)
 	share := map[string]int{}
 	for key := range uint64(keys) {
--- a/relay/front.go
+++ b/relay/front.go
@@ -78,7 +78,6 @@
 	ending atomic.Pointer[Ending]
 	conns  atomic.Pointer[connTable] // of the clients, while Run serves
 	active atomic.Int64
-	lost   chan struct{} // has lost replicas tried
 }
 
 // Log takes one line for each decision. It must not block.
@@ -92,7 +91,6 @@
 func (f *Front) Run(ctx context.Context, l net.Listener, grace func() time.Duration) error {
 	conns := newConnTable(f.Clock, f.stopping)
 	f.conns.Store(conns)
-	f.lost = make(chan struct{}, 1)
 	server := &http.Server{
 		Handler:           f,
 		MaxHeaderBytes:    headerRoom,
--- a/relay/metrics_test.go
+++ b/relay/metrics_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/routing"
 )
@@ -16,13 +14,11 @@
 // finds them, and a call that fails at one replica and is repeated.
 func TestCounters(t *testing.T) {
 	count := func(b *bed, raws ...string) string {
-		set := metrics.NewSet()
-		b.front.Metrics = NewMetrics(set)
 		for _, raw := range raws {
 			b.ask(raw)
 		}
 		var out bytes.Buffer
-		set.WritePrometheus(&out)
+		b.counters.WritePrometheus(&out)
 		return out.String()
 	}
 	prompt := post("Prompt: large1 own1\r\nContent-Length: 0\r\n", "")
--- a/relay/reach.go
+++ b/relay/reach.go
@@ -19,21 +19,12 @@
 // lose takes a replica for lost that could not be connected to, with those that
 // are likely cut off along with it. Their idle connections are closed.
 func (f *Front) lose(r *replicas.Replica) {
-	defer f.wakeReach()
 	for _, lost := range f.Table.Lose(r) {
 		f.Pool.drop(lost)
 		f.Log.Event("lost", "dependency", "replica", "replica", lost.ID(), "zone", lost.Zone(), "with", r.ID())
 	}
 }
 
-// wakeReach has reachLost look for lost replicas.
-func (f *Front) wakeReach() {
-	select {
-	case f.lost <- struct{}{}:
-	default: // it will look
-	}
-}
-
 // reachLost tries connections to lost replicas until ctx ends, so that no
 // request has to.
 func (f *Front) reachLost(ctx context.Context) error {
@@ -46,7 +37,7 @@
 		case <-ctx.Done():
 			return group.Wait()
 		case <-timer.C:
-		case <-f.lost:
+		case <-f.Table.Losses():
 		}
 		f.Metrics.woke("reach")
 		due, wait := f.Table.Due()
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
@@ -89,7 +90,9 @@
 	t     *testing.T
 	front *Front
 	url   string
-	group errgroup.Group
+	// counters are those of the front.
+	counters *metrics.Set
+	group    errgroup.Group
 
 	listeners []net.Listener
 
@@ -102,7 +105,7 @@
 func newBed(t *testing.T, route routing.Route, scripts ...script) *bed {
 	t.Helper()
 	clock := peridotusher.ClockFunc(time.Now)
-	b := &bed{t: t}
+	b := &bed{t: t, counters: metrics.NewSet()}
 	table := replicas.NewTable(clock)
 	var entries []replicas.Entry
 	for i, s := range scripts {
@@ -125,7 +128,7 @@
 		Reads: placing.NewReads(clock), Tell: func() {},
 		Inquire: func(context.Context, uint64) []placing.Lent { return nil }, Placed: func(bool, ...placing.Placement) {},
 		Budget: budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, clock),
-		Pool:   NewPool(clock), Log: discard{}, Routers: func() int { return 1 }, Gate: overload.NewGate(clock), Multiple: 2, BodyMemory: 1 << 20, Connections: 100,
+		Pool:   NewPool(clock), Metrics: NewMetrics(b.counters), Log: discard{}, Routers: func() int { return 1 }, Gate: overload.NewGate(clock), Multiple: 2, BodyMemory: 1 << 20, Connections: 100,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/replicas/reach.go
+++ b/replicas/reach.go
@@ -22,11 +22,26 @@
 	pause    time.Duration
 }
 
+// Losses returns a channel that tells of newly lost replicas; several may be told of at
+// once.
+func (t *Table) Losses() <-chan struct{} { return t.losses }
+
 // Lose takes a replica for lost that could not be connected to: it gets no
 // requests until a connection succeeds. If several replicas of a zone are lost
 // the zone is likely cut off, so the others that have not answered lately are
 // taken for lost too. It returns all that were lost by the call.
 func (t *Table) Lose(r *Replica) []*Replica {
+	lost := t.lose(r)
+	if len(lost) > 0 {
+		select {
+		case t.losses <- struct{}{}:
+		default: // it tells of others already
+		}
+	}
+	return lost
+}
+
+func (t *Table) lose(r *Replica) []*Replica {
 	now := t.clock.Now()
 	lost := []*Replica{}
 	if r.lose(now, true) {
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -48,6 +48,7 @@
 	mu      sync.Mutex
 	records map[string]*record
 	loads   map[string]*peerLoad
+	losses  chan struct{}
 
 	view atomic.Pointer[view]
 	wide atomic.Bool
@@ -55,7 +56,7 @@
 
 // NewTable returns an empty Table.
 func NewTable(clock peridotusher.Clock) *Table {
-	t := &Table{clock: clock, records: make(map[string]*record), loads: make(map[string]*peerLoad)}
+	t := &Table{clock: clock, records: make(map[string]*record), loads: make(map[string]*peerLoad), losses: make(chan struct{}, 1)}
 	t.view.Store(&view{})
 	return t
 }
