Keepers are told of placements even if they were silent, and of reads

Cause: at the first prompt each router asks the replicas for their parts and for that ranks itself for 160 of them each 15 ms, 47,000 hashes of new strings a look, which fills 0.192 cores; a keeper that was silent once was then passed over also when placements were told, so others never found them: 293 of 4,172 prompts with a known part went elsewhere after 5 s. Ranks mix hashes that are kept; looks are 60 ms apart; placements go to the keepers whether they answered or not. In the first second parts were read twice since their first read was in work: keepers are told when a large read begins and ends, and who is told so asks again after 40 ms, half of the objective at most.

--- a/edge/settle.go
+++ b/edge/settle.go
@@ -15,7 +15,7 @@
 
 const (
 	// settleLook is the time between two looks for replicas to ask.
-	settleLook = 15 * time.Millisecond
+	settleLook = 60 * time.Millisecond
 	// alone is how long after its start a router asks by itself, since other ones
 	// may not have been heard yet; then those that were heard share the replicas.
 	alone = 500 * time.Millisecond
@@ -128,7 +128,7 @@
 		placements[i] = placing.Placement{Key: part, Replica: replica.Hash()}
 		r.directory.Place(placements[i])
 	}
-	r.placed(true, placements...)
+	r.placed(placing.New, placements...)
 	replica.Record(r.clock.Now(), replicas.Good)
 	r.node.Tell()
 	r.Log.Event("parts", "replica", replica.ID(), "parts", len(parts))
--- a/edge/state.go
+++ b/edge/state.go
@@ -113,7 +113,9 @@
 func (s state) Holders(key uint64) []placing.Lent { return s.r.directory.Lend(key) }
 
 // Placed implements mesh.State.
-func (s state) Placed(placements []placing.Placement) { s.r.directory.Learn(placements) }
+func (s state) Placed(use placing.Use, placements []placing.Placement) {
+	s.r.directory.Learn(use, placements)
+}
 
 // inquire returns the holders of a part as a router knows them that keeps track of it,
 // if the fleet is so large that they are not told to all.
@@ -125,9 +127,9 @@
 }
 
 // placed tells the routers that keep track of the parts, if others ask them.
-func (r *Router) placed(anew bool, placements ...placing.Placement) {
+func (r *Router) placed(use placing.Use, placements ...placing.Placement) {
 	if r.directory.Asked() {
-		r.node.Placed(placements, anew)
+		r.node.Placed(use, placements)
 	}
 }
 
--- a/mesh/ask.go
+++ b/mesh/ask.go
@@ -30,6 +30,15 @@
 	askHolders
 )
 
+// The field numbers of where prompts went.
+const (
+	placedUse protowire.Number = iota + 1
+	placedPlacements
+)
+
+// holderNumbers is the number of integers beside the replica of a packed holder.
+const holderNumbers = 2
+
 // question asks which replicas hold the part with the key, or answers that.
 type question struct {
 	number  uint64 // the same in the answer
@@ -71,7 +80,7 @@
 // that keep track of it: the second one is asked if the first one knows of none or
 // does not answer.
 func (n *Node) Holders(ctx context.Context, key uint64) []placing.Lent {
-	for _, k := range n.members.keepers(key) {
+	for _, k := range n.members.askable(key) {
 		holders, err := n.ask(ctx, k, key)
 		if err != nil {
 			n.Log.Event("silent", "router", k.name, "error", err)
@@ -112,22 +121,23 @@
 }
 
 // Placed tells the routers that keep track of the parts where prompts with them went.
-// The second one of each is told only if the replica has read the part anew.
-func (n *Node) Placed(placements []placing.Placement, anew bool) {
+// The second one of each is not told of prompts for holders that it knows.
+func (n *Node) Placed(use placing.Use, placements []placing.Placement) {
 	byKeeper := make(map[string][]placing.Placement)
 	for _, p := range placements {
 		for i, k := range n.members.keepers(p.Key) {
-			if i == 0 || anew {
+			if i == 0 || use != placing.Sent {
 				byKeeper[k.address] = append(byKeeper[k.address], p)
 			}
 		}
 	}
 	for address, told := range byKeeper {
 		if address == "" {
-			n.State.Placed(told)
+			n.State.Placed(use, told)
 			continue
 		}
-		n.call(address, callPlaced, packPlacements(told))
+		body := appendNumber(nil, placedUse, uint64(use))
+		n.call(address, callPlaced, appendBytes(body, placedPlacements, packPlacements(told)))
 	}
 }
 
@@ -148,9 +158,9 @@
 	}
 	return true, eachField(data, func(kind protowire.Number, _ uint64, raw []byte) error {
 		if kind == callPlaced {
-			placements, err := unpackPlacements(raw)
+			use, placements, err := readPlaced(raw)
 			if err == nil {
-				n.State.Placed(placements)
+				n.State.Placed(use, placements)
 			}
 			return err
 		}
@@ -167,6 +177,22 @@
 	})
 }
 
+// readPlaced decodes what a router tells of prompts that it sent.
+func readPlaced(data []byte) (use placing.Use, placements []placing.Placement, err error) {
+	err = eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
+		switch n {
+		case placedUse:
+			use = placing.Use(v)
+		case placedPlacements:
+			told, err := unpackPlacements(raw)
+			placements = told
+			return err
+		}
+		return nil
+	})
+	return use, placements, err
+}
+
 func (q question) marshal() []byte {
 	out := appendNumber(nil, askNumber, q.number)
 	out = appendNumber(out, askKey, q.key)
@@ -174,6 +200,7 @@
 	for _, h := range q.holders {
 		packed = protowire.AppendFixed32(packed, h.Replica)
 		packed = protowire.AppendVarint(packed, uint64(h.Recent))
+		packed = protowire.AppendVarint(packed, protowire.EncodeBool(h.Reading))
 	}
 	return appendBytes(out, askHolders, packed)
 }
@@ -186,9 +213,9 @@
 		case askKey:
 			q.key = v
 		case askHolders:
-			var recent [1]uint64
-			return eachPacked(raw, recent[:], func(replica uint32) {
-				q.holders = append(q.holders, placing.Lent{Replica: replica, Recent: int(recent[0])})
+			var v [holderNumbers]uint64
+			return eachPacked(raw, v[:], func(replica uint32) {
+				q.holders = append(q.holders, placing.Lent{Replica: replica, Recent: int(v[0]), Reading: v[1] != 0})
 			})
 		}
 		return nil
--- a/mesh/ask_test.go
+++ b/mesh/ask_test.go
@@ -31,9 +31,10 @@
 	return nodes
 }
 
+// keeperNames returns the routers that are asked for a part.
 func keeperNames(n *Node, key uint64) []string {
 	var names []string
-	for _, k := range n.members.keepers(key) {
+	for _, k := range n.members.askable(key) {
 		names = append(names, k.name)
 	}
 	return names
@@ -104,11 +105,16 @@
 		{"one of the own zone is silent", func() { n.members.missed("r1") }, map[string]bool{"r0": true}},
 		{"time has passed", func() { now = now.Add(mutedFor); hearAll(n) }, map[string]bool{"r0": true, "r1": true, "r2": true, "r3": true, "r4": true, "r5": true}},
 	}
+	const key = 12345
+	told := n.members.keepers(key)
 	for _, s := range steps {
 		s.do()
 		if diff := cmp.Diff(s.want, asked()); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", s.name, diff)
 		}
+		if diff := cmp.Diff(told, n.members.keepers(key), cmp.AllowUnexported(keeper{})); diff != "" {
+			t.Errorf("%s: told of placements (-want +got):\n%s", s.name, diff)
+		}
 	}
 }
 
@@ -158,7 +164,7 @@
 		return true
 	})
 	const key, replica = 77, 9
-	want := []placing.Lent{{Replica: replica, Recent: 3}}
+	want := []placing.Lent{{Replica: replica, Recent: 3, Reading: true}}
 	first := keeperNames(nodes[0], key)[0]
 	asker, placer := nodes[0], nodes[1]
 	for _, n := range nodes {
@@ -169,7 +175,7 @@
 	if got := asker.Holders(ctx, key); len(got) != 0 {
 		t.Errorf("a part that nobody has read is at %v", got)
 	}
-	placer.Placed([]placing.Placement{{Key: key, Replica: replica}}, true)
+	placer.Placed(placing.New, []placing.Placement{{Key: key, Replica: replica}})
 	waitFor(t, "the holder is known", func() bool {
 		return cmp.Equal(want, asker.Holders(ctx, key))
 	})
--- a/mesh/keepers.go
+++ b/mesh/keepers.go
@@ -32,10 +32,25 @@
 	muted  time.Time // until when it is passed over
 }
 
-// keepers returns the routers that keep track of the part with the key, the one to ask
-// first: the first ones of the part's rendezvous order among the living ones of the
-// own form that do not stop. Routers that were asked in vain lately are passed over.
+// keepers returns the routers that keep track of the part with the key: the first ones
+// of the part's rendezvous order among the living ones of the own form that do not stop.
+// They are told of placements also if they did not answer a question lately, since
+// others may reach them.
 func (m *members) keepers(key uint64) []keeper {
+	return m.firstOf(key, func(*seen, time.Time) bool { return true })
+}
+
+// askable returns the routers to ask for the part, the first one first. Routers that
+// were asked in vain lately are passed over.
+func (m *members) askable(key uint64) []keeper {
+	return m.firstOf(key, func(s *seen, now time.Time) bool {
+		return !now.Before(s.muted) && !now.Before(m.zones[s.Zone].muted)
+	})
+}
+
+// firstOf returns the first routers of the part's rendezvous order that qualify, among
+// the living ones of the own form that do not stop. The own router always qualifies.
+func (m *members) firstOf(key uint64, qualifies func(s *seen, now time.Time) bool) []keeper {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
@@ -52,7 +67,7 @@
 	}
 	add(keeper{name: m.self.Name, place: placing.Score(key, m.hash)})
 	for _, s := range m.known {
-		if s.format != format || s.stopping || now.Before(s.muted) || now.Before(m.zones[s.Zone].muted) || !m.isAlive(s, now) {
+		if s.format != format || s.stopping || !m.isAlive(s, now) || !qualifies(s, now) {
 			continue
 		}
 		add(keeper{name: s.Name, address: s.Address, place: placing.Score(key, s.hash)})
--- a/mesh/members.go
+++ b/mesh/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/placing"
 )
 
 const (
@@ -156,15 +157,17 @@
 	return !s.heard.IsZero() && now.Sub(s.heard) < m.aliveFor(s)
 }
 
-// rank counts the living routers of the own form that come before a place in the
+// rank counts the living routers of the own form that come before the own one in the
 // order for a topic and do not stop.
-func (m *members) rank(topic string, place uint64) int {
+func (m *members) rank(topic string) int {
+	key := nameHash(topic)
+	place := placing.Score(key, m.hash)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
 	rank := 0
 	for _, s := range m.known {
-		if s.format == format && !s.stopping && placeOf(topic, s.Name) < place && m.isAlive(s, now) {
+		if s.format == format && !s.stopping && placing.Score(key, s.hash) < place && m.isAlive(s, now) {
 			rank++
 		}
 	}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -56,7 +56,7 @@
 	// about to use one of them.
 	Holders(key uint64) []placing.Lent
 	// Placed takes in where prompts with parts went of which this router keeps track.
-	Placed(placements []placing.Placement)
+	Placed(use placing.Use, placements []placing.Placement)
 	// Lacks returns what the other router has that this one lacks.
 	Lacks(other Summary) Lack
 }
@@ -157,12 +157,12 @@
 // them compute alike for the topic; stopping routers come last, those of another form
 // of beats are left out.
 func (n *Node) Rank(topic string) int {
-	return n.members.rank(topic, placeOf(topic, n.Self.Name))
+	return n.members.rank(topic)
 }
 
 // Order is the router's place in an order of its own for the topic, by which it
 // goes through things that all routers go through.
-func (n *Node) Order(topic string) uint64 { return placeOf(topic, n.Self.Name) }
+func (n *Node) Order(topic string) uint64 { return placing.Score(nameHash(topic), n.members.hash) }
 
 // Join takes over the state of the first seed that answers within a moment and knows
 // something, so that a router that starts knows at once what the others know.
@@ -340,7 +340,7 @@
 func (n *Node) ownOrder(addresses []string) []string {
 	places := make(map[string]uint64, len(addresses))
 	for _, a := range addresses {
-		places[a] = placeOf(n.Self.Name, a)
+		places[a] = placing.Score(n.members.hash, nameHash(a))
 	}
 	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(places[a], places[b]) })
 	return addresses
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -94,13 +94,13 @@
 	var holders []placing.Lent
 	for _, p := range s.placed {
 		if p.Key == key {
-			holders = append(holders, placing.Lent{Replica: p.Replica, Recent: 3})
+			holders = append(holders, placing.Lent{Replica: p.Replica, Recent: 3, Reading: true})
 		}
 	}
 	return holders
 }
 
-func (s *testState) Placed(placements []placing.Placement) {
+func (s *testState) Placed(_ placing.Use, placements []placing.Placement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.placed = append(s.placed, placements...)
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -7,7 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sync/errgroup"
@@ -28,9 +27,6 @@
 	sessions = 8
 )
 
-// placeOf orders routers for a topic.
-func placeOf(topic, name string) uint64 { return xxhash.Sum64String(topic + "\x00" + name) }
-
 func sessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false // a session lasts for one fetch
--- a/placing/directory.go
+++ b/placing/directory.go
@@ -33,13 +33,30 @@
 	// Recent is the number of prompts with the part that were sent there lately, so
 	// that reports of its load may not include them; each counts half after 2 s.
 	Recent int
+	// Reading is set while the replica still reads the part, if that is large.
+	Reading bool
 }
 
+// Use is what a router tells of a prompt with a part that it sent to a replica.
+type Use uint8
+
+// The uses.
+const (
+	// Sent prompts went to a replica that held the part.
+	Sent Use = iota
+	// New prompts went to a replica that did not.
+	New
+	// Reading replicas begin to read a large part, Read ones have ended.
+	Reading
+	Read
+)
+
 // holder is a replica that has read a part.
 type holder struct {
 	replica uint32
 	used    time.Time
-	lent    float64 // prompts with the part that were sent to it, decayed until used
+	lent    float64   // prompts with the part that were sent to it, decayed until used
+	reading time.Time // since when it reads the part, zero if it does not
 }
 
 // touch decays what was lent until now.
@@ -111,13 +128,30 @@
 	return d.asked
 }
 
-// Learn notes placements that are known to other routers too.
-func (d *Directory) Learn(placements []Placement) {
+// Learn notes where another router sent prompts, or what became of them.
+func (d *Directory) Learn(use Use, placements []Placement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	for _, p := range placements {
-		d.note(p, now)
+		switch use {
+		case Reading:
+			d.setReading(p, now)
+		case Read:
+			d.setReading(p, time.Time{})
+		default:
+			d.note(p, now)
+		}
+	}
+}
+
+// setReading notes since when a holder reads the part.
+func (d *Directory) setReading(p Placement, since time.Time) {
+	list := d.keys[p.Key]
+	for i := range list {
+		if list[i].replica == p.Replica {
+			list[i].reading = since
+		}
 	}
 }
 
@@ -132,7 +166,7 @@
 	for i := range list {
 		if h := &list[i]; now.Sub(h.used) < holdFor {
 			h.touch(now)
-			out = append(out, Lent{Replica: h.replica, Recent: int(math.Round(h.lent))})
+			out = append(out, Lent{Replica: h.replica, Recent: int(math.Round(h.lent)), Reading: now.Sub(h.reading) < readsHeardFor})
 		}
 	}
 	return out
--- a/placing/herd_test.go
+++ b/placing/herd_test.go
@@ -57,7 +57,7 @@
 			}
 			c, _ := p.Choose(cs)
 			if p.Key == key {
-				keeper.Learn([]Placement{{key, cs[c.Index].Hash}})
+				keeper.Learn(Sent, []Placement{{key, cs[c.Index].Hash}})
 			}
 			sent++
 			if float64(held[c.Index]) > multiple*float64(sum)/replicaCount+3 {
--- a/placing/news_test.go
+++ b/placing/news_test.go
@@ -148,7 +148,7 @@
 func TestLentPartsStayKnown(t *testing.T) {
 	clock := &exchangeClock{time.Unix(100, 0)}
 	d := NewDirectory(clock, Origin{Name: "r0", Incarnation: 1})
-	d.Learn([]Placement{{1, 10}, {1, 11}, {2, 10}})
+	d.Learn(New, []Placement{{1, 10}, {1, 11}, {2, 10}})
 	for range 4 {
 		clock.now = clock.now.Add(holdFor / 2)
 		if diff := cmp.Diff([]Lent{{Replica: 10}, {Replica: 11}}, d.Lend(1)); diff != "" {
@@ -159,7 +159,7 @@
 		t.Errorf("a part that nobody asked for is lent from %v", got)
 	}
 	for range 4 {
-		d.Learn([]Placement{{1, 11}})
+		d.Learn(Sent, []Placement{{1, 11}})
 	}
 	if diff := cmp.Diff([]Lent{{Replica: 10}, {Replica: 11, Recent: 4}}, d.Lend(1)); diff != "" {
 		t.Errorf("lent after four prompts (-want +got):\n%s", diff)
@@ -172,3 +172,28 @@
 		t.Errorf("what others told is told again: %v", news.Placements)
 	}
 }
+
+// TestReadsAreLent has a replica read a part for one router, as others are told until it
+// has ended, or for a while.
+func TestReadsAreLent(t *testing.T) {
+	clock := &exchangeClock{time.Unix(100, 0)}
+	d := NewDirectory(clock, Origin{Name: "r0", Incarnation: 1})
+	p := []Placement{{1, 10}}
+	steps := []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"sent", func() { d.Learn(New, p) }, false},
+		{"reads", func() { d.Learn(Reading, p) }, true},
+		{"has read", func() { d.Learn(Read, p) }, false},
+		{"reads again", func() { d.Learn(Reading, p) }, true},
+		{"the router that told of it is gone", func() { clock.now = clock.now.Add(readsHeardFor) }, false},
+	}
+	for _, s := range steps {
+		s.do()
+		if got := d.Lend(1); len(got) != 1 || got[0].Reading != s.want {
+			t.Errorf("%s: lent %+v, want reading %v", s.name, got, s.want)
+		}
+	}
+}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -93,7 +93,11 @@
 	for _, p := range shared {
 		d.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()})
 	}
-	t.front.Placed(choice.Reason != placing.Holder, placing.Placement{Key: longest, Replica: chosen.Hash()})
+	use := placing.New
+	if choice.Reason == placing.Holder {
+		use = placing.Sent
+	}
+	t.front.Placed(use, placing.Placement{Key: longest, Replica: chosen.Hash()})
 	return choice, true
 }
 
--- a/relay/front.go
+++ b/relay/front.go
@@ -43,10 +43,9 @@
 	// Directory says which replicas hold which parts of prompts.
 	Directory *placing.Directory
 	// Inquire asks another router for the holders of a part, if they are not told to
-	// all; Placed lets it know where prompts with parts went, and whether the replicas
-	// are new holders.
+	// all; Placed lets it know where prompts with parts went and what became of them.
 	Inquire func(ctx context.Context, key uint64) []placing.Lent
-	Placed  func(anew bool, placements ...placing.Placement)
+	Placed  func(use placing.Use, placements ...placing.Placement)
 	// Reads says which replicas are reading which parts just now.
 	Reads *placing.Reads
 	// Tell lets the other routers know of a read that begins or ends.
--- a/relay/read.go
+++ b/relay/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	readWaitPart = 0.5
 	// readLook is the time between two looks whether the read has ended.
 	readLook = 4 * time.Millisecond
+	// readAsk is the time between two questions to another router for the same.
+	readAsk = 40 * time.Millisecond
 )
 
 // awaitRead waits while the replica reads the longest shared part of the prompt
@@ -30,12 +33,25 @@
 	f := t.front
 	began := f.Clock.Now()
 	limit := time.Duration(readWaitPart * float64(t.route.Objective))
-	for f.Reads.Reading(p) && f.Clock.Now().Sub(began) < limit && ctx.Err() == nil {
-		pause.For(ctx, readLook)
+	for f.Clock.Now().Sub(began) < limit && ctx.Err() == nil {
+		switch {
+		case f.Reads.Reading(p):
+			pause.For(ctx, readLook)
+		case t.lentReading(p.Replica):
+			pause.For(ctx, readAsk)
+			t.lent = f.Inquire(ctx, p.Key)
+		default:
+			return f.Clock.Now().Sub(began)
+		}
 	}
 	return f.Clock.Now().Sub(began)
 }
 
+// lentReading reports whether another router told that the replica reads the part.
+func (t *task) lentReading(replica uint32) bool {
+	return slices.ContainsFunc(t.lent, func(l placing.Lent) bool { return l.Replica == replica && l.Reading })
+}
+
 // beginRead notes that the replica reads or fetches the longest shared part of the
 // prompt, if it does not have it, until the first event or the end of the try.
 func (t *task) beginRead(r *replicas.Replica) (end func()) {
@@ -46,9 +62,11 @@
 	}
 	f := t.front
 	read := f.Reads.Begin(p)
+	f.Placed(placing.Reading, p)
 	f.tellReads()
 	t.reading = sync.OnceFunc(func() {
 		read()
+		f.Placed(placing.Read, p)
 		f.tellReads()
 	})
 	return t.reading
--- a/relay/read_test.go
+++ b/relay/read_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -104,6 +105,27 @@
 	}
 }
 
+// TestAskedReadIsAwaited has a router that keeps track of the part tell that the replica
+// reads it, until it has ended: the prompt is sent then.
+func TestAskedReadIsAwaited(t *testing.T) {
+	b := newBed(t, stream, from)
+	hash := replicas.HashOf("a", 0)
+	asked := 0
+	b.front.Inquire = func(context.Context, uint64) []placing.Lent {
+		asked++
+		if asked > 1 && len(b.requests()) > 0 {
+			t.Error("the prompt was sent before the read had ended")
+		}
+		return []placing.Lent{{Replica: hash, Reading: asked < 4}}
+	}
+	if err := askPrompt(t, b, "large1 own1")(); err != nil {
+		t.Fatal(err)
+	}
+	if asked != 4 {
+		t.Errorf("the router was asked %d times, want 4", asked)
+	}
+}
+
 // TestReadEndsWithTheTry has a replica break off before the first event: the part
 // is no longer being read.
 func TestReadEndsWithTheTry(t *testing.T) {
