Keepers are agreed on before all were heard; reports show that a replica lives

At 295 routers each is heard from each within 9.25 s, so at the first prompts, 14 s after the start, routers took other ones for keepers. Now one that was told of counts too. A source of parts has to have answered somebody within 2.5 s, of which only beats told, first hand; reports of loads that are passed on say so too.

--- a/mesh/ask_test.go
+++ b/mesh/ask_test.go
@@ -66,6 +66,17 @@
 			t.Errorf("%s is asked for %d of %d parts", name, n, keys)
 		}
 	}
+	// A router that was only told of the others agrees with those that heard them.
+	newcomer := &Node{Self: nodes[0].Self, Clock: clock}
+	newcomer.Init()
+	for _, n := range nodes {
+		newcomer.Know(n.Self)
+	}
+	for key := range uint64(keys) {
+		if diff := cmp.Diff(keeperNames(nodes[0], key), keeperNames(newcomer, key)); diff != "" {
+			t.Fatalf("keepers at a newcomer (-want +got):\n%s", diff)
+		}
+	}
 	const key = 12345
 	before := keeperNames(nodes[0], key)
 	for _, n := range nodes {
--- a/mesh/keepers.go
+++ b/mesh/keepers.go
@@ -33,8 +33,8 @@
 }
 
 // keepers returns the routers that keep track of the part with the key: the first ones
-// of the part's rendezvous order among the living ones of the own form that do not stop.
-// They are told of placements also if they did not answer a question lately, since
+// of the part's rendezvous order among those of the own form that are there and do not
+// stop. They are told of placements also if they did not answer a question lately, since
 // others may reach them.
 func (m *members) keepers(key uint64) []keeper {
 	return m.firstOf(key, func(*seen, time.Time) bool { return true })
@@ -49,7 +49,7 @@
 }
 
 // firstOf returns the first routers of the part's rendezvous order that qualify, among
-// the living ones of the own form that do not stop. The own router always qualifies.
+// those of the own form that are there and do not stop. The own router always qualifies.
 func (m *members) firstOf(key uint64, qualifies func(s *seen, now time.Time) bool) []keeper {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -67,7 +67,7 @@
 	}
 	add(keeper{name: m.self.Name, place: placing.Score(key, m.hash)})
 	for _, s := range m.known {
-		if s.format != format || s.stopping || !m.isAlive(s, now) || !qualifies(s, now) {
+		if s.stopping || !m.isThere(s, now) || !qualifies(s, now) {
 			continue
 		}
 		add(keeper{name: s.Name, address: s.Address, place: placing.Score(key, s.hash)})
@@ -75,6 +75,16 @@
 	return best
 }
 
+// isThere reports whether the router, of the own form, was heard a short time ago or is
+// newly known from others: all routers have to agree on a part's keepers long before
+// each has heard from each.
+func (m *members) isThere(s *seen, now time.Time) bool {
+	if s.heard.IsZero() {
+		return now.Sub(s.added) < m.aliveFor(s)
+	}
+	return s.format == format && m.isAlive(s, now)
+}
+
 // nameHash returns what stands for a router in rendezvous orders.
 func nameHash(name string) uint64 { return xxhash.Sum64String(name) }
 
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -81,6 +81,7 @@
 		holders = append(holders, l.Replica)
 		placing.Lend(candidates, l)
 	}
+	t.holders = len(holders)
 	choice, ok := placing.Prompt{Key: longest, Multiple: t.front.Multiple, Holders: holders}.Choose(candidates)
 	if !ok {
 		return choice, false
--- a/replicas/load_test.go
+++ b/replicas/load_test.go
@@ -104,3 +104,21 @@
 		t.Errorf("%d counts are told in a wide fleet, want %d", n, countsWide)
 	}
 }
+
+// TestReportShowsLife has a replica answer another router, which hands its report on:
+// the replica lives, though this router has no outcome of it.
+func TestReportShowsLife(t *testing.T) {
+	b := newBed()
+	b.Offer([]Entry{entry("a", 1)})
+	r := b.Ready("s")[0]
+	if r.Alive(b.now) {
+		t.Error("a replica that nobody has asked lives")
+	}
+	b.HearReports([]Report{{Replica: r.Hash(), Load: 2, Age: time.Second}})
+	if !r.Alive(b.now) {
+		t.Error("a replica that answered another router a second ago does not live")
+	}
+	if r.Alive(b.now.Add(aliveFor)) {
+		t.Error("the report shows life for too long")
+	}
+}
--- a/replicas/report.go
+++ b/replicas/report.go
@@ -36,6 +36,9 @@
 		return
 	}
 	r.told = told{load: int32(load), own: r.own.Load(), at: at}
+	if at.After(r.alive) {
+		r.alive = at // it answered somebody
+	}
 	r.others.told.Store(max(r.told.load-r.told.own, 0))
 }
 
