--- a/placing/candidate.go
+++ b/placing/candidate.go
@@ -11,11 +11,16 @@
 	Prefill float64
 }
 
-// Lend adds to a holder's load what was sent there a moment ago.
+// lentUsual is the number of recent prompts with a part that does not change a
+// holder's load: so few are likely in its reports already, and a holder that counts as
+// full has the part read elsewhere.
+const lentUsual = 2
+
+// Lend adds to a holder's load what was sent there a moment ago, beyond the usual.
 func Lend(candidates []Candidate, l Lent) {
 	for i := range candidates {
 		if candidates[i].Hash == l.Replica {
-			candidates[i].Held += l.Recent
+			candidates[i].Held += max(l.Recent-lentUsual, 0)
 			return
 		}
 	}
--- a/placing/herd_test.go
+++ b/placing/herd_test.go
@@ -84,3 +84,18 @@
 		t.Errorf("without what was lent it is %.3f, so this test shows nothing", without)
 	}
 }
+
+// TestUsualPartsKeepTheirHolder has a holder as full as its limit allows get prompts
+// with a part now and then, and in a burst: only the burst counts beside its reports.
+func TestUsualPartsKeepTheirHolder(t *testing.T) {
+	for recent, want := range map[int]string{0: Holder, lentUsual: Holder, 3 * lentUsual: Home} {
+		cs := fleet(18) // a mean of 4
+		cs[6].Held = 8
+		l := Lent{Replica: cs[6].Hash, Recent: recent}
+		Lend(cs, l)
+		c, _ := Prompt{Multiple: 2, Key: 99, Holders: []uint32{l.Replica}}.Choose(cs)
+		if c.Reason != want {
+			t.Errorf("with %d recent prompts the choice is %s, want %s", recent, c.Reason, want)
+		}
+	}
+}
