--- a/placing/candidate.go
+++ b/placing/candidate.go
@@ -16,11 +16,15 @@
 // full has the part read elsewhere.
 const lentUsual = 2
 
-// Lend adds to a holder's load what was sent there a moment ago, beyond the usual.
+// Lend adds to a holder's load what was sent there a moment ago, if that is more than
+// usual.
 func Lend(candidates []Candidate, l Lent) {
+	if l.Recent <= lentUsual {
+		return
+	}
 	for i := range candidates {
 		if candidates[i].Hash == l.Replica {
-			candidates[i].Held += max(l.Recent-lentUsual, 0)
+			candidates[i].Held += l.Recent
 			return
 		}
 	}
