--- a/relay/choose.go
+++ b/relay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -69,20 +70,13 @@
 // choosePrompt picks a replica by the shared parts of the prompt and tells the
 // directory. A replica that lacks the longest part is given one to fetch from.
 func (t *task) choosePrompt(ctx context.Context, sound []*replicas.Replica, candidates []placing.Candidate) (placing.Choice, bool) {
-	d := t.front.Directory
 	shared := t.sharedParts()
 	longest := shared[len(shared)-1].ID
-	if !t.inquired {
-		t.inquired = true
-		t.lent = t.front.Inquire(ctx, longest)
-	}
-	holders := d.Holders(longest)
+	t.findHolders(ctx, longest)
 	for _, l := range t.lent {
-		holders = append(holders, l.Replica)
 		placing.Lend(candidates, l)
 	}
-	t.holders = len(holders)
-	choice, ok := placing.Prompt{Key: longest, Multiple: t.front.Multiple, Holders: holders}.Choose(candidates)
+	choice, ok := placing.Prompt{Key: longest, Multiple: t.front.Multiple, Holders: t.holders}.Choose(candidates)
 	if !ok {
 		return choice, false
 	}
@@ -91,23 +85,48 @@
 	if choice.Reason != placing.Holder {
 		t.source = t.sourceOf(shared, chosen)
 	}
+	t.tellPlaced(shared, choice, chosen)
+	return choice, true
+}
+
+// findHolders finds the replicas that are taken to hold the prompt's longest shared
+// part, as this router knows and as another one tells, which is asked once.
+func (t *task) findHolders(ctx context.Context, longest uint64) {
+	if !t.inquired {
+		t.inquired = true
+		t.lent = t.front.Inquire(ctx, longest)
+	}
+	t.holders = t.front.Directory.Holders(longest)
+	for _, l := range t.lent {
+		if !slices.Contains(t.holders, l.Replica) {
+			t.holders = append(t.holders, l.Replica)
+		}
+	}
+}
+
+// tellPlaced has the directory and other routers know where the prompt goes.
+func (t *task) tellPlaced(shared []Part, choice placing.Choice, chosen *replicas.Replica) {
 	for _, p := range shared {
-		d.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()})
+		t.front.Directory.Place(placing.Placement{Key: p.ID, Replica: chosen.Hash()})
 	}
 	use := placing.New
 	if choice.Reason == placing.Holder {
 		use = placing.Sent
 	}
+	longest := shared[len(shared)-1].ID
 	t.front.Placed(use, placing.Placement{Key: longest, Replica: chosen.Hash()})
-	return choice, true
 }
 
 // sourceOf returns the address of a replica that holds the longest shared part
 // that any other replica than the chosen one holds; "" if none does.
 func (t *task) sourceOf(shared []Part, chosen *replicas.Replica) string {
+	holders := t.holders
 	for i := len(shared) - 1; i >= 0; i-- {
+		if i < len(shared)-1 {
+			holders = t.front.Directory.Holders(shared[i].ID)
+		}
 		var best *replicas.Replica
-		for _, hash := range t.front.Directory.Holders(shared[i].ID) {
+		for _, hash := range holders {
 			if hash == chosen.Hash() && i < len(shared)-1 {
 				return "" // it holds as much as any other
 			}
--- a/relay/final.go
+++ b/relay/final.go
@@ -85,7 +85,7 @@
 func (t *task) done(x *exchange, first time.Duration) {
 	took := t.front.Clock.Now().Sub(t.began)
 	t.front.Log.Event("answered", "id", t.call.ID, "route", t.routeName(), "status", x.resp.StatusCode,
-		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean, "part", t.part(), "holders", t.holders, "source", t.source,
+		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean, "part", t.part(), "holders", len(t.holders), "source", t.source,
 		"waited", t.waited, "own", t.own, "sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "took", took)
 	t.front.Gate.Answered(t.serviceName, took)
 	t.spend(t.inTime(x.resp.StatusCode, first))
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -140,3 +141,26 @@
 		}
 	}
 }
+
+// TestSourceIsLent has another router tell of a holder that has no room, of which this
+// one knows nothing by itself: it is named as the source.
+func TestSourceIsLent(t *testing.T) {
+	b := newBed(t, stream, from, from)
+	f := b.front
+	full, ok := f.Table.Find(replicas.HashOf("b", 0))
+	if !ok {
+		t.Fatal("no replica b")
+	}
+	f.Inquire = func(context.Context, uint64) []placing.Lent { return []placing.Lent{{Replica: full.Hash()}} }
+	for range 4 {
+		defer full.Hold()() // no room: the prompt goes to a
+	}
+	full.Record(f.Clock.Now(), replicas.Good)
+	if resp, _, _ := b.ask(post("Prompt: a bb ccc\r\nContent-Length: 0\r\n", "")); resp == nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("answer = %v", resp)
+	}
+	r := b.requests()[0]
+	if got := r.header.Get("Source"); r.replica != "a" || got != full.Address() {
+		t.Errorf("replica %s was told the source %q, want a and %q", r.replica, got, full.Address())
+	}
+}
--- a/relay/task.go
+++ b/relay/task.go
@@ -55,7 +55,7 @@
 	// longest shared part, lent what it told.
 	inquired bool
 	lent     []placing.Lent
-	holders  int           // of that part, as far as was known
+	holders  []uint32      // of that part, as far as is known
 	source   string        // address of a replica that holds shared parts of the prompt
 	held     int           // requests at the chosen replica when it was chosen
 	reading  func()        // ends the replica's read of the prompt's longest shared part
