--- /dev/null
+++ b/mesh/round.go
@@ -0,0 +1,222 @@
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/placing"
+)
+
+const (
+	// beatEvery is the time between two rounds of beats.
+	beatEvery = 250 * time.Millisecond
+	// beatFan is the number of routers that get a beat in a round; a larger
+	// fleet is covered in several rounds.
+	beatFan = 8
+	// spreadSurplus is how many beats a router gets on average once news is taken to
+	// have reached nearly all: some get several, and some none.
+	spreadSurplus = 2
+	// knownEvery is the number of rounds between two beats that name other
+	// routers while some router knows fewer, knownMost how many they name.
+	knownEvery = 7
+	knownMost  = 8
+	// knownSeldom is the number of rounds between two such beats when all routers
+	// say that they know as many.
+	knownSeldom = 8 * knownEvery
+	// welcomeRatio is how many times as many routers a router knows that names
+	// some to another one at once, welcomeMost how many.
+	welcomeRatio = 2
+	welcomeMost  = 32
+	// largestBeat is the size of the buffer for a datagram, in bytes.
+	largestBeat = 16 << 10
+)
+
+// coverTime is the time in which every other router gets a beat.
+func coverTime(others int) time.Duration {
+	rounds := (others + beatFan - 1) / beatFan
+	return time.Duration(max(rounds, 1)) * beatEvery
+}
+
+// CoverTime is the time in which every other router gets a beat.
+func (n *Node) CoverTime() time.Duration { return coverTime(n.members.count() - 1) }
+
+// SpreadTime is the time in which news reaches nearly all routers: in each round,
+// each router that has heard tells beatFan others.
+func (n *Node) SpreadTime() time.Duration {
+	rounds := 0
+	for told := 1; told < spreadSurplus*n.members.count(); told *= beatFan + 1 {
+		rounds++
+	}
+	return time.Duration(rounds) * beatEvery
+}
+
+// beat sends a round of beats at regular times.
+func (n *Node) beat(ctx context.Context, datagrams net.PacketConn) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		case <-n.news:
+		}
+		n.sendRound(datagrams)
+		timer.Reset(beatEvery)
+	}
+}
+
+func (n *Node) sendRound(datagrams net.PacketConn) {
+	b := n.fill()
+	n.traffic.rounds.Add(1)
+	n.round++
+	if n.round%n.knownRounds() == 1 {
+		b.Known = n.introductions(knownMost)
+	}
+	data := b.marshal()
+	for _, address := range n.targets() {
+		n.send(datagrams, data, address)
+	}
+}
+
+// knownRounds is the number of rounds between two beats that name other routers.
+func (n *Node) knownRounds() int {
+	if n.members.agree() {
+		return knownSeldom
+	}
+	return knownEvery
+}
+
+// fill returns a beat of this moment.
+func (n *Node) fill() *Beat {
+	b := &Beat{Member: n.Self, Routers: n.members.count(), Format: format}
+	n.State.Fill(b)
+	return b
+}
+
+func (n *Node) send(datagrams net.PacketConn, data []byte, address string) {
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err == nil {
+		_, err = datagrams.WriteTo(data, to)
+		n.traffic.beat(len(data))
+	}
+	if err != nil {
+		n.Log.Event("peer", "address", address, "error", err)
+	}
+}
+
+// introductions returns some of the living routers, at most limit.
+func (n *Node) introductions(limit int) []Member {
+	alive := n.Alive()
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return alive[:min(len(alive), limit)]
+}
+
+// welcome returns a beat for the sender of b that names many routers, nil if it
+// knows enough of them or does not say how many.
+func (n *Node) welcome(b *Beat) *Beat {
+	if b.Routers == 0 || b.Routers*welcomeRatio > n.members.count() {
+		return nil
+	}
+	reply := n.fill()
+	reply.Known = n.introductions(welcomeMost)
+	return reply
+}
+
+// targets returns the addresses of this round: of a large fleet the next part, and
+// the seeds now and then, since they may come back.
+func (n *Node) targets() []string {
+	all := roundOf(n.others(), n.round)
+	if n.round%knownEvery == 1 || len(all) == 0 {
+		for _, seed := range *n.seeds.Load() {
+			if seed != n.Self.Address && !slices.Contains(all, seed) {
+				all = append(all, seed)
+			}
+		}
+	}
+	return all
+}
+
+// roundOf returns those of all others that get a beat in a round: in a large fleet the
+// next part of them.
+func roundOf[T any](all []T, round int) []T {
+	if len(all) <= beatFan {
+		return slices.Clone(all)
+	}
+	start := round * beatFan % len(all)
+	return slices.Concat(all[start:], all[:start])[:beatFan]
+}
+
+// others returns the addresses of the other routers in the router's own order, which
+// is made anew only when they change. The slice must not be changed.
+func (n *Node) others() []string {
+	if version := n.members.forget(); version != n.ordered {
+		n.order, n.ordered = n.ownOrder(n.members.addresses()), version
+	}
+	return slices.Clip(n.order)
+}
+
+// ownOrder returns the addresses in an order of the router's own, so that routers
+// which started together do not tell the same ones in a round.
+func (n *Node) ownOrder(addresses []string) []string {
+	places := make(map[string]uint64, len(addresses))
+	for _, a := range addresses {
+		places[a] = placing.Score(n.members.hash, nameHash(a))
+	}
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(places[a], places[b]) })
+	return addresses
+}
+
+// receive takes beats in until the socket is closed.
+func (n *Node) receive(ctx context.Context, datagrams net.PacketConn) error {
+	buf := make([]byte, largestBeat)
+	for {
+		size, from, err := datagrams.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			n.Log.Event("peer", "error", err)
+			if errors.Is(err, net.ErrClosed) {
+				return errors.Wrap(err, "receive beats")
+			}
+			continue
+		}
+		n.traffic.heard.Add(1)
+		if call, err := n.hearCall(buf[:size], from); call {
+			if err != nil {
+				n.Log.Event("peer", "error", err)
+			}
+			continue
+		}
+		var b Beat
+		if err := b.unmarshal(buf[:size]); err != nil {
+			n.Log.Event("peer", "error", err)
+			continue
+		}
+		b.Address = from.String() // a router sends from where it is reached
+		if !n.members.hear(&b) {
+			continue
+		}
+		if reply := n.welcome(&b); reply != nil {
+			n.send(datagrams, reply.marshal(), b.Address)
+		}
+		if b.Format != format {
+			continue
+		}
+		n.State.Hear(&b)
+		switch n.State.Lacks(b.summary()) {
+		case Nothing:
+		case Newer:
+			signal(n.newer)
+		default:
+			signal(n.lacking)
+		}
+	}
+}
