peridotusher account: which requests were lost and to what, from logs

Answers log which objective of their route they missed, the first event's or that of pauses (gap-target-ms is decoded now, and a long pause spends the error budget); cut and left lines name the route.

--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -8,6 +8,7 @@
 //	peridotusher check FILE
 //	peridotusher status
 //	peridotusher explain --org ORGANISATION --model MODEL --chat CHAT
+//	peridotusher account --by route FILES
 //	peridotusher drain ROUTER or ENGINE
 //	peridotusher report --html FILE
 //	source <(peridotusher completion bash)
@@ -67,6 +68,7 @@
 			checkCommand(),
 			statusCommand(),
 			explainCommand(),
+			accountCommand(),
 			drainCommand(),
 			reportCommand(),
 			configCommand(),
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -117,7 +117,7 @@
 
 // cut ends the client's connection, so that the answer does not look complete.
 func (t *task) cut(kind string, err error) {
-	t.front.Log.Event("cut", "id", t.call.ID, "at", kind, "error", err)
+	t.front.Log.Event("cut", "id", t.call.ID, "route", t.routeName(), "at", kind, "error", err)
 	t.front.Metrics.cut(t.routeName())
 	if kind != "client" {
 		t.spend(false)
--- a/relay/burn.go
+++ b/relay/burn.go
@@ -23,10 +23,16 @@
 	})
 }
 
-// inTime reports whether a replica's answer with its first event after a time keeps
-// the route's objective.
-func (t *task) inTime(status int, first time.Duration) bool {
-	return status < http.StatusInternalServerError && (t.route.Objective <= 0 || first <= t.route.Objective)
+// lateness says which of the route's objectives an answer with its first event after a
+// time did not keep: start, pause, or "" if it is in time.
+func (t *task) lateness(first time.Duration) string {
+	switch {
+	case t.route.Objective > 0 && first > t.route.Objective:
+		return "start"
+	case t.route.Pause > 0 && t.pause > t.route.Pause:
+		return "pause"
+	}
+	return ""
 }
 
 // routersFault reports whether an answer of the router's own spends the error budget:
--- a/relay/final.go
+++ b/relay/final.go
@@ -15,7 +15,7 @@
 // certainly has not run, else 504 at the deadline and 502 before.
 func (t *task) giveUp(ctx context.Context, why string) {
 	if t.r.Context().Err() != nil {
-		t.front.Log.Event("left", "id", t.call.ID, "sends", t.sends)
+		t.front.Log.Event("left", "id", t.call.ID, "route", t.routeName(), "sends", t.sends)
 		t.front.Metrics.answered(t.routeName(), "left", t.front.Clock.Now().Sub(t.began))
 		panic(http.ErrAbortHandler)
 	}
@@ -84,11 +84,12 @@
 // done logs and counts an answer that was passed on.
 func (t *task) done(x *exchange, first time.Duration) {
 	took := t.front.Clock.Now().Sub(t.began)
+	late := t.lateness(first)
 	t.front.Log.Event("answered", "id", t.call.ID, "route", t.routeName(), "status", x.resp.StatusCode,
 		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.held, "mean", t.choice.Mean, "part", t.part(), "holders", len(t.holders), "source", t.source,
-		"waited", t.waited, "own", t.own, "sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "took", took)
+		"waited", t.waited, "own", t.own, "sends", t.sends, "version", t.version(), "first", first, "pause", t.pause, "late", late, "took", took)
 	t.front.Gate.Answered(t.serviceName, took)
-	t.spend(t.inTime(x.resp.StatusCode, first))
+	t.spend(x.resp.StatusCode < http.StatusInternalServerError && late == "")
 	t.front.Metrics.answered(t.routeName(), "answered", took)
 	t.front.Metrics.placed(t.routeName(), t.choice.Reason, t.partsHow())
 	t.front.Metrics.own(t.routeName(), t.own, t.waited)
--- a/routing/document.go
+++ b/routing/document.go
@@ -35,6 +35,9 @@
 	Timeout time.Duration
 	// Objective is the latency objective: for streams up to the first event.
 	Objective time.Duration
+	// Pause is the longest pause between two events of a stream that is on time; 0
+	// means no limit.
+	Pause time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
 	Shares   []Share
