--- a/mesh/ask.go
+++ b/mesh/ask.go
@@ -16,6 +16,9 @@
 // whose processor is busy for a moment.
 const askFor = 40 * time.Millisecond
 
+// errNoAnswer is the error of a question that was not answered in time.
+var errNoAnswer = errors.New("no answer in time")
+
 // The field numbers of the datagrams beside beats; each has one of them only.
 const (
 	callAsk protowire.Number = iota + 32
@@ -94,9 +97,6 @@
 	return nil
 }
 
-// errNoAnswer is the error of a question that was not answered in time.
-var errNoAnswer = errors.New("no answer in time")
-
 // ask asks one router.
 func (n *Node) ask(ctx context.Context, k keeper, key uint64) ([]placing.Lent, error) {
 	if k.address == "" {
--- a/mesh/keepers.go
+++ b/mesh/keepers.go
@@ -54,25 +54,27 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	best := make([]keeper, 0, keeperCount+1)
-	add := func(k keeper) {
-		at, _ := slices.BinarySearchFunc(best, k, func(a, b keeper) int {
-			if a.place > b.place {
-				return -1
-			}
-			return 1
-		})
-		best = slices.Insert(best, at, k)
-		best = best[:min(len(best), keeperCount)]
-	}
-	add(keeper{name: m.self.Name, place: placing.Score(key, m.hash)})
+	first := []keeper{{name: m.self.Name, place: placing.Score(key, m.hash)}}
 	for _, s := range m.known {
 		if s.stopping || !m.isThere(s, now) || !qualifies(s, now) {
 			continue
 		}
-		add(keeper{name: s.Name, address: s.Address, place: placing.Score(key, s.hash)})
+		first = insert(first, keeper{name: s.Name, address: s.Address, place: placing.Score(key, s.hash)})
+	}
+	return first
+}
+
+// insert puts a router among the first ones, of which keeperCount are kept.
+func insert(first []keeper, k keeper) []keeper {
+	at := slices.IndexFunc(first, func(other keeper) bool { return other.place < k.place })
+	if at < 0 {
+		at = len(first)
+	}
+	if at >= keeperCount {
+		return first
 	}
-	return best
+	first = slices.Insert(first, at, k)
+	return first[:min(len(first), keeperCount)]
 }
 
 // isThere reports whether the router, of the own form, was heard a short time ago or is
--- a/mesh/members_test.go
+++ b/mesh/members_test.go
@@ -51,8 +51,6 @@
 	}
 }
 
-// TestNodesFindEachOther starts routers that know one seed only, and has a
-// configuration of half a megabyte travel from one to all.
 // TestZoneCount counts the routers of the own zone: one is ready, one is not, one is
 // silent, one was only told of, one is in another zone.
 func TestZoneCount(t *testing.T) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -128,9 +128,7 @@
 // Rank returns the router's place among the living ones in an order that all of
 // them compute alike for the topic; stopping routers come last, those of another form
 // of beats are left out.
-func (n *Node) Rank(topic string) int {
-	return n.members.rank(topic)
-}
+func (n *Node) Rank(topic string) int { return n.members.rank(topic) }
 
 // Order is the router's place in an order of its own for the topic, by which it
 // goes through things that all routers go through.
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -110,6 +110,8 @@
 
 func (discard) Event(string, ...any) {}
 
+// TestNodesFindEachOther starts routers that know one seed only, and has a
+// configuration of half a megabyte travel from one to all.
 func TestNodesFindEachOther(t *testing.T) {
 	const routers = 4
 	ctx, cancel := context.WithCancel(context.Background())
