One piece for the tests that run the program, and for flags of the store's commands

Five packages built the program in the same twelve lines: testbed.RunTests does. Two commands listed the same six flags, three the same one.

--- a/answertest/main_test.go
+++ b/answertest/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"strings"
@@ -25,22 +24,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(run(m))
-}
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "answertest")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	binary, err = testbed.Build(context.Background(), dir)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(testbed.RunTests(m, &binary))
 }
 
 // start starts a bed that the test stops.
--- a/cmd/peridotusher/config.go
+++ b/cmd/peridotusher/config.go
@@ -17,6 +17,18 @@
 // keyVariable is the environment variable that holds the key.
 const keyVariable = "PERIDOTUSHER_KEY"
 
+// storeFlags are the flags of commands that read or edit the configuration in the store.
+func storeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "store", Usage: "`ADDRESS` of the key-value service, may be repeated", Required: true},
+		&cli.StringFlag{Name: "prefix", Usage: "`PREFIX` of the keys in the store", Value: "peridotusher"},
+		&cli.StringFlag{Name: "team", Usage: "`NAME` of the editing team"},
+		&cli.StringFlag{Name: "key", Usage: "`KEY` of the team", Sources: cli.EnvVars(keyVariable)},
+		&cli.DurationFlag{Name: "timeout", Usage: "longest `TIME` for the command", Value: time.Minute},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+	}
+}
+
 func configCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "config",
@@ -24,14 +36,7 @@
 		Description: "Without --team the key is that of the platform's operators, who may edit everything.\n" +
 			"Exit codes: 0 success, 1 failure, 2 invalid document or arguments, 3 conflict.\n" +
 			"Example: peridotusher config --store 10.0.0.7:2379 get 'class chat'",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "store", Usage: "`ADDRESS` of the key-value service, may be repeated", Required: true},
-			&cli.StringFlag{Name: "prefix", Usage: "`PREFIX` of the keys in the store", Value: "peridotusher"},
-			&cli.StringFlag{Name: "team", Usage: "`NAME` of the editing team"},
-			&cli.StringFlag{Name: "key", Usage: "`KEY` of the team", Sources: cli.EnvVars(keyVariable)},
-			&cli.DurationFlag{Name: "timeout", Usage: "longest `TIME` for the command", Value: time.Minute},
-			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
-		},
+		Flags: storeFlags(),
 		Commands: []*cli.Command{
 			configGetCommand(),
 			configEditCommand(),
--- a/cmd/peridotusher/config_edit.go
+++ b/cmd/peridotusher/config_edit.go
@@ -53,7 +53,7 @@
 			"--all replaces the whole document as the platform's operators; the first one sets their key.\n" +
 			"Example: peridotusher config --store 10.0.0.7:2379 --team athina apply mine.ini",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "remove", Usage: "`SECTION` to remove, may be repeated"},
+			removeFlag(),
 			&cli.BoolFlag{Name: "all", Usage: "replace the whole document"},
 			&cli.Uint64Flag{Name: "above", Usage: "with --all, take a revision above `REVISION`, after the store was set back"},
 		},
@@ -74,15 +74,18 @@
 	}
 }
 
+// removeFlag names sections that a command removes.
+func removeFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "remove", Usage: "`SECTION` to remove, may be repeated"}
+}
+
 func configDiffCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "diff",
 		Usage:       "show what apply would change",
 		ArgsUsage:   "FILE",
 		Description: "Example: peridotusher config --store 10.0.0.7:2379 --team athina diff mine.ini",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "remove", Usage: "`SECTION` to remove, may be repeated"},
-		},
+		Flags:       []cli.Flag{removeFlag()},
 		Action: onStore(func(ctx context.Context, cmd *cli.Command, e *config.Editor) error {
 			edits, err := argumentEdits(ctx, cmd, e)
 			if err != nil {
@@ -106,9 +109,7 @@
 		Usage:       "check the edits of a file against the whole document without making them",
 		ArgsUsage:   "FILE",
 		Description: "Example: peridotusher config --store 10.0.0.7:2379 --team athina check mine.ini",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "remove", Usage: "`SECTION` to remove, may be repeated"},
-		},
+		Flags:       []cli.Flag{removeFlag()},
 		Action: onStore(func(ctx context.Context, cmd *cli.Command, e *config.Editor) error {
 			edits, err := argumentEdits(ctx, cmd, e)
 			if err != nil {
--- a/cmd/peridotusher/rollout.go
+++ b/cmd/peridotusher/rollout.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"regexp"
 	"strings"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -26,14 +25,7 @@
 			"Exit codes: 0 success, 1 failure, 2 invalid document or arguments, 3 conflict.\n" +
 			"Example: peridotusher rollout --store 10.0.0.7:2379 start stylist v2:10,v1:90\n" +
 			"Example: peridotusher rollout --store 10.0.0.7:2379 back stylist",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "store", Usage: "`ADDRESS` of the key-value service, may be repeated", Required: true},
-			&cli.StringFlag{Name: "prefix", Usage: "`PREFIX` of the keys in the store", Value: "peridotusher"},
-			&cli.StringFlag{Name: "team", Usage: "`NAME` of the editing team"},
-			&cli.StringFlag{Name: "key", Usage: "`KEY` of the team", Sources: cli.EnvVars(keyVariable)},
-			&cli.DurationFlag{Name: "timeout", Usage: "longest `TIME` for the command", Value: time.Minute},
-			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
-		},
+		Flags: storeFlags(),
 		Commands: []*cli.Command{
 			{
 				Name:      "start",
--- a/faulttest/fault_test.go
+++ b/faulttest/fault_test.go
@@ -1,7 +1,6 @@
 package faulttest
 
 import (
-	"context"
 	"flag"
 	"math/rand/v2"
 	"os"
@@ -21,20 +20,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(runAll(m))
-}
-
-func runAll(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "faulttest")
-	if err != nil {
-		panic(err)
-	}
-	defer os.RemoveAll(dir)
-	binary, err = testbed.Build(context.Background(), dir)
-	if err != nil {
-		panic(err)
-	}
-	return m.Run()
+	os.Exit(testbed.RunTests(m, &binary))
 }
 
 // play runs one episode and compares its violations with none.
--- a/fleettest/bench_test.go
+++ b/fleettest/bench_test.go
@@ -31,21 +31,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(run(m))
-}
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "fleettest")
-	if err != nil {
-		fmt.Println(err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if binary, err = testbed.Build(context.Background(), dir); err != nil {
-		fmt.Println(err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(testbed.RunTests(m, &binary))
 }
 
 // bench is a bed with an editor of its document.
--- a/ordertest/bed_test.go
+++ b/ordertest/bed_test.go
@@ -38,21 +38,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(runTests(m))
-}
-
-func runTests(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "ordertest")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(dir)
-	if binary, err = testbed.Build(context.Background(), dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	return m.Run()
+	os.Exit(testbed.RunTests(m, &binary))
 }
 
 // needLong skips a case that only runs with -long.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,20 +47,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	os.Exit(runAll(m))
-}
-
-func runAll(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		panic(err)
-	}
-	defer os.RemoveAll(dir)
-	binary, err = testbed.Build(context.Background(), dir)
-	if err != nil {
-		panic(err)
-	}
-	return m.Run()
+	os.Exit(testbed.RunTests(m, &binary))
 }
 
 // start runs one zone with engines that take many streams at once.
--- a/testbed/options.go
+++ b/testbed/options.go
@@ -1,13 +1,8 @@
 package testbed
 
 import (
-	"context"
-	"os/exec"
-	"path/filepath"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"peridotusher.example/peridotusher/standin"
 )
 
@@ -55,13 +50,3 @@
 		*field = value
 	}
 }
-
-// Build compiles the peridotusher program into dir and returns its path.
-func Build(ctx context.Context, dir string) (string, error) {
-	binary := filepath.Join(dir, "peridotusher")
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", binary, "peridotusher.example/peridotusher/cmd/peridotusher")
-	if out, err := cmd.CombinedOutput(); err != nil {
-		return "", errors.Wrapf(err, "go build: %s", out)
-	}
-	return binary, nil
-}
