Many changes of replicas at once are one line of the log

At 295 routers and 165 replicas 48,675 of 69,437 lines of 16 s were those of the first list, as many as routers times replicas. Lists up to 48 changes are logged as before.

--- a/edge/state.go
+++ b/edge/state.go
@@ -129,6 +129,17 @@
 	return mesh.Nothing
 }
 
+// countOf counts the entries that are so.
+func countOf(entries []replicas.Entry, so func(replicas.Entry) bool) int {
+	n := 0
+	for _, e := range entries {
+		if so(e) {
+			n++
+		}
+	}
+	return n
+}
+
 // offer puts a configuration in force if it is newer.
 func (r *Router) offer(doc *routing.Document, from string) {
 	if r.current.Offer(doc) {
@@ -146,8 +157,17 @@
 	}
 }
 
+// changesLogged is the number of changes of replicas at once from which they are logged
+// in one line: the first list of a large fleet would be most of a router's log.
+const changesLogged = 48
+
 // logChanges logs changes of replicas.
 func (r *Router) logChanges(from string, changed []replicas.Entry) {
+	if len(changed) > changesLogged {
+		r.Log.Event("replicas", "changed", len(changed), "leaving", countOf(changed, func(e replicas.Entry) bool { return e.Leaving }),
+			"gone", countOf(changed, func(e replicas.Entry) bool { return e.Gone }), "from", from)
+		return
+	}
 	for _, e := range changed {
 		r.Log.Event("replica", "replica", e.ID, "service", e.Service, "address", e.Address,
 			"leaving", e.Leaving, "gone", e.Gone, "revision", e.Revision, "from", from)
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
@@ -122,3 +124,28 @@
 		}
 	}
 }
+
+// TestChangesAreLogged has a few replicas change, and many at once as at a start.
+func TestChangesAreLogged(t *testing.T) {
+	tests := []struct {
+		changed int
+		want    map[string]int
+	}{
+		{3, map[string]int{"replica": 3}},
+		{changesLogged, map[string]int{"replica": changesLogged}},
+		{changesLogged + 1, map[string]int{"replicas": 1}},
+	}
+	for _, tt := range tests {
+		r, log := newTestRouter(t), counting{}
+		r.Log = log
+		r.logChanges("store", make([]replicas.Entry, tt.changed))
+		if diff := cmp.Diff(counting(tt.want), log); diff != "" {
+			t.Errorf("%d changes, lines by kind (-want +got):\n%s", tt.changed, diff)
+		}
+	}
+}
+
+// counting counts events by kind.
+type counting map[string]int
+
+func (c counting) Event(kind string, _ ...any) { c[kind]++ }
--- a/eventlog/read.go
+++ b/eventlog/read.go
@@ -144,7 +144,7 @@
 		return replicas[l.Fields["replica"]]
 	case "lost", "regained":
 		return l.Fields["dependency"] == "store" || replicas[l.Fields["replica"]]
-	case "configuration", "start", "stopping", "stop", "reload", "standstill", "dropped":
+	case "replicas", "configuration", "start", "stopping", "stop", "reload", "standstill", "dropped":
 		return true
 	}
 	return false
