--- a/relay/metrics_test.go
+++ b/relay/metrics_test.go
@@ -85,3 +85,27 @@
 		})
 	}
 }
+
+// TestLateness has answers miss the objective for the first event, that for pauses, both
+// and none.
+func TestLateness(t *testing.T) {
+	route := &routing.Route{Objective: 500 * time.Millisecond, Pause: 600 * time.Millisecond}
+	tests := []struct {
+		first, pause time.Duration
+		want         string
+	}{
+		{500 * time.Millisecond, 600 * time.Millisecond, ""},
+		{501 * time.Millisecond, 0, "start"},
+		{0, 601 * time.Millisecond, "pause"},
+		{time.Second, time.Second, "start"},
+	}
+	for _, tt := range tests {
+		answer := task{route: route, pause: tt.pause}
+		if got := answer.lateness(tt.first); got != tt.want {
+			t.Errorf("first event after %v, pause %v: late by %q, want %q", tt.first, tt.pause, got, tt.want)
+		}
+	}
+	if got := (&task{route: &routing.Route{}, pause: time.Hour}).lateness(time.Hour); got != "" {
+		t.Errorf("a route without objectives: late by %q", got)
+	}
+}
