A router whose dial left no session is dialled again

Cause: two routers dial each other at once, one session is given up for the older one, and that one ends, as idle after the test's second, before the waiting ask has taken it; the ask was told that there is no session. Now it dials again as long as its time allows, and is woken when a session is given up. TestDialWhoseSessionIsGone fails before.

--- a/peer/connect.go
+++ b/peer/connect.go
@@ -115,6 +115,7 @@
 		up(peer.ID())
 	}
 	if !added {
+		n.sessions.notify() // the older session may end before a waiter has taken it
 		return mux.Close()
 	}
 	defer n.sessions.remove(s)
--- a/peer/links.go
+++ b/peer/links.go
@@ -183,18 +183,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.Timeout)
 	defer cancel()
-	if n.dials.begin(m.Address()) {
-		select {
-		case n.wanted <- m:
-		case <-ctx.Done():
-			n.dials.failed(m.Address(), ctx.Err())
-		}
-	}
+	n.want(ctx, m)
 	for {
 		news := n.sessions.watch()
 		s, err = n.session(to)
-		if err == nil || !n.dials.busy(m.Address()) {
-			return s, err
+		if err == nil {
+			return s, nil
+		}
+		if !n.dials.busy(m.Address()) && (errors.Unwrap(err) != nil || !n.want(ctx, m)) {
+			return nil, err
 		}
 		select {
 		case <-news:
@@ -204,6 +201,21 @@
 	}
 }
 
+// want has a router dialled, unless a dial has failed lately. A dial that ended well may
+// have left no session: it was given up for an older one, which has ended since.
+func (n *Node) want(ctx context.Context, m peridotusher.Member) bool {
+	if !n.dials.begin(m.Address()) {
+		return n.dials.busy(m.Address())
+	}
+	select {
+	case n.wanted <- m:
+		return true
+	case <-ctx.Done():
+		n.dials.failed(m.Address(), ctx.Err())
+		return false
+	}
+}
+
 // target returns a member with the address to dial.
 func (n *Node) target(id peridotusher.RouterID) (peridotusher.Member, bool) {
 	targets := n.Members.Targets()
--- a/peer/session_test.go
+++ b/peer/session_test.go
@@ -1,12 +1,15 @@
 package peer
 
 import (
+	"context"
 	"io"
 	"net"
 	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"peridotusher.example/peridotusher"
 )
 
@@ -82,3 +85,42 @@
 	counts := newTraffic(newBudget(clock, 0))
 	return newSession(peer, dialer, newCountedConn(here, counts, clock), counts)
 }
+
+// TestDialWhoseSessionIsGone has dials end well, but the session that they made or found
+// has ended before the message was sent, as when it was given up for an older one that
+// the other side then closed as idle: the router is dialled again.
+func TestDialWhoseSessionIsGone(t *testing.T) {
+	self := peridotusher.NewMember("a", "east", "127.0.0.1:1", 1)
+	far := peridotusher.NewMember("b", "north", "127.0.0.1:2", 1)
+	n := &Node{Self: self, Members: peridotusher.NewMembers(self, wallClock), Clock: wallClock, Mesh: 1}
+	n.once.Do(n.init)
+	n.Members.Propose([]peridotusher.Member{self, far})
+	n.Members.Heard(far)
+	const gone = 2
+	ctx, cancel := context.WithTimeout(testContext(t), time.Second)
+	defer cancel()
+	var dialler errgroup.Group
+	dials := 0
+	dialler.Go(func() error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case m := <-n.wanted:
+				dials++
+				if dials > gone {
+					n.sessions.add(idleSession(t, far, self.ID(), wallClock))
+				}
+				n.dials.succeeded(m.Address(), far.ID())
+				n.sessions.notify()
+			}
+		}
+	})
+	if _, err := n.reach(ctx, far.ID()); err != nil {
+		t.Errorf("the router was not reached: %v", err)
+	}
+	cancel()
+	if err := dialler.Wait(); err != nil || dials != gone+1 {
+		t.Errorf("%d dials, want %d (%v)", dials, gone+1, err)
+	}
+}
