Departures of replicas are logged one by one, and each read of the list

An operator could not tell when a router learned that a replica leaves: more than 48 changes at once were one line with counts, and no line told when the list was read. Departures have a line each now, up to 200 at once, and the reader of the list logs a `listed` line. TestChangesAreLogged fails before for departures among many changes.

--- a/edge/list.go
+++ b/edge/list.go
@@ -156,8 +156,10 @@
 	}
 	copied := r.reading.read(r.clock.Now(), began, r.outageGap(), r.node.Rank(listTopic) == 0)
 	_, outage := r.reading.last()
-	changed := r.table.Snapshot(list.At, list.Entries, began.Sub(outage) < outageMemory)
+	lapsed := began.Sub(outage) < outageMemory
+	changed := r.table.Snapshot(list.At, list.Entries, lapsed)
 	r.listed.Store(true)
+	r.Log.Event("listed", "revision", list.At.Revision, "replicas", len(list.Entries), "changed", len(changed), "lapsed", lapsed, "took", r.clock.Now().Sub(began))
 	if copied {
 		r.Log.Event("copy", "epoch", list.At.Epoch, "listed", len(list.Entries), "changed", len(changed), "kept", r.table.Count())
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"peridotusher.example/peridotusher"
@@ -189,9 +190,13 @@
 	}
 }
 
-// changesLogged is the number of changes of replicas at once from which they are logged
-// in one line: the first list of a large fleet would be most of a router's log.
-const changesLogged = 48
+// changesLogged is the number of changes of replicas at once from which only those are logged
+// one by one that take replicas out of use, up to departuresLogged of them: the first list of
+// a large fleet would be most of a router's log.
+const (
+	changesLogged    = 48
+	departuresLogged = 200
+)
 
 // changed logs changes of replicas that are new to this router, and publishes them at once.
 func (r *Router) changed(from string, changes []replicas.Entry) {
@@ -208,11 +213,18 @@
 
 // logChanges logs changes of replicas.
 func (r *Router) logChanges(from string, changed []replicas.Entry) {
-	if len(changed) > changesLogged {
-		r.Log.Event("replicas", "changed", len(changed), "leaving", countOf(changed, func(e replicas.Entry) bool { return e.Leaving }),
-			"gone", countOf(changed, func(e replicas.Entry) bool { return e.Gone }), "from", from)
+	if len(changed) <= changesLogged {
+		r.logEach(from, changed)
 		return
 	}
+	departed := slices.DeleteFunc(slices.Clone(changed), func(e replicas.Entry) bool { return e.Usable() })
+	r.Log.Event("replicas", "changed", len(changed), "leaving", countOf(changed, func(e replicas.Entry) bool { return e.Leaving }),
+		"gone", countOf(changed, func(e replicas.Entry) bool { return e.Gone }), "from", from)
+	r.logEach(from, departed[:min(len(departed), departuresLogged)])
+}
+
+// logEach logs each change in a line of its own.
+func (r *Router) logEach(from string, changed []replicas.Entry) {
 	for _, e := range changed {
 		r.Log.Event("replica", "replica", e.ID, "service", e.Service, "address", e.Address,
 			"leaving", e.Leaving, "said", e.Announced, "gone", e.Gone, "epoch", e.Epoch, "revision", e.Revision, "from", from)
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -125,22 +125,30 @@
 	}
 }
 
-// TestChangesAreLogged has a few replicas change, and many at once as at a start.
+// TestChangesAreLogged has a few replicas change, and many at once as at a start: each
+// departure has a line.
 func TestChangesAreLogged(t *testing.T) {
 	tests := []struct {
-		changed int
-		want    map[string]int
+		changed, departed int
+		want              map[string]int
 	}{
-		{3, map[string]int{"replica": 3}},
-		{changesLogged, map[string]int{"replica": changesLogged}},
-		{changesLogged + 1, map[string]int{"replicas": 1}},
+		{3, 1, map[string]int{"replica": 3}},
+		{changesLogged, 0, map[string]int{"replica": changesLogged}},
+		{changesLogged + 1, 0, map[string]int{"replicas": 1}},
+		{changesLogged + 1, 7, map[string]int{"replicas": 1, "replica": 7}},
+		{2 * departuresLogged, 2 * departuresLogged, map[string]int{"replicas": 1, "replica": departuresLogged}},
 	}
 	for _, tt := range tests {
 		r, log := newTestRouter(t), counting{}
 		r.Log = log
-		r.logChanges("store", make([]replicas.Entry, tt.changed))
+		changed := make([]replicas.Entry, tt.changed)
+		for i := range tt.departed {
+			changed[i].Leaving = i%2 == 0
+			changed[i].Gone = !changed[i].Leaving
+		}
+		r.logChanges("store", changed)
 		if diff := cmp.Diff(counting(tt.want), log); diff != "" {
-			t.Errorf("%d changes, lines by kind (-want +got):\n%s", tt.changed, diff)
+			t.Errorf("%d changes, %d departures, lines by kind (-want +got):\n%s", tt.changed, tt.departed, diff)
 		}
 	}
 }
--- a/replicas/entry.go
+++ b/replicas/entry.go
@@ -34,8 +34,8 @@
 	Epoch, Revision int64
 }
 
-// usable reports whether new requests may go to the replica.
-func (e *Entry) usable() bool { return !e.Leaving && !e.Gone }
+// Usable reports whether new requests may go to the replica.
+func (e *Entry) Usable() bool { return !e.Leaving && !e.Gone }
 
 // sameUse reports whether e and next are the same for all routing decisions.
 func (e *Entry) sameUse(next *Entry) bool {
--- a/replicas/merge_test.go
+++ b/replicas/merge_test.go
@@ -96,7 +96,7 @@
 				t.Fatalf("seed %d: usable %v after %+v", seed, usable, history)
 			}
 		}
-		if last := history[len(history)-1]; usable[0] != last.usable() {
+		if last := history[len(history)-1]; usable[0] != last.Usable() {
 			t.Errorf("seed %d: usable %v after %+v", seed, usable[0], history)
 		}
 	}
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -240,7 +240,7 @@
 		return false
 	}
 	rec.changed = now
-	rec.replica.setLeaving(now, !next.usable())
+	rec.replica.setLeaving(now, !next.Usable())
 	return true
 }
 
@@ -248,7 +248,7 @@
 // since an old copy of the store may hold its entry, but is not published as a change.
 func (t *Table) first(now time.Time, e Entry) *record {
 	rec := &record{entry: e, replica: newReplica(e), changed: now}
-	rec.replica.setLeaving(now, !e.usable())
+	rec.replica.setLeaving(now, !e.Usable())
 	if e.Gone {
 		rec.changed = now.Add(-tombstoneFor / 2)
 	}
@@ -267,7 +267,7 @@
 			continue
 		}
 		v.all[rec.replica.hash], v.ids[rec.entry.ID] = rec.replica, rec.replica
-		if rec.entry.usable() {
+		if rec.entry.Usable() {
 			list := v.ready
 			if v.zones[rec.entry.Zone] {
 				list = v.withheld
