Each departure of a replica is forwarded at once, each change gets its turn in heartbeats

Cause: what one router reads reaches the others by three ways, and all of them dropped changes when many came at once. More than 16 were not forwarded; a heartbeat named the 32 newest of the last two seconds, or a random 32 of more that came together, so that others were never named; what both ways missed was fetched after 3.5 s at 82 routers, more than the 3 s allowed. Change: all departures are forwarded, however many, in datagrams of 12; arrivals as before up to 16. Heartbeats name first what they have named least often, and of that the departures. TestChangesArePublishedAtOnce keeps its check: 17 arrivals are still not forwarded.

--- /dev/null
+++ b/edge/departures_test.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// rollout changes the replicas in a memoryStore as releases, crashes and scaling do.
+type rollout struct {
+	store *memoryStore
+	ids   []string // oldest first
+	added int
+}
+
+func (r *rollout) add(n int) {
+	for range n {
+		id := fmt.Sprint("m", r.added)
+		r.added++
+		r.store.put(id, false)
+		r.ids = append(r.ids, id)
+	}
+}
+
+// replace adds replicas, has as many old ones leave and removes those that left before.
+func (r *rollout) replace(n int) {
+	r.add(n)
+	for _, id := range r.ids[:n] {
+		r.store.remove(id)
+	}
+	r.ids = r.ids[n:]
+	for _, id := range r.ids[:n] {
+		r.store.put(id, true)
+	}
+}
+
+// flap removes the newest replicas or puts them back.
+func (r *rollout) flap(n int, up bool) {
+	for _, id := range r.ids[len(r.ids)-n:] {
+		if up {
+			r.store.put(id, false)
+			continue
+		}
+		r.store.remove(id)
+	}
+}
+
+// step makes the changes of the n-th step of 50 ms.
+func (r *rollout) step(n int) {
+	const replaceEvery, replaced = 16, 8
+	const flapEvery, flapping = 17, 18
+	const growEvery, grown = 80, 40
+	if n%replaceEvery == 0 {
+		r.replace(replaced)
+	}
+	if n%flapEvery == 0 {
+		r.flap(flapping, n%(2*flapEvery) != 0)
+	}
+	if n%growEvery == 0 {
+		r.add(grown)
+	}
+}
+
+// TestManyDeparturesAreKnownInTime has replicas be replaced, crash and be added all at once,
+// while the store refuses a third of the routers. Nearly all departures have to be known to all
+// routers in half of the time in which a leaving replica may get requests, and all in that time.
+func TestManyDeparturesAreKnownInTime(t *testing.T) {
+	const (
+		first   = 140
+		step    = 50 * time.Millisecond
+		joining = 4 * time.Second // until all routers know the list
+		changes = 120             // steps
+	)
+	for _, tt := range []struct {
+		routers int
+		drain   time.Duration
+	}{{8, 2 * time.Second}, {82, 3 * time.Second}} {
+		t.Run(fmt.Sprint(tt.routers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore()
+				r := rollout{store: store}
+				r.add(first)
+				fleet, stop := startFleet(t, tt.routers, tt.drain, store, func(i int) bool { return i%3 == 0 })
+				time.Sleep(joining)
+				longest := make(map[string]time.Duration)
+				for n := range changes + int(tt.drain/step) {
+					if n < changes {
+						r.step(n)
+					}
+					time.Sleep(step)
+					for _, router := range fleet {
+						store.delays(router, longest)
+					}
+				}
+				if err := stop(); err != nil {
+					t.Error(err)
+				}
+				delays := slices.Sorted(maps.Values(longest))
+				nearly, worst := delays[len(delays)*98/100], delays[len(delays)-1]
+				t.Logf("%d departures, known to all after %v at 98 of 100, %v at worst", len(delays), nearly, worst)
+				if nearly > tt.drain/2 || worst > tt.drain {
+					t.Errorf("known to all after %v at 98 of 100, %v at worst; want %v, %v", nearly, worst, tt.drain/2, tt.drain)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/edge/fleet_test.go
@@ -0,0 +1,216 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
+)
+
+// memoryStore is the platform's list of replicas in memory.
+type memoryStore struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]replicas.Entry
+	departed map[string]time.Time // when a replica began to leave or was removed
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{entries: make(map[string]replicas.Entry), departed: make(map[string]time.Time)}
+}
+
+// put writes the entry of a replica.
+func (s *memoryStore) put(id string, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.entries[id] = replicas.Entry{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, StartedAt: 1, Leaving: leaving, Revision: s.revision}
+	delete(s.departed, id)
+	if leaving {
+		s.departed[id] = time.Now()
+	}
+}
+
+// remove removes the entry of a replica, which may have announced that it leaves.
+func (s *memoryStore) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	if e, ok := s.entries[id]; ok && !e.Leaving {
+		s.departed[id] = time.Now()
+	}
+	delete(s.entries, id)
+}
+
+// delays records in longest how long ago the replicas departed that a router still uses.
+func (s *memoryStore) delays(r *Router, longest map[string]time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, replica := range r.table.Ready("s") {
+		if at, ok := s.departed[replica.ID()]; ok {
+			longest[replica.ID()] = max(longest[replica.ID()], time.Since(at))
+		}
+	}
+}
+
+// storeDelay is the time that a read of a memoryStore takes.
+const storeDelay = 4 * time.Millisecond
+
+// storeClient is one router's access to a memoryStore, which may refuse it.
+type storeClient struct {
+	Source
+	store   *memoryStore
+	refused bool
+}
+
+func (c storeClient) Document(context.Context) (*routing.Document, replicas.EvacuationKeys, peridotusher.Position, error) {
+	if c.refused {
+		return nil, replicas.EvacuationKeys{}, peridotusher.Position{}, errBusy
+	}
+	return &routing.Document{Version: 1}, replicas.EvacuationKeys{}, peridotusher.Position{Revision: 1}, nil
+}
+
+func (c storeClient) NextDocument(ctx context.Context, after peridotusher.Position, wait time.Duration) (*routing.Document, replicas.EvacuationKeys, peridotusher.Position, error) {
+	return calmSource{}.NextDocument(ctx, after, wait)
+}
+
+func (c storeClient) Replicas(context.Context, string) (replicas.Page, error) {
+	time.Sleep(storeDelay)
+	if c.refused {
+		return replicas.Page{}, errBusy
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return replicas.Page{At: peridotusher.Position{Revision: c.store.revision}, Entries: slices.Collect(maps.Values(c.store.entries))}, nil
+}
+
+// memoryNetwork carries datagrams between routers and drops some of them.
+type memoryNetwork struct {
+	delay time.Duration
+	loss  float64
+	conns map[string]*memoryConn // by address
+}
+
+// memoryConn is a router's socket in a memoryNetwork, and its listener for sessions, which
+// nobody opens.
+type memoryConn struct {
+	net.PacketConn
+	network *memoryNetwork
+	address net.Addr
+	in      chan packet
+	closed  chan struct{}
+	once    sync.Once
+}
+
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
+func (n *memoryNetwork) listen(address string) error {
+	to, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return err
+	}
+	const queued = 1 << 12
+	n.conns[address] = &memoryConn{network: n, address: to, in: make(chan packet, queued), closed: make(chan struct{})}
+	return nil
+}
+
+func (c *memoryConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case p := <-c.in:
+		return copy(b, p.data), p.from, nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (c *memoryConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	peer := c.network.conns[to.String()]
+	if peer == nil || rand.Float64() < c.network.loss {
+		return len(b), nil
+	}
+	data := slices.Clone(b)
+	time.AfterFunc(c.network.delay, func() {
+		select {
+		case peer.in <- packet{data, c.address}:
+		default: // dropped, as by a full socket
+		}
+	})
+	return len(b), nil
+}
+
+func (c *memoryConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// Accept implements net.Listener.
+func (c *memoryConn) Accept() (net.Conn, error) {
+	<-c.closed
+	return nil, net.ErrClosed
+}
+
+// Addr implements net.Listener.
+func (c *memoryConn) Addr() net.Addr { return c.address }
+
+// newFleetRouter returns a router that knows all members of its fleet.
+func newFleetRouter(t *testing.T, self mesh.Member, members []mesh.Member, drain time.Duration) *Router {
+	t.Helper()
+	r := newTestRouter(t)
+	bounds := *r.bounds.Load()
+	bounds.drain = drain
+	r.bounds.Store(&bounds)
+	r.node.Self = self
+	r.node.Init()
+	r.reading.start(r.clock.Now(), r.node.Place(listTopic))
+	r.settled.Store(true)
+	for _, other := range members {
+		r.node.AddMember(other)
+	}
+	return r
+}
+
+// startFleet starts routers that send each other heartbeats and changes but cannot fetch
+// anything from each other. The store refuses those for which refused returns true.
+func startFleet(t *testing.T, count int, drain time.Duration, store *memoryStore, refused func(i int) bool) (fleet []*Router, stop func() error) {
+	t.Helper()
+	const delay, loss = 3 * time.Millisecond, 0.01
+	network := &memoryNetwork{delay: delay, loss: loss, conns: make(map[string]*memoryConn)}
+	ctx, cancel := context.WithCancel(t.Context())
+	group, ctx := errgroup.WithContext(ctx)
+	var members []mesh.Member
+	for i := range count {
+		members = append(members, mesh.Member{Name: fmt.Sprint("r", i), Zone: "a", Address: fmt.Sprintf("127.77.%d.%d:9", i/200, 1+i%200), Incarnation: 1})
+	}
+	for i, self := range members {
+		r := newFleetRouter(t, self, members, drain)
+		r.Source = storeClient{store: store, refused: refused(i)}
+		if err := network.listen(self.Address); err != nil {
+			t.Fatal(err)
+		}
+		fleet = append(fleet, r)
+	}
+	for _, r := range fleet {
+		conn := network.conns[r.node.Self.Address]
+		group.Go(func() error { return r.node.Run(ctx, conn, conn) })
+		group.Go(func() error { return r.followReplicas(ctx) })
+	}
+	return fleet, func() error {
+		cancel()
+		return group.Wait()
+	}
+}
--- a/mesh/change.go
+++ b/mesh/change.go
@@ -16,9 +16,12 @@
 	// at once. As each receiver forwards it too, nearly all routers have it within a few
 	// network delays; heartbeats carry it to the others.
 	changeFan = 4
-	// changesAtOnce is the number of changes above which they are not forwarded in that
-	// way: a first list, or a fetch, brings many that the others already have.
-	changesAtOnce = 16
+	// arrivalsAtOnce is the number of replicas that may be used from now on above which they
+	// are not forwarded in that way: a first list, or a fetch, brings many that the others
+	// already have. Departures are always forwarded, since requests to them have to end.
+	arrivalsAtOnce = 16
+	// changesPerDatagram keeps a datagram with changes below the usual size of a packet.
+	changesPerDatagram = 12
 )
 
 // delegateFan is the number of routers that are asked at once to read the list of replicas
@@ -32,18 +35,38 @@
 // PublishChanges sends changes that this router has just learned to a few random routers,
 // ahead of the next heartbeat.
 func (n *Node) PublishChanges(changes []replicas.Entry) {
-	if len(changes) == 0 || len(changes) > changesAtOnce {
+	urgent := urgentChanges(changes)
+	if len(urgent) == 0 {
 		return
 	}
+	others := sameFormat(n.members.alive())
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(len(others), changeFan)]
+	for part := range slices.Chunk(urgent, changesPerDatagram) {
+		body := marshalChanges(part)
+		for _, s := range others {
+			n.call(s.Address, callChange, body)
+		}
+	}
+}
+
+// urgentChanges returns the changes to forward at once: all departures, and the arrivals if
+// they are few.
+func urgentChanges(changes []replicas.Entry) []replicas.Entry {
+	departures := slices.DeleteFunc(slices.Clone(changes), func(e replicas.Entry) bool { return e.Usable() })
+	if len(changes)-len(departures) > arrivalsAtOnce {
+		return departures
+	}
+	return changes
+}
+
+// marshalChanges encodes a message with changes.
+func marshalChanges(changes []replicas.Entry) []byte {
 	var body []byte
 	for _, e := range changes {
 		body = appendBytes(body, changeEntry, marshalEntry(e))
 	}
-	others := sameFormat(n.members.alive())
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, s := range others[:min(len(others), changeFan)] {
-		n.call(s.Address, callChange, body)
-	}
+	return body
 }
 
 // The field numbers of a message with changes, and of a request to read the list.
--- a/mesh/change_test.go
+++ b/mesh/change_test.go
@@ -24,7 +24,7 @@
 	change := sampleHeartbeat().Changes
 	nodes[0].PublishChanges(change)
 	nodes[0].Delegate("list", 0)
-	nodes[0].PublishChanges(make([]replicas.Entry, changesAtOnce+1)) // they know these, or fetch them
+	nodes[0].PublishChanges(make([]replicas.Entry, arrivalsAtOnce+1)) // they know these, or fetch them
 	nodes[0].Delegate("list", delegateHops)
 	time.Sleep(heartbeatInterval)
 	for i, s := range states[1:] {
@@ -39,6 +39,30 @@
 	}
 }
 
+// TestDeparturesAreAlwaysForwarded guards against a departure that waits for heartbeats because
+// many replicas change with it.
+func TestDeparturesAreAlwaysForwarded(t *testing.T) {
+	tests := []struct {
+		arrivals, departures int
+		want                 int
+	}{
+		{arrivalsAtOnce, 0, arrivalsAtOnce},
+		{arrivalsAtOnce + 1, 0, 0},
+		{arrivalsAtOnce, 100, arrivalsAtOnce + 100},
+		{arrivalsAtOnce + 1, 100, 100},
+	}
+	for _, tt := range tests {
+		changes := make([]replicas.Entry, tt.arrivals+tt.departures)
+		for i := range tt.departures {
+			changes[i].Leaving = i%2 == 0
+			changes[i].Gone = !changes[i].Leaving
+		}
+		if diff := cmp.Diff(tt.want, len(urgentChanges(changes))); diff != "" {
+			t.Errorf("%d arrivals, %d departures: forwarded (-want +got):\n%s", tt.arrivals, tt.departures, diff)
+		}
+	}
+}
+
 // TestDelegatedToTheNext checks that a read is delegated to the next routers in the order in
 // which routers read the list.
 func TestDelegatedToTheNext(t *testing.T) {
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -1,6 +1,8 @@
 package replicas
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -30,6 +32,8 @@
 	entry   Entry
 	replica *Replica
 	changed time.Time
+	// published is how often Recent has returned the entry since it changed.
+	published int
 }
 
 // view is the immutable snapshot of the table that requests read without a lock.
@@ -204,7 +208,7 @@
 		return nil
 	}
 	now := t.clock.Now()
-	rec.changed = now
+	rec.changed, rec.published = now, 0
 	rec.replica.setLeaving(now, true)
 	t.publish()
 	return []Entry{rec.current(now)}
@@ -239,7 +243,7 @@
 	if same && !publish {
 		return false
 	}
-	rec.changed = now
+	rec.changed, rec.published = now, 0
 	rec.replica.setLeaving(now, !next.Usable())
 	return true
 }
@@ -284,7 +288,9 @@
 	t.view.Store(v)
 }
 
-// Recent returns the entries that changed within ttl, newest first, at most limit of them.
+// Recent returns the entries that changed within ttl, at most limit of them: first those that
+// it has returned least often since their change, so that each one gets its turn however many
+// change, and of these the departures, then the newest.
 func (t *Table) Recent(limit int, ttl time.Duration) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -295,17 +301,29 @@
 			recent = append(recent, rec)
 		}
 	}
-	sort.Slice(recent, func(i, j int) bool { return recent[i].changed.After(recent[j].changed) })
-	if len(recent) > limit {
-		recent = recent[:limit]
-	}
+	slices.SortFunc(recent, byUrgency)
+	recent = recent[:min(len(recent), limit)]
 	entries := make([]Entry, len(recent))
 	for i, rec := range recent {
+		rec.published++
 		entries[i] = rec.current(now)
 	}
 	return entries
 }
 
+// byUrgency orders records by the urgency of publishing their latest change.
+func byUrgency(a, b *record) int {
+	switch usable := a.entry.Usable(); {
+	case a.published != b.published:
+		return cmp.Compare(a.published, b.published)
+	case usable != b.entry.Usable() && usable:
+		return 1
+	case usable != b.entry.Usable():
+		return -1
+	}
+	return b.changed.Compare(a.changed)
+}
+
 // Parts returns the digest of the ready replicas in each part of the table.
 func (t *Table) Parts() []uint64 {
 	parts := t.view.Load().parts
