A router fetches the replicas that it missed within a second, whatever the size of the fleet

Cause: a router that missed a change saw it by the digests in heartbeats, but compared them with the last heartbeat of each router, which in a large fleet is from before the change. So it waited until all had sent again: 3.5 s at 82 routers, 13 s at 370, more than the 3 s and 4 s in which a leaving replica may get requests. A fetch that failed began that time anew. Change: only routers heard within 0.375 s count; a third of them has to differ for 0.75 s.

--- a/mesh/catch.go
+++ b/mesh/catch.go
@@ -14,9 +14,14 @@
 	// heartbeat, in a large fleet some times as long.
 	missedPart   = 4
 	missedRounds = 2
-	// differLeast is how long the replicas of two routers may differ at least
-	// before one fetches them: changes travel in heartbeats meanwhile.
-	differLeast = time.Second
+	// differLeast is how long a router's replicas may differ from those of the others
+	// before it fetches them: changes travel in heartbeats meanwhile.
+	differLeast = 3 * heartbeatInterval
+	// recentHeartbeat is the age up to which a heartbeat shows the present state of its
+	// sender's replicas. In a large fleet the last one of most routers is older.
+	recentHeartbeat = 3 * heartbeatInterval / 2
+	// differPart is the part of the routers heard just now whose replicas have to differ.
+	differPart = 1.0 / 3
 	// differChecks is the number of checks for a difference in that time.
 	differChecks = 8
 )
@@ -48,19 +53,42 @@
 // returns the time until the next check; 0 if nothing is missing.
 func (n *Node) fetchStale(ctx context.Context, c *syncSchedule) time.Duration {
 	n.traffic.looks.Add(1)
-	stale := make(map[Staleness][]string)
-	for _, s := range sameFormat(n.members.alive()) {
-		staleness := n.State.Compare(s.Summary)
-		stale[staleness] = append(stale[staleness], s.Address)
-	}
-	c.missedInterval, c.differTime = n.placementsInterval(), max(differLeast, n.CoverTime()+n.SpreadTime())
+	stale := n.stalePeers()
+	c.missedInterval, c.differTime = n.placementsInterval(), differLeast
 	staleness := c.next(n.Clock.Now(), stale)
 	if from := stale[staleness]; staleness != Fresh && len(from) > 0 {
-		n.fetchFrom(ctx, from[rand.IntN(len(from))], staleness)
+		if n.fetchFrom(ctx, from[rand.IntN(len(from))], staleness) == nil {
+			c.failed(n.Clock.Now(), staleness)
+		}
 	}
 	return c.wait(n.Clock.Now(), stale)
 }
 
+// stalePeers returns the addresses of the routers that are alive by what this router lacks of
+// their state. Its replicas count as differing only if they differ from those of enough of the
+// routers that it has heard just now: an older heartbeat may be from before a change, and a few
+// others may lack it.
+func (n *Node) stalePeers() map[Staleness][]string {
+	now := n.Clock.Now()
+	peers := make(map[Staleness][]string)
+	recent := 0
+	for _, s := range sameFormat(n.members.alive()) {
+		staleness := n.State.Compare(s.Summary)
+		isRecent := now.Sub(s.lastHeartbeat) <= recentHeartbeat
+		if isRecent {
+			recent++
+		}
+		if staleness == ReplicasDiffer && !isRecent {
+			continue
+		}
+		peers[staleness] = append(peers[staleness], s.Address)
+	}
+	if float64(len(peers[ReplicasDiffer])) < differPart*float64(recent) {
+		delete(peers, ReplicasDiffer)
+	}
+	return peers
+}
+
 // placementsInterval is the least time between two fetches of placements that were missed.
 func (n *Node) placementsInterval() time.Duration {
 	cover := n.CoverTime()
@@ -92,13 +120,21 @@
 	case len(stale[PlacementsMissed]) > 0 && now.Sub(c.missedFetched) >= c.missedInterval:
 		c.missedFetched = now
 		return PlacementsMissed
-	case len(stale[ReplicasDiffer]) > 0 && now.Sub(c.differSince) > c.differTime:
+	case len(stale[ReplicasDiffer]) > 0 && now.Sub(c.differSince) >= c.differTime:
 		c.differSince = now
 		return ReplicasDiffer
 	}
 	return Fresh
 }
 
+// failed records that the state that next returned could not be fetched: replicas that differ
+// are due again.
+func (c *syncSchedule) failed(now time.Time, staleness Staleness) {
+	if staleness == ReplicasDiffer {
+		c.differSince = now.Add(-c.differTime)
+	}
+}
+
 // wait returns the time until the next check for missing state; 0 if nothing is missing.
 func (c *syncSchedule) wait(now time.Time, stale map[Staleness][]string) time.Duration {
 	wait := time.Duration(0)
--- a/mesh/catch_test.go
+++ b/mesh/catch_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,3 +64,90 @@
 		}
 	}
 }
+
+// digestState has replicas with a digest.
+type digestState struct {
+	testState
+	digest uint32
+}
+
+func (s *digestState) Compare(other Summary) Staleness {
+	if other.Digest != s.digest {
+		return ReplicasDiffer
+	}
+	return Fresh
+}
+
+// TestMissedChangeIsFetchedSoon has a router hear the heartbeats of a fleet, a part of which
+// has other replicas than it: a change that it missed has to be fetched within a second,
+// however large the fleet, and one that only a few others lack not at all.
+func TestMissedChangeIsFetchedSoon(t *testing.T) {
+	const soonest, latest, length = 500 * time.Millisecond, time.Second, 6 * time.Second
+	tests := []struct {
+		name    string
+		routers int
+		differ  float64
+		fetched bool
+	}{
+		{"small fleet", 8, 1, true},
+		{"grown fleet", 82, 1, true},
+		{"large fleet", 370, 1, true},
+		{"others are behind too", 82, 0.6, true},
+		{"a few are behind", 82, 0.1, false},
+		{"nobody is behind", 82, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			began := time.Unix(1000, 0)
+			now := began
+			n := &Node{Self: Member{Name: "self", Address: "self:1"}, State: &digestState{digest: 1}, Clock: peridotusher.ClockFunc(func() time.Time { return now }), Log: discard{}}
+			n.Init()
+			m := newModel(tt.routers, 0)
+			c := syncSchedule{missedInterval: n.placementsInterval(), differTime: differLeast}
+			// All agree for two rounds of heartbeats to every router, then the others change.
+			agree := 2 * coverTime(tt.routers-1)
+			var due []time.Duration
+			for ; now.Sub(began) < agree+length; now = now.Add(heartbeatInterval) {
+				m.beat(func(from, to int) {
+					if to != 0 {
+						return
+					}
+					digest := uint32(1)
+					if now.Sub(began) >= agree && float64(from) < tt.differ*float64(tt.routers) {
+						digest = 2
+					}
+					n.members.receive(&Heartbeat{Member: Member{Name: fmt.Sprint("r", from), Address: "r:1"}, Digest: digest, Routers: tt.routers, Format: format})
+				})
+				if c.next(now, n.stalePeers()) == ReplicasDiffer {
+					due = append(due, now.Sub(began)-agree)
+				}
+			}
+			if !tt.fetched {
+				if len(due) > 0 {
+					t.Errorf("fetched after %v", due)
+				}
+				return
+			}
+			if len(due) == 0 || due[0] < soonest || due[0] > latest {
+				t.Errorf("fetched after %v, want within %v to %v", due, soonest, latest)
+			}
+		})
+	}
+}
+
+// TestFailedFetchIsRepeated guards against a router that waits for as long as before when the
+// router that it asked for its replicas does not answer.
+func TestFailedFetchIsRepeated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	differ := map[Staleness][]string{ReplicasDiffer: {"a"}}
+	c := syncSchedule{differTime: differLeast}
+	c.next(now, differ)
+	now = now.Add(differLeast)
+	if got := c.next(now, differ); got != ReplicasDiffer {
+		t.Fatalf("%v is fetched, want the replicas", got)
+	}
+	c.failed(now, ReplicasDiffer)
+	if got := c.next(now.Add(c.wait(now, differ)), differ); got != ReplicasDiffer {
+		t.Errorf("%v is fetched next, want the replicas", got)
+	}
+}
