A fetch of replicas does not end the pace of a router that reads the list in another one's place

Cause: a response to a fetch tells how old the newest list is, not who read it, and was taken as a list of the first router in the order. Change: such a list has an unknown reader, who comes after all others. TestFetchKeepsThePace fails before.

--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"peridotusher.example/peridotusher/mesh"
+	"peridotusher.example/peridotusher/replicas"
 )
 
 // TestLeavingIsKnownInTime computes how long after the store took it in a change of a
@@ -115,6 +116,24 @@
 	}
 }
 
+// TestFetchKeepsThePace has a router that reads the list in the place of the first one fetch
+// the replicas of another router, which does not tell who read them.
+func TestFetchKeepsThePace(t *testing.T) {
+	r := newTestRouter(t)
+	now := r.clock.Now()
+	pace := r.listPace()
+	for _, ago := range []time.Duration{2 * pace, pace, 0} {
+		r.reading.read(now.Add(-ago), now.Add(-ago), r.outageGap(), false)
+	}
+	a := &mesh.SyncResponse{Entries: []replicas.Entry{{ID: "a", Revision: 1}}, ReadAge: pace / 2, OutageAge: time.Hour}
+	if err := (state{r}).Apply(a); err != nil {
+		t.Fatal(err)
+	}
+	if !r.reading.keeps(now, pace) {
+		t.Error("the router reads the list no longer at the pace of a first reader")
+	}
+}
+
 // TestCopyIsAnOutage has the store set up again from a copy: what it lacks has time to be
 // written again, also at a router that only hears of the epoch, and one that has not heard
 // of it yet does not talk it out of that.
--- a/edge/reading.go
+++ b/edge/reading.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -25,6 +26,9 @@
 // unknownAge is published as the age of a list that was never read.
 const unknownAge = time.Hour
 
+// unknownReader is the rank of the reader of a list if it is not known.
+const unknownReader = math.MaxUint64
+
 // ownPreferredFor is how much newer another router's list may be while a router still
 // publishes its own one instead, so that of two readers one learns of the other.
 const ownPreferredFor = 300 * time.Millisecond
--- a/edge/state.go
+++ b/edge/state.go
@@ -110,7 +110,7 @@
 	if len(a.Entries) > 0 {
 		s.r.listed.Store(true)
 		if current {
-			s.r.mergeReading(a.ReadAge, a.OutageAge, 0)
+			s.r.mergeReading(a.ReadAge, a.OutageAge, unknownReader)
 		}
 	}
 	if a.Version <= s.r.current.Version() {
