--- a/edge/departures_test.go
+++ b/edge/departures_test.go
@@ -124,9 +124,9 @@
 		fleet := testFleet{count: 82, drain: drain, delay: 60 * time.Millisecond, store: store, refused: func(int) bool { return false }}
 		stop := fleet.start(t)
 		time.Sleep(joining)
-		before := store.reads
+		before := store.readCount()
 		time.Sleep(length)
-		reads := store.reads - before
+		reads := store.readCount() - before
 		if err := stop(); err != nil {
 			t.Error(err)
 		}
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// readCount returns how often the list was read.
+func (s *memoryStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 // storeDelay is the time that a read of a memoryStore takes.
 const storeDelay = 4 * time.Millisecond
 
