--- a/capacity_test.go
+++ b/capacity_test.go
@@ -86,7 +86,7 @@
 		b.Run(fmt.Sprint("routers=", n), func(b *testing.B) {
 			members := capacityMembers(n)
 			for i := 0; b.Loop(); i++ {
-				members.Heard(peridotusher.NewMember("router-1", "zone-1", "10.0.0.1:1", uint64(i+2)))
+				members.ReceiveHeartbeat(peridotusher.NewMember("router-1", "zone-1", "10.0.0.1:1", uint64(i+2)))
 				for e := range 100 {
 					members.OwnerOf(peridotusher.EngineID(fmt.Sprint("engine-", e)), peridotusher.Zone(fmt.Sprint("zone-", e%14)))
 				}
@@ -98,7 +98,7 @@
 func capacityMembers(n int) *peridotusher.Members {
 	members := peridotusher.NewMembers(peridotusher.NewMember("router-0", "zone-0", "10.0.0.0:1", 1), wallClock)
 	for i := 1; i < n; i++ {
-		members.Heard(peridotusher.NewMember(peridotusher.RouterID(fmt.Sprint("router-", i)), peridotusher.Zone(fmt.Sprint("zone-", i%14)), fmt.Sprint("10.0.0.1:", i), 1))
+		members.ReceiveHeartbeat(peridotusher.NewMember(peridotusher.RouterID(fmt.Sprint("router-", i)), peridotusher.Zone(fmt.Sprint("zone-", i%14)), fmt.Sprint("10.0.0.1:", i), 1))
 	}
 	return members
 }
--- a/config/spread.go
+++ b/config/spread.go
@@ -13,13 +13,13 @@
 )
 
 const (
-	// fanout is the number of routers that each router tells of a change in one tree.
+	// fanout is the number of routers to which each router pushes a change in one tree.
 	fanout = 3
 	// maxDeltaBytes bounds the sections of one message.
 	maxDeltaBytes = 128 << 10
 )
 
-// wakeSpread makes followPeers tell the others of the state in force.
+// wakeSpread makes followPeers push the state in force to the others.
 func (s *Source) wakeSpread() {
 	select {
 	case s.wake <- struct{}{}:
@@ -29,7 +29,7 @@
 
 // followPeers spreads what comes into force and fetches what peers have.
 func (s *Source) followPeers(ctx context.Context) error {
-	told := uint64(0)
+	pushed := uint64(0)
 	ticker := time.NewTicker(s.Interval)
 	defer ticker.Stop()
 	for {
@@ -40,21 +40,21 @@
 		case <-ticker.C:
 			s.fetchNewer(ctx)
 		}
-		if snap := s.current.Load(); snap.Revision() > told {
-			s.tell(ctx, told, snap)
-			told = snap.Revision()
+		if snap := s.current.Load(); snap.Revision() > pushed {
+			s.push(ctx, pushed, snap)
+			pushed = snap.Revision()
 		}
 	}
 }
 
-// tell sends the change to the routers below this one in the revision's tree.
-func (s *Source) tell(ctx context.Context, since uint64, snap *Snapshot) {
+// push sends the change to the routers below this one in the revision's tree.
+func (s *Source) push(ctx context.Context, since uint64, snap *Snapshot) {
 	if since == 0 {
 		return
 	}
 	delta := snap.delta(since, "")
 	if delta.GetSince() != since || delta.GetNext() != "" {
-		return // too large to push; the heartbeats tell and the peers fetch
+		return // too large to push; peers see it in heartbeats and fetch it
 	}
 	for _, to := range s.children(snap.Revision()) {
 		ctx, cancel := context.WithTimeout(ctx, s.Timeout)
@@ -65,7 +65,7 @@
 	}
 }
 
-// children returns the routers that this one tells of a revision.
+// children returns the routers to which this one pushes a revision.
 func (s *Source) children(revision uint64) []peridotusher.RouterID {
 	var live []string
 	for _, m := range s.Members.Live(s.Self.Zone()) {
@@ -74,7 +74,7 @@
 	return targets(live, string(s.Self.ID()), revision)
 }
 
-// targets returns the routers that one of the live routers of a zone tells of
+// targets returns the routers to which one of the live routers of a zone pushes
 // a revision. There is one tree for each watcher, with the watcher at its head
 // and the others below it, in an order that differs with the revision and is
 // reversed in the second tree. So whoever passes a change on in one tree has
@@ -84,16 +84,16 @@
 	others := slices.DeleteFunc(ranked(strconv.FormatUint(revision, 10), live), func(name string) bool {
 		return slices.Contains(watchers, name)
 	})
-	var told []peridotusher.RouterID
+	var out []peridotusher.RouterID
 	for _, watcher := range watchers {
 		for _, child := range below(append([]string{watcher}, others...), self) {
-			if !slices.Contains(told, child) {
-				told = append(told, child)
+			if !slices.Contains(out, child) {
+				out = append(out, child)
 			}
 		}
 		slices.Reverse(others)
 	}
-	return told
+	return out
 }
 
 // ranked returns the names in the rendezvous order of the key.
@@ -124,7 +124,7 @@
 	return children
 }
 
-// handleDelta takes a change that another router tells of.
+// handleDelta takes a change that another router pushes.
 func (s *Source) handleDelta(_ context.Context, from peridotusher.RouterID, body []byte) ([]byte, error) {
 	delta := &Delta{}
 	if err := proto.Unmarshal(body, delta); err != nil {
--- a/edge/cold_test.go
+++ b/edge/cold_test.go
@@ -22,7 +22,7 @@
 }
 
 func coldEntry(id string, revision int64, cold time.Duration) replicas.Entry {
-	return replicas.Entry{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Revision: revision, Cold: cold, TellsCold: true}
+	return replicas.Entry{ID: id, Service: "s", Address: "10.0.0.1:80", Zone: "a", Slots: 4, Revision: revision, Cold: cold, ReportsCold: true}
 }
 
 // TestColdBounds takes the bound of a service from the configuration and the settings.
@@ -157,7 +157,7 @@
 	peer.table.Offer([]replicas.Entry{silent("c", 3)})
 	fetch(map[string]bool{"a": false, "b": false, "c": true})
 	for _, e := range append(peer.table.Recent(9, time.Minute), r.table.Recent(9, time.Minute)...) {
-		if e.TellsCold {
+		if e.ReportsCold {
 			t.Errorf("the assumption is told on: %+v", e)
 		}
 	}
--- a/edge/router.go
+++ b/edge/router.go
@@ -196,7 +196,7 @@
 	cfg := net.ListenConfig{KeepAliveConfig: relay.KeepAlive(), Control: relay.ControlSocket}
 	datagrams, err := net.ListenPacket("udp4", r.node.Self.Address)
 	if err != nil {
-		return errors.Wrap(err, "listen for beats")
+		return errors.Wrap(err, "listen for heartbeats")
 	}
 	sessions, err := cfg.Listen(ctx, "tcp4", r.node.Self.Address)
 	if err != nil {
--- a/entry/claimtable_test.go
+++ b/entry/claimtable_test.go
@@ -55,7 +55,7 @@
 	members := peridotusher.NewMembers(peridotusher.NewMember("r0", "a", "r0:1", 1), clock)
 	for i := range n {
 		id := peridotusher.RouterID(fmt.Sprintf("r%d", i))
-		members.Heard(peridotusher.NewMember(id, "a", string(id)+":1", 1))
+		members.ReceiveHeartbeat(peridotusher.NewMember(id, "a", string(id)+":1", 1))
 		client, closeClient, err := store.New(store.Config{Addresses: []string{l.Addr().String()}, Timeout: time.Second})
 		if err != nil {
 			t.Fatal(err)
--- a/limits.go
+++ b/limits.go
@@ -30,14 +30,14 @@
 
 // Limits holds organisations to their limits over all routers. There is no
 // central counter: each router may use a share of a limit, in proportion to
-// its part of the demand that the routers tell each other.
+// its part of the demand that the routers report to each other.
 type Limits struct {
 	Self  RouterID
 	Clock Clock
 
 	mu     sync.Mutex
 	own    map[string]*orgUse
-	others map[RouterID]toldDemand
+	others map[RouterID]peerDemand
 }
 
 // orgUse is this router's use of one organisation's limits.
@@ -50,8 +50,8 @@
 	decayed time.Time
 }
 
-// toldDemand is another router's demand and when it was told.
-type toldDemand struct {
+// peerDemand is another router's demand and when it was reported.
+type peerDemand struct {
 	at   time.Time
 	list map[string]Demand
 }
@@ -110,14 +110,14 @@
 func (l *Limits) SetDemands(from RouterID, list []Demand) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	told := toldDemand{at: l.Clock.Now(), list: make(map[string]Demand, len(list))}
+	reported := peerDemand{at: l.Clock.Now(), list: make(map[string]Demand, len(list))}
 	for _, d := range list {
-		told.list[d.Organisation] = d
+		reported.list[d.Organisation] = d
 	}
 	if l.others == nil {
-		l.others = map[RouterID]toldDemand{}
+		l.others = map[RouterID]peerDemand{}
 	}
-	l.others[from] = told
+	l.others[from] = reported
 }
 
 func (l *Limits) use(org string, now time.Time) *orgUse {
@@ -136,9 +136,9 @@
 func (l *Limits) rateShare(org string, u *orgUse, now time.Time) float64 {
 	own := u.rate + startDemand
 	sum := own
-	for _, told := range l.others {
-		if now.Sub(told.at) < demandLifetime {
-			sum += told.list[org].Rate + startDemand
+	for _, reported := range l.others {
+		if now.Sub(reported.at) < demandLifetime {
+			sum += reported.list[org].Rate + startDemand
 		}
 	}
 	return own / sum
@@ -148,9 +148,9 @@
 // with the same demands compute shares that sum to the limit.
 func (l *Limits) flyingShare(org *document.Organisation, u *orgUse, now time.Time) int {
 	demands := map[RouterID]float64{l.Self: float64(u.flying) + u.refused + startDemand}
-	for id, told := range l.others {
-		if now.Sub(told.at) < demandLifetime {
-			demands[id] = told.list[org.Name()].Concurrent + startDemand
+	for id, reported := range l.others {
+		if now.Sub(reported.at) < demandLifetime {
+			demands[id] = reported.list[org.Name()].Concurrent + startDemand
 		}
 	}
 	return split(org.Concurrent(), demands)[l.Self]
--- a/members.go
+++ b/members.go
@@ -15,14 +15,14 @@
 // Four sources are merged by one rule: the list proposes, heartbeats and digests
 // decide, and a leaving notice holds for one incarnation.
 //   - The platform's list adds addresses to talk to. It makes no member live,
-//     and it takes away only members that were never heard.
+//     and it takes away only members that never sent a heartbeat.
 //   - A heartbeat makes its sender live and removes any older incarnation with
 //     the same ID or address. A heartbeat of an older incarnation is ignored.
 //   - A leaving notice marks the incarnation known at that moment. Heartbeats of
 //     that incarnation keep it leaving; a higher incarnation is live again.
 //   - A digest, made by a router of another zone, counts as a heartbeat of each
 //     member that it names. A member that no fresh digest of its zone names any
-//     more, and that was not heard itself within the timeout, is suspect at once.
+//     more, and of which no heartbeat was received within the timeout, is suspect at once.
 //     Digests are fresh for the timeout; without one their members fall silent.
 //   - A member that is silent for the timeout is suspect. After three timeouts
 //     it is forgotten, or proposed again while the list names it.
@@ -44,8 +44,8 @@
 // the later of that and the last digest.
 type memberEntry struct {
 	Member
-	heard  time.Time
-	direct time.Time
+	lastAlive time.Time
+	direct    time.Time
 }
 
 // NewMembers returns a table that holds only self, which is live.
@@ -83,9 +83,9 @@
 }
 
 // propose adds a listed member, unless its ID or address is already that of a
-// member that was heard.
+// member that sent a heartbeat.
 func (t *Members) propose(m Member) {
-	if t.heardAt(m.address) {
+	if t.usesAddress(m.address) {
 		return
 	}
 	e, ok := t.members[m.id]
@@ -95,8 +95,8 @@
 	t.put(m, time.Time{})
 }
 
-// heardAt reports whether a member that was heard has the address.
-func (t *Members) heardAt(address string) bool {
+// usesAddress reports whether a member that sent a heartbeat has the address.
+func (t *Members) usesAddress(address string) bool {
 	for _, e := range t.members {
 		if e.address == address && e.state != MemberProposed {
 			return true
@@ -105,20 +105,20 @@
 	return false
 }
 
-// Heard records a heartbeat and reports whether it was accepted. A member that
+// ReceiveHeartbeat records a heartbeat and reports whether it was accepted. A member that
 // comes with the state MemberLeaving is leaving, any other is live.
-func (t *Members) Heard(m Member) bool {
+func (t *Members) ReceiveHeartbeat(m Member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.hear(m) {
+	if !t.recordAlive(m) {
 		return false
 	}
 	t.members[m.id].direct = t.clock.Now()
 	return true
 }
 
-// hear records that a member is alive and reports whether it was accepted.
-func (t *Members) hear(m Member) bool {
+// recordAlive records that a member is alive and reports whether it was accepted.
+func (t *Members) recordAlive(m Member) bool {
 	if !t.newest(m) {
 		return false
 	}
@@ -135,7 +135,7 @@
 		m.state = MemberLeaving
 	}
 	if ok && e.Member == m {
-		e.heard = t.clock.Now()
+		e.lastAlive = t.clock.Now()
 		return true
 	}
 	t.put(m, t.clock.Now())
@@ -172,7 +172,7 @@
 	t.setState(id, MemberSuspect)
 }
 
-// setState changes the state of a member that was heard.
+// setState changes the state of a member that sent a heartbeat.
 func (t *Members) setState(id RouterID, s MemberState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -180,7 +180,7 @@
 	if !ok || e.state == MemberProposed || e.state == s {
 		return
 	}
-	t.put(e.WithState(s), e.heard)
+	t.put(e.WithState(s), e.lastAlive)
 }
 
 // Expire marks the members that were silent for the timeout and forgets those
@@ -194,12 +194,12 @@
 		if id == t.self || e.state == MemberProposed {
 			continue
 		}
-		silence := now.Sub(e.heard)
+		silence := now.Sub(e.lastAlive)
 		switch {
 		case silence >= forgetFactor*timeout:
 			t.forget(id)
 		case silence >= timeout && e.state != MemberSuspect:
-			t.put(e.WithState(MemberSuspect), e.heard)
+			t.put(e.WithState(MemberSuspect), e.lastAlive)
 		}
 	}
 }
@@ -213,8 +213,8 @@
 }
 
 // put stores a changed member.
-func (t *Members) put(m Member, heard time.Time) {
-	e := &memberEntry{Member: m, heard: heard}
+func (t *Members) put(m Member, lastAlive time.Time) {
+	e := &memberEntry{Member: m, lastAlive: lastAlive}
 	if old, ok := t.members[m.id]; ok && old.incarnation == m.incarnation {
 		e.direct = old.direct
 	}
--- a/members_digest.go
+++ b/members_digest.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// digest is what a router of another zone said of its zone.
+// digest is the state of another zone as a router of it reported it.
 type digest struct {
-	zone  Zone
-	heard time.Time
-	names map[RouterID]bool
+	zone     Zone
+	received time.Time
+	names    map[RouterID]bool
 }
 
-// Digest records the members of another zone that origin, a router of it, hears.
+// Digest records the members of another zone from which origin, a router of it, receives heartbeats.
 func (t *Members) Digest(origin RouterID, zone Zone, roster []Member, timeout time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -22,25 +22,25 @@
 		names[m.id] = true
 		e, ok := t.members[m.id]
 		if ok && e.Member == m && m.id != t.self {
-			e.heard = now
+			e.lastAlive = now
 			continue
 		}
-		t.hear(m)
+		t.recordAlive(m)
 	}
-	t.digests[origin] = digest{zone: zone, heard: now, names: names}
+	t.digests[origin] = digest{zone: zone, received: now, names: names}
 	t.expireDigests(now, timeout)
 	t.suspectUnnamed(now, zone, timeout)
 }
 
-// suspectUnnamed marks the members of a zone that no digest names and that were
-// not heard themselves.
+// suspectUnnamed marks the members of a zone that no digest names and that sent no
+// heartbeat to this router lately.
 func (t *Members) suspectUnnamed(now time.Time, zone Zone, timeout time.Duration) {
 	for id, e := range t.members {
 		known := e.state == MemberLive || e.state == MemberLeaving
 		if id == t.self || e.zone != zone || !known || now.Sub(e.direct) < timeout || t.named(id) {
 			continue
 		}
-		t.put(e.WithState(MemberSuspect), e.heard)
+		t.put(e.WithState(MemberSuspect), e.lastAlive)
 	}
 }
 
@@ -56,5 +56,5 @@
 
 // expireDigests drops the digests that are no longer fresh.
 func (t *Members) expireDigests(now time.Time, timeout time.Duration) {
-	maps.DeleteFunc(t.digests, func(_ RouterID, d digest) bool { return now.Sub(d.heard) >= timeout })
+	maps.DeleteFunc(t.digests, func(_ RouterID, d digest) bool { return now.Sub(d.received) >= timeout })
 }
--- a/members_test.go
+++ b/members_test.go
@@ -48,58 +48,58 @@
 		}, []string{"self/1 live"}},
 		{"unlisted after heard", func(m *Members, _ *fakeClock) {
 			m.Propose([]Member{b0})
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			m.Propose(nil)
 		}, []string{"b/1 live", "self/1 live"}},
 		{"later incarnation replaces", func(m *Members, _ *fakeClock) {
-			m.Heard(b1)
-			m.Heard(b2)
+			m.ReceiveHeartbeat(b1)
+			m.ReceiveHeartbeat(b2)
 		}, []string{"b/2 live", "self/1 live"}},
 		{"earlier incarnation ignored", func(m *Members, _ *fakeClock) {
-			m.Heard(b2)
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b2)
+			m.ReceiveHeartbeat(b1)
 		}, []string{"b/2 live", "self/1 live"}},
 		{"same address replaces", func(m *Members, _ *fakeClock) {
-			m.Heard(b1)
-			m.Heard(sameAddress)
+			m.ReceiveHeartbeat(b1)
+			m.ReceiveHeartbeat(sameAddress)
 			m.Propose([]Member{b0})
 		}, []string{"c/5 live", "self/1 live"}},
 		{"leaving outlasts heartbeats", func(m *Members, _ *fakeClock) {
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			m.Leaving("b")
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 		}, []string{"b/1 leaving", "self/1 live"}},
 		{"later incarnation has not left", func(m *Members, _ *fakeClock) {
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			m.Leaving("b")
-			m.Heard(b2)
+			m.ReceiveHeartbeat(b2)
 		}, []string{"b/2 live", "self/1 live"}},
 		{"silence", func(m *Members, c *fakeClock) {
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			c.now = c.now.Add(testTimeout)
 			m.Expire(testTimeout)
 		}, []string{"b/1 suspect", "self/1 live"}},
 		{"heard again", func(m *Members, c *fakeClock) {
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			c.now = c.now.Add(testTimeout)
 			m.Expire(testTimeout)
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			m.Expire(testTimeout)
 		}, []string{"b/1 live", "self/1 live"}},
 		{"forgotten", func(m *Members, c *fakeClock) {
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			c.now = c.now.Add(forgetFactor * testTimeout)
 			m.Expire(testTimeout)
 		}, []string{"self/1 live"}},
 		{"forgotten while listed", func(m *Members, c *fakeClock) {
 			m.Propose([]Member{b0})
-			m.Heard(b1)
+			m.ReceiveHeartbeat(b1)
 			c.now = c.now.Add(forgetFactor * testTimeout)
 			m.Expire(testTimeout)
 		}, []string{"b/0 proposed", "self/1 live"}},
 		{"self is not replaced", func(m *Members, _ *fakeClock) {
-			m.Heard(NewMember("self", "north", "10.0.0.1:1", 9))
-			m.Heard(NewMember("x", "north", "10.0.0.1:1", 9))
+			m.ReceiveHeartbeat(NewMember("self", "north", "10.0.0.1:1", 9))
+			m.ReceiveHeartbeat(NewMember("x", "north", "10.0.0.1:1", 9))
 			m.Suspect("self")
 		}, []string{"self/1 live"}},
 	}
@@ -118,9 +118,9 @@
 	m, _ := newTestMembers()
 	b := NewMember("b", "north", "10.0.0.2:1", 1)
 	before := m.Version()
-	m.Heard(b)
+	m.ReceiveHeartbeat(b)
 	changed := m.Version()
-	m.Heard(b)
+	m.ReceiveHeartbeat(b)
 	m.Expire(testTimeout)
 	m.Propose([]Member{b})
 	if changed <= before {
@@ -133,9 +133,9 @@
 
 func TestOwnerFollowsTheZone(t *testing.T) {
 	m, _ := newTestMembers()
-	m.Heard(NewMember("n2", "north", "10.0.0.2:1", 1))
-	m.Heard(NewMember("s1", "south", "10.0.1.1:1", 1))
-	m.Heard(NewMember("s2", "south", "10.0.1.2:1", 1))
+	m.ReceiveHeartbeat(NewMember("n2", "north", "10.0.0.2:1", 1))
+	m.ReceiveHeartbeat(NewMember("s1", "south", "10.0.1.1:1", 1))
+	m.ReceiveHeartbeat(NewMember("s2", "south", "10.0.1.2:1", 1))
 	m.Propose([]Member{NewMember("s3", "south", "10.0.1.3:1", 1)})
 	for i := range 50 {
 		engine := EngineID(fmt.Sprintf("engine-%d", i))
@@ -165,7 +165,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			m, _ := newTestMembers()
-			m.Heard(NewMember("s1", "south", "10.0.1.1:1", 1))
+			m.ReceiveHeartbeat(NewMember("s1", "south", "10.0.1.1:1", 1))
 			m.OwnerOf("engine", "south")
 			tt.run(m)
 			owner, _ := m.OwnerOf("engine", "south")
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -39,8 +39,8 @@
 	out = appendNumber(out, entryRevision, uint64(e.Revision))
 	out = appendNumber(out, entryEpoch, uint64(e.Epoch))
 	out = appendNumber(out, entrySeq, uint64(e.Seq))
-	out = appendFlag(out, entryTellsCold, e.TellsCold)
-	if e.TellsCold {
+	out = appendFlag(out, entryTellsCold, e.ReportsCold)
+	if e.ReportsCold {
 		out = appendNumber(out, entryCold, uint64((e.Cold+time.Millisecond-1)/time.Millisecond)) // rounded up
 	}
 	return appendFlag(out, entryAnnounced, e.Announced)
@@ -75,7 +75,7 @@
 		case entryAnnounced:
 			e.Announced = v != 0
 		case entryTellsCold:
-			e.TellsCold = v != 0
+			e.ReportsCold = v != 0
 		case entryCold:
 			e.Cold = time.Duration(min(v, uint64(replicas.MaxCold/time.Millisecond))) * time.Millisecond
 		}
--- a/mesh/share_test.go
+++ b/mesh/share_test.go
@@ -42,7 +42,7 @@
 	table := replicas.NewTable(peridotusher.ClockFunc(func() time.Time { return f.now }))
 	var entries []replicas.Entry
 	for i := range coldCount {
-		entries = append(entries, replicas.Entry{ID: fmt.Sprint("cold", i), Service: "s", Revision: 1, Cold: replicas.MaxCold, TellsCold: true})
+		entries = append(entries, replicas.Entry{ID: fmt.Sprint("cold", i), Service: "s", Revision: 1, Cold: replicas.MaxCold, ReportsCold: true})
 	}
 	table.Offer(entries)
 	f.cold = slices.Clone(table.Ready("s"))
@@ -436,9 +436,9 @@
 func TestColdOnTheWire(t *testing.T) {
 	tests := []struct{ entry, want replicas.Entry }{
 		{replicas.Entry{ID: "a"}, replicas.Entry{ID: "a"}},
-		{replicas.Entry{ID: "a", TellsCold: true}, replicas.Entry{ID: "a", TellsCold: true}},
-		{replicas.Entry{ID: "a", TellsCold: true, Cold: 1}, replicas.Entry{ID: "a", TellsCold: true, Cold: time.Millisecond}},
-		{replicas.Entry{ID: "a", TellsCold: true, Cold: 1 << 62}, replicas.Entry{ID: "a", TellsCold: true, Cold: replicas.MaxCold}},
+		{replicas.Entry{ID: "a", ReportsCold: true}, replicas.Entry{ID: "a", ReportsCold: true}},
+		{replicas.Entry{ID: "a", ReportsCold: true, Cold: 1}, replicas.Entry{ID: "a", ReportsCold: true, Cold: time.Millisecond}},
+		{replicas.Entry{ID: "a", ReportsCold: true, Cold: 1 << 62}, replicas.Entry{ID: "a", ReportsCold: true, Cold: replicas.MaxCold}},
 	}
 	for _, tt := range tests {
 		got, err := unmarshalEntry(marshalEntry(tt.entry))
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -119,7 +119,7 @@
 		return mux.Close()
 	}
 	defer n.sessions.remove(s)
-	if !n.Members.Heard(peer) {
+	if !n.Members.ReceiveHeartbeat(peer) {
 		_ = mux.Close()
 		return errStaleIncarnation
 	}
--- a/peer/digest.go
+++ b/peer/digest.go
@@ -17,11 +17,11 @@
 	errDigestGap = errors.New("digest does not follow the one before")
 )
 
-// loadSteps is the number of steps in a load that are told to another zone. The
+// loadSteps is the number of steps in a load that are reported to another zone. The
 // exact loads come with the answers to asks.
 const loadSteps = 8
 
-// zoneState is what a digest tells of a zone.
+// zoneState is what a digest reports of a zone.
 type zoneState struct {
 	version uint64
 	members map[string]*RosterMember
@@ -71,7 +71,7 @@
 	return msg
 }
 
-// changed reports whether a load differs enough to be told to another zone.
+// changed reports whether a load differs enough to be reported to another zone.
 func changed(old, now int64) bool {
 	return old != now && loadSteps*max(old-now, now-old) >= old
 }
@@ -146,7 +146,7 @@
 	z.byRouter[from] = loads
 }
 
-// of returns the loads that the router told.
+// of returns the loads that the router reported.
 func (z *zoneLoads) of(id peridotusher.RouterID) []*Load {
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -160,7 +160,7 @@
 	maps.DeleteFunc(z.byRouter, func(id peridotusher.RouterID, _ []*Load) bool { return members[string(id)] == nil })
 }
 
-// sendDigests tells the other zones over this router's links what its zone is.
+// sendDigests reports the state of its zone to the other zones over this router's links.
 func (n *Node) sendDigests() {
 	if !n.sparse() {
 		return
@@ -168,11 +168,11 @@
 	zone := n.ownZone()
 	roster := &zoneState{members: zone.members}
 	for _, s := range n.linkSessions() {
-		told := roster
-		if n.tellsLoads(s.peer.Zone()) {
-			told = zone
+		state := roster
+		if n.sendsLoads(s.peer.Zone()) {
+			state = zone
 		}
-		if err := s.sendDigest(string(n.Self.ID()), string(n.Self.Zone()), told); err != nil {
+		if err := s.sendDigest(string(n.Self.ID()), string(n.Self.Zone()), state); err != nil {
 			n.Log.WithError(err).WithField("peer", s.peer.ID()).Debug("digest not sent")
 		}
 	}
@@ -232,7 +232,7 @@
 	}
 }
 
-// relayDigest tells the own zone what a link brought.
+// relayDigest passes on to the own zone what a link brought.
 func (n *Node) relayDigest(msg *Digest, zone *zoneState) {
 	for _, s := range n.nearSessions() {
 		if err := s.sendDigest(msg.GetOrigin(), msg.GetZone(), zone); err != nil {
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -16,9 +16,9 @@
 	Revision uint64 // configuration revision in force there
 }
 
-// beat dials and checks for silence once per interval, and sends heartbeats
+// heartbeats dials and checks for silence once per interval, and sends heartbeats
 // as often as the budget allows.
-func (n *Node) beat(ctx context.Context) error {
+func (n *Node) heartbeats(ctx context.Context) error {
 	ticker := time.NewTicker(n.Heartbeat)
 	defer ticker.Stop()
 	stretch := 1
@@ -93,7 +93,7 @@
 	if msg.GetLeaving() {
 		member = member.WithState(peridotusher.MemberLeaving)
 	}
-	if !n.Members.Heard(member) {
+	if !n.Members.ReceiveHeartbeat(member) {
 		s.close(errStaleIncarnation)
 		return
 	}
@@ -123,7 +123,7 @@
 
 // receiveLeaving records that another router is leaving.
 func (n *Node) receiveLeaving(s *session, e *Envelope) {
-	n.Members.Heard(s.peer.WithState(peridotusher.MemberLeaving))
+	n.Members.ReceiveHeartbeat(s.peer.WithState(peridotusher.MemberLeaving))
 	n.reply(s, e, nil, nil)
 }
 
--- a/peer/links.go
+++ b/peer/links.go
@@ -80,9 +80,9 @@
 	return rankMembers(n.linkKey(zone), near, live)
 }
 
-// tellsLoads reports whether this router holds the one link to the zone that
+// sendsLoads reports whether this router holds the one link to the zone that
 // carries loads.
-func (n *Node) tellsLoads(zone peridotusher.Zone) bool {
+func (n *Node) sendsLoads(zone peridotusher.Zone) bool {
 	holders := n.holders(zone, n.Members.Live(n.Self.Zone()))
 	return len(holders) > 0 && holders[0].ID() == n.Self.ID()
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -137,7 +137,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n.group = group
 	group.Go(func() error { return n.accept(ctx) })
-	group.Go(func() error { return n.beat(ctx) })
+	group.Go(func() error { return n.heartbeats(ctx) })
 	group.Go(func() error { return n.dialWanted(ctx) })
 	for range n.Workers {
 		group.Go(func() error { return n.askPool.work(ctx) })
--- a/peer/session_test.go
+++ b/peer/session_test.go
@@ -95,7 +95,7 @@
 	n := &Node{Self: self, Members: peridotusher.NewMembers(self, wallClock), Clock: wallClock, Mesh: 1}
 	n.once.Do(n.init)
 	n.Members.Propose([]peridotusher.Member{self, far})
-	n.Members.Heard(far)
+	n.Members.ReceiveHeartbeat(far)
 	const gone = 2
 	ctx, cancel := context.WithTimeout(testContext(t), time.Second)
 	defer cancel()
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -40,7 +40,7 @@
 	if f.Admission == nil || t.engine() || t.route.Cached {
 		return false
 	}
-	return f.AdmitAlways || slices.ContainsFunc(f.Table.Ready(t.serviceName), (*replicas.Replica).TellsPace)
+	return f.AdmitAlways || slices.ContainsFunc(f.Table.Ready(t.serviceName), (*replicas.Replica).ReportsPace)
 }
 
 // usable returns the ready replicas that the request may be sent to.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -47,7 +47,7 @@
 	out := make([]placing.Candidate, len(healthy))
 	for i, r := range healthy {
 		out[i] = placing.Candidate{Hash: r.Hash(), Zone: r.Zone(), Held: t.loadAt(r), Slots: r.Slots(), Prefill: r.Prefill(now)}
-		if r.TellsPace() {
+		if r.ReportsPace() {
 			out[i].Pace = r.Pace(now)
 		}
 	}
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -132,7 +132,7 @@
 		return
 	}
 	f, r := t.front, x.replica
-	if x.reply.TellsCold {
+	if x.reply.ReportsCold {
 		r.ReportCold(f.Clock.Now(), x.reply.Cold)
 	}
 	if x.reply.ColdMalformed && r.FirstMalformedCold() {
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -34,7 +34,7 @@
 	var entries []replicas.Entry
 	for _, r := range b.front.Table.Ready("s") {
 		if strings.Contains(ids, r.ID()) {
-			entries = append(entries, replicas.Entry{ID: r.ID(), Service: "s", Address: r.Address(), Zone: r.Zone(), Slots: 4, Revision: 2, Cold: d, TellsCold: true})
+			entries = append(entries, replicas.Entry{ID: r.ID(), Service: "s", Address: r.Address(), Zone: r.Zone(), Slots: 4, Revision: 2, Cold: d, ReportsCold: true})
 		}
 	}
 	b.front.Table.Offer(entries)
@@ -312,7 +312,7 @@
 		b := newBed(t, once, say(fine, true))
 		b.limitCold(tt.rank)
 		chosen := b.front.Table.Ready("s")[0]
-		e := replicas.Entry{ID: chosen.ID(), Service: "s", Address: chosen.Address(), Zone: chosen.Zone(), Slots: 4, Revision: 2, Cold: time.Minute, TellsCold: true}
+		e := replicas.Entry{ID: chosen.ID(), Service: "s", Address: chosen.Address(), Zone: chosen.Zone(), Slots: 4, Revision: 2, Cold: time.Minute, ReportsCold: true}
 		tt.change(&e)
 		b.front.Table.Offer([]replicas.Entry{e})
 		if _, got := (&task{front: b.front, cold: coldState{limited: true}}).takeShare(chosen); got != tt.want {
@@ -336,7 +336,7 @@
 	for _, tt := range tests {
 		b := newBed(t, once, from)
 		r := b.front.Table.Ready("s")[0]
-		tt.reply.Cold, tt.reply.TellsCold = time.Minute, true
+		tt.reply.Cold, tt.reply.ReportsCold = time.Minute, true
 		(&task{front: b.front}).applyReply(&exchange{replica: r, reply: tt.reply})
 		if got := r.ColdFor(b.front.Clock.Now()) > 0; got != tt.want {
 			t.Errorf("%s: cold = %v, want %v", tt.name, got, tt.want)
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -59,10 +59,10 @@
 	// Backoff is how long this router shall send the replica no further request; 0 if it
 	// does not say, BackoffUnreadable if what it says cannot be read.
 	Backoff time.Duration
-	// Cold is how long the replica is still cold, if TellsCold is set. ColdMalformed means
+	// Cold is how long the replica is still cold, if ReportsCold is set. ColdMalformed means
 	// that what it says of that was not used as it is.
-	Cold                     time.Duration
-	TellsCold, ColdMalformed bool
+	Cold                       time.Duration
+	ReportsCold, ColdMalformed bool
 	// Running, Waiting and Slots are the replica's load; Slots is 0 if untold.
 	Running, Waiting, Slots int
 	// Pace is how long work takes at the replica at the moment, as a factor: 1 is as
--- a/relay/estimate_test.go
+++ b/relay/estimate_test.go
@@ -110,7 +110,7 @@
 	if malformed != 1 {
 		t.Errorf("%d lines for a replica with a malformed load, want 1", malformed)
 	}
-	if r := b.front.Table.Ready("s")[0]; r.TellsPace() {
+	if r := b.front.Table.Ready("s")[0]; r.ReportsPace() {
 		t.Error("a malformed load counts as a pace")
 	}
 }
--- a/replicas/cold.go
+++ b/replicas/cold.go
@@ -237,13 +237,13 @@
 		return false
 	}
 	d := t.coldTime(rec.entry.Service)
-	if s == reportedStart && !e.TellsCold && d > 0 {
-		e.Cold, e.TellsCold = d, true
-		rec.entry.TellsCold = true // other routers may not have seen the start
+	if s == reportedStart && !e.ReportsCold && d > 0 {
+		e.Cold, e.ReportsCold = d, true
+		rec.entry.ReportsCold = true // other routers may not have seen the start
 	}
 	at := rec.entry.at()
 	switch {
-	case e.TellsCold:
+	case e.ReportsCold:
 		until := now.Add(clampCold(e.Cold))
 		before, after := rec.replica.changeCold(func(c *cold) { c.report(now, until, at) })
 		return d > 0 && coldChanged(now, before, after)
@@ -271,8 +271,8 @@
 func (rec *record) current(now time.Time) Entry {
 	e := rec.entry
 	left, holds := rec.replica.reportedCold(now)
-	e.TellsCold = e.TellsCold || holds // a later entry need not report it
-	if e.TellsCold {
+	e.ReportsCold = e.ReportsCold || holds // a later entry need not report it
+	if e.ReportsCold {
 		e.Cold = left
 	}
 	return e
--- a/replicas/cold_test.go
+++ b/replicas/cold_test.go
@@ -26,7 +26,7 @@
 // tells returns an entry of replica a with a cold time.
 func tells(revision int64, cold time.Duration) Entry {
 	e := entry("a", revision)
-	e.Cold, e.TellsCold = cold, true
+	e.Cold, e.ReportsCold = cold, true
 	return e
 }
 
@@ -127,11 +127,11 @@
 	reader.Evacuate([]Evacuation{{Zone: "other", Active: true, Revision: 4}})
 	reader.Evacuate([]Evacuation{{Zone: "other", Revision: 5}})
 	rewritten.Revision, rewritten.Zone = 6, "z"
-	if got := reader.Offer([]Entry{rewritten}); got[0].TellsCold {
+	if got := reader.Offer([]Entry{rewritten}); got[0].ReportsCold {
 		t.Errorf("published after the evacuation ended, which overrides what others assume: %+v", got)
 	}
 	reader.now = reader.now.Add(9 * second)
-	if got := reader.Recent(1, time.Minute); got[0].TellsCold {
+	if got := reader.Recent(1, time.Minute); got[0].ReportsCold {
 		t.Errorf("warm again, published: %+v", got)
 	}
 }
@@ -157,7 +157,7 @@
 		for i := int64(3); i < 6; i++ { // written again, which only the reader sees
 			reader.now, late.now = reader.now.Add(second), late.now.Add(second)
 			again := change
-			again.Revision, again.TellsCold, again.Cold = i, true, reader.Ready("s")[0].ColdFor(reader.now)
+			again.Revision, again.ReportsCold, again.Cold = i, true, reader.Ready("s")[0].ColdFor(reader.now)
 			reader.Offer([]Entry{again})
 			if reader.Digest() != late.Digest() || reader.Digest() == warm {
 				t.Errorf("%s, revision %d: digests %x and %x, warm %x", name, i, reader.Digest(), late.Digest(), warm)
@@ -217,7 +217,7 @@
 	started := entry("a", 3)
 	started.StartedAt = 9
 	toldStart := started
-	toldStart.Cold, toldStart.TellsCold = 5*second, true
+	toldStart.Cold, toldStart.ReportsCold = 5*second, true
 	tests := []struct {
 		name  string
 		offer func(b *bed)
--- a/replicas/entry.go
+++ b/replicas/entry.go
@@ -20,9 +20,9 @@
 	// Seq orders what the replica reports within a start; 0 if unknown.
 	Seq int64
 	// Cold is how long the replica is still cold, as of when the entry was read. It is only
-	// known if TellsCold is set.
-	Cold      time.Duration
-	TellsCold bool
+	// known if ReportsCold is set.
+	Cold        time.Duration
+	ReportsCold bool
 	// Leaving replicas take no new requests.
 	Leaving bool
 	// Announced is set if the replica itself reported, in an answer, that it leaves. That
--- a/replicas/pace.go
+++ b/replicas/pace.go
@@ -79,8 +79,8 @@
 	return r.pace.value(now)
 }
 
-// TellsPace reports whether the replica has reported its pace since its start.
-func (r *Replica) TellsPace() bool {
+// ReportsPace reports whether the replica has reported its pace since its start.
+func (r *Replica) ReportsPace() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.pace.at.IsZero()
--- a/replicas/pace_test.go
+++ b/replicas/pace_test.go
@@ -42,13 +42,13 @@
 			b := newBed()
 			b.Offer([]Entry{entry("a", 1)})
 			r := b.Ready("s")[0]
-			if r.Pace(b.now) != 1 || r.TellsPace() {
-				t.Errorf("pace %v, reported %v before the first reading", r.Pace(b.now), r.TellsPace())
+			if r.Pace(b.now) != 1 || r.ReportsPace() {
+				t.Errorf("pace %v, reported %v before the first reading", r.Pace(b.now), r.ReportsPace())
 			}
 			paceEvery(b, r, 20*time.Second, tt.readings...)
 			paceEvery(b, r, 100*time.Millisecond, tt.last)
-			if got := r.Pace(b.now.Add(tt.age)); got < tt.least || got > tt.most || !r.TellsPace() {
-				t.Errorf("pace %v, reported %v, want %v to %v", got, r.TellsPace(), tt.least, tt.most)
+			if got := r.Pace(b.now.Add(tt.age)); got < tt.least || got > tt.most || !r.ReportsPace() {
+				t.Errorf("pace %v, reported %v, want %v to %v", got, r.ReportsPace(), tt.least, tt.most)
 			}
 		})
 	}
@@ -63,7 +63,7 @@
 		b.now = b.now.Add(time.Millisecond)
 		r.ReportPace(b.now, reading)
 	}
-	if r.TellsPace() {
+	if r.ReportsPace() {
 		t.Error("a reading that is no pace was recorded")
 	}
 	r.ReportPace(b.now, 2)
@@ -100,10 +100,10 @@
 	listener.now = teller.now
 	listener.MergeReports(reports)
 	heard, unpaced := listener.Ready("s")[0], listener.Ready("s")[1]
-	if got := heard.Pace(listener.now.Add(-age)); got != 8 || !heard.TellsPace() {
+	if got := heard.Pace(listener.now.Add(-age)); got != 8 || !heard.ReportsPace() {
 		t.Errorf("pace %v when it was reported, want 8", got)
 	}
-	if unpaced.TellsPace() {
+	if unpaced.ReportsPace() {
 		t.Error("a report without a pace counts as one")
 	}
 	other.ReportLoad(teller.now, 6)
--- a/replicas/paceidle_test.go
+++ b/replicas/paceidle_test.go
@@ -27,7 +27,7 @@
 		candidates := make([]placing.Candidate, 2)
 		for k, r := range b.Ready("s") {
 			candidates[k] = placing.Candidate{Hash: r.Hash(), Zone: r.Zone(), Held: r.SmoothedLoad(), Slots: r.Slots()}
-			if r.TellsPace() {
+			if r.ReportsPace() {
 				candidates[k].Pace = r.Pace(b.now)
 			}
 		}
--- a/replicas/paceplay_test.go
+++ b/replicas/paceplay_test.go
@@ -153,7 +153,7 @@
 		p.hearLate(router, i)
 		if held := r.SmoothedLoad(); held < playLimit {
 			c := placing.Candidate{Hash: r.Hash(), Zone: r.Zone(), Held: held, Slots: playSlots}
-			if r.TellsPace() {
+			if r.ReportsPace() {
 				c.Pace = r.Pace(p.now)
 			}
 			candidates = append(candidates, c)
--- a/slowstart/limiter_test.go
+++ b/slowstart/limiter_test.go
@@ -29,7 +29,7 @@
 	b.Bound = func(string) float64 { return b.bound }
 	b.Share = func(uint64) (int, int, bool) { return b.rank, b.routers, b.known }
 	table := replicas.NewTable(peridotusher.ClockFunc(func() time.Time { return b.now }))
-	table.Offer([]replicas.Entry{{ID: "a", Service: "s", Revision: 1, Cold: coldFor, TellsCold: true}})
+	table.Offer([]replicas.Entry{{ID: "a", Service: "s", Revision: 1, Cold: coldFor, ReportsCold: true}})
 	b.replica = table.Ready("s")[0]
 	return b
 }
