--- a/entry/claimtable_test.go
+++ b/entry/claimtable_test.go
@@ -65,6 +65,7 @@
 			Self: id, Members: members.All, Store: client, Peers: f, Clock: clock, Log: log,
 			Prefix: "test/", Window: func() time.Duration { return time.Hour },
 		}
+		table.once.Do(table.init) // the test reads its state
 		f.tables = append(f.tables, table)
 		group.Go(func() error { return table.Run(ctx) })
 	}
