TestAnswersWithoutEnd and TestRepeatsNeedAShare send ids that no other test uses

Both are listed as failing at times with more requests at replicas than one request of a client can make: a task never tries a replica twice.

--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -166,12 +166,12 @@
 			b := newBed(t, tt.route, tt.first, say("HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Length: 7\r\n\r\nid: 2\n\n", true))
 			b.limitCold(tt.rank)
 			b.setCold(time.Minute, "b")
-			resp, body, _ := b.ask(get(""))
+			resp, body, _ := b.ask(b.unique(get("")))
 			if tt.first != nil && b.sentTo("a") != 1 {
 				t.Fatalf("the first replica got %d requests", b.sentTo("a"))
 			}
 			if got := b.sentTo("b"); got != tt.sent {
-				t.Errorf("the cold replica got %d requests, want %d; all: %+v", got, tt.sent, b.requests())
+				t.Errorf("the cold replica got %d requests, want %d; all, of which those of this test have the id %s: %+v", got, tt.sent, b.id, b.requests())
 			}
 			if strings.HasPrefix(tt.name, "error,") && (resp == nil || body != "fail") {
 				t.Errorf("answer = %v, %q, want that of the first replica", resp, body)
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -106,7 +106,7 @@
 			b := newBed(t, tt.route, endless(tt.text, tt.filler, &written), second)
 			b.busy()
 			began := time.Now()
-			resp, body, whole := b.ask(post("Content-Length: 0\r\n", ""))
+			resp, body, whole := b.ask(b.unique(post("Content-Length: 0\r\n", "")))
 			if resp == nil || !whole || resp.StatusCode != http.StatusOK || body == "" {
 				t.Errorf("answer %v, %d bytes, whole %v", resp, len(body), whole)
 			}
@@ -117,7 +117,7 @@
 				t.Errorf("%d bytes were read", n)
 			}
 			if n := len(b.requests()); n != 2 {
-				t.Errorf("%d requests reached replicas, want 2: %+v", n, b.requests())
+				t.Errorf("%d requests reached replicas, want 2 with the id %s: %+v", n, b.id, b.requests())
 			}
 		})
 	}
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,9 +99,14 @@
 // script answers one request on a connection and reports whether it goes on.
 type script func(c net.Conn, r *http.Request, body string) bool
 
+// beds counts the beds of this process.
+var beds atomic.Int64
+
 // bed is a front with scripted replicas.
 type bed struct {
-	t     *testing.T
+	t *testing.T
+	// id is that of the requests that unique returns.
+	id    string
 	front *Front
 	url   string
 	// counters are those of the front.
@@ -128,7 +135,7 @@
 func newBedOn(t *testing.T, l net.Listener, change func(*Front), route routing.Route, scripts ...script) *bed {
 	t.Helper()
 	clock := steady
-	b := &bed{t: t, counters: metrics.NewSet()}
+	b := &bed{t: t, id: fmt.Sprint(os.Getpid(), "-", beds.Add(1)), counters: metrics.NewSet()}
 	table := replicas.NewTable(clock)
 	var entries []replicas.Entry
 	for i, s := range scripts {
@@ -311,3 +318,9 @@
 func post(extra, body string) string {
 	return "POST /p/x HTTP/1.1\r\nHost: h.example\r\nId: 1\r\nKey: k\r\nPatience: 2s\r\n" + extra + "\r\n" + body
 }
+
+// unique returns a raw request with an id that no other test uses: a request with another id
+// at a replica of the bed is of a test whose port it has got.
+func (b *bed) unique(raw string) string {
+	return strings.Replace(raw, "\r\nId: 1\r\n", "\r\nId: "+b.id+"\r\n", 1)
+}
