A router that is heard but cannot be reached holds up no fetch for long

Cause: packets of one direction are lost between two zones. A router hears in heartbeats that others have a newer configuration, but connections to them are never set up; each try waited 1.5 s, and the next one was as likely to go there again. A fetch of replicas, which is more frequent since and repeated at once if it fails, could hold up a configuration in the same way. Change: the set-up of a connection is given up after 0.4 s; a router from which a fetch failed is avoided for 3 s if others have the state; configurations are fetched by a loop of their own. TestConfigurationIsNotHeldUp fails before (375 ms; the silent router takes 1.5 s); TestUnreachableRouterIsAvoided.

--- a/mesh/catch.go
+++ b/mesh/catch.go
@@ -2,13 +2,20 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
 	// retryInterval is the time between two fetches of a newer configuration.
 	retryInterval = 100 * time.Millisecond
+	// avoidedFor is how long no state is fetched from a router after a fetch from it failed,
+	// if others have the state.
+	avoidedFor = 3 * time.Second
 	// missedPart and missedRounds are the least time between two fetches of
 	// placements that were missed: a part of the time in which all routers get a
 	// heartbeat, in a large fleet some times as long.
@@ -26,39 +33,52 @@
 	differChecks = 8
 )
 
-// catchUp fetches missing state from other routers until ctx ends. It checks for missing
-// state when a heartbeat shows that there is some, and again when a fetch of it is due.
+// catchUp fetches missing state from other routers until ctx ends. A configuration has a loop
+// of its own: it has to be in force soon, and a router that does not answer may hold up a fetch
+// of replicas or placements for sessionTime.
 func (n *Node) catchUp(ctx context.Context) error {
+	isConfiguration := func(s Staleness) bool { return s == ConfigurationOutdated }
+	isOther := func(s Staleness) bool { return s != ConfigurationOutdated }
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.followStale(ctx, n.configurationOutdated, isConfiguration) })
+	group.Go(func() error { return n.followStale(ctx, n.stale, isOther) })
+	return group.Wait()
+}
+
+// followStale fetches missing state of some kinds until ctx ends. It checks for it on a signal
+// that a heartbeat shows that there is some, and again when a fetch of it is due.
+func (n *Node) followStale(ctx context.Context, signals <-chan struct{}, wanted func(Staleness) bool) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var c syncSchedule
-	due, lacking := timer.C, n.stale
+	due, lacking := timer.C, signals
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-n.configurationOutdated:
 		case <-lacking:
 		case <-due:
 		}
-		due, lacking = nil, n.stale
-		if wait := n.fetchStale(ctx, &c); wait > 0 {
+		due, lacking = nil, signals
+		if wait := n.fetchStale(ctx, &c, wanted); wait > 0 {
 			timer.Reset(wait)
 			due, lacking = timer.C, nil
 		}
 	}
 }
 
-// fetchStale fetches the missing state that is due, from a random router that has it. It
-// returns the time until the next check; 0 if nothing is missing.
-func (n *Node) fetchStale(ctx context.Context, c *syncSchedule) time.Duration {
+// fetchStale fetches the missing state of the wanted kinds that is due, from a random router
+// that has it. It returns the time until the next check; 0 if nothing is missing.
+func (n *Node) fetchStale(ctx context.Context, c *syncSchedule, wanted func(Staleness) bool) time.Duration {
 	n.traffic.looks.Add(1)
 	stale := n.stalePeers()
+	maps.DeleteFunc(stale, func(s Staleness, _ []string) bool { return !wanted(s) })
 	c.missedInterval, c.differTime = n.placementsInterval(), differLeast
 	staleness := c.next(n.Clock.Now(), stale)
 	if from := stale[staleness]; staleness != Fresh && len(from) > 0 {
-		if n.fetchFrom(ctx, from[rand.IntN(len(from))], staleness) == nil {
-			c.failed(n.Clock.Now(), staleness)
+		address := c.choose(n.Clock.Now(), from)
+		if n.fetchFrom(ctx, address, staleness) == nil {
+			c.failed(n.Clock.Now(), staleness, address)
 		}
 	}
 	return c.wait(n.Clock.Now(), stale)
@@ -105,6 +125,8 @@
 
 	missedInterval time.Duration // least time between two fetches of missed placements
 	differTime     time.Duration // time for which replicas may differ before a fetch
+
+	failures map[string]time.Time // when a fetch from an address failed last
 }
 
 // next returns which missing state is to be fetched now; Fresh if none is due.
@@ -127,9 +149,24 @@
 	return Fresh
 }
 
-// failed records that the state that next returned could not be fetched: replicas that differ
-// are due again.
-func (c *syncSchedule) failed(now time.Time, staleness Staleness) {
+// choose returns a random one of the addresses, if possible one from which no fetch has failed
+// lately: heartbeats may arrive from a router that cannot be reached.
+func (c *syncSchedule) choose(now time.Time, addresses []string) string {
+	maps.DeleteFunc(c.failures, func(_ string, at time.Time) bool { return now.Sub(at) > avoidedFor })
+	reachable := slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return !c.failures[a].IsZero() })
+	if len(reachable) > 0 {
+		addresses = reachable
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// failed records that the state that next returned could not be fetched from an address:
+// replicas that differ are due again.
+func (c *syncSchedule) failed(now time.Time, staleness Staleness, address string) {
+	if c.failures == nil {
+		c.failures = make(map[string]time.Time)
+	}
+	c.failures[address] = now
 	if staleness == ReplicasDiffer {
 		c.differSince = now.Add(-c.differTime)
 	}
--- a/mesh/catch_test.go
+++ b/mesh/catch_test.go
@@ -1,12 +1,14 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
 )
@@ -146,8 +148,81 @@
 	if got := c.next(now, differ); got != ReplicasDiffer {
 		t.Fatalf("%v is fetched, want the replicas", got)
 	}
-	c.failed(now, ReplicasDiffer)
+	c.failed(now, ReplicasDiffer, "a")
 	if got := c.next(now.Add(c.wait(now, differ)), differ); got != ReplicasDiffer {
 		t.Errorf("%v is fetched next, want the replicas", got)
 	}
 }
+
+// TestUnreachableRouterIsAvoided guards against fetches from a router that cannot be reached
+// though its heartbeats arrive, while others have the state.
+func TestUnreachableRouterIsAvoided(t *testing.T) {
+	const tries = 100
+	now := time.Unix(1000, 0)
+	var c syncSchedule
+	c.failed(now, ConfigurationOutdated, "a")
+	for range tries {
+		if got := c.choose(now.Add(avoidedFor), []string{"a", "b", "c"}); got == "a" {
+			t.Fatal("a router is asked again though others have the state")
+		}
+		if got := c.choose(now.Add(avoidedFor), []string{"a"}); got != "a" {
+			t.Fatalf("%q is asked, want the only router", got)
+		}
+	}
+	asked := make(map[string]bool)
+	for range tries {
+		asked[c.choose(now.Add(avoidedFor+time.Millisecond), []string{"a", "b"})] = true
+	}
+	if diff := cmp.Diff(map[string]bool{"a": true, "b": true}, asked); diff != "" {
+		t.Errorf("routers asked later (-want +got):\n%s", diff)
+	}
+}
+
+// silentPeerState lacks replicas of a router that is silent, and a configuration of another one.
+type silentPeerState struct{ testState }
+
+func (s *silentPeerState) Compare(other Summary) Staleness {
+	if other.Router == "silent" {
+		return ReplicasDiffer
+	}
+	return s.testState.Compare(other)
+}
+
+// TestConfigurationIsNotHeldUp guards against a configuration that waits until a router that
+// does not answer a fetch of replicas is given up.
+func TestConfigurationIsNotHeldUp(t *testing.T) {
+	const soon = sessionTime / 4
+	silent := listen(t)
+	defer func() { _ = silent.Close() }() // the test has ended
+	ahead, states := startNodes(t, 1)
+	states[0].mu.Lock()
+	states[0].version = 9
+	states[0].mu.Unlock()
+	state := &silentPeerState{}
+	n := &Node{Self: Member{Name: "self", Address: "127.0.0.1:1"}, State: state, Clock: peridotusher.ClockFunc(time.Now), Log: discard{}}
+	n.Init()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var group errgroup.Group
+	group.Go(func() error { return n.catchUp(ctx) })
+	receive := func(b *Heartbeat, woken chan struct{}) {
+		b.Format = format
+		n.members.receive(b)
+		signal(woken)
+	}
+	for end := time.Now().Add(differLeast * 4 / 3); time.Now().Before(end); time.Sleep(heartbeatInterval / 4) {
+		receive(&Heartbeat{Member: Member{Name: "silent", Address: silent.Addr().String(), Incarnation: 1}}, n.stale)
+	}
+	began := time.Now()
+	receive(&Heartbeat{Member: ahead[0].Self, Configuration: 9}, n.configurationOutdated)
+	for version := int64(0); version != 9; version, _ = state.get() {
+		if time.Since(began) > soon {
+			t.Fatalf("the configuration is not known after %v", soon)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -15,6 +15,9 @@
 const (
 	// sessionTime bounds a fetch.
 	sessionTime = 1500 * time.Millisecond
+	// sessionDialTime bounds the set-up of a connection for a fetch: a router behind a cut
+	// link does not refuse it.
+	sessionDialTime = 400 * time.Millisecond
 	// joinTime bounds the first fetch after the start.
 	joinTime = 30 * time.Millisecond
 	// acceptPause is the pause after a failed accept.
@@ -144,7 +147,7 @@
 func (n *Node) fetch(ctx context.Context, address string, request SyncRequest) (*SyncResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, sessionTime)
 	defer cancel()
-	c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	c, err := (&net.Dialer{Timeout: sessionDialTime}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
