Log how a replica's answer was delimited and what followed its last event

Cause: the answered line of a stream that a replica had broken off is the same as that of a complete one. Tests of relay and account pass; no behaviour of answers changes.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -249,9 +249,7 @@
 
 // isDelimited reports whether the answer states where it ends, rather than ending with the
 // connection.
-func isDelimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
+func isDelimited(resp *http.Response) bool { return framing(resp) != framingClose }
 
 // abort ends the exchange immediately by resetting the connection.
 func (x *exchange) abort() {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -65,6 +65,7 @@
 		if len(ev.partial()) > maxEventBytes {
 			return t.handleBrokenStream(ctx, x, errTooLong)
 		}
+		t.partialBytes = len(ev.partial())
 		if errors.Is(err, io.EOF) {
 			x.finish()
 			t.forwardEvents(x, ev.partial())
@@ -82,7 +83,7 @@
 func (t *task) handleBrokenStream(ctx context.Context, x *exchange, err error) bool {
 	t.mayHaveRun = true
 	if ctx.Err() == nil {
-		t.recordFault(x, "the stream broke after event %q: %v", t.lastEventID, err)
+		t.recordFault(x, "the stream broke after event %q and %d bytes (%s): %v", t.lastEventID, t.partialBytes, framing(x.resp), err)
 		t.proxy.Metrics.countResume(t.routeName())
 	}
 	return false
--- a/relay/task.go
+++ b/relay/task.go
@@ -87,6 +87,7 @@
 	headWritten  bool
 	lastEventID  string        // id of the last event forwarded to the client
 	longestPause time.Duration // longest pause between two events of a replica
+	partialBytes int           // bytes behind the last complete event when a replica's stream ended
 }
 
 // forward sends the request to replicas, one after the other, until one answers, and forwards the
