--- /dev/null
+++ b/relay/streamend_test.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"peridotusher.example/peridotusher/routing"
+)
+
+const (
+	// closeHead is the head of a stream that ends with its connection.
+	closeHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+	// half is an incomplete event.
+	half = "id: 3\nda"
+)
+
+// TestStreamEndedInsideEventIsBrokenOff guards against streams that are ended as complete though
+// their replica broke them off.
+func TestStreamEndedInsideEventIsBrokenOff(t *testing.T) {
+	two := event(1) + event(2)
+	all := two + event(3) + event(4) + event(5)
+	tests := []struct {
+		name     string
+		route    routing.Route
+		scripts  []script
+		body     string
+		complete bool
+	}{
+		{"closed inside an event", streaming, []script{respond(closeHead+two+half, false)}, two, false},
+		{"closed inside an event and resumed", resumable, []script{respond(closeHead+two+half, false), resumeAfter}, all, true},
+		{"closed inside an event twice", resumable, []script{respond(closeHead+two+half, false), respond(closeHead+event(3)+half, false)}, two + event(3), false},
+		{"closed behind a field", streaming, []script{respond(closeHead+two+"id: 3\n", false)}, two, false},
+		{"closed behind the data", streaming, []script{respond(closeHead+two+"id: 3\ndata: e3\n", false)}, two, false},
+		{"closed inside a comment", streaming, []script{respond(closeHead+two+": pi", false)}, two, false},
+		{"chunks ended inside an event", streaming, []script{respond(streamHead+chunk(two+half)+chunk(""), true)}, two, false},
+		{"chunks ended inside an event and resumed", resumable, []script{respond(streamHead+chunk(two+half)+chunk(""), true), resumeAfter}, all, true},
+		{"resumed, closed before an event", resumable, []script{respond(closeHead+two+half, false), respond(closeHead, false)}, two, false},
+		{"closed before the first event and retried", resumable, []script{respond(closeHead, false), resumeAfter}, all, true},
+		{"closed between events", streaming, []script{respond(closeHead+two, false)}, two, true},
+		{"closed behind a comment", streaming, []script{respond(closeHead+two+": ping\n", false)}, two + ": ping\n", true},
+		{"closed behind an event with CR line ends", streaming, []script{respond(closeHead+"id: 1\rdata: e1\r\r", false)}, "id: 1\rdata: e1\r\r", true},
+		{"chunks without any event", streaming, []script{respond(streamHead+chunk(""), true)}, "", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture(t, tt.route, tt.scripts...)
+			b.loadOtherReplicas()
+			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+			if resp == nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("answer = %v", resp)
+			}
+			if diff := cmp.Diff(tt.body, body); diff != "" {
+				t.Errorf("stream (-want +got):\n%s", diff)
+			}
+			if complete != tt.complete {
+				t.Errorf("complete = %v, want %v", complete, tt.complete)
+			}
+		})
+	}
+}
+
+// TestStreamClosedBeforeFirstEventFails guards against an empty answer that looks complete.
+func TestStreamClosedBeforeFirstEventFails(t *testing.T) {
+	b := newFixture(t, streaming, respond(closeHead, false))
+	resp, body, _ := b.send(post("Content-Length: 0\r\n", ""))
+	if resp == nil || resp.StatusCode != http.StatusBadGateway || strings.Contains(body, "data:") {
+		t.Errorf("answer = %v %q, want status %d", resp, body, http.StatusBadGateway)
+	}
+}
