A stream that ends inside an event has been broken off

Cause: forwardStream took the end of the body for the end of the answer, whatever stood behind the last complete event. With a length or chunks the transport tells a break from an end; a body with neither ends with its connection in both cases. The class: an answer taken for whole because the transport reported no error.

Change: a stream is complete only if its body ends and no part of an event is left; with neither length nor chunks it also needs an event. Otherwise it is handled like any other break: resumed at another replica where the route allows it, else visibly aborted, or 502 before the first byte. Answers on such routes that state another type than text/event-stream are forwarded as plain answers. Events may end with CR CR, which went unnoticed while the rest of a body was forwarded unread.

Two tests sent bodies that are no events on a route of streams: TestManySlowReaders now ends with an event (300,006 bytes, was 300,000), the answer of TestStopEndsConnections states text/plain. What they ask for is unchanged.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -38,11 +38,11 @@
 		t.recordFault(x, "an answer without a signature")
 		return false
 	}
-	if t.route.Kind == routing.Streaming && x.resp.StatusCode == http.StatusOK {
+	if t.route.Kind == routing.Streaming && isEventStream(x.resp) {
 		return t.forwardStream(ctx, x, sent)
 	}
 	if t.headWritten {
-		t.recordFault(x, "status %d instead of the remaining stream", x.resp.StatusCode)
+		t.recordFault(x, "status %d and type %q instead of the remaining stream", x.resp.StatusCode, x.resp.Header.Get("Content-Type"))
 		return false
 	}
 	return t.forwardAnswer(ctx, x, f.Clock.Now().Sub(sent))
--- a/relay/eventsplitter.go
+++ b/relay/eventsplitter.go
@@ -1,6 +1,24 @@
 package relay
 
-import "bytes"
+import (
+	"bytes"
+	"net/http"
+	"strings"
+)
+
+// isEventStream reports whether an answer on a route of streams is a stream of events, which is
+// assumed if it states no type.
+func isEventStream(resp *http.Response) bool {
+	if resp.StatusCode != http.StatusOK {
+		return false
+	}
+	text := resp.Header.Get("Content-Type")
+	if text == "" {
+		return true
+	}
+	mediaType, _, _ := strings.Cut(text, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
 
 // eventSplitter splits a stream into complete server-sent events. The zero value is ready to use.
 type eventSplitter struct {
@@ -24,14 +42,32 @@
 // partial returns the bytes after the last complete event.
 func (e *eventSplitter) partial() []byte { return e.buf }
 
+// insideEvent reports whether the bytes after the last complete event are a part of an event, so
+// that a stream that ends here was broken off. Comments are no events.
+func (e *eventSplitter) insideEvent() bool {
+	for line := range bytes.Lines(e.buf) {
+		text := bytes.TrimRight(line, lineEnds)
+		isComment := len(text) > 0 && text[0] == ':' && len(text) < len(line)
+		if len(text) > 0 && !isComment {
+			return true
+		}
+	}
+	return false
+}
+
+// lineEnds are the characters that end a line, alone or as CR LF.
+const lineEnds = "\r\n"
+
+// boundaries are the ends of events: a line end and an empty line.
+var boundaries = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+
 // lastBoundary returns the position after the last empty line; 0 if there is none.
 func lastBoundary(b []byte) int {
 	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + len("\n\n")
-	}
-	if i := bytes.LastIndex(b, []byte("\n\r\n")); i >= 0 {
-		end = max(end, i+len("\n\r\n"))
+	for _, boundary := range boundaries {
+		if i := bytes.LastIndex(b, boundary); i >= 0 {
+			end = max(end, i+len(boundary))
+		}
 	}
 	return end
 }
@@ -39,8 +75,8 @@
 // lastID returns the value of the last id field; "" if there is none.
 func lastID(b []byte) string {
 	for len(b) > 0 {
-		i := bytes.LastIndexByte(b[:len(b)-1], '\n')
-		line := bytes.TrimRight(b[i+1:], "\r\n")
+		i := bytes.LastIndexAny(b[:len(b)-1], lineEnds)
+		line := bytes.TrimRight(b[i+1:], lineEnds)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value))
 		}
@@ -54,10 +90,12 @@
 
 // firstID returns the value of the first id field; "" if there is none.
 func firstID(b []byte) string {
-	for line := range bytes.Lines(b) {
-		if value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); ok {
+	for line := range bytes.FieldsFuncSeq(b, isLineEnd) {
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value))
 		}
 	}
 	return ""
 }
+
+func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -310,7 +310,7 @@
 func TestStopEndsConnections(t *testing.T) {
 	running, proceed := make(chan struct{}), make(chan struct{})
 	slow := func(c net.Conn, _ *http.Request, _ string) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Length: 2\r\n\r\no") // an error would show at the client
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: s\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\no") // an error would show at the client
 		close(running)
 		<-proceed
 		_, _ = io.WriteString(c, "k")
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -48,7 +48,7 @@
 // TestManySlowReaders has 500 clients read slowly. They get complete answers, and the heap stays
 // below half of the memory of the smallest router.
 func TestManySlowReaders(t *testing.T) {
-	const clients, size = 500, 300_000
+	const clients, size = 500, 300_006 // ends with an event
 	for name, route := range map[string]routing.Route{"streams": longStream, "no streams": longAnswerRoute} {
 		t.Run(name, func(t *testing.T) {
 			b, log := newSlowFixture(t, route, smallBound, socketBufferSize, sizedAnswer)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -62,11 +62,14 @@
 				return t.handleBrokenStream(ctx, x, err)
 			}
 		}
-		if len(ev.partial()) > maxEventBytes {
+		t.partialBytes = len(ev.partial())
+		if t.partialBytes > maxEventBytes {
 			return t.handleBrokenStream(ctx, x, errTooLong)
 		}
-		t.partialBytes = len(ev.partial())
 		if errors.Is(err, io.EOF) {
+			if ev.insideEvent() || first == 0 && !isDelimited(x.resp) {
+				return t.handleBrokenStream(ctx, x, io.ErrUnexpectedEOF)
+			}
 			x.finish()
 			t.forwardEvents(x, ev.partial())
 			x.replica.Record(f.Clock.Now(), replicas.Good)
