Reset connections whose end would complete a broken answer

What HTTP/1.0 clients saw: an answer without length that was broken off ended like a complete one, since the connection was closed in order.

Change: while an answer is incomplete that ends with the client's connection, any close of that connection is a reset, also that of a stop.

TestAbortedAnswerWithoutLengthIsReset fails without the change in 4 of 8 cases (broken streams and answers, with and without the buffers for slow clients) and passes with it. Tests of relay pass.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -229,6 +229,17 @@
 	if length >= 0 {
 		h.Set("Content-Length", itoa(length))
 	}
+	if length < 0 && !t.r.ProtoAtLeast(1, 1) { // no chunks in HTTP/1.0
+		t.setConnEndsAnswer(true)
+	}
 	t.w.WriteHeader(resp.StatusCode)
 	t.headWritten = true
 }
+
+// setConnEndsAnswer sets whether the end of the client's connection would end an incomplete
+// answer.
+func (t *task) setConnEndsAnswer(ends bool) {
+	if c := clientConnOf(t.r.Context()); c != nil {
+		c.endsAnswer.Store(ends)
+	}
+}
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -42,6 +42,8 @@
 	mayBeUnacked atomic.Bool // whether sent data may not have been acknowledged
 	noAckTimeout bool        // whether TCP_USER_TIMEOUT is lifted; used only by updateAckTimeout
 	draining     atomic.Bool // whether a goroutine writes buffered data; set with buffer.mu locked
+	// endsAnswer is set while an answer is incomplete whose end is that of the connection.
+	endsAnswer atomic.Bool
 
 	buffered bufferState // guarded by buffer.mu
 }
@@ -75,9 +77,15 @@
 	return context.WithValue(ctx, clientKey{}, c)
 }
 
-// clientConnOf returns the connection of a request, or nil if answers on it are not buffered.
+// clientConnOf returns the connection of a request, or nil if it is not a clientConn.
 func clientConnOf(ctx context.Context) *clientConn {
-	if c, ok := ctx.Value(clientKey{}).(*clientConn); ok && c.buffer != nil {
+	c, _ := ctx.Value(clientKey{}).(*clientConn)
+	return c
+}
+
+// bufferedConnOf returns the connection of a request, or nil if answers on it are not buffered.
+func bufferedConnOf(ctx context.Context) *clientConn {
+	if c := clientConnOf(ctx); c != nil && c.buffer != nil {
 		return c
 	}
 	return nil
@@ -153,8 +161,13 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// Close implements net.Conn. Buffered data is written before the connection is closed.
+// Close implements net.Conn. Buffered data is written before the connection is closed, unless an
+// answer would then look complete.
 func (c *clientConn) Close() error {
+	if c.endsAnswer.Load() {
+		c.reset()
+		return c.closeNow()
+	}
 	if c.buffer != nil && c.buffer.deferClose(c) {
 		return nil
 	}
--- a/relay/final.go
+++ b/relay/final.go
@@ -113,9 +113,10 @@
 	}
 }
 
-// recordAnswered logs and counts an answer that was forwarded. first is the time to its first
+// recordAnswered logs and counts an answer that was forwarded completely. first is the time to its first
 // byte or event.
 func (t *task) recordAnswered(x *exchange, first time.Duration) {
+	t.setConnEndsAnswer(false)
 	took := t.proxy.Clock.Now().Sub(t.began)
 	late := t.lateness(first)
 	t.grant.recordAnswer(x.resp.StatusCode >= http.StatusInternalServerError)
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -117,13 +117,13 @@
 		MaxHeaderBytes:    maxRequestHeadBytes,
 		ReadHeaderTimeout: maxHeaderTimeout,
 		ConnState:         conns.state,
+		ConnContext:       withClientConn,
 		ErrorLog:          nil,
 	}
 	var buffer *answerBuffer
 	if f.AnswerMemory > 0 {
 		buffer = newAnswerBuffer(f.Clock, f.AnswerMemory, f.Log, f.Metrics)
 		f.answerBuffer.Store(buffer)
-		server.ConnContext = withClientConn
 	}
 	limited := &limitListener{Listener: l, buffer: buffer, maxOpen: int64(f.MaxConnections), onRefused: func() { f.Log.Event("refused", "connections", f.MaxConnections) }}
 	group, ctx := errgroup.WithContext(ctx)
@@ -186,7 +186,7 @@
 	if err := http.NewResponseController(w).SetWriteDeadline(time.Time{}); err != nil {
 		f.Log.Event("socket", "error", err)
 	}
-	t := &task{proxy: f, w: w, r: r, began: f.Clock.Now(), client: clientConnOf(r.Context())}
+	t := &task{proxy: f, w: w, r: r, began: f.Clock.Now(), client: bufferedConnOf(r.Context())}
 	t.call = f.Dialect.ReadCall(r.Header)
 	if t.client != nil {
 		t.client.buffer.setRequestID(t.client, t.call.ID)
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -70,3 +72,37 @@
 		t.Errorf("answer = %v %q, want status %d", resp, body, http.StatusBadGateway)
 	}
 }
+
+// TestAbortedAnswerWithoutLengthIsReset guards against answers that look complete to HTTP/1.0
+// clients, for whom the end of the connection ends an answer.
+func TestAbortedAnswerWithoutLengthIsReset(t *testing.T) {
+	const chunkedHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	two := event(1) + event(2)
+	long := strings.Repeat("a", 2*maxBufferedAnswer)
+	tests := []struct {
+		name     string
+		route    routing.Route
+		script   script
+		complete bool
+	}{
+		{"stream", streaming, respond(streamHead+chunk(two)+chunk(""), false), true},
+		{"broken stream", streaming, respond(streamHead+chunk(two), false), false},
+		{"answer", nonIdempotent, respond(chunkedHead+chunk(long)+chunk(""), false), true},
+		{"broken answer", nonIdempotent, respond(chunkedHead+chunk(long), false), false},
+	}
+	for _, buffered := range []int64{0, 1 << 20} {
+		for _, tt := range tests {
+			t.Run(fmt.Sprintf("%s with %d bytes of buffers", tt.name, buffered), func(t *testing.T) {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				b := newFixtureOn(t, l, func(f *Proxy) { f.AnswerMemory = buffered }, tt.route, tt.script)
+				resp, body, complete := b.send(strings.Replace(post("Content-Length: 0\r\n", ""), "HTTP/1.1", "HTTP/1.0", 1))
+				if resp == nil || resp.StatusCode != http.StatusOK || complete != tt.complete {
+					t.Errorf("answer = %v, %d bytes, complete %v, want %v", resp, len(body), complete, tt.complete)
+				}
+			})
+		}
+	}
+}
