A resumed stream must continue with an event that has a later id

Change: the first event of a resumed stream needs an id, a later one where ids are numbers. forwardStream is split: replicaStream holds what one replica sends.

--- a/relay/eventsplitter.go
+++ b/relay/eventsplitter.go
@@ -45,10 +45,12 @@
 // insideEvent reports whether the bytes after the last complete event are a part of an event, so
 // that a stream that ends here was broken off. Comments are no events.
 func (e *eventSplitter) insideEvent() bool {
-	for line := range bytes.Lines(e.buf) {
-		text := bytes.TrimRight(line, lineEnds)
-		isComment := len(text) > 0 && text[0] == ':' && len(text) < len(line)
-		if len(text) > 0 && !isComment {
+	for rest := e.buf; len(rest) > 0; {
+		var line []byte
+		var ended bool
+		line, rest, ended = cutLine(rest)
+		isComment := ended && len(line) > 0 && line[0] == ':'
+		if len(line) > 0 && !isComment {
 			return true
 		}
 	}
@@ -58,6 +60,16 @@
 // lineEnds are the characters that end a line, alone or as CR LF.
 const lineEnds = "\r\n"
 
+// cutLine returns the first line of b without its end, and what follows it. ended is false if the
+// line has no end.
+func cutLine(b []byte) (line, rest []byte, ended bool) {
+	i := bytes.IndexAny(b, lineEnds)
+	if i < 0 {
+		return b, nil, false
+	}
+	return b[:i], bytes.TrimPrefix(bytes.TrimPrefix(b[i:], []byte("\r")), []byte("\n")), true
+}
+
 // boundaries are the ends of events: a line end and an empty line.
 var boundaries = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
 
@@ -88,14 +100,19 @@
 	return ""
 }
 
-// firstID returns the value of the first id field; "" if there is none.
-func firstID(b []byte) string {
-	for line := range bytes.FieldsFuncSeq(b, isLineEnd) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
+// firstID returns the id of the first event, "" if it has none. ok is false if there are only
+// comments.
+func firstID(b []byte) (id string, ok bool) {
+	for len(b) > 0 {
+		var line []byte
+		line, b, _ = cutLine(b)
+		if value, isID := bytes.CutPrefix(line, []byte("id:")); isID {
+			return string(bytes.TrimSpace(value)), true
+		}
+		if len(line) == 0 && ok {
+			return "", true // the event ends
 		}
+		ok = ok || len(line) > 0 && line[0] != ':'
 	}
-	return ""
+	return "", ok
 }
-
-func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -24,62 +24,114 @@
 // boundary has failed.
 const maxEventBytes = 256 << 10
 
+// errNotContinued means that a replica does not continue the stream that the client has.
+var errNotContinued = errors.New("the events do not follow those of the replica before")
+
+// replicaStream is what one replica sends of a stream.
+type replicaStream struct {
+	task   *task
+	x      *exchange
+	events eventSplitter
+	sent   time.Time     // when the request was sent
+	first  time.Duration // from then to the first event; 0 before it
+	latest time.Time     // when the latest event arrived
+	// continues is set once events are known to follow those that the client has.
+	continues bool
+}
+
 // forwardStream forwards the complete events of a replica as they arrive, and reports whether the
 // client has its final answer. A stream that breaks off may be resumed at another replica if the
 // route allows it.
 func (t *task) forwardStream(ctx context.Context, x *exchange, sent time.Time) bool {
-	f := t.proxy
 	buf := streamBufferPool.Get().(*[]byte)
 	defer streamBufferPool.Put(buf)
-	var ev eventSplitter
-	var first time.Duration
-	previousEvent := sent
-	if err := x.conn.setReadTimeout(t.stallTimeout(), t.shouldAbandonReplica); err != nil {
+	s := &replicaStream{task: t, x: x, sent: sent, latest: sent, continues: !t.headWritten}
+	err := s.renewTimeout()
+	for err == nil {
+		var n int
+		var readErr error
+		n, readErr = x.resp.Body.Read(*buf)
+		if err = s.receive((*buf)[:n]); err == nil {
+			err = readErr
+		}
+	}
+	if !errors.Is(err, io.EOF) {
 		return t.handleBrokenStream(ctx, x, err)
 	}
-	for {
-		n, err := x.resp.Body.Read(*buf)
-		if complete, lastID := ev.feed((*buf)[:n]); len(complete) > 0 {
-			now := f.Clock.Now()
-			if first > 0 {
-				t.longestPause = max(t.longestPause, now.Sub(previousEvent))
-			}
-			previousEvent = now
-			if first == 0 {
-				first = now.Sub(sent)
-				t.endRead()
-				if !t.continuesStream(complete) {
-					t.recordFault(x, "a resumed stream repeats events")
-					return false
-				}
-			}
-			t.forwardEvents(x, complete)
-			if lastID != "" {
-				t.lastEventID = lastID
-			}
-			// Only complete events renew the timeout; single bytes do not.
-			if err := x.conn.setReadTimeout(t.stallTimeout(), t.shouldAbandonReplica); err != nil {
-				return t.handleBrokenStream(ctx, x, err)
-			}
-		}
-		t.partialBytes = len(ev.partial())
-		if t.partialBytes > maxEventBytes {
-			return t.handleBrokenStream(ctx, x, errTooLong)
+	if !s.isComplete() {
+		return t.handleBrokenStream(ctx, x, io.ErrUnexpectedEOF)
+	}
+	x.finish()
+	t.forwardEvents(x, s.events.partial())
+	x.replica.Record(t.proxy.Clock.Now(), replicas.Good)
+	t.recordAnswered(x, s.first)
+	return true
+}
+
+// receive forwards the events that are complete with more data.
+func (s *replicaStream) receive(data []byte) error {
+	t := s.task
+	complete, lastID := s.events.feed(data)
+	t.partialBytes = len(s.events.partial())
+	if len(complete) > 0 {
+		s.recordTimes()
+		if !s.checkContinues(complete) {
+			return errNotContinued
 		}
-		if errors.Is(err, io.EOF) {
-			if ev.insideEvent() || first == 0 && !isDelimited(x.resp) {
-				return t.handleBrokenStream(ctx, x, io.ErrUnexpectedEOF)
-			}
-			x.finish()
-			t.forwardEvents(x, ev.partial())
-			x.replica.Record(f.Clock.Now(), replicas.Good)
-			t.recordAnswered(x, first)
-			return true
+		t.forwardEvents(s.x, complete)
+		if lastID != "" {
+			t.lastEventID = lastID
 		}
-		if err != nil {
-			return t.handleBrokenStream(ctx, x, err)
+		// Only complete events renew the timeout; single bytes do not.
+		if err := s.renewTimeout(); err != nil {
+			return err
 		}
 	}
+	if t.partialBytes > maxEventBytes {
+		return errTooLong
+	}
+	return nil
+}
+
+// recordTimes records the arrival of events.
+func (s *replicaStream) recordTimes() {
+	t, now := s.task, s.task.proxy.Clock.Now()
+	if s.first > 0 {
+		t.longestPause = max(t.longestPause, now.Sub(s.latest))
+	} else {
+		s.first = now.Sub(s.sent)
+		t.endRead()
+	}
+	s.latest = now
+}
+
+func (s *replicaStream) renewTimeout() error {
+	return s.x.conn.setReadTimeout(s.task.stallTimeout(), s.task.shouldAbandonReplica)
+}
+
+// isComplete reports whether a body that has ended is a complete stream. With neither length nor
+// chunks, an end without any event cannot be told from a break.
+func (s *replicaStream) isComplete() bool {
+	return !s.events.insideEvent() && (s.first > 0 || isDelimited(s.x.resp))
+}
+
+// checkContinues reports whether events follow those that the client has: the first one has a
+// later id. Ids that are not numbers are not compared.
+func (s *replicaStream) checkContinues(complete []byte) bool {
+	if s.continues {
+		return true
+	}
+	id, ok := firstID(complete)
+	if !ok {
+		return true // only comments so far
+	}
+	s.continues = true
+	before, err := strconv.ParseInt(s.task.lastEventID, 10, 64)
+	if err != nil {
+		return id != ""
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && next > before
 }
 
 // handleBrokenStream records a stream that broke off.
@@ -101,20 +153,6 @@
 	return time.Duration(float64(t.route.Objective) * stallFraction)
 }
 
-// continuesStream reports whether events follow those that the client has. Ids that are not
-// numbers are not checked.
-func (t *task) continuesStream(complete []byte) bool {
-	if t.lastEventID == "" || !t.headWritten {
-		return true
-	}
-	before, err := strconv.ParseInt(t.lastEventID, 10, 64)
-	if err != nil {
-		return true
-	}
-	next, err := strconv.ParseInt(firstID(complete), 10, 64)
-	return err != nil || next > before
-}
-
 // forwardEvents writes bytes of the stream to the client and flushes them.
 func (t *task) forwardEvents(x *exchange, data []byte) {
 	if !t.headWritten {
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -106,3 +106,43 @@
 		}
 	}
 }
+
+// TestErrorIsNotAppendedToBegunStream guards against the text of an error in the middle of a
+// stream that broke off and is resumed.
+func TestErrorIsNotAppendedToBegunStream(t *testing.T) {
+	const failure = "{\"error\":\"no such run\"}"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(failure))
+	const signed = "Id: ID\r\nSignature: s\r\n"
+	two := event(1) + event(2)
+	answers := map[string]string{
+		"500":                      "HTTP/1.1 500 Oops\r\n" + signed + length + "\r\n" + failure,
+		"500 until the close":      "HTTP/1.1 500 Oops\r\n" + signed + "\r\n" + failure,
+		"404":                      "HTTP/1.1 404 Gone\r\n" + signed + length + "\r\n" + failure,
+		"unsigned 404":             "HTTP/1.1 404 Gone\r\nId: ID\r\n" + length + "\r\n" + failure,
+		"204":                      "HTTP/1.1 204 None\r\n" + signed + "\r\n",
+		"206":                      "HTTP/1.1 206 Part\r\n" + signed + length + "\r\n" + failure,
+		"200 of another type":      "HTTP/1.1 200 OK\r\n" + signed + "Content-Type: application/json\r\n" + length + "\r\n" + failure,
+		"200 without a type":       "HTTP/1.1 200 OK\r\n" + signed + length + "\r\n" + failure,
+		"200 until the close":      "HTTP/1.1 200 OK\r\n" + signed + "\r\n" + failure,
+		"head inside the body":     closeHead + "HTTP/1.1 500 Oops\r\n" + signed + length + "\r\n" + failure,
+		"refusal":                  "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\n" + length + "\r\n" + failure,
+		"redirect":                 "HTTP/1.1 302 Found\r\nId: ID\r\nLocation: /x\r\n" + length + "\r\n" + failure,
+		"bytes that are no answer": failure,
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t, resumable, reset(streamHead+chunk(two+half)), respond(answer, false))
+			b.loadOtherReplicas()
+			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+			if resp == nil || resp.StatusCode != http.StatusOK || complete {
+				t.Errorf("answer = %v, complete %v, want a broken stream", resp, complete)
+			}
+			if diff := cmp.Diff(two, body); diff != "" {
+				t.Errorf("stream (-want +got):\n%s", diff)
+			}
+			if n := len(b.requests()); n != 2 {
+				t.Errorf("%d requests reached replicas, want 2", n)
+			}
+		})
+	}
+}
