A stream whose events have no ids is not sent to another replica

What clients could see: a resumable stream without ids that broke off began anew behind the events that they had (run on, TestStreamWithoutIDsIsNotResumed gets the first event twice).

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -147,7 +147,7 @@
 // stallTimeout returns how long a stream may pause before another replica is tried; 0 if no other
 // can be.
 func (t *task) stallTimeout() time.Duration {
-	if !t.route.Retryable() || t.sends >= t.route.MaxAttempts || t.cold.limited && len(t.retryCandidates()) == 0 {
+	if !t.route.Retryable() || !t.canContinue() || t.sends >= t.route.MaxAttempts || t.cold.limited && len(t.retryCandidates()) == 0 {
 		return 0
 	}
 	return time.Duration(float64(t.route.Objective) * stallFraction)
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -146,3 +146,18 @@
 		})
 	}
 }
+
+// TestStreamWithoutIDsIsNotResumed guards against a stream that begins anew behind events without
+// ids.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	const first = "data: e1\n\n"
+	b := newFixture(t, resumable, reset(streamHead+chunk(first)), respond(streamHead+chunk(first)+chunk(""), true))
+	b.loadOtherReplicas()
+	_, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+	if body != first || complete {
+		t.Errorf("stream %q, complete %v, want only the first event", body, complete)
+	}
+	if n := len(b.requests()); n != 1 {
+		t.Errorf("%d requests reached replicas, want 1", n)
+	}
+}
--- a/relay/task.go
+++ b/relay/task.go
@@ -136,7 +136,7 @@
 	if t.arrivals == 0 || t.retryCharged {
 		return true
 	}
-	if t.mayHaveRun && !t.route.Retryable() {
+	if t.mayHaveRun && !t.route.Retryable() || !t.canContinue() {
 		return false
 	}
 	if t.sends >= max(t.route.MaxAttempts, 1) {
@@ -150,6 +150,9 @@
 	return t.retryCharged
 }
 
+// canContinue reports whether another replica can continue what the client has of the answer.
+func (t *task) canContinue() bool { return !t.headWritten || t.lastEventID != "" }
+
 // chargeRetry charges the retry budget for one more attempt and reports whether the budget allows
 // it.
 func (t *task) chargeRetry() bool {
