--- a/answertest/chaos.go
+++ b/answertest/chaos.go
@@ -118,6 +118,17 @@
 	pause.For(ctx, 50*time.Millisecond)
 }
 
+// BrokenStreams makes an engine end streams inside an event, in answers with neither a
+// length nor chunks.
+func (c *Chaos) BrokenStreams(ctx context.Context) {
+	e := c.engine()
+	e.SetUndelimited(true)
+	e.BreakStreams(3)
+	pause.For(ctx, 200*time.Millisecond)
+	e.BreakStreams(0)
+	e.SetUndelimited(false)
+}
+
 // CrashEngine crashes an engine permanently and adds a new one in its zone.
 func (c *Chaos) CrashEngine(ctx context.Context) {
 	e := c.engine()
--- a/answertest/streams_test.go
+++ b/answertest/streams_test.go
@@ -45,7 +45,7 @@
 	chaos := &Chaos{Bed: bed, Rand: rand.New(rand.NewPCG(random.Uint64(), 0)), Pause: 150 * time.Millisecond}
 	chaos.Faults = map[string]func(context.Context){
 		"kill": chaos.KillRouter, "pause": chaos.PauseRouter, "outage": chaos.StoreOutage, "silent links": chaos.SilentLinks,
-		"silent engine": chaos.SilentEngine, "crossed": chaos.CrossedEvents, "crash": chaos.CrashEngine,
+		"silent engine": chaos.SilentEngine, "crossed": chaos.CrossedEvents, "broken": chaos.BrokenStreams, "crash": chaos.CrashEngine,
 	}
 	streams := make([]*StreamedAnswer, requestCount(100, 1000))
 	seed := random.Uint64()
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -319,6 +319,9 @@
 	}{
 		{"closed without an answer", "", outcome{"may-have-run", peridotusher.CauseEndpointLost}},
 		{"end without the done marker", header + "\r\n", outcome{"may-have-run", peridotusher.CauseEndpointLost}},
+		{"closed inside an event", header + "\r\nid: s:0\ndata: {}\n\nid: s:1\nda", outcome{"ran", peridotusher.CauseEndpointLost}},
+		{"closed behind the data of an event", header + "\r\nid: s:0\ndata: {}\n\nid: s:1\ndata: {}\n", outcome{"ran", peridotusher.CauseEndpointLost}},
+		{"closed inside the done marker", header + "\r\nid: s:0\ndata: {}\n\ndata: [DONE]\n", outcome{"ran", peridotusher.CauseEndpointLost}},
 		{"event without an id", header + "\r\ndata: {}\n\n", outcome{"may-have-run", peridotusher.CauseEndpointError}},
 		{"first event is not the first", header + "\r\nid: s:1\ndata: {}\n\n", outcome{"may-have-run", peridotusher.CauseEndpointError}},
 		{"answer to another request", header + "X-Request-Id: r2\r\n\r\n", outcome{"may-have-run", peridotusher.CauseEndpointError}},
--- a/standin/engine_chat.go
+++ b/standin/engine_chat.go
@@ -144,8 +144,12 @@
 	defer e.detachReader(run)
 	e.mu.Lock()
 	generation := e.faults.generation
+	undelimited := e.faults.undelimited
 	e.mu.Unlock()
 	header := w.Header()
+	if undelimited {
+		header.Set("Transfer-Encoding", "identity")
+	}
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("X-Stream-Id", run.stream)
 	header.Set("X-Request-Id", run.request)
@@ -165,6 +169,11 @@
 			}
 			continue
 		}
+		if count > 0 && e.takeBrokenStream() {
+			_, _ = w.Write([]byte(strings.TrimSuffix(text, "\n"))) // the connection is closed anyway
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
 		if _, err := w.Write([]byte(text)); err != nil || ended {
 			return
 		}
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -17,6 +17,8 @@
 	slow          float64
 	load          *EngineLoadOverride
 	crossedEvents int
+	undelimited   bool // answers have neither a length nor chunks
+	brokenStreams int  // next streams that end inside an event
 
 	lateVersion string        // version whose new requests are delayed
 	lateDelay   time.Duration // delay of these requests
@@ -85,6 +87,30 @@
 	e.change(func(f *engineFaults) { f.crossedEvents = n })
 }
 
+// BreakStreams makes the engine close the connections of the next n streams inside an
+// event.
+func (e *Engine) BreakStreams(n int) {
+	e.change(func(f *engineFaults) { f.brokenStreams = n })
+}
+
+// SetUndelimited makes new answers have neither a length nor chunks, so that they end
+// with their connections.
+func (e *Engine) SetUndelimited(on bool) {
+	e.change(func(f *engineFaults) { f.undelimited = on })
+}
+
+// takeBrokenStream returns whether a stream that has events to write ends inside one of
+// them.
+func (e *Engine) takeBrokenStream() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.brokenStreams == 0 {
+		return false
+	}
+	e.faults.brokenStreams--
+	return true
+}
+
 // LoseOrderAnswers makes the engine apply the next n orders and close their
 // connections without an answer.
 func (e *Engine) LoseOrderAnswers(n int) {
