--- a/relay/final.go
+++ b/relay/final.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -159,3 +160,14 @@
 	shared := t.sharedParts()
 	return strconv.FormatUint(shared[len(shared)-1].ID, 16)
 }
+
+// sharedPartIDs returns the ids of the shared parts of the prompt as they are logged.
+func (t *task) sharedPartIDs() string {
+	var ids []string
+	if len(t.call.Prompt) > 0 {
+		for _, part := range t.sharedParts() {
+			ids = append(ids, strconv.FormatUint(part.ID, 16))
+		}
+	}
+	return strings.Join(ids, ",")
+}
--- a/relay/task.go
+++ b/relay/task.go
@@ -254,7 +254,7 @@
 		t.countArrival()
 		t.mayHaveRun = true
 	}
-	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "error", failure)
+	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "parts", t.sharedPartIDs(), "error", failure)
 	switch {
 	case t.r.Context().Err() != nil: // the client disconnected, which is no fault of the replica
 	case failure.Verdict() != peridotusher.NotRun:
