--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -118,6 +118,27 @@
 
 	mu       sync.Mutex
 	received []receivedRequest
+	servers  map[string]*scriptedServer // by replica id
+}
+
+// scriptedServer is the listener of a replica with its open connections.
+type scriptedServer struct {
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+}
+
+// crash ends a replica: its connections are reset, and new ones are refused.
+func (b *fixture) crash(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	server := b.servers[id]
+	_ = server.listener.Close() // it may have ended before
+	for c := range server.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
 }
 
 // newFixture returns a running proxy with one replica for each script; a nil script stands for a
@@ -135,7 +156,7 @@
 func newFixtureOn(t *testing.T, l net.Listener, change func(*Proxy), route routing.Route, scripts ...script) *fixture {
 	t.Helper()
 	clock := monotonicClock
-	b := &fixture{t: t, id: fmt.Sprint(os.Getpid(), "-", fixtureCount.Add(1)), counters: metrics.NewSet()}
+	b := &fixture{t: t, id: fmt.Sprint(os.Getpid(), "-", fixtureCount.Add(1)), counters: metrics.NewSet(), servers: make(map[string]*scriptedServer)}
 	table := replicas.NewTable(clock)
 	var entries []replicas.Entry
 	for i, s := range scripts {
@@ -192,12 +213,19 @@
 		return address
 	}
 	b.listeners = append(b.listeners, l)
+	server := &scriptedServer{listener: l, conns: make(map[net.Conn]struct{})}
+	b.mu.Lock()
+	b.servers[id] = server
+	b.mu.Unlock()
 	b.group.Go(func() error {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return nil
 			}
+			b.mu.Lock()
+			server.conns[c] = struct{}{}
+			b.mu.Unlock()
 			b.group.Go(func() error {
 				b.serveConn(id, c, s)
 				return nil
