Refuse requests with parts of a prompt that crash replicas, in all routers

Cause: a router counted failures by replica and told the others about replicas only; what all crashes had in common was known to nobody.

Change: a request that breaks off before anything of its answer has come is suspected if its replica then refuses a connection; a replica that only drops connections accepts it, and it is kept for a later request. Routers forward crashes to four others at once in messages with changes, and repeat in heartbeats those that rules follow from, for routers that missed them or start. A request that a rule blocks is refused at once with 503 and the time until the block ends, or 502 if it has run. Any first event of a part shows that it is sound.

Ruled out: retries as the cause (routes with one attempt are hit alike), quicker ejection of replicas (each crash is at a sound one).

Routers of earlier builds ignore the new fields.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -24,6 +24,7 @@
 	r.metricSet.NewGauge("peridotusher_unanswered_total", func() float64 { return float64(r.node.Traffic().Unanswered) })
 	r.registerAdmissionMetrics()
 	r.metricSet.NewGauge("peridotusher_active_requests", func() float64 { return float64(r.proxy.Active()) })
+	r.metricSet.NewGauge("peridotusher_quarantine_rules", func() float64 { return float64(len(r.quarantine.Rules())) })
 	r.metricSet.NewGauge("peridotusher_cold_replicas", func() float64 { return float64(r.coldReplicas.count.Load()) })
 	r.metricSet.NewGauge("peridotusher_cold_shares", func() float64 { return float64(r.coldReplicas.withShare.Load()) })
 	r.metricSet.NewGauge("peridotusher_ready", func() float64 {
--- /dev/null
+++ b/edge/quarantine.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/replicas"
+)
+
+// sharedQuarantine implements relay.Quarantine with a table that the routers keep alike.
+type sharedQuarantine struct{ r *Router }
+
+// Blocked implements relay.Quarantine.
+func (q sharedQuarantine) Blocked(parts []uint64) (left time.Duration, blocked bool) {
+	return q.r.quarantine.Blocked(parts)
+}
+
+// RecordCrash implements relay.Quarantine.
+func (q sharedQuarantine) RecordCrash(replica *replicas.Replica, sentAt time.Time, parts []uint64) {
+	q.r.publishQuarantine(q.r.quarantine.RecordCrash(replica.Hash(), sentAt, parts), "own")
+}
+
+// RecordBegun implements relay.Quarantine.
+func (q sharedQuarantine) RecordBegun(parts []uint64) {
+	q.r.publishQuarantine(q.r.quarantine.RecordBegun(parts), "own")
+}
+
+// mergeQuarantine applies what another router published.
+func (r *Router) mergeQuarantine(u quarantine.Update, from string) {
+	if !u.IsEmpty() {
+		r.publishQuarantine(r.quarantine.Merge(u), from)
+	}
+}
+
+// publishQuarantine logs the rules if they have changed, and publishes what is new.
+func (r *Router) publishQuarantine(news quarantine.Update, from string) {
+	if news.IsEmpty() {
+		return
+	}
+	r.logQuarantine(from)
+	r.node.PublishQuarantine(news)
+}
+
+// logQuarantine logs the rules that are new or have ended since it was called last.
+func (r *Router) logQuarantine(from string) {
+	rules := r.quarantine.Rules()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(rules) == 0 && len(r.quarantined) == 0 {
+		return
+	}
+	var current []string
+	for _, rule := range rules {
+		parts := formatParts(rule.Parts())
+		current = append(current, parts)
+		if !slices.Contains(r.quarantined, parts) {
+			r.Log.Event("quarantine", "parts", parts, "active", true, "crashes", rule.Crashes(), "for", rule.Until().Sub(r.clock.Now()), "from", from)
+		}
+	}
+	for _, parts := range r.quarantined {
+		if !slices.Contains(current, parts) {
+			r.Log.Event("quarantine", "parts", parts, "active", false, "from", from)
+		}
+	}
+	r.quarantined = current
+}
+
+// formatParts formats the ids of parts as in the other log lines.
+func formatParts(parts []uint64) string {
+	ids := make([]string, len(parts))
+	for i, id := range parts {
+		ids[i] = strconv.FormatUint(id, 16)
+	}
+	return strings.Join(ids, ",")
+}
--- a/edge/router.go
+++ b/edge/router.go
@@ -20,6 +20,7 @@
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/relay"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
@@ -78,6 +79,7 @@
 	table        *replicas.Table
 	directory    *placing.Directory
 	reads        *placing.Reads
+	quarantine   *quarantine.Table
 	node         *mesh.Node
 	proxy        *relay.Proxy
 	pool         *relay.Pool
@@ -105,6 +107,7 @@
 	mu           sync.Mutex
 	failingCalls map[string]bool // kinds of store calls whose last call failed
 	loggedKeys   map[string]bool // malformed keys that were logged
+	quarantined  []string        // parts of the quarantine's rules as logged last
 }
 
 // Run serves until ctx ends and then stops gracefully.
@@ -160,6 +163,7 @@
 	}
 	r.directory = placing.NewDirectory(r.clock, placing.Origin{Name: s.router.name, Incarnation: r.node.Self.Incarnation})
 	r.reads = placing.NewReads(r.clock)
+	r.quarantine = quarantine.NewTable(r.clock)
 	r.node.Init()
 	r.lists.start(r.clock.Now(), r.node.RendezvousScore(listTopic))
 	r.node.SetSeeds(r.seeds(s))
@@ -170,7 +174,7 @@
 		Zone: s.router.zone, Regions: s.router.regions, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		RetryBudget: retryBudget, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.metricSet), Routers: r.node.RouterCount,
 		SlowStart: r.slowStart, Burn: r.burn, SuccessTarget: func() float64 { return r.bounds.Load().successTarget },
-		Directory: r.directory, Reads: r.reads, BroadcastReads: r.node.Broadcast, MarkLeaving: r.markLeaving,
+		Quarantine: sharedQuarantine{r}, Directory: r.directory, Reads: r.reads, BroadcastReads: r.node.Broadcast, MarkLeaving: r.markLeaving,
 		CacheHolders: r.queryHolders, PublishPlacements: r.publishPlacements,
 		MaxLoadFactor: s.bounds.maxLoadFactor, Gate: overload.NewGate(r.clock),
 		BodyMemory:     int64(s.router.memoryMB) * megabyte / bodyMemoryDivisor,
@@ -292,6 +296,8 @@
 		r.directory.SetIndexed(cover > indexCoverThreshold)
 		r.table.Expire(max(minCountsTTL, countsTTLRounds*cover))
 		r.pool.Prune()
+		r.quarantine.Expire()
+		r.logQuarantine("clock")
 		r.trackColdReplicas()
 	}
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -7,15 +7,17 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
 
-// maxChanges and maxReports limit the changes of replicas and the load reports of replicas in a
+// maxChanges, maxReports and maxCrashes limit the changes, load reports and crashes of replicas in a
 // heartbeat.
 const (
 	maxChanges = 32
 	maxReports = 16
+	maxCrashes = 6
 )
 
 // minUpdateTTL is the minimum time for which updates are published. It spans several heartbeats,
@@ -44,6 +46,7 @@
 	h.Reports = r.table.Reports(maxReports)
 	h.Changes = r.table.RecentChanges(maxChanges, min(ttl, maxChangesTTL))
 	h.Evacuations = r.evacuations()
+	h.Crashes = r.quarantine.Recent(maxCrashes)
 	h.Settled = r.settled.Load()
 	h.Reads = r.reads.Own()
 	h.Delta = r.directory.Recent(ttl)
@@ -54,6 +57,7 @@
 	r := s.r
 	current := r.recordPeerPosition(peridotusher.Position{Epoch: h.Epoch}, h.Name)
 	r.mergePeerEvacuations(h.Evacuations, h.Name)
+	r.mergeQuarantine(quarantine.Update{Crashes: h.Crashes}, h.Name)
 	if len(h.Changes) > 0 {
 		r.publishChanges(h.Name, r.table.Merge(h.Changes))
 	}
@@ -138,6 +142,9 @@
 	s.r.publishChanges("peer", s.r.table.Merge(changes))
 }
 
+// ApplyQuarantine implements mesh.State.
+func (s state) ApplyQuarantine(u quarantine.Update) { s.r.mergeQuarantine(u, "peer") }
+
 // HandleDelegation implements mesh.State. Further requests are dropped while one is pending.
 func (s state) HandleDelegation(hops int) {
 	select {
--- a/mesh/change.go
+++ b/mesh/change.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -40,14 +41,23 @@
 	if len(urgent) == 0 {
 		return
 	}
+	peers := n.forwardTargets()
+	for chunk := range slices.Chunk(urgent, maxChangesPerDatagram) {
+		n.sendChanges(peers, marshalChanges(chunk))
+	}
+}
+
+// forwardTargets returns the random routers to which a change is forwarded.
+func (n *Node) forwardTargets() []*member {
 	others := sameFormat(n.members.alive())
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), changeFanout)]
-	for chunk := range slices.Chunk(urgent, maxChangesPerDatagram) {
-		body := marshalChanges(chunk)
-		for _, peer := range others {
-			n.sendMessage(peer.Address, messageChanges, body)
-		}
+	return others[:min(len(others), changeFanout)]
+}
+
+// sendChanges sends a message with changes to some routers.
+func (n *Node) sendChanges(peers []*member, body []byte) {
+	for _, peer := range peers {
+		n.sendMessage(peer.Address, messageChanges, body)
 	}
 }
 
@@ -70,24 +80,43 @@
 	return body
 }
 
-// The field numbers of a message with changes of replicas, and of a delegated task.
+// The field numbers of a message with changes.
 const (
-	changeEntry   protowire.Number = 1
-	delegatedHops protowire.Number = 1
+	changeEntry protowire.Number = iota + 1
+	changeCrash
+	changeSound
 )
 
-// unmarshalChanges decodes a message with changes of replicas.
-func unmarshalChanges(data []byte) ([]replicas.Entry, error) {
-	var changes []replicas.Entry
+// delegatedHops is the field number of a delegated task.
+const delegatedHops protowire.Number = 1
+
+// changes is a message with what a router has just learned.
+type changes struct {
+	entries    []replicas.Entry
+	quarantine quarantine.Update
+}
+
+// unmarshalChanges decodes a message with changes.
+func unmarshalChanges(data []byte) (changes, error) {
+	var out changes
 	err := eachField(data, func(n protowire.Number, _ uint64, raw []byte) error {
-		if n != changeEntry {
-			return nil
+		switch n {
+		case changeEntry:
+			e, err := unmarshalEntry(raw)
+			out.entries = append(out.entries, e)
+			return err
+		case changeCrash:
+			c, err := unmarshalCrash(raw)
+			out.quarantine.Crashes = append(out.quarantine.Crashes, c)
+			return err
+		case changeSound:
+			s, err := unmarshalSound(raw)
+			out.quarantine.Sound = append(out.quarantine.Sound, s)
+			return err
 		}
-		e, err := unmarshalEntry(raw)
-		changes = append(changes, e)
-		return err
+		return nil
 	})
-	return changes, err
+	return out, err
 }
 
 // Delegate requests the next routers in the topic's rendezvous order to perform a task that this
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -49,6 +50,8 @@
 	Changes []replicas.Entry
 	// Evacuations are the evacuations of zones that are in force or ended recently.
 	Evacuations []replicas.Evacuation
+	// Crashes are the latest crashes of replicas, and those because of which requests are blocked.
+	Crashes []quarantine.Crash
 	// Delta contains the sender's latest placements of parts (shared prompt prefixes) at
 	// replicas.
 	Delta placing.Delta
@@ -95,6 +98,7 @@
 	heartbeatPaces
 	heartbeatEvacuation
 	heartbeatUptime
+	heartbeatCrash
 )
 
 // maxReportedRouters bounds the number of routers that a heartbeat reports, since time-outs are
@@ -143,6 +147,9 @@
 	for _, e := range h.Evacuations {
 		out = appendBytes(out, heartbeatEvacuation, marshalEvacuation(e))
 	}
+	for _, c := range h.Crashes {
+		out = appendBytes(out, heartbeatCrash, marshalCrash(c))
+	}
 	for _, m := range h.Known {
 		out = appendBytes(out, heartbeatKnown, m.marshal())
 	}
@@ -245,6 +252,10 @@
 		e, err := unmarshalEvacuation(raw)
 		h.Evacuations = append(h.Evacuations, e)
 		return err
+	case heartbeatCrash:
+		c, err := unmarshalCrash(raw)
+		h.Crashes = append(h.Crashes, c)
+		return err
 	}
 	return nil
 }
--- a/mesh/heartbeat_test.go
+++ b/mesh/heartbeat_test.go
@@ -7,9 +7,18 @@
 	"github.com/google/go-cmp/cmp"
 
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
 
+var sampleQuarantine = quarantine.Update{
+	Crashes: []quarantine.Crash{
+		{Replica: 1 << 31, Age: 700 * time.Millisecond, Suspects: []quarantine.Suspect{{Age: time.Second, Parts: []uint64{1 << 60, 7}}, {Parts: []uint64{9}}}},
+		{Replica: 3},
+	},
+	Sound: []quarantine.Sound{{Part: 1 << 50, Age: 20 * time.Millisecond}, {Part: 2}},
+}
+
 func sampleHeartbeat() Heartbeat {
 	return Heartbeat{
 		Member:        Member{Name: "r1", Address: "10.0.0.1:7000", Zone: "a", Incarnation: 1764800000000},
@@ -20,6 +29,7 @@
 		Evacuations: []replicas.Evacuation{
 			{Zone: "b", Active: true, Epoch: 3, Revision: 98, Age: time.Minute}, {Zone: "c", Epoch: 2, Revision: 1 << 40},
 		},
+		Crashes:     sampleQuarantine.Crashes,
 		Uptime:      90 * time.Minute,
 		Reports:     []replicas.Report{{Replica: 8, Load: 70, Pace: 8, Age: 30 * time.Millisecond}, {Replica: 9}, {Replica: 10, Pace: 1.25}},
 		Delta:       placing.Delta{Placements: []placing.Placement{{Key: 1 << 60, Replica: 5}}, Sequence: 12},
--- a/mesh/malformed_test.go
+++ b/mesh/malformed_test.go
@@ -31,6 +31,7 @@
 		appendBytes(nil, messageHolders, query{number: 3, holders: []placing.CacheHolder{{Replica: 4}}}.marshal()),
 		appendBytes(nil, messagePlacements, appendBytes(use, placementsList, packPlacements(h.Reads))),
 		appendBytes(nil, messageChanges, appendBytes(nil, changeEntry, marshalEntry(h.Changes[0]))),
+		appendBytes(nil, messageChanges, marshalQuarantine(sampleQuarantine)),
 		appendBytes(nil, messageDelegation, appendNumber(nil, delegatedHops, math.MaxUint64)),
 		protowire.AppendTag(nil, messageChanges, protowire.BytesType),
 		appendBytes(nil, messageAdmissionRequest, marshalRequest(sampleRequest)),
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -12,6 +12,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -36,6 +37,8 @@
 	RecordPlacements(use placing.Event, placements []placing.Placement)
 	// ApplyChanges applies changes of replicas that another router forwarded.
 	ApplyChanges(changes []replicas.Entry)
+	// ApplyQuarantine applies what another router learned about parts that crash replicas.
+	ApplyQuarantine(u quarantine.Update)
 	// HandleDelegation handles the request of a router that cannot read the list of replicas to
 	// read it instead. hops is how many times the request was forwarded.
 	HandleDelegation(hops int)
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -12,6 +12,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -40,6 +41,7 @@
 	placements []placing.Placement
 	changes    []replicas.Entry
 	delegated  []int
+	quarantine quarantine.Update
 }
 
 func (s *testState) Fill(h *Heartbeat) {
@@ -115,6 +117,13 @@
 	s.changes = append(s.changes, changes...)
 }
 
+func (s *testState) ApplyQuarantine(u quarantine.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quarantine.Crashes = append(s.quarantine.Crashes, u.Crashes...)
+	s.quarantine.Sound = append(s.quarantine.Sound, u.Sound...)
+}
+
 func (s *testState) HandleDelegation(hops int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/mesh/query.go
+++ b/mesh/query.go
@@ -181,11 +181,7 @@
 		}
 		return err
 	case messageChanges:
-		changes, err := unmarshalChanges(raw)
-		if err == nil {
-			n.State.ApplyChanges(changes)
-		}
-		return err
+		return n.applyChanges(raw)
 	case messageDelegation:
 		hops, err := unmarshalDelegation(raw)
 		if err == nil {
@@ -207,6 +203,21 @@
 	return nil
 }
 
+// applyChanges applies a message with changes.
+func (n *Node) applyChanges(raw []byte) error {
+	changes, err := unmarshalChanges(raw)
+	if err != nil {
+		return err
+	}
+	if len(changes.entries) > 0 {
+		n.State.ApplyChanges(changes.entries)
+	}
+	if !changes.quarantine.IsEmpty() {
+		n.State.ApplyQuarantine(changes.quarantine)
+	}
+	return nil
+}
+
 // unmarshalPlacements decodes a report of placements.
 func unmarshalPlacements(data []byte) (use placing.Event, placements []placing.Placement, err error) {
 	err = eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -87,7 +87,7 @@
 func (t *task) recordFault(x *exchange, format string, args ...any) {
 	t.mayHaveRun = true
 	t.failure = peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, format, args...)
-	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.MayHaveRun, "parts", t.sharedPartIDs(), "error", t.failure)
+	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.MayHaveRun, "parts", t.loggedParts(), "error", t.failure)
 	x.replica.Record(t.proxy.Clock.Now(), replicas.Failed)
 }
 
@@ -107,6 +107,9 @@
 		t.mayHaveRun = true
 		if ctx.Err() == nil {
 			t.recordFault(x, "the answer broke off after %d bytes: %v", body.length(), err)
+			if body.length() == 0 {
+				t.recordIfCrashed(ctx, x.replica, err)
+			}
 		}
 		return false
 	}
@@ -117,6 +120,8 @@
 	outcome := replicas.Good
 	if failed {
 		outcome = replicas.Failed
+	} else {
+		t.recordBegun()
 	}
 	t.writeHead(x.resp, x.resp.ContentLength)
 	if !rest {
--- a/relay/final.go
+++ b/relay/final.go
@@ -161,13 +161,11 @@
 	return strconv.FormatUint(shared[len(shared)-1].ID, 16)
 }
 
-// sharedPartIDs returns the ids of the shared parts of the prompt as they are logged.
-func (t *task) sharedPartIDs() string {
+// loggedParts returns the ids of the shared parts of the prompt as they are logged.
+func (t *task) loggedParts() string {
 	var ids []string
-	if len(t.call.Prompt) > 0 {
-		for _, part := range t.sharedParts() {
-			ids = append(ids, strconv.FormatUint(part.ID, 16))
-		}
+	for _, id := range t.sharedPartIDs() {
+		ids = append(ids, strconv.FormatUint(id, 16))
 	}
 	return strings.Join(ids, ",")
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -53,6 +53,13 @@
 	return value
 }
 
+// countCrash counts a request whose replica ended before it had sent anything of the answer.
+func (m *Metrics) countCrash() {
+	if m != nil {
+		m.set.GetOrCreateCounter("peridotusher_crashes_total").Inc()
+	}
+}
+
 func (m *Metrics) countAnswer(route, outcome string, took time.Duration) {
 	if m == nil {
 		return
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -69,6 +69,8 @@
 	SuccessTarget func() float64
 	// Gate refuses requests that no replica can run in time.
 	Gate *overload.Gate
+	// Quarantine blocks requests that would crash replicas; nil blocks none.
+	Quarantine Quarantine
 	// SlowStart limits the requests to cold replicas; nil disables the limit.
 	SlowStart *slowstart.Limiter
 	// Admission grants slots at replicas to requests for plain services, if some replica of the
--- /dev/null
+++ b/relay/quarantine.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/replicas"
+)
+
+// Quarantine learns which parts of prompts crash replicas. Parts are those that other requests may
+// share.
+type Quarantine interface {
+	// Blocked reports whether a request with the parts must not be sent, and for how long.
+	Blocked(parts []uint64) (left time.Duration, blocked bool)
+	// RecordCrash records that a replica ended before it had sent anything of the answer to a
+	// request with the parts, which was sent at a time.
+	RecordCrash(r *replicas.Replica, sentAt time.Time, parts []uint64)
+	// RecordBegun records that a replica begins to answer a request with the parts.
+	RecordBegun(parts []uint64)
+}
+
+// reasonQuarantined is the reason of a refusal, as it is logged and counted.
+const reasonQuarantined = "quarantined"
+
+// sharedPartIDs returns the ids of the parts of the prompt that other requests may share: all but
+// the last one.
+func (t *task) sharedPartIDs() []uint64 {
+	if t.partIDs == nil && len(t.call.Prompt) > 1 {
+		shared := t.call.Prompt[:len(t.call.Prompt)-1]
+		t.partIDs = make([]uint64, len(shared))
+		for i, part := range shared {
+			t.partIDs[i] = part.ID
+		}
+	}
+	return t.partIDs
+}
+
+// quarantined reports whether the request must not be sent because requests like it crash
+// replicas, and for how long.
+func (t *task) quarantined() (left time.Duration, blocked bool) {
+	parts := t.sharedPartIDs()
+	if t.proxy.Quarantine == nil || len(parts) == 0 {
+		return 0, false
+	}
+	return t.proxy.Quarantine.Blocked(parts)
+}
+
+// refuseQuarantined gives a quarantined request its final answer. It reports whether it has done
+// so.
+func (t *task) refuseQuarantined(ctx context.Context) bool {
+	left, blocked := t.quarantined()
+	if blocked {
+		t.retryAfter = left
+		t.answerUnserved(ctx, reasonQuarantined)
+	}
+	return blocked
+}
+
+// recordBegun records that a replica begins to answer the request.
+func (t *task) recordBegun() {
+	if t.proxy.Quarantine != nil {
+		t.proxy.Quarantine.RecordBegun(t.sharedPartIDs())
+	}
+}
+
+// recordIfCrashed records a crash if a replica has ended, whose connection broke with an error
+// before it had sent anything of the answer.
+func (t *task) recordIfCrashed(ctx context.Context, r *replicas.Replica, err error) {
+	f := t.proxy
+	parts := t.sharedPartIDs()
+	if f.Quarantine == nil || len(parts) == 0 || !isClosedByPeer(err) || !f.hasEnded(ctx, r) {
+		return
+	}
+	f.Log.Event("crash", "id", t.call.ID, "replica", r.ID(), "parts", t.loggedParts(), "after", f.Clock.Now().Sub(t.sentAt))
+	f.Metrics.countCrash()
+	f.Quarantine.RecordCrash(r, t.sentAt, parts)
+}
+
+// isClosedByPeer reports whether a connection broke because the other side closed it.
+func isClosedByPeer(err error) bool {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasEnded reports whether a replica refuses connections. A replica that only drops connections
+// accepts the one that is opened to find out, which is kept for a later request.
+func (f *Proxy) hasEnded(ctx context.Context, r *replicas.Replica) bool {
+	c, err := dial(ctx, r.Address(), dialTimeout)
+	if err == nil {
+		f.Pool.put(r, c, probedConnTTL)
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	f.markUnreachable(r)
+	return true
+}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
 
@@ -29,9 +32,19 @@
 		}
 	}
 	b = newFixture(t, route, scripts...)
+	b.proxy.Quarantine = tableQuarantine{quarantine.NewTable(b.proxy.Clock)}
 	return b
 }
 
+// tableQuarantine is the quarantine of a single router.
+type tableQuarantine struct{ *quarantine.Table }
+
+func (q tableQuarantine) RecordCrash(r *replicas.Replica, sentAt time.Time, parts []uint64) {
+	q.Table.RecordCrash(r.Hash(), sentAt, parts)
+}
+
+func (q tableQuarantine) RecordBegun(parts []uint64) { q.Table.RecordBegun(parts) }
+
 // sendPrompt sends a request with a prompt and returns the status of its answer.
 func (b *fixture) sendPrompt(parts string) int {
 	b.t.Helper()
@@ -56,11 +69,11 @@
 // TestPartThatCrashesReplicasIsQuarantined guards against requests that crash one replica after
 // the other. Sound requests share all their other parts.
 func TestPartThatCrashesReplicasIsQuarantined(t *testing.T) {
-	const replicas, maxCrashes, maxLater = 14, 5, 3
+	const replicaCount, maxCrashes, maxLater = 14, 5, 3
 	for name, route := range map[string]routing.Route{"one attempt": streaming, "resumable": resumable} {
 		t.Run(name, func(t *testing.T) {
-			b := newCrashFixture(t, route, replicas)
-			for i := range replicas {
+			b := newCrashFixture(t, route, replicaCount)
+			for i := range replicaCount {
 				b.sendPrompt(fmt.Sprintf("a bb %s own%d", deadlyPart, i))
 				if status := b.sendPrompt(fmt.Sprintf("a bb sound%d", i)); status != http.StatusOK {
 					t.Errorf("after %d requests that crash replicas a sound one is answered %d", i+1, status)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -55,12 +55,15 @@
 			err = readErr
 		}
 	}
+	if errors.Is(err, io.EOF) && !s.isComplete() {
+		err = io.ErrUnexpectedEOF
+	}
 	if !errors.Is(err, io.EOF) {
+		if s.first == 0 {
+			t.recordIfCrashed(ctx, x.replica, err)
+		}
 		return t.handleBrokenStream(ctx, x, err)
 	}
-	if !s.isComplete() {
-		return t.handleBrokenStream(ctx, x, io.ErrUnexpectedEOF)
-	}
 	x.finish()
 	t.forwardEvents(x, s.events.partial())
 	x.replica.Record(t.proxy.Clock.Now(), replicas.Good)
@@ -101,6 +104,7 @@
 	} else {
 		s.first = now.Sub(s.sent)
 		t.endRead()
+		t.recordBegun()
 	}
 	s.latest = now
 }
--- a/relay/task.go
+++ b/relay/task.go
@@ -64,6 +64,8 @@
 	chosenLoad    int               // requests at the chosen replica at the time of the choice
 	cold          coldState
 
+	partIDs []uint64 // cache of sharedPartIDs
+
 	// Shared parts of the prompt; a holder is a replica that has the longest one cached.
 	queriedHolders bool                  // whether another router was queried for them
 	cacheHolders   []placing.CacheHolder // latest answer to that query
@@ -108,6 +110,9 @@
 	}
 	defer f.Gate.Begin(organisation)()
 	for {
+		if t.refuseQuarantined(ctx) {
+			return
+		}
 		r, ok := t.nextReplica(ctx)
 		if !ok {
 			t.answerUnserved(ctx, t.noReplicaReason())
@@ -120,6 +125,9 @@
 			t.answerUnserved(ctx, "deadline")
 			return
 		}
+		if t.refuseQuarantined(ctx) {
+			return
+		}
 		if !t.allowNextAttempt() {
 			t.answerUnserved(ctx, "failed")
 			return
@@ -184,8 +192,12 @@
 }
 
 // retryCandidates returns the remaining candidates that accept requests and are warm, so that
-// sending to them requires no share of a cold replica's limit.
+// sending to them requires no share of a cold replica's limit. There are none if the request is
+// quarantined.
 func (t *task) retryCandidates() []*replicas.Replica {
+	if _, blocked := t.quarantined(); blocked {
+		return nil
+	}
 	now := t.proxy.Clock.Now()
 	return t.warm(now, replicas.Accepting(now, t.remainingCandidates()))
 }
@@ -219,6 +231,9 @@
 	if r.BackoffRemaining(sent) > 0 || f.Table.Evacuated(r.Zone()) {
 		return false // the replica has changed since it was chosen
 	}
+	if _, blocked := t.quarantined(); blocked {
+		return false // by a crash since then
+	}
 	defer t.beginRead(r)()
 	t.ownTime = sent.Sub(t.readyAt) - t.attemptTime - t.readWait - t.admissionWait
 	t.grant.markSent(sent)
@@ -254,11 +269,12 @@
 		t.countArrival()
 		t.mayHaveRun = true
 	}
-	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "parts", t.sharedPartIDs(), "error", failure)
+	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "parts", t.loggedParts(), "error", failure)
 	switch {
 	case t.r.Context().Err() != nil: // the client disconnected, which is no fault of the replica
 	case failure.Verdict() != peridotusher.NotRun:
 		r.Record(f.Clock.Now(), replicas.Failed)
+		t.recordIfCrashed(ctx, r, failure)
 	case ctx.Err() == nil:
 		f.markUnreachable(r)
 	}
