After a block only one request is sent on trial

Cause: a block of the quarantine ended at all routers at once.

Change: after the end of a block a router lets one request pass in 5 s, the first router in a common order at once and each other one a second after the one before. A crash renews the block in all routers, an answer is published and ends it. Tests of quarantine, relay and edge pass.

--- a/edge/router.go
+++ b/edge/router.go
@@ -164,6 +164,7 @@
 	r.directory = placing.NewDirectory(r.clock, placing.Origin{Name: s.router.name, Incarnation: r.node.Self.Incarnation})
 	r.reads = placing.NewReads(r.clock)
 	r.quarantine = quarantine.NewTable(r.clock)
+	r.quarantine.TrialDelay = r.trialDelay
 	r.node.Init()
 	r.lists.start(r.clock.Now(), r.node.RendezvousScore(listTopic))
 	r.node.SetSeeds(r.seeds(s))
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,8 +9,8 @@
 // all of it are blocked: they certainly contain the cause, and every other request shows which
 // part it is.
 //
-// A block ends some time after the latest crash. If the next request with the part crashes a
-// replica again, it is blocked at once and for longer; if a replica answers it, the part is sound.
+// Some time after the latest crash one request is sent on trial. If it crashes its replica, the
+// block is renewed and lasts longer; if a replica begins to answer it, the part is sound.
 //
 // Routers tell each other the crashes and which suspected parts are sound. Nothing is stored, and
 // the memory is bounded.
@@ -20,5 +20,6 @@
 //	table := quarantine.NewTable(clock)
 //	news := table.RecordCrash(replica.Hash(), sentAt, parts)
 //	publish(news)                   // to other routers, which call Merge
-//	left, blocked := table.Blocked(parts)
+//	left, ok := table.Admit(parts)  // for each request that arrives
+//	left, blocked := table.Blocked(parts) // before it is sent once more
 package quarantine
--- a/quarantine/rule.go
+++ b/quarantine/rule.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -9,7 +10,7 @@
 	// minCrashes is the number of crashes after which a part is blamed.
 	minCrashes = 3
 	// minBlock is how long requests are blocked after the latest crash. It doubles with each crash
-	// after the end of a block, up to maxBlock.
+	// of a request that was sent on trial after the end of a block, up to maxBlock.
 	minBlock = time.Minute
 	maxBlock = 16 * time.Minute
 	// maxRules is the number of rules above which none applies: if that many parts seem to crash
@@ -38,6 +39,14 @@
 	return !slices.ContainsFunc(r.parts, func(p uint64) bool { return !slices.Contains(parts, p) })
 }
 
+// key identifies the rule by its parts.
+func (r Rule) key() string { return fmt.Sprint(r.parts) }
+
+// concernsAny reports whether the part is one of those of a rule.
+func concernsAny(rules []Rule, part uint64) bool {
+	return slices.ContainsFunc(rules, func(r Rule) bool { return slices.Contains(r.parts, part) })
+}
+
 // matchesAny reports whether one of the rules blocks requests with the parts.
 func matchesAny(rules []Rule, parts []uint64) bool {
 	return slices.ContainsFunc(rules, func(r Rule) bool { return r.matches(parts) })
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -16,14 +16,22 @@
 	retention = 2 * maxBlock
 	// spreadTime is how long a crash is published to other routers if no rule follows from it.
 	spreadTime = 3 * time.Second
+	// trialInterval is the time after which another request is sent on trial if the one before
+	// has neither crashed its replica nor been answered.
+	trialInterval = 5 * time.Second
 )
 
 // Table holds the recent crashes of replicas and the rules that follow from them. It is safe for
 // concurrent use.
 type Table struct {
+	// TrialDelay returns how long after the end of a block this router sends the first request
+	// again. Routers with different delays don't all do so at once. nil stands for no delay.
+	TrialDelay func(parts []uint64) time.Duration
+
 	clock peridotusher.Clock
 
 	mu      sync.Mutex
+	trials  map[string]time.Time // when a request was last sent on trial, by rule
 	crashes []*crash             // in the order of their times
 	soundAt map[uint64]time.Time // when a replica last began to answer, by part of a suspect
 	// derived is a copy for requests, which read it without the lock.
@@ -39,12 +47,30 @@
 
 // NewTable returns an empty Table.
 func NewTable(clock peridotusher.Clock) *Table {
-	t := &Table{clock: clock, soundAt: make(map[uint64]time.Time)}
+	t := &Table{clock: clock, soundAt: make(map[uint64]time.Time), trials: make(map[string]time.Time)}
 	t.derived.Store(&derived{})
 	return t
 }
 
-// Blocked reports whether a request with the parts must not be sent, and for how long.
+// Admit decides on a new request with the parts: it is blocked by a rule in force, and after the
+// end of a block unless it is the one that is sent on trial. left is the time until another
+// request may be sent.
+func (t *Table) Admit(parts []uint64) (left time.Duration, ok bool) {
+	if left, blocked := t.Blocked(parts); blocked {
+		return left, false
+	}
+	for _, rule := range t.derived.Load().rules {
+		if !rule.matches(parts) {
+			continue
+		}
+		if left := t.takeTrial(rule); left > 0 {
+			return left, false
+		}
+	}
+	return 0, true
+}
+
+// Blocked reports whether a rule in force blocks requests with the parts, and for how long.
 func (t *Table) Blocked(parts []uint64) (left time.Duration, blocked bool) {
 	rules := t.derived.Load().rules
 	if len(rules) == 0 {
@@ -59,6 +85,27 @@
 	return left, blocked
 }
 
+// takeTrial lets a request pass on trial after the end of a rule's block. It returns 0 if the
+// request may be sent, else the time until another one may.
+func (t *Table) takeTrial(rule Rule) time.Duration {
+	first := rule.until
+	if t.TrialDelay != nil {
+		first = first.Add(t.TrialDelay(rule.parts))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	next := first
+	if last, ok := t.trials[rule.key()]; ok && !last.Before(first) {
+		next = last.Add(trialInterval)
+	}
+	if now.Before(next) {
+		return next.Sub(now)
+	}
+	t.trials[rule.key()] = now
+	return 0
+}
+
 // Rules returns the rules that are in force.
 func (t *Table) Rules() []Rule {
 	now := t.clock.Now()
@@ -97,6 +144,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var news Update
+	ruled := t.derived.Load().rules
 	for _, c := range u.Crashes {
 		if t.mergeCrash(c) {
 			news.Crashes = append(news.Crashes, c)
@@ -110,7 +158,7 @@
 	if len(news.Crashes) > 0 {
 		cleared = slices.Collect(maps.Keys(t.soundAt))
 	}
-	news.Sound = t.blamedElsewhere(cleared)
+	news.Sound = t.blamedElsewhere(cleared, ruled)
 	return news
 }
 
@@ -147,14 +195,15 @@
 	return cleared
 }
 
-// blamedElsewhere returns those of the sound parts that routers block if they only know the
-// crashes. The caller holds t.mu.
-func (t *Table) blamedElsewhere(sound []uint64) []Sound {
+// blamedElsewhere returns those of the sound parts that other routers may block: parts of rules
+// until now, and parts that the crashes alone blame. The caller holds t.mu.
+func (t *Table) blamedElsewhere(sound []uint64, rules []Rule) []Sound {
 	var out []Sound
 	now := t.clock.Now()
 	crashes := newEvidence(t.crashes, nil)
 	for _, part := range sound {
-		if rule, ok := crashes.rule(part); ok && len(rule.parts) == 1 {
+		rule, ok := crashes.rule(part)
+		if ok && len(rule.parts) == 1 || concernsAny(rules, part) {
 			out = append(out, Sound{Part: part, Age: now.Sub(t.soundAt[part])})
 		}
 	}
@@ -174,6 +223,9 @@
 		}
 	}
 	t.derived.Store(d)
+	maps.DeleteFunc(t.trials, func(key string, _ time.Time) bool {
+		return !slices.ContainsFunc(d.rules, func(r Rule) bool { return r.key() == key })
+	})
 }
 
 // forgetOld removes the crashes that are too old, and the oldest ones without a rule if there are
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -133,9 +133,15 @@
 	}
 }
 
-// TestBlockEnds has a block end: one more crash renews it for longer, an answer ends it.
+// TestBlockEnds has a block end: one request is sent on trial. A crash renews the block for longer,
+// an answer ends it.
 func TestBlockEnds(t *testing.T) {
 	table := newTestTable()
+	table.TrialDelay = func([]uint64) time.Duration { return time.Second }
+	admits := func() bool {
+		_, ok := table.Admit([]uint64{deadly})
+		return ok
+	}
 	for range minCrashes {
 		table.crash([]uint64{deadly})
 	}
@@ -143,16 +149,24 @@
 		if left, _ := table.Blocked([]uint64{deadly}); left != block {
 			t.Fatalf("blocked for %v, want %v", left, block)
 		}
-		table.advance(block)
-		if table.isBlocked(deadly) {
-			t.Fatalf("still blocked after %v", block)
+		for _, step := range []struct {
+			after time.Duration
+			admit bool
+		}{{0, false}, {block, false}, {time.Second, true}, {0, false}, {trialInterval - 1, false}, {1, true}} {
+			table.advance(step.after)
+			if admits() != step.admit {
+				t.Fatalf("%v after the step before: admitted is %v", step.after, !step.admit)
+			}
+		}
+		if _, ok := table.Admit([]uint64{other}); !ok {
+			t.Fatal("a request without the part is not admitted")
 		}
 		table.crash([]uint64{deadly})
 	}
 	table.advance(maxBlock)
 	table.RecordBegun([]uint64{deadly})
 	table.crash([]uint64{deadly})
-	if table.isBlocked(deadly) {
+	if !admits() || !admits() {
 		t.Error("blocked by one crash after an answer")
 	}
 	table.advance(2 * retention)
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -14,7 +14,11 @@
 // Quarantine learns which parts of prompts crash replicas. Parts are those that other requests may
 // share.
 type Quarantine interface {
-	// Blocked reports whether a request with the parts must not be sent, and for how long.
+	// Admit decides whether a new request with the parts may be sent. left is the time until
+	// another one may be.
+	Admit(parts []uint64) (left time.Duration, ok bool)
+	// Blocked reports whether an admitted request with the parts must not be sent any more, and
+	// for how long.
 	Blocked(parts []uint64) (left time.Duration, blocked bool)
 	// RecordCrash records that a replica ended before it had sent anything of the answer to a
 	// request with the parts, which was sent at a time.
@@ -49,15 +53,24 @@
 	return t.proxy.Quarantine.Blocked(parts)
 }
 
-// refuseQuarantined gives a quarantined request its final answer. It reports whether it has done
-// so.
-func (t *task) refuseQuarantined(ctx context.Context) bool {
-	left, blocked := t.quarantined()
-	if blocked {
-		t.retryAfter = left
-		t.answerUnserved(ctx, reasonQuarantined)
+// admit decides whether the request may be sent to replicas. If not, it has given the request its
+// final answer.
+func (t *task) admit(ctx context.Context) bool {
+	parts := t.sharedPartIDs()
+	if t.proxy.Quarantine == nil || len(parts) == 0 {
+		return true
+	}
+	left, ok := t.proxy.Quarantine.Admit(parts)
+	if !ok {
+		t.answerQuarantined(ctx, left)
 	}
-	return blocked
+	return ok
+}
+
+// answerQuarantined gives a quarantined request its final answer.
+func (t *task) answerQuarantined(ctx context.Context, left time.Duration) {
+	t.retryAfter = roundUp(left, time.Millisecond)
+	t.answerUnserved(ctx, reasonQuarantined)
 }
 
 // recordBegun records that a replica begins to answer the request.
--- a/relay/task.go
+++ b/relay/task.go
@@ -109,10 +109,10 @@
 		organisation = t.organisation.Name
 	}
 	defer f.Gate.Begin(organisation)()
+	if !t.admit(ctx) {
+		return
+	}
 	for {
-		if t.refuseQuarantined(ctx) {
-			return
-		}
 		r, ok := t.nextReplica(ctx)
 		if !ok {
 			t.answerUnserved(ctx, t.noReplicaReason())
@@ -125,7 +125,8 @@
 			t.answerUnserved(ctx, "deadline")
 			return
 		}
-		if t.refuseQuarantined(ctx) {
+		if left, blocked := t.quarantined(); blocked {
+			t.answerQuarantined(ctx, left)
 			return
 		}
 		if !t.allowNextAttempt() {
