--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -106,13 +106,17 @@
 	return i == len(some)
 }
 
+// orderTolerance is the error of the order of events that different routers report: their ages are
+// off by the network delay and by a millisecond of rounding.
+const orderTolerance = 20 * time.Millisecond
+
 // countSuccessive counts the crashes that hit a request that was sent after the counted crash
 // before. Replicas that end at the same time for another reason count once.
 func countSuccessive(seen []sighting) int {
 	n := 0
 	var previous time.Time
 	for _, s := range seen {
-		if !s.sentAt.Before(previous) {
+		if s.sentAt.Add(orderTolerance).After(previous) {
 			n++
 			previous = s.crash.at
 		}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -213,6 +213,29 @@
 	}
 }
 
+// TestImmediateRetriesCount guards against crashes that do not count at other routers, because a retry
+// was sent right after the crash before and ages are rounded.
+func TestImmediateRetriesCount(t *testing.T) {
+	table := newTestTable()
+	for replica := range uint32(minCrashes) {
+		sent := table.now
+		table.advance(1700 * time.Microsecond)
+		table.RecordCrash(replica, sent, []uint64{deadly})
+	}
+	newcomer := newTestTable()
+	newcomer.now = table.now
+	update := Update{Crashes: table.Recent(maxCrashes)}
+	for i := range update.Crashes {
+		c := &update.Crashes[i]
+		c.Age = c.Age.Truncate(time.Millisecond)
+		c.Suspects[0].Age = (c.Suspects[0].Age + time.Millisecond - 1).Truncate(time.Millisecond)
+	}
+	newcomer.Merge(update)
+	if !table.isBlocked(deadly) || !newcomer.isBlocked(deadly) {
+		t.Errorf("blocked %v, at a newcomer %v", rules(table.Table), rules(newcomer.Table))
+	}
+}
+
 // TestNewcomerLearnsRules has a table learn the rules from what is published at regular intervals.
 func TestNewcomerLearnsRules(t *testing.T) {
 	table := newTestTable()
