--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -27,6 +27,9 @@
 	entryCold
 )
 
+// maxSlots bounds the slots of a replica in a message.
+const maxSlots = 1 << 20
+
 func marshalEntry(e replicas.Entry) []byte {
 	out := appendBytes(nil, entryID, []byte(e.ID))
 	out = appendBytes(out, entryService, []byte(e.Service))
@@ -59,7 +62,7 @@
 		case entryZone:
 			e.Zone = string(raw)
 		case entrySlots:
-			e.Slots = int(v)
+			e.Slots = int(min(v, maxSlots))
 		case entryStartedAt:
 			e.StartedAt = int64(v)
 		case entryLeaving:
