One odd group does not stop the host list of the own product

Change: the list is split into its groups without decoding them, and a malformed one is logged and skipped; a truncated list is still refused.

--- a/hosts/client.go
+++ b/hosts/client.go
@@ -50,8 +50,8 @@
 // errUnchanged means that the list still has the ETag of the last read.
 var errUnchanged = errors.New("host list unchanged")
 
-// List reads the hosts, sorted by name. Malformed hosts are logged and skipped. The
-// request is conditional on the last list's ETag, so that an unchanged list is not
+// List reads the hosts, sorted by name. Malformed hosts and groups are logged and
+// skipped. The request is conditional on the last list's ETag, so that an unchanged list is not
 // transferred again.
 func (c *Client) List(ctx context.Context) ([]Host, error) {
 	c.mu.Lock()
@@ -116,13 +116,35 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, "", errors.Newf("host list: status %d", resp.StatusCode)
 	}
-	var groups []targetGroup
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&groups); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, "", errors.Wrap(err, "host list")
+	}
+	groups, err := c.decodeGroups(data)
+	if err != nil {
 		return nil, "", errors.Wrap(err, "host list")
 	}
 	return groups, resp.Header.Get("ETag"), nil
 }
 
+// decodeGroups decodes the groups of a list. Malformed groups are logged and skipped.
+func (c *Client) decodeGroups(data []byte) ([]targetGroup, error) {
+	elements, err := splitArray(data)
+	if err != nil {
+		return nil, err
+	}
+	groups := make([]targetGroup, 0, len(elements))
+	for _, element := range elements {
+		var group targetGroup
+		if err := json.Unmarshal(element, &group); err != nil {
+			c.log().WithError(err).Warn("ignoring malformed group of hosts")
+			continue
+		}
+		groups = append(groups, group)
+	}
+	return groups, nil
+}
+
 // Run reads the list periodically until ctx is done and calls Changed with each new
 // list. After a failed read the last list stays valid.
 func (c *Client) Run(ctx context.Context) error {
--- a/hosts/host.go
+++ b/hosts/host.go
@@ -44,9 +44,13 @@
 
 // NewHost returns the host with an address such as 192.0.2.1:80 and its labels.
 func NewHost(address string, labels map[string]string) (Host, error) {
-	if _, err := netip.ParseAddrPort(address); err != nil {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
 		return Host{}, errors.Wrap(err, "host address")
 	}
+	if parsed.Port() == 0 {
+		return Host{}, errors.Newf("host address %s has no port", address)
+	}
 	if labels[labelName] == "" {
 		return Host{}, errors.Newf("host %s has no name", address)
 	}
