Close connections after answers that don't carry the request's id

Change: a connection is kept only if its answer carries the id of its request, and no answer to another request came before; a copy of such an answer is recognised by its id. TestRepeatedRefusalIsNotBelieved failed in four of six cases, and passes. Tests of relay pass.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -64,6 +64,8 @@
 	reply   Reply
 	pool    *Pool
 
+	skippedStray bool // whether an answer to another request preceded the answer
+
 	writer         errgroup.Group
 	requestWritten atomic.Bool // whether the complete request was written
 	endOnce        sync.Once
@@ -167,6 +169,7 @@
 			x.conn.unlimitBytes()
 			return x.conn.setReadTimeout(0, nil)
 		}
+		x.skippedStray = true
 		x.conn.limitBytes(maxStrayBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return err
@@ -232,14 +235,15 @@
 }
 
 // finish ends the exchange after its answer was read completely. The connection is kept for reuse
-// if nothing unusual happened on it.
+// if nothing unusual happened on it. An answer without the request's id, sent once more, could not
+// be told from that to a later request.
 func (x *exchange) finish() {
 	x.endOnce.Do(func() {
 		// The answer may have arrived before the request body was written. Then the
 		// connection is not reused, so that nothing has to wait for the rest.
 		healthy := x.stopWatching() && x.requestWritten.Load()
 		keepAlive := time.Duration(0)
-		if healthy && isDelimited(x.resp) {
+		if healthy && isDelimited(x.resp) && x.reply.ID != "" && !x.skippedStray {
 			keepAlive = replicaKeepAlive(x.resp)
 		}
 		x.awaitWriter()
--- /dev/null
+++ b/relay/repeatedanswer_test.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// TestRepeatedRefusalIsNotBelieved guards against a replica that writes an earlier refusal once more on
+// a kept connection, before it answers the request that it runs.
+func TestRepeatedRefusalIsNotBelieved(t *testing.T) {
+	const empty = "Content-Length: 0\r\n\r\n"
+	refusals := map[string]string{
+		"refusal without an id":        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + empty,
+		"refusal":                      "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: ID\r\n" + empty,
+		"misdirection without an id":   "HTTP/1.1 421 No\r\n" + empty,
+		"misdirection":                 "HTTP/1.1 421 No\r\nId: ID\r\n" + empty,
+		"unsigned error without an id": "HTTP/1.1 500 Oops\r\n" + empty,
+		"refusal with a body":          "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nbusy",
+	}
+	for name, refusal := range refusals {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			earlier := make(map[net.Conn]string) // the refusal of the first request on a connection
+			ran, refuse := 0, true
+			faulty := func(c net.Conn, r *http.Request, body string) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if refuse {
+					refuse = false
+					earlier[c] = strings.ReplaceAll(refusal, "ID", r.Header.Get("Id"))
+					_, err := io.WriteString(c, earlier[c])
+					return err == nil
+				}
+				ran++
+				if _, err := io.WriteString(c, earlier[c]); err != nil {
+					return false
+				}
+				return respond(okAnswer, true)(c, r, body)
+			}
+			b := newFixture(t, nonIdempotent, faulty)
+			b.send(get(""))
+			for id := 2; id <= 4; id++ {
+				resp, body, complete := b.send(strings.Replace(get(""), "Id: 1", fmt.Sprintf("Id: %d", id), 1))
+				if resp == nil || !complete || resp.StatusCode != http.StatusOK || body != "hello" {
+					t.Errorf("request %d, which the replica ran, is answered %v %q", id, resp, body)
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if ran != 3 {
+				t.Errorf("the replica ran %d requests, want 3", ran)
+			}
+		})
+	}
+}
