Callers' calls to plain services share no connection

A copy of an earlier answer on such a connection reached the next caller: TestRepeatedAnswerReachesNoOtherCaller, caller 2 gets the answer of caller 1. Change: each call of a caller has a connection of its own, as those that must not be repeated had before; the router's own reads of engines still share theirs. Cost: one connection a call. Tests of service, entry, answertest and demo pass.

--- a/entry/services.go
+++ b/entry/services.go
@@ -51,5 +51,7 @@
 		Body:       call.Body,
 		Idempotent: idempotent,
 		Key:        call.Key,
+
+		OwnConnection: true,
 	}
 }
--- a/service/call.go
+++ b/service/call.go
@@ -34,6 +34,10 @@
 	Fence      uint64       // fencing number, zero for none
 	Key        string       // idempotency key, empty for none
 	Check      func() error // runs right before the first byte is written; an error aborts the call
+
+	// OwnConnection sends an idempotent call on a connection of its own, like all others. On a
+	// shared one a late copy of an earlier answer may be taken for the answer to this call.
+	OwnConnection bool
 }
 
 // Response is the answer to a call.
@@ -91,7 +95,7 @@
 // send sends the request and returns the answer with an unread body, or an error and
 // whether any of the request may have been written.
 func (c *Client) send(req *http.Request, r Request) (*http.Response, bool, error) {
-	if r.Idempotent && r.Check == nil {
+	if r.Idempotent && !r.OwnConnection && r.Check == nil {
 		return c.sendPooled(req)
 	}
 	t, g := c.singleUseTransport(r.Check)
