A success without length, chunks and any byte has been broken off

It is handled like a break now; answers to HEAD requests excepted. Two more cases of TestAnswers, which fail before.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -163,12 +163,21 @@
 		return body, false, err
 	}
 	body, rest, err = readUpTo(x.resp.Body, maxBufferedAnswer)
+	if err == nil && body.length() == 0 && t.lacksBody(x.resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return body, rest, err
 	}
 	return body, rest, x.conn.setReadTimeout(0, nil)
 }
 
+// lacksBody reports whether a success without any body has to be taken for one that broke off: it has
+// neither length nor chunks, and is no answer to a HEAD request.
+func (t *task) lacksBody(resp *http.Response) bool {
+	return resp.StatusCode < http.StatusMultipleChoices && !isDelimited(resp) && t.r.Method != http.MethodHead
+}
+
 // forwardRest forwards an answer that is larger than maxBufferedAnswer. If it does not end by the
 // deadline, that counts as a failure of the replica.
 func (t *task) forwardRest(body *blockQueue, x *exchange) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -53,6 +53,8 @@
 		{"bytes that are no answer", nonIdempotent, []script{respond("garbage\r\n\r\n", false)}, 502, "", 1},
 		{"unsigned success", nonIdempotent, []script{respond("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nno", true)}, 502, "", 1},
 		{"without length, closed", nonIdempotent, []script{respond("HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\nhello", false)}, 200, "hello", 1},
+		{"without length, closed before the body", nonIdempotent, []script{respond("HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\n", false)}, 502, "", 1},
+		{"without length, closed before the body, idempotent", idempotent, []script{respond("HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\n", false), respond(okAnswer, true)}, 200, "hello", 2},
 		{"without length, reset", nonIdempotent, []script{reset("HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\nhel")}, 502, "", 1},
 		{"informational first", nonIdempotent, []script{respond("HTTP/1.1 102 Wait\r\n\r\n"+okAnswer, true)}, 200, "hello", 1},
 		{"all busy", idempotent, []script{respond(notRun, true), respond(notRun, true)}, 503, "", 2},
