--- a/entry/chat.go
+++ b/entry/chat.go
@@ -47,31 +47,54 @@
 // engine was lost, it is sent to another one, within the retry budget.
 func (s *chatStream) start(body []byte) error {
 	var last error
+	mayHaveRun := false
 	for n := 0; n < maxAttempts; n++ {
 		if n > 0 && !s.consumeRetry() {
-			return last
+			break
 		}
 		permit, err := s.host.ingress.Acquire(s.ctx, s.call.Document, s.call.Request, s.excluded)
 		if err != nil {
-			return refusalReason(err, last)
+			last = refusalReason(err, last)
+			break
 		}
-		observer := s.host.observeRequest(s.call.Request, permit.Engine().ID())
-		stream, err := s.send(permit, body, "")
-		if err == nil {
-			s.observer = observer
-			s.setStream(permit, stream)
+		f := s.startAt(permit, body)
+		if f == nil {
 			return nil
 		}
-		observer.end(err)
-		f := peridotusher.AsFailure(err)
-		permit.Done(s.ctx, f.Verdict(), true)
-		s.excluded[permit.Engine().ID()] = true
 		last = f
+		mayHaveRun = mayHaveRun || f.Verdict() != peridotusher.NotRun
 		if f.Verdict() != peridotusher.NotRun && f.Cause() != peridotusher.CauseEndpointLost {
-			return f
+			break
 		}
 	}
-	return last
+	return verdictAfter(mayHaveRun, last)
+}
+
+// startAt sends the request to the permit's engine. After a failure the permit is released and the
+// engine excluded from further attempts.
+func (s *chatStream) startAt(permit *peridotusher.Permit, body []byte) *peridotusher.Failure {
+	observer := s.host.observeRequest(s.call.Request, permit.Engine().ID())
+	stream, err := s.send(permit, body, "")
+	if err == nil {
+		s.observer = observer
+		s.setStream(permit, stream)
+		return nil
+	}
+	observer.end(err)
+	f := peridotusher.AsFailure(err)
+	permit.Done(s.ctx, f.Verdict(), true)
+	s.excluded[permit.Engine().ID()] = true
+	return f
+}
+
+// verdictAfter returns the error of the last attempt, whose verdict is not NotRun if an earlier one
+// may have run.
+func verdictAfter(mayHaveRun bool, last error) error {
+	f := peridotusher.AsFailure(last)
+	if !mayHaveRun || f.Verdict() != peridotusher.NotRun {
+		return last
+	}
+	return peridotusher.FailWith(peridotusher.MayHaveRun, f.Cause(), last).WithRetryAfter(f.RetryAfter())
 }
 
 // refusalReason returns the error of a request that got no further permit: the
