Own product: refuse chats with messages that crash engines

Each router now keeps which messages (all but a chat's last) crashed engines, by the package quarantine, and refuses such chats with the cause quarantined. The bodies are only decoded while something is suspected. The routers do not tell each other yet: each one learns by itself.

The engine stand-in gains CrashOn.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -52,6 +52,10 @@
 		if n > 0 && !s.consumeRetry() {
 			break
 		}
+		if err := s.checkQuarantine(n > 0 || s.permit != nil); err != nil {
+			last = err
+			break
+		}
 		permit, err := s.host.ingress.Acquire(s.ctx, s.call.Document, s.call.Request, s.excluded)
 		if err != nil {
 			last = refusalReason(err, last)
@@ -74,6 +78,7 @@
 // engine excluded from further attempts.
 func (s *chatStream) startAt(permit *peridotusher.Permit, body []byte) *peridotusher.Failure {
 	observer := s.host.observeRequest(s.call.Request, permit.Engine().ID())
+	s.sentAt = s.host.Clock.Now()
 	stream, err := s.send(permit, body, "")
 	if err == nil {
 		s.observer = observer
@@ -82,6 +87,9 @@
 	}
 	observer.end(err)
 	f := peridotusher.AsFailure(err)
+	if f.Verdict() != peridotusher.NotRun {
+		s.recordIfCrashed(permit.Engine(), s.sentAt, err)
+	}
 	permit.Done(s.ctx, f.Verdict(), true)
 	s.excluded[permit.Engine().ID()] = true
 	return f
--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -46,6 +46,11 @@
 	complete bool
 	failed   bool
 
+	sentAt       time.Time // when the request was sent to the current engine
+	begun        bool      // an engine has sent an event
+	parts        []uint64  // cache of sharedParts
+	partsDecoded bool
+
 	mu       sync.Mutex    // guards permit against a concurrent detach
 	detached chan struct{} // closed when another connection has resumed the stream
 }
@@ -77,6 +82,7 @@
 		event, err := s.stream.Next()
 		if err == nil {
 			s.resumed = false
+			s.recordBegun()
 			s.observer.recordFirstToken()
 			s.register()
 			data := s.partial.RewriteChunk(event.Data())
@@ -84,6 +90,7 @@
 			return caller.ChatEvent{ID: s.eventID(event), Data: data}, nil
 		}
 		if !errors.Is(err, io.EOF) {
+			s.recordIfCrashed(s.permit.Engine(), s.sentAt, err)
 			err = s.recover(err)
 		}
 		if errors.Is(err, io.EOF) {
--- a/entry/host.go
+++ b/entry/host.go
@@ -18,6 +18,7 @@
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
 	"peridotusher.example/peridotusher/policies"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/service"
 )
 
@@ -63,11 +64,13 @@
 	claims        *claimTable
 	streams       streamTable
 	retries       retries
-	metrics       *operator.Metrics
-	burn          *peridotusher.Burn
-	started       time.Time
-	stop          context.CancelFunc
-	health        *healthTable
+	// quarantine holds which messages of chats crash engines, as far as this router has seen.
+	quarantine *quarantine.Table
+	metrics    *operator.Metrics
+	burn       *peridotusher.Burn
+	started    time.Time
+	stop       context.CancelFunc
+	health     *healthTable
 
 	eligibility *eligibilityTable
 }
@@ -159,6 +162,7 @@
 	h.buildOperator()
 	placer := &peridotusher.Placer{Engines: h.engines, Loads: h.ledger, Policies: policies.All(h.Seed, h.ledger)}
 	h.health = newHealthTable(h.Clock)
+	h.quarantine = quarantine.NewTable(h.Clock)
 	h.eligibility = newEligibilityTable(h.engines)
 	h.node = &peer.Node{
 		Self:           self,
--- a/failure.go
+++ b/failure.go
@@ -33,6 +33,7 @@
 	CauseStoreDown          Cause = "store_unavailable"
 	CauseStopping           Cause = "router_stopping"
 	CauseCallerDisconnected Cause = "caller_gone"
+	CauseQuarantined        Cause = "quarantined"
 )
 
 // Failure is the error of a request that was not answered completely.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -52,6 +52,9 @@
 	return t
 }
 
+// IsSuspicious reports whether any part is suspected. If not, every request is admitted.
+func (t *Table) IsSuspicious() bool { return len(t.derived.Load().suspectedSince) > 0 }
+
 // Admit decides on a new request with the parts: it is blocked by a rule in force, and after the
 // end of a block unless it is the one that is sent on trial. left is the time until another
 // request may be sent.
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -85,7 +85,7 @@
 func (t *task) recordIfCrashed(ctx context.Context, r *replicas.Replica, err error) {
 	f := t.proxy
 	parts := t.sharedPartIDs()
-	if f.Quarantine == nil || len(parts) == 0 || !isClosedByPeer(err) || !f.hasEnded(ctx, r) {
+	if f.Quarantine == nil || len(parts) == 0 || !quarantine.ClosedByPeer(err) || !f.hasEnded(ctx, r) {
 		return
 	}
 	f.Log.Event("crash", "id", t.call.ID, "replica", r.ID(), "parts", t.loggedParts(), "after", f.Clock.Now().Sub(t.sentAt))
@@ -93,16 +93,6 @@
 	f.Quarantine.RecordCrash(r, t.sentAt, parts)
 }
 
-// isClosedByPeer reports whether a connection broke because the other side closed it.
-func isClosedByPeer(err error) bool {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, closed) {
-			return true
-		}
-	}
-	return false
-}
-
 // hasEnded reports whether a replica refuses connections. A replica that only drops connections
 // accepts the one that is opened to find out, which is kept for a later request.
 func (f *Proxy) hasEnded(ctx context.Context, r *replicas.Replica) bool {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -46,6 +46,7 @@
 	ChecksFence     bool          // refuse an order with an outdated fencing number
 	LoadTime        time.Duration // time to load a model version
 	Grace           time.Duration // time for which a stream without a reader is retained
+	CrashOn         string        // text in the messages of requests that crash the engine at their first token
 
 	once   sync.Once
 	wake   chan struct{}
@@ -93,7 +94,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := e.server.Serve(e.Listener)
-		if errors.Is(err, http.ErrServerClosed) || e.crashed() {
+		if errors.Is(err, http.ErrServerClosed) || e.IsCrashed() {
 			return nil
 		}
 		return err
@@ -134,6 +135,10 @@
 			continue
 		}
 		pause.For(ctx, rest)
+		if e.crashesNow() {
+			e.SetCrashed()
+			continue
+		}
 		e.step()
 	}
 }
--- a/standin/engine_chat.go
+++ b/standin/engine_chat.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -40,6 +41,7 @@
 		return
 	}
 	run := newEngineRun(r, body, messages)
+	run.deadly = e.CrashOn != "" && bytes.Contains(messages, []byte(e.CrashOn))
 	if body.Continue && !run.continueFrom(messages, max(body.MaxTokens, body.MaxNew) > 0) {
 		http.Error(w, "the last message is no beginning of the answer", http.StatusBadRequest)
 		return
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// crashed returns whether SetCrashed was called.
-func (e *Engine) crashed() bool {
+// IsCrashed returns whether the engine has crashed.
+func (e *Engine) IsCrashed() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.faults.crashed
--- a/standin/engine_run.go
+++ b/standin/engine_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -16,10 +17,11 @@
 	hash        string
 	priority    int
 	work        int
-	prompt      int // tokens
-	limit       int // tokens of the complete answer
-	priorTokens int // tokens of the answer that another engine generated
-	cached      int // prompt tokens found in the cache
+	prompt      int  // tokens
+	limit       int  // tokens of the complete answer
+	deadly      bool // crashes the engine at its first token
+	priorTokens int  // tokens of the answer that another engine generated
+	cached      int  // prompt tokens found in the cache
 
 	tokens  int
 	events  []string // data of each event, by offset
@@ -130,6 +132,13 @@
 	return sum
 }
 
+// crashesNow returns whether the batch has a run that crashes the engine.
+func (e *Engine) crashesNow() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.batch, func(run *engineRun) bool { return run.deadly && !run.ended })
+}
+
 // step generates one token for each run of the batch.
 func (e *Engine) step() {
 	e.mu.Lock()
