--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -13,15 +13,6 @@
 // sharedQuarantine implements relay.Quarantine with a table that the routers keep alike.
 type sharedQuarantine struct{ r *Router }
 
-// trialStagger is the time between the first requests that two routers send on trial after the end
-// of a block. A crash is known to all routers before the next one.
-const trialStagger = time.Second
-
-// trialDelay returns how long after the end of a block this router sends a request on trial.
-func (r *Router) trialDelay(parts []uint64) time.Duration {
-	return time.Duration(r.node.Rank("quarantine/"+formatParts(parts))) * trialStagger
-}
-
 // Admit implements relay.Quarantine.
 func (q sharedQuarantine) Admit(parts []uint64) (left time.Duration, ok bool) {
 	return q.r.quarantine.Admit(parts)
@@ -42,6 +33,15 @@
 	q.r.publishQuarantine(q.r.quarantine.RecordBegun(parts), "own")
 }
 
+// trialStagger is the time between the first requests that two routers send on trial after the end
+// of a block. A crash is known to all routers before the next one.
+const trialStagger = time.Second
+
+// trialDelay returns how long after the end of a block this router sends a request on trial.
+func (r *Router) trialDelay(parts []uint64) time.Duration {
+	return time.Duration(r.node.Rank("quarantine/"+formatParts(parts))) * trialStagger
+}
+
 // mergeQuarantine applies what another router published.
 func (r *Router) mergeQuarantine(u quarantine.Update, from string) {
 	if !u.IsEmpty() {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -43,8 +43,8 @@
 	e.seen[part] = append(seen, s)
 }
 
-// held returns the sightings of a part since it was last sound.
-func (e evidence) held(part uint64) []sighting {
+// sinceSound returns the sightings of a part since a replica last began to answer it.
+func (e evidence) sinceSound(part uint64) []sighting {
 	seen := e.seen[part]
 	since := e.soundAt[part]
 	i := slices.IndexFunc(seen, func(s sighting) bool { return s.crash.at.After(since) })
@@ -72,7 +72,7 @@
 
 // rule returns the rule that follows from the crashes of requests with a part.
 func (e evidence) rule(part uint64) (rule Rule, ok bool) {
-	seen := e.held(part)
+	seen := e.sinceSound(part)
 	if countSuccessive(seen) < minCrashes {
 		return Rule{}, false
 	}
@@ -85,7 +85,7 @@
 	var out []uint64
 	for _, s := range crashes[0].crash.suspects {
 		for _, part := range s.parts {
-			if includes(e.held(part), crashes) {
+			if includes(e.sinceSound(part), crashes) {
 				out = append(out, part)
 			}
 		}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -221,8 +221,8 @@
 	maps.DeleteFunc(t.soundAt, func(part uint64, _ time.Time) bool { return len(e.seen[part]) == 0 })
 	d := &derived{rules: e.rules(t.clock.Now()), suspectedSince: make(map[uint64]time.Time)}
 	for part := range e.seen {
-		if held := e.held(part); len(held) > 0 {
-			d.suspectedSince[part] = held[0].crash.at
+		if seen := e.sinceSound(part); len(seen) > 0 {
+			d.suspectedSince[part] = seen[0].crash.at
 		}
 	}
 	t.derived.Store(d)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -166,8 +166,10 @@
 	table.advance(maxBlock)
 	table.RecordBegun([]uint64{deadly})
 	table.crash([]uint64{deadly})
-	if !admits() || !admits() {
-		t.Error("blocked by one crash after an answer")
+	for range 2 {
+		if !admits() {
+			t.Error("blocked by one crash after an answer")
+		}
 	}
 	table.advance(2 * retention)
 	table.Expire()
--- a/relay/eventsplitter.go
+++ b/relay/eventsplitter.go
@@ -1,24 +1,6 @@
 package relay
 
-import (
-	"bytes"
-	"net/http"
-	"strings"
-)
-
-// isEventStream reports whether an answer on a route of streams is a stream of events, which is
-// assumed if it states no type.
-func isEventStream(resp *http.Response) bool {
-	if resp.StatusCode != http.StatusOK {
-		return false
-	}
-	text := resp.Header.Get("Content-Type")
-	if text == "" {
-		return true
-	}
-	mediaType, _, _ := strings.Cut(text, ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
-}
+import "bytes"
 
 // eventSplitter splits a stream into complete server-sent events. The zero value is ready to use.
 type eventSplitter struct {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -251,10 +251,6 @@
 	})
 }
 
-// isDelimited reports whether the answer states where it ends, rather than ending with the
-// connection.
-func isDelimited(resp *http.Response) bool { return framing(resp) != framingClose }
-
 // abort ends the exchange immediately by resetting the connection.
 func (x *exchange) abort() {
 	x.endOnce.Do(func() {
--- a/relay/framing.go
+++ b/relay/framing.go
@@ -20,3 +20,7 @@
 		return framingClose
 	}
 }
+
+// isDelimited reports whether the answer states where it ends, rather than ending with the
+// connection.
+func isDelimited(resp *http.Response) bool { return framing(resp) != framingClose }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,20 @@
 // boundary has failed.
 const maxEventBytes = 256 << 10
 
+// isEventStream reports whether an answer on a route of streams is a stream of events, which is
+// assumed if it states no type.
+func isEventStream(resp *http.Response) bool {
+	if resp.StatusCode != http.StatusOK {
+		return false
+	}
+	text := resp.Header.Get("Content-Type")
+	if text == "" {
+		return true
+	}
+	mediaType, _, _ := strings.Cut(text, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // errNotContinued means that a replica does not continue the stream that the client has.
 var errNotContinued = errors.New("the events do not follow those of the replica before")
 
@@ -48,10 +63,9 @@
 	s := &replicaStream{task: t, x: x, sent: sent, latest: sent, continues: !t.headWritten}
 	err := s.renewTimeout()
 	for err == nil {
-		var n int
-		var readErr error
-		n, readErr = x.resp.Body.Read(*buf)
-		if err = s.receive((*buf)[:n]); err == nil {
+		n, readErr := x.resp.Body.Read(*buf)
+		err = s.receive((*buf)[:n])
+		if err == nil {
 			err = readErr
 		}
 	}
