--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"peridotusher.example/peridotusher/quarantine"
@@ -39,7 +37,7 @@
 
 // trialDelay returns how long after the end of a block this router sends a request on trial.
 func (r *Router) trialDelay(parts []uint64) time.Duration {
-	return time.Duration(r.node.Rank("quarantine/"+formatParts(parts))) * trialStagger
+	return time.Duration(r.node.Rank("quarantine/"+quarantine.FormatParts(parts))) * trialStagger
 }
 
 // mergeQuarantine applies what another router published.
@@ -68,7 +66,7 @@
 	}
 	var current []string
 	for _, rule := range rules {
-		parts := formatParts(rule.Parts())
+		parts := quarantine.FormatParts(rule.Parts())
 		current = append(current, parts)
 		if !slices.Contains(r.quarantined, parts) {
 			r.Log.Event("quarantine", "parts", parts, "active", true, "crashes", rule.Crashes(), "for", rule.Until().Sub(r.clock.Now()), "from", from)
@@ -81,12 +79,3 @@
 	}
 	r.quarantined = current
 }
-
-// formatParts formats the ids of parts as in the other log lines.
-func formatParts(parts []uint64) string {
-	ids := make([]string, len(parts))
-	for i, id := range parts {
-		ids[i] = strconv.FormatUint(id, 16)
-	}
-	return strings.Join(ids, ",")
-}
--- a/mesh/change_test.go
+++ b/mesh/change_test.go
@@ -11,16 +11,22 @@
 	"peridotusher.example/peridotusher/replicas"
 )
 
-// TestChangesArePublishedAtOnce has a router publish a change and delegate the read of the list of
-// replicas: the others receive both without a wait for heartbeats.
-func TestChangesArePublishedAtOnce(t *testing.T) {
-	nodes, states := startNodes(t, 3)
+// awaitAlive waits until all nodes know each other, for about 10 s at most.
+func awaitAlive(nodes []*Node) {
+	knowsAll := func(n *Node) bool { return len(n.Alive()) == len(nodes)-1 }
 	for range 400 {
-		if slices.IndexFunc(nodes, func(n *Node) bool { return len(n.Alive()) < 2 }) < 0 {
-			break
+		if !slices.ContainsFunc(nodes, func(n *Node) bool { return !knowsAll(n) }) {
+			return
 		}
 		time.Sleep(25 * time.Millisecond)
 	}
+}
+
+// TestChangesArePublishedAtOnce has a router publish a change and delegate the read of the list of
+// replicas: the others receive both without a wait for heartbeats.
+func TestChangesArePublishedAtOnce(t *testing.T) {
+	nodes, states := startNodes(t, 3)
+	awaitAlive(nodes)
 	change := sampleHeartbeat().Changes
 	nodes[0].PublishChanges(change)
 	nodes[0].Delegate("list", 0)
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -15,12 +14,7 @@
 // wait for heartbeats.
 func TestQuarantineIsPublishedAtOnce(t *testing.T) {
 	nodes, states := startNodes(t, 3)
-	for range 400 {
-		if slices.IndexFunc(nodes, func(n *Node) bool { return len(n.Alive()) < 2 }) < 0 {
-			break
-		}
-		time.Sleep(25 * time.Millisecond)
-	}
+	awaitAlive(nodes)
 	nodes[0].PublishQuarantine(sampleQuarantine)
 	nodes[0].PublishQuarantine(quarantine.Update{})
 	time.Sleep(heartbeatInterval / 2)
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"strconv"
+	"strings"
+	"time"
+)
 
 // Update is what routers tell each other.
 type Update struct {
@@ -34,3 +38,12 @@
 
 // IsEmpty reports whether the update contains nothing.
 func (u Update) IsEmpty() bool { return len(u.Crashes) == 0 && len(u.Sound) == 0 }
+
+// FormatParts formats the ids of parts for logs, in hexadecimal and separated by commas.
+func FormatParts(parts []uint64) string {
+	ids := make([]string, len(parts))
+	for i, id := range parts {
+		ids[i] = strconv.FormatUint(id, 16)
+	}
+	return strings.Join(ids, ",")
+}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
@@ -87,7 +88,7 @@
 func (t *task) recordFault(x *exchange, format string, args ...any) {
 	t.mayHaveRun = true
 	t.failure = peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, format, args...)
-	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.MayHaveRun, "parts", t.loggedParts(), "error", t.failure)
+	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.MayHaveRun, "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", t.failure)
 	x.replica.Record(t.proxy.Clock.Now(), replicas.Failed)
 }
 
--- a/relay/final.go
+++ b/relay/final.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -160,12 +159,3 @@
 	shared := t.sharedParts()
 	return strconv.FormatUint(shared[len(shared)-1].ID, 16)
 }
-
-// loggedParts returns the ids of the shared parts of the prompt as they are logged.
-func (t *task) loggedParts() string {
-	var ids []string
-	for _, id := range t.sharedPartIDs() {
-		ids = append(ids, strconv.FormatUint(id, 16))
-	}
-	return strings.Join(ids, ",")
-}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -88,7 +88,7 @@
 	if f.Quarantine == nil || len(parts) == 0 || !quarantine.ClosedByPeer(err) || !f.hasEnded(ctx, r) {
 		return
 	}
-	f.Log.Event("crash", "id", t.call.ID, "replica", r.ID(), "parts", t.loggedParts(), "after", f.Clock.Now().Sub(t.sentAt))
+	f.Log.Event("crash", "id", t.call.ID, "replica", r.ID(), "parts", quarantine.FormatParts(parts), "after", f.Clock.Now().Sub(t.sentAt))
 	f.Metrics.countCrash()
 	f.Quarantine.RecordCrash(r, t.sentAt, parts)
 }
--- a/relay/task.go
+++ b/relay/task.go
@@ -9,6 +9,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
@@ -270,7 +271,7 @@
 		t.countArrival()
 		t.mayHaveRun = true
 	}
-	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "parts", t.loggedParts(), "error", failure)
+	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", failure)
 	switch {
 	case t.r.Context().Err() != nil: // the client disconnected, which is no fault of the replica
 	case failure.Verdict() != peridotusher.NotRun:
