--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -290,7 +290,8 @@
 	b.proxy.Current.Load().Limits.BodyBytes = size
 	b.proxy.BodyMemory = 2 * size
 	body := strings.Repeat("b", size)
-	b.group.Go(func() error {
+	var slow errgroup.Group
+	slow.Go(func() error {
 		raw := post(fmt.Sprintf("Pause: 800ms\r\nSize: 5\r\nFraming: length\r\nContent-Length: %d\r\n", size), body)
 		if resp, _, complete := b.send(raw); resp == nil || !complete || resp.StatusCode != http.StatusOK {
 			t.Errorf("the slow answer is %v", resp)
@@ -311,4 +312,5 @@
 		t.Error("the slow request was not slow")
 	}
 	await(t, "the slow request answered", func() bool { return b.proxy.Active() == 0 })
+	_ = slow.Wait() // its function returns no error
 }
