Date suspects by their crash, not by the arrival of a report

Change: a suspect has the time from its send to its crash, which does not depend on the way of a report. TestLateReportsBlameNothing fails before.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -13,9 +13,9 @@
 	maxParts = 64
 )
 
-// minLaterSend is how much later another request with the same parts has to be sent to replace the
-// time of a known suspect, since times that other routers report are off by the network delay.
-const minLaterSend = 100 * time.Millisecond
+// minShorter is how much shorter another request with the same parts has to be at the replica to
+// replace a known suspect, since the ages that other routers report are rounded.
+const minShorter = 100 * time.Millisecond
 
 // crash is the end of a replica that had requests.
 type crash struct {
@@ -26,15 +26,17 @@
 
 // suspect is a request that had received nothing of its answer when its replica crashed.
 type suspect struct {
-	sentAt time.Time
-	parts  []uint64
+	// duration is the time from the send to the crash. It does not depend on how long the report
+	// took from another router.
+	duration time.Duration
+	parts    []uint64
 }
 
 // merge adds the suspects of a report on the same crash and reports whether any is new.
 func (c *crash) merge(now time.Time, reported Crash) bool {
 	changed := false
 	for _, s := range reported.Suspects {
-		changed = c.addSuspect(suspect{sentAt: now.Add(-s.Age), parts: s.Parts}) || changed
+		changed = c.addSuspect(suspect{duration: max(s.Age-reported.Age, 0), parts: s.Parts}) || changed
 	}
 	if at := now.Add(-reported.Age); at.Before(c.at) {
 		c.at = at
@@ -44,10 +46,11 @@
 
 // report returns the crash as it is published, with its suspects that match.
 func (c *crash) report(now time.Time, matches func(parts []uint64) bool) Crash {
-	out := Crash{Replica: c.replica, Age: now.Sub(c.at)}
+	age := now.Sub(c.at)
+	out := Crash{Replica: c.replica, Age: age}
 	for _, s := range c.suspects {
 		if matches(s.parts) {
-			out.Suspects = append(out.Suspects, Suspect{Age: now.Sub(s.sentAt), Parts: s.parts})
+			out.Suspects = append(out.Suspects, Suspect{Age: age + s.duration, Parts: s.parts})
 		}
 	}
 	return out
@@ -66,11 +69,11 @@
 	}
 	i := slices.IndexFunc(c.suspects, func(known suspect) bool { return slices.Equal(known.parts, s.parts) })
 	if i >= 0 {
-		later := s.sentAt.Sub(c.suspects[i].sentAt) >= minLaterSend
-		if later {
-			c.suspects[i].sentAt = s.sentAt
+		shorter := c.suspects[i].duration-s.duration >= minShorter
+		if shorter {
+			c.suspects[i].duration = s.duration
 		}
-		return later
+		return shorter
 	}
 	if len(c.suspects) >= maxSuspects {
 		return false
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -24,7 +24,7 @@
 	for _, c := range crashes {
 		for _, s := range c.suspects {
 			for _, part := range s.parts {
-				e.add(part, sighting{crash: c, sentAt: s.sentAt})
+				e.add(part, sighting{crash: c, sentAt: c.at.Add(-s.duration)})
 			}
 		}
 	}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -119,6 +119,23 @@
 	}
 }
 
+// TestLateReportsBlameNothing has a router read reports of an outage twice, the second time after it
+// stood still.
+func TestLateReportsBlameNothing(t *testing.T) {
+	table := newTestTable()
+	var outage Update
+	for replica := range uint32(6) {
+		suspects := []Suspect{{Age: 200 * time.Millisecond, Parts: []uint64{common, shared}}}
+		outage.Crashes = append(outage.Crashes, Crash{Replica: replica, Age: time.Duration(replica) * 30 * time.Millisecond, Suspects: suspects})
+	}
+	table.Merge(outage)
+	table.advance(3 * time.Second)
+	table.Merge(outage)
+	if got := rules(table.Table); got != nil {
+		t.Errorf("blocked %v", got)
+	}
+}
+
 func TestAnsweredPartIsSound(t *testing.T) {
 	table := newTestTable()
 	for range 4 * minCrashes {
