An answer that ends with its connection and its replica has been broken off

Cause: the kernel closes the connections of a process that ends in order, also between two events, and nothing in the body tells that from its end.

Change: when such an answer ends, the router opens a connection to the replica, which takes the place of the one that is lost. If the replica refuses it, it has ended, and the answer was broken off: resumed or repeated where the route allows it, else visibly aborted or 502.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -103,7 +103,7 @@
 			return false
 		}
 	}
-	body, rest, err := t.readBeforeForwarding(x)
+	body, rest, err := t.readBeforeForwarding(ctx, x)
 	if err != nil {
 		t.mayHaveRun = true
 		if ctx.Err() == nil {
@@ -134,7 +134,7 @@
 		t.recordAnswered(x, took)
 		return true
 	}
-	t.forwardRest(&body, x)
+	t.forwardRest(ctx, &body, x)
 	x.replica.Record(t.proxy.Clock.Now(), outcome)
 	t.recordAnswered(x, took)
 	return true
@@ -155,7 +155,7 @@
 
 // readBeforeForwarding reads the body up to maxBufferedAnswer; rest reports that there is more.
 // The read has a time limit if another replica can be tried.
-func (t *task) readBeforeForwarding(x *exchange) (body blockQueue, rest bool, err error) {
+func (t *task) readBeforeForwarding(ctx context.Context, x *exchange) (body blockQueue, rest bool, err error) {
 	limit := time.Duration(0)
 	if t.route.Retryable() && t.sends < t.route.MaxAttempts && len(t.retryCandidates()) > 0 {
 		limit = max(t.route.Objective, minBodyTimeout)
@@ -164,7 +164,7 @@
 		return body, false, err
 	}
 	body, rest, err = readUpTo(x.resp.Body, maxBufferedAnswer)
-	if err == nil && body.length() == 0 && t.lacksBody(x.resp) {
+	if err == nil && !rest && t.brokeOff(ctx, x, body.length()) {
 		err = io.ErrUnexpectedEOF
 	}
 	if err != nil {
@@ -173,15 +173,18 @@
 	return body, rest, x.conn.setReadTimeout(0, nil)
 }
 
-// lacksBody reports whether a success without any body has to be taken for one that broke off: it has
-// neither length nor chunks, and is no answer to a HEAD request.
-func (t *task) lacksBody(resp *http.Response) bool {
-	return resp.StatusCode < http.StatusMultipleChoices && !isDelimited(resp) && t.r.Method != http.MethodHead
+// brokeOff reports whether a success that ended after length bytes has to be taken for one that broke
+// off: it has neither length nor chunks, and there is no body or the replica has ended.
+func (t *task) brokeOff(ctx context.Context, x *exchange, length int) bool {
+	if x.resp.StatusCode >= http.StatusMultipleChoices || isDelimited(x.resp) || t.r.Method == http.MethodHead {
+		return false
+	}
+	return length == 0 || t.endedWithReplica(ctx, x)
 }
 
 // forwardRest forwards an answer that is larger than maxBufferedAnswer. If it does not end by the
 // deadline, that counts as a failure of the replica.
-func (t *task) forwardRest(body *blockQueue, x *exchange) {
+func (t *task) forwardRest(ctx context.Context, body *blockQueue, x *exchange) {
 	if err := body.writeTo(t.w); err != nil {
 		t.abortAnswer("client", err)
 	}
@@ -193,6 +196,9 @@
 		if _, writeErr := t.w.Write(buf[:n]); writeErr != nil {
 			t.abortAnswer("client", writeErr)
 		}
+		if errors.Is(err, io.EOF) && t.endedWithReplica(ctx, x) {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			break
 		}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -127,6 +127,13 @@
 	conns    map[net.Conn]struct{}
 }
 
+// closeListener makes a replica refuse new connections.
+func (b *fixture) closeListener(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_ = b.servers[id].listener.Close() // it may have ended before
+}
+
 // crash ends a replica: its connections are reset, and new ones are refused.
 func (b *fixture) crash(id string) {
 	b.mu.Lock()
--- a/relay/framing.go
+++ b/relay/framing.go
@@ -1,6 +1,9 @@
 package relay
 
-import "net/http"
+import (
+	"context"
+	"net/http"
+)
 
 // The ways in which the end of an answer's body is found, as they are logged.
 const (
@@ -24,3 +27,10 @@
 // isDelimited reports whether the answer states where it ends, rather than ending with the
 // connection.
 func isDelimited(resp *http.Response) bool { return framing(resp) != framingClose }
+
+// endedWithReplica reports whether a body that ended with its connection was broken off by the end
+// of the replica, since the kernel closes the connections of a process that has crashed in order.
+// The check opens a connection, which takes the place of the one that is lost.
+func (t *task) endedWithReplica(ctx context.Context, x *exchange) bool {
+	return !isDelimited(x.resp) && t.proxy.hasEnded(ctx, x.replica)
+}
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -64,6 +64,51 @@
 	}
 }
 
+// TestAnswerThatEndsWithItsReplicaIsBrokenOff guards against answers with neither length nor chunks that
+// look complete because the connections of a crashed replica are closed in order.
+func TestAnswerThatEndsWithItsReplicaIsBrokenOff(t *testing.T) {
+	const plainHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\n"
+	two := event(1) + event(2)
+	long := strings.Repeat("a", 2*maxBufferedAnswer)
+	tests := []struct {
+		name     string
+		route    routing.Route
+		answer   string
+		next     script
+		status   int
+		body     string
+		complete bool
+	}{
+		{"stream", streaming, closeHead + two, nil, http.StatusOK, two, false},
+		{"resumable stream", resumable, closeHead + two, resumeAfter, http.StatusOK, two + event(3) + event(4) + event(5), true},
+		{"answer", nonIdempotent, plainHead + "hel", nil, http.StatusBadGateway, "failed\n", true},
+		{"idempotent answer", idempotent, plainHead + "hel", respond(okAnswer, true), http.StatusOK, "hello", true},
+		{"long answer", nonIdempotent, plainHead + long, nil, http.StatusOK, long, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b *fixture
+			ends := func(c net.Conn, r *http.Request, body string) bool {
+				b.closeListener("a")
+				return respond(tt.answer, false)(c, r, body)
+			}
+			scripts := []script{ends}
+			if tt.next != nil {
+				scripts = append(scripts, tt.next)
+			}
+			b = newFixture(t, tt.route, scripts...)
+			b.loadOtherReplicas()
+			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+			if resp == nil || resp.StatusCode != tt.status || complete != tt.complete {
+				t.Errorf("answer = %v, complete %v, want %v", resp, complete, tt.complete)
+			}
+			if diff := cmp.Diff(tt.body, body); diff != "" {
+				t.Errorf("body (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestStreamClosedBeforeFirstEventFails guards against an empty answer that looks complete.
 func TestStreamClosedBeforeFirstEventFails(t *testing.T) {
 	b := newFixture(t, streaming, respond(closeHead, false))
