Own product: a plain answer that ends with its endpoint has been broken off

The client opens a connection to the endpoint then; one that refuses it has ended. TestAnswerThatEndsWithItsEndpointIsBrokenOff fails before. Tests of service and entry pass.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -1,27 +1,20 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
-	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/service"
 )
 
-const (
-	// crashCheckTimeout bounds the connection attempt that shows whether an engine has ended.
-	crashCheckTimeout = 150 * time.Millisecond
-	// crashPeriod is the time in which crashes of an engine count as one.
-	crashPeriod = 10 * time.Second
-)
+// crashPeriod is the time in which crashes of an engine count as one.
+const crashPeriod = 10 * time.Second
 
 // promptParts returns hashes of the parts of a chat that other requests may share: its messages
 // but the last one. It returns nil for a body that cannot be decoded.
@@ -82,7 +75,7 @@
 // recordIfCrashed records a crash if the engine has ended, whose connection broke with an error
 // before it had sent any event.
 func (s *chatStream) recordIfCrashed(e peridotusher.Engine, sentAt time.Time, err error) {
-	if s.begun || !quarantine.ClosedByPeer(err) || len(s.sharedParts()) == 0 || !hasEnded(s.ctx, e.Address()) {
+	if s.begun || !quarantine.ClosedByPeer(err) || len(s.sharedParts()) == 0 || !service.HasEnded(s.ctx, e.Address()) {
 		return
 	}
 	s.host.Log.WithFields(logrus.Fields{"request": s.call.Request.ID, "engine": e.ID()}).Warn("engine crashed before the first event")
@@ -93,12 +86,3 @@
 func crashHash(id peridotusher.EngineID, now time.Time) uint32 {
 	return uint32(xxhash.Sum64String(string(id) + "/" + strconv.FormatInt(now.UnixNano()/int64(crashPeriod), 10)))
 }
-
-// hasEnded reports whether an engine refuses connections.
-func hasEnded(ctx context.Context, address string) bool {
-	conn, err := (&net.Dialer{Timeout: crashCheckTimeout}).DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close() // nothing was sent on it
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/service/call.go
+++ b/service/call.go
@@ -64,6 +64,9 @@
 		return Response{}, f
 	}
 	body, err := c.readBody(resp.Body)
+	if err == nil && endedWithEndpoint(ctx, address, r, resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	answer := Response{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	if err != nil {
 		return answer, bodyFailure(ctx, resp.StatusCode, err)
--- /dev/null
+++ b/service/ended_test.go
@@ -0,0 +1,63 @@
+package service_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/service"
+)
+
+// serveUndelimited answers one call with neither length nor chunks. If ends is set, the endpoint refuses
+// new connections before it closes that of the call.
+func serveUndelimited(t *testing.T, ends bool) string {
+	t.Helper()
+	listener := listen(t)
+	var group errgroup.Group
+	group.Go(func() error {
+		conn, err := listener.Accept()
+		if err != nil {
+			return nil
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return nil
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwaist") // the caller detects a lost answer
+		if ends {
+			_ = listener.Close()
+		}
+		_ = conn.(*net.TCPConn).CloseWrite()
+		return nil
+	})
+	t.Cleanup(func() {
+		listener.Close()
+		group.Wait()
+	})
+	return listener.Addr().String()
+}
+
+// TestAnswerThatEndsWithItsEndpointIsBrokenOff guards against a part of an answer that looks complete,
+// because the connections of a crashed endpoint are closed in order.
+func TestAnswerThatEndsWithItsEndpointIsBrokenOff(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		fetch := service.Request{Method: http.MethodGet, Path: "/profiles/7", Idempotent: true, OwnConnection: true}
+		answer, err := newClient(t, service.Options{}).Call(testContext(t), serveUndelimited(t, ends), fetch)
+		got, want := "", ""
+		if err != nil {
+			got = peridotusher.AsFailure(err).Verdict().String()
+		}
+		if ends {
+			want = peridotusher.Ran.String()
+		}
+		if diff := cmp.Diff(want, got); diff != "" || string(answer.Body) != "waist" {
+			t.Errorf("endpoint ends %v: body %q, verdict (-want +got):\n%s", ends, answer.Body, diff)
+		}
+	}
+}
