Relay tests close the pool after the proxy's probes have ended

The clean-up closed the pool while a probe of the proxy could still add a connection, which then nobody closed. The pool is closed after the proxy has stopped now, as routers do it.

--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -112,7 +112,8 @@
 	// counters are the proxy's metrics.
 	counters *metrics.Set
 	group    errgroup.Group
-	stop     func() // stops the proxy
+	running  errgroup.Group // of the proxy
+	stop     func()         // stops the proxy
 
 	listeners []net.Listener
 
@@ -192,13 +193,16 @@
 	b.url = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stop = cancel
-	b.group.Go(func() error { return b.proxy.Run(ctx, l, func() time.Duration { return time.Second }) })
+	b.running.Go(func() error { return b.proxy.Run(ctx, l, func() time.Duration { return time.Second }) })
 	t.Cleanup(func() {
 		cancel()
+		if err := b.running.Wait(); err != nil {
+			t.Error(err)
+		}
 		for _, l := range b.listeners {
 			_ = l.Close() // ends the accept loops
 		}
-		b.proxy.Pool.Close()
+		b.proxy.Pool.Close() // after the probes, which add connections
 		if err := b.group.Wait(); err != nil {
 			t.Error(err)
 		}
