--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -27,6 +27,7 @@
 	r.metricSet.NewGauge("peridotusher_quarantine_rules", func() float64 { return float64(len(r.quarantine.Rules())) })
 	r.metricSet.NewGauge("peridotusher_cold_replicas", func() float64 { return float64(r.coldReplicas.count.Load()) })
 	r.metricSet.NewGauge("peridotusher_cold_shares", func() float64 { return float64(r.coldReplicas.withShare.Load()) })
+	r.metricSet.NewGauge("peridotusher_unreachable_replicas", func() float64 { return float64(r.table.CountUnreachable()) })
 	r.metricSet.NewGauge("peridotusher_ready", func() float64 {
 		if r.Ready() {
 			return 1
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -34,6 +34,7 @@
 		return nil, false
 	}
 	t.choice, t.candidate = choice, candidates[choice.Index]
+	t.candidateCount = len(candidates)
 	r := healthy[choice.Index]
 	t.chosenLoad = candidates[choice.Index].Load
 	if t.route.Cached {
--- a/relay/final.go
+++ b/relay/final.go
@@ -121,7 +121,7 @@
 	late := t.lateness(first)
 	t.grant.recordAnswer(x.resp.StatusCode >= http.StatusInternalServerError)
 	fields := []any{"id", t.call.ID, "route", t.routeName(), "status", x.resp.StatusCode,
-		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.chosenLoad, "mean", t.choice.MeanLoad, "part", t.longestPartID(), "holders", len(t.holders), "source", t.source,
+		"replica", x.replica.ID(), "reason", t.choice.Reason, "held", t.chosenLoad, "mean", t.choice.MeanLoad, "candidates", t.candidateCount, "part", t.longestPartID(), "holders", len(t.holders), "source", t.source,
 		"waited", t.readWait, "own", t.ownTime, "sends", t.sends, "version", t.version(), "framing", framing(x.resp), "partial", t.partialBytes, "first", first, "pause", t.longestPause, "late", late, "took", took}
 	if t.choice.Expected > 0 {
 		fields = append(fields, "expected", t.choice.Expected, "pace", t.candidate.Pace)
--- a/relay/task.go
+++ b/relay/task.go
@@ -62,8 +62,10 @@
 	allBackingOff bool // whether all replicas have requested a backoff
 	choice        placing.Choice
 	candidate     placing.Candidate // the chosen replica as known at the time of the choice
-	chosenLoad    int               // requests at the chosen replica at the time of the choice
-	cold          coldState
+	// candidateCount is the number of replicas that the choice was made from.
+	candidateCount int
+	chosenLoad     int // requests at the chosen replica at the time of the choice
+	cold           coldState
 
 	partIDs []uint64 // cache of sharedPartIDs
 
--- a/replicas/reachability.go
+++ b/replicas/reachability.go
@@ -129,6 +129,17 @@
 	return r.reachability.unreachable
 }
 
+// CountUnreachable returns the number of replicas that are marked unreachable.
+func (t *Table) CountUnreachable() int {
+	n := 0
+	t.ForEach(func(r *Replica) {
+		if r.Unreachable() {
+			n++
+		}
+	})
+	return n
+}
+
 // DueProbes returns the unreachable replicas that have to be probed now, and the time until
 // the next probe; 0 if no replica is unreachable.
 func (t *Table) DueProbes() (due []*Replica, wait time.Duration) {
