A replica that is listed again is probed again

Cause: a replica that is unreachable when the store removes it leaves the prober's rounds. When it is listed again nothing wakes the prober, whose timer has nothing to wait for.

Evidence: all routers of the two zones log gone=false for the replicas, none logs regained, and none sends a request there from 26.4 to 41 s.

Ruled out: entries that are not merged (their lines are there).

Change: each new view of the table wakes the prober if a probe is overdue. That covers every way in which a replica can come back (removed by a list, by a tombstone of another router, changed slots or zone).

--- a/replicas/reachability.go
+++ b/replicas/reachability.go
@@ -28,8 +28,8 @@
 	probeInterval    time.Duration // time between the next probe and the one after it
 }
 
-// UnreachableSignal returns a channel that receives a value after replicas became
-// unreachable; one value may stand for several replicas.
+// UnreachableSignal returns a channel that receives a value after replicas became unreachable
+// or unreachable ones were listed again; one value may stand for several replicas.
 func (t *Table) UnreachableSignal() <-chan struct{} { return t.unreachableSignal }
 
 // MarkUnreachable marks a replica unreachable after a failed connection: it gets no requests
@@ -39,14 +39,36 @@
 func (t *Table) MarkUnreachable(r *Replica) []*Replica {
 	unreachable := t.markUnreachable(r)
 	if len(unreachable) > 0 {
-		select {
-		case t.unreachableSignal <- struct{}{}:
-		default: // a signal is pending already
-		}
+		t.signalUnreachable()
 	}
 	return unreachable
 }
 
+// signalUnreachable wakes the caller that probes unreachable replicas.
+func (t *Table) signalUnreachable() {
+	select {
+	case t.unreachableSignal <- struct{}{}:
+	default: // a signal is pending already
+	}
+}
+
+// signalOverdueProbes wakes the prober if a probe is overdue. It is called with each new view: no
+// probes are scheduled for an unreachable replica while it is not listed.
+func (t *Table) signalOverdueProbes(now time.Time) {
+	for _, r := range t.view.Load().byHash {
+		if r.probeOverdue(now) {
+			t.signalUnreachable()
+			return
+		}
+	}
+}
+
+func (r *Replica) probeOverdue(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reachability.unreachable && !now.Before(r.reachability.nextProbe)
+}
+
 func (t *Table) markUnreachable(r *Replica) []*Replica {
 	now := t.clock.Now()
 	unreachable := []*Replica{}
