--- a/replicas/reachability.go
+++ b/replicas/reachability.go
@@ -52,23 +52,14 @@
 	}
 }
 
-// signalOverdueProbes wakes the prober if a probe is overdue. It is called with each new view: no
-// probes are scheduled for an unreachable replica while it is not listed.
-func (t *Table) signalOverdueProbes(now time.Time) {
-	for _, r := range t.view.Load().byHash {
-		if r.probeOverdue(now) {
-			t.signalUnreachable()
-			return
-		}
+// rescheduleProbes wakes the prober if a replica of the view is unreachable. It is called with
+// each new view: while a replica is not listed, the prober does not wait for its next probe.
+func (t *Table) rescheduleProbes() {
+	if t.CountUnreachable() > 0 {
+		t.signalUnreachable()
 	}
 }
 
-func (r *Replica) probeOverdue(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.reachability.unreachable && !now.Before(r.reachability.nextProbe)
-}
-
 func (t *Table) markUnreachable(r *Replica) []*Replica {
 	now := t.clock.Now()
 	unreachable := []*Replica{}
--- a/replicas/reachability_test.go
+++ b/replicas/reachability_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -22,12 +23,14 @@
 	default:
 	}
 	if timer {
-		due, _ := table.DueProbes()
-		out = append(out, due...)
+		due, wait := table.DueProbes()
+		table.now = table.now.Add(wait)
+		next, _ := table.DueProbes()
+		out = append(out, append(due, next...)...)
 	}
 	list := ids(out)
 	slices.Sort(list)
-	return list
+	return slices.Compact(list)
 }
 
 // TestReturnedReplicaIsProbed guards against a replica that is listed again and never probed, so that
@@ -35,20 +38,27 @@
 func TestReturnedReplicaIsProbed(t *testing.T) {
 	removed, leaving, otherSlots := entry("a", 2), entry("a", 2), entry("a", 3)
 	removed.Removed, leaving.Leaving, otherSlots.Slots = true, true, 8
-	for name, change := range map[string][]Entry{
-		"removed": {removed, entry("a", 3)}, "leaving": {leaving, entry("a", 3)}, "changed": {removed, otherSlots},
+	for _, tt := range []struct {
+		name   string
+		change []Entry
+		after  time.Duration
+	}{
+		{"removed", []Entry{removed, entry("a", 3)}, 10 * maxProbeInterval},
+		{"removed for less than a probe interval", []Entry{removed, entry("a", 3)}, time.Millisecond},
+		{"leaving", []Entry{leaving, entry("a", 3)}, 10 * maxProbeInterval},
+		{"changed", []Entry{removed, otherSlots}, 10 * maxProbeInterval},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(tt.name, func(t *testing.T) {
 			table := newTestTable()
 			table.Merge([]Entry{entry("a", 1), entry("b", 1)})
 			table.MarkUnreachable(table.Ready("s")[0])
 			<-table.UnreachableSignal()
 			table.DueProbes()
-			table.Merge(change[:1])
-			table.now = table.now.Add(minProbeInterval)
+			table.Merge(tt.change[:1])
+			table.now = table.now.Add(minProbeInterval / 2)
 			_, wait := table.DueProbes()
-			table.now = table.now.Add(10 * maxProbeInterval)
-			table.Merge(change[1:])
+			table.now = table.now.Add(tt.after)
+			table.Merge(tt.change[1:])
 			if diff := cmp.Diff([]string{"a", "b"}, usedOrProbed(table, wait > 0)); diff != "" {
 				t.Errorf("replicas that are used or probed after the return (-want +got):\n%s", diff)
 			}
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -295,5 +295,5 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].entry.ID < list[j].entry.ID })
 	}
 	t.view.Store(v)
-	t.signalOverdueProbes(now)
+	t.rescheduleProbes()
 }
