Own product: an engine that is listed again is judged anew

Cause: the table of engine eligibility kept an engine's ejections, probation and stale report after the engine had left the list. When it was listed again, the new entry was live, and the old record hid the zone's verdict (an ejected engine got work) or ejected it at its next stale report, with nobody to end that. The maps also grew with each engine that ever was listed.

Change: the table forgets engines that are not listed.

--- a/entry/engine_eligibility.go
+++ b/entry/engine_eligibility.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 
 	"peridotusher.example/peridotusher"
@@ -31,6 +32,22 @@
 	}
 }
 
+// setListed replaces the set of known engines by the listed ones. It forgets what is recorded of
+// the others, so that an engine that is listed again starts anew.
+func (s *eligibilityTable) setListed(list []peridotusher.Engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines.SetListed(list)
+	unlisted := func(id peridotusher.EngineID) bool {
+		_, ok := s.engines.Get(id)
+		return !ok
+	}
+	maps.DeleteFunc(s.stale, func(id peridotusher.EngineID, _ bool) bool { return unlisted(id) })
+	maps.DeleteFunc(s.outliers, func(id peridotusher.EngineID, _ bool) bool { return unlisted(id) })
+	maps.DeleteFunc(s.onProbation, func(id peridotusher.EngineID, _ bool) bool { return unlisted(id) })
+	maps.DeleteFunc(s.warmupWeights, func(id peridotusher.EngineID, _ float64) bool { return unlisted(id) })
+}
+
 // setStale records whether an engine's load report is stale.
 func (s *eligibilityTable) setStale(id peridotusher.EngineID, stale bool) {
 	s.mu.Lock()
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -22,7 +22,7 @@
 // applyListing updates the engine table from the list, in which Listing keeps
 // engines that are missing only briefly.
 func (h *Host) applyListing() {
-	h.engines.SetListed(h.listing.Engines(h.Clock.Now(), h.engines))
+	h.eligibility.setListed(h.listing.Engines(h.Clock.Now(), h.engines))
 }
 
 func listedMembers(list []hosts.Host) []peridotusher.Member {
