The limit for a replica's load counts all replicas of the service

Cause: the mean load, of which the limit is a multiple, was that of the replicas that this request could go to. Unreachable, ejected and backed-off replicas, those tried before (in repeats), full ones and those of other regions did not count, so that the limit rose with each of them: with three of eight excluded to 1.6 times the real one. Only evacuated zones and cold replicas without a share were counted (withheld).

Change: the mean is over all replicas that are ready or withheld, whatever excludes them from this choice. If no candidate is below the limit, the least loaded one is chosen, as before.

--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -196,13 +196,13 @@
 // service's replicas get no requests. These count for the mean, and the limit is a multiple of
 // that.
 func TestMeanIncludesEvacuatedZone(t *testing.T) {
-	const initialLoad, withheld = 12, 6
+	const initialLoad, excluded = 12, 6
 	cs := newCandidates(12)
 	for i := range cs {
 		cs[i].Load = initialLoad
 	}
-	p := Prompt{Key: 99, MaxLoadFactor: 2, Holders: []uint32{cs[3].Hash}, Withheld: withheld}
-	limit := p.MaxLoadFactor*float64(initialLoad*len(cs))/float64(len(cs)+withheld) + 3
+	p := Prompt{Key: 99, MaxLoadFactor: 2, Holders: []uint32{cs[3].Hash}, Excluded: excluded}
+	limit := p.MaxLoadFactor*float64(initialLoad*len(cs))/float64(len(cs)+excluded) + 3
 	for range 200 {
 		choice, _ := p.Choose(cs)
 		cs[choice.Index].Load++
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -29,10 +29,10 @@
 	MaxLoadFactor float64
 	// Holders are the replicas that are assumed to have the part cached.
 	Holders []uint32
-	// Withheld is the number of replicas of the service that get no requests but count for
-	// the mean, such as those of evacuated zones, and WithheldLoad the number of requests at
-	// them.
-	Withheld, WithheldLoad int
+	// Excluded is the number of replicas of the service that are no candidates but count for
+	// the mean, such as unreachable ones and those of evacuated zones, and ExcludedLoad the
+	// number of requests at them.
+	Excluded, ExcludedLoad int
 }
 
 // Choose returns the least loaded replica that has the part cached and has free capacity. If
@@ -73,7 +73,7 @@
 // meanLoad returns the mean load of all replicas of the service, in requests.
 func (p Prompt) meanLoad(candidates []Candidate) float64 {
 	n := float64(len(candidates))
-	return (meanLoad(candidates)*n + float64(p.WithheldLoad)) / (n + float64(p.Withheld))
+	return (meanLoad(candidates)*n + float64(p.ExcludedLoad)) / (n + float64(p.Excluded))
 }
 
 func (p Prompt) holdsPart(c Candidate) bool { return slices.Contains(p.Holders, c.Hash) }
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -92,14 +92,11 @@
 	shared := t.sharedParts()
 	longest := shared[len(shared)-1].ID
 	t.findHolders(ctx, longest)
+	prompt := placing.Prompt{Key: longest, MaxLoadFactor: t.proxy.MaxLoadFactor, Holders: t.holders}
+	prompt.Excluded, prompt.ExcludedLoad = t.excludedLoad(candidates)
 	for _, h := range t.cacheHolders {
 		placing.AddRecent(candidates, h)
 	}
-	prompt := placing.Prompt{Key: longest, MaxLoadFactor: t.proxy.MaxLoadFactor, Holders: t.holders}
-	for _, r := range t.withheld() {
-		prompt.Withheld++
-		prompt.WithheldLoad += r.Load()
-	}
 	choice, ok := prompt.Choose(candidates)
 	if !ok {
 		return choice, false
@@ -113,21 +110,19 @@
 	return choice, true
 }
 
-// withheld returns the ready replicas to which this router sends nothing at the moment: those in
-// evacuated zones, and cold ones of which it has no share.
-func (t *task) withheld() []*replicas.Replica {
-	table, now := t.proxy.Table, t.proxy.Clock.Now()
-	out := slices.Clone(table.Withheld(t.serviceName))
-	ready := table.Ready(t.serviceName)
-	if !t.anyCold(now, ready) {
-		return out
-	}
-	for _, r := range ready {
-		if !t.isSendable(now, r) {
-			out = append(out, r)
+// excludedLoad returns the number of the service's replicas that are not among the candidates, and
+// the number of requests at them. Other routers may use them.
+func (t *task) excludedLoad(candidates []placing.Candidate) (count, load int) {
+	for _, list := range [][]*replicas.Replica{t.proxy.Table.Ready(t.serviceName), t.proxy.Table.Withheld(t.serviceName)} {
+		count += len(list)
+		for _, r := range list {
+			load += t.loadAt(r)
 		}
 	}
-	return out
+	for _, c := range candidates {
+		load -= c.Load
+	}
+	return count - len(candidates), max(load, 0) // loads change meanwhile
 }
 
 // findHolders finds the replicas that are assumed to hold the longest shared part, in the own
