A saturated service gets requests at all replicas, not at the few that seem free

Cause: routers of a large fleet know loads that are up to two seconds old. Once the load doubles, nearly all replicas (12 slots) are known to be full, and the candidates fall from 140 to 24, those whose last report is from before. All 82 routers send all requests there until the next reports. Class: a choice by the best of many outdated values.

Change: once less than half of a model service's replicas are below the load limit by outdated loads, all connectable ones are candidates, and the limit of the load factor alone decides, also beyond the slots. If none is below it, the request is refused at once, as before. Services whose loads come from counts are as before.

--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -16,6 +16,9 @@
 	// part that it has to read, if another replica has capacity. Reading as many takes a
 	// quarter of a second.
 	maxWaitingPrefill = 12000
+	// saturatedShare is the share of a service's replicas below which those with free slots are
+	// too few to be the only ones that get requests.
+	saturatedShare = 0.5
 	// tokensPerRequest is the number of waiting prompt tokens that count as much as one
 	// request at the replica.
 	tokensPerRequest = 3000
@@ -33,8 +36,15 @@
 	// the mean, such as unreachable ones and those of evacuated zones, and ExcludedLoad the
 	// number of requests at them.
 	Excluded, ExcludedLoad int
+	// Saturated lets replicas without a free slot get requests; see the function of that name.
+	Saturated bool
 }
 
+// Saturated reports whether so few of a service's replicas have free slots that requests should be
+// spread over all of them. Where the known loads are outdated, all routers would send to the same few
+// replicas, which are overloaded by the time of their next reports.
+func Saturated(free, all int) bool { return float64(free) < saturatedShare*float64(all) }
+
 // Choose returns the least loaded replica that has the part cached and has free capacity. If
 // there is none, it returns the first one with free capacity in the part's rendezvous order,
 // so that routers make the same choice independently of each other. If none has free
@@ -81,15 +91,17 @@
 // holderHasCapacity reports whether a replica that has the part cached may get one more request,
 // with mean as the mean load of the service's replicas.
 func (p Prompt) holderHasCapacity(c Candidate, mean float64) bool {
-	return c.Load < c.Slots && float64(c.Load+1) <= holderLimitFraction*p.MaxLoadFactor*mean+holderExtraRequests
+	return p.hasSlot(c) && float64(c.Load+1) <= holderLimitFraction*p.MaxLoadFactor*mean+holderExtraRequests
 }
 
 // homeHasCapacity does so for a replica that has to read the part.
 func (p Prompt) homeHasCapacity(c Candidate, mean float64) bool {
-	return c.Load < c.Slots &&
+	return p.hasSlot(c) &&
 		float64(c.Load+1) <= homeLimitFraction*p.MaxLoadFactor*mean+homeExtraRequests && c.Prefill <= maxWaitingPrefill
 }
 
+func (p Prompt) hasSlot(c Candidate) bool { return p.Saturated || c.Load < c.Slots }
+
 // lessLoaded reports whether candidate i is less loaded than candidate j, or equally loaded and
 // before it in the rendezvous order. Waiting prompt tokens count as load by tokensPerRequest.
 func (p Prompt) lessLoaded(candidates []Candidate, i, j int) bool {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -21,7 +21,7 @@
 	for _, e := range replicas.DetectOutliers(now, accepting) {
 		f.Log.Event("ejected", "replica", e.ID(), "service", e.Service(), "samples", e.Samples, "failed", e.FailureRatio, "baseline", e.Baseline)
 	}
-	healthy := t.withMemory(t.belowLoadLimit(replicas.Healthy(now, t.sendableOrBlock(now, accepting))))
+	healthy := t.withMemory(t.withCapacity(replicas.Healthy(now, t.sendableOrBlock(now, accepting))))
 	candidates := t.candidates(now, healthy)
 	var choice placing.Choice
 	var ok bool
@@ -55,6 +55,17 @@
 	return out
 }
 
+// withCapacity returns the replicas that can take the request. Once few of them can, by loads that are
+// outdated, these are all that can be connected to.
+func (t *task) withCapacity(healthy []*replicas.Replica) []*replicas.Replica {
+	kept := t.belowLoadLimit(healthy)
+	t.saturated = t.proxy.Table.UsesReports() && len(kept) > 0 && placing.Saturated(len(kept), len(healthy))
+	if t.saturated {
+		return healthy
+	}
+	return kept
+}
+
 // belowLoadLimit returns the replicas that can take the request without being overloaded.
 func (t *task) belowLoadLimit(healthy []*replicas.Replica) []*replicas.Replica {
 	r := overload.Request{Priority: t.priority(), Engine: t.isModelService(), Random: uniformHash(t.call.ID + "room")}
@@ -92,7 +103,7 @@
 	shared := t.sharedParts()
 	longest := shared[len(shared)-1].ID
 	t.findHolders(ctx, longest)
-	prompt := placing.Prompt{Key: longest, MaxLoadFactor: t.proxy.MaxLoadFactor, Holders: t.holders}
+	prompt := placing.Prompt{Key: longest, MaxLoadFactor: t.proxy.MaxLoadFactor, Holders: t.holders, Saturated: t.saturated}
 	prompt.Excluded, prompt.ExcludedLoad = t.excludedLoad(candidates)
 	for _, h := range t.cacheHolders {
 		placing.AddRecent(candidates, h)
--- a/relay/choose_test.go
+++ b/relay/choose_test.go
@@ -35,7 +35,7 @@
 	b.proxy.Table = table
 	b.proxy.Directory.Place(placing.Placement{Key: partID, Replica: all[0].Hash()})
 	return &task{
-		proxy: b.proxy, doc: &routing.Document{}, route: &routing.Route{Cached: true}, serviceName: "s", tried: map[string]bool{},
+		proxy: b.proxy, doc: &routing.Document{Services: map[string]*routing.Service{"s": {RunsModel: true}}}, route: &routing.Route{Cached: true}, serviceName: "s", tried: map[string]bool{},
 		call: Call{ID: "1", Prompt: []Part{{ID: partID, Tokens: 100}, {ID: partID + 1, Tokens: 10}}},
 	}, all
 }
@@ -66,3 +66,25 @@
 		})
 	}
 }
+
+// TestSaturatedServiceUsesAllReplicas guards against requests of all routers at the few replicas that have
+// free slots by outdated loads. Loads that are not taken from reports are not that old.
+func TestSaturatedServiceUsesAllReplicas(t *testing.T) {
+	for name, want := range map[string]int{"reports": 8, "counts": 3} {
+		t.Run(name, func(t *testing.T) {
+			request, all := newPromptTask(t)
+			request.proxy.Table.SetUsesReports(name == "reports")
+			for _, r := range all[:5] {
+				for range r.Slots() {
+					t.Cleanup(r.Acquire())
+				}
+			}
+			if _, ok := request.choose(context.Background()); !ok {
+				t.Fatal("no replica was chosen")
+			}
+			if diff := cmp.Diff(want, request.candidateCount); diff != "" {
+				t.Errorf("candidates (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/relay/task.go
+++ b/relay/task.go
@@ -60,6 +60,7 @@
 	// The latest choice of a replica, or why none was found.
 	allFull       bool // whether all replicas are at their load limits
 	allBackingOff bool // whether all replicas have requested a backoff
+	saturated     bool // whether few replicas have free capacity, so that all are candidates
 	choice        placing.Choice
 	candidate     placing.Candidate // the chosen replica as known at the time of the choice
 	// candidateCount is the number of replicas that the choice was made from.
