Equally loaded replicas share requests when none is below the limit

Change: ties are broken by the part's rendezvous order.

Measured: TestEquallyLoadedReplicasShareRequests failed before (1 of 18 replicas got all requests) and passes.

--- a/placing/placing_test.go
+++ b/placing/placing_test.go
@@ -212,3 +212,20 @@
 		}
 	}
 }
+
+// TestEquallyLoadedReplicasShareRequests guards against one replica that gets the requests of all routers
+// while no replica is below the limit.
+func TestEquallyLoadedReplicasShareRequests(t *testing.T) {
+	cs := newCandidates(18)
+	for i := range cs {
+		cs[i].Load = cs[i].Slots
+	}
+	chosen := make(map[int]int)
+	for key := range uint64(1000) {
+		c, _ := Prompt{MaxLoadFactor: 2, Key: key * 7919}.Choose(cs)
+		chosen[c.Index]++
+	}
+	if diff := cmp.Diff(len(cs), len(chosen)); diff != "" {
+		t.Errorf("replicas that get requests (-want +got):\n%s", diff)
+	}
+}
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -75,7 +75,7 @@
 	case home >= 0:
 		choice.Index, choice.Reason = home, ReasonHome
 	default:
-		choice.Index, choice.Reason = leastLoaded(candidates), ReasonLeastLoaded
+		choice.Index, choice.Reason = p.leastLoaded(candidates), ReasonLeastLoaded
 	}
 	return choice, true
 }
@@ -117,10 +117,14 @@
 	return replicaScore(p.Key, a.Hash) > replicaScore(p.Key, b.Hash)
 }
 
-func leastLoaded(candidates []Candidate) int {
+// leastLoaded returns the candidate with the lowest share of slots taken, and among equal ones the
+// first in the part's rendezvous order, so that routers with the same view do not all choose one.
+func (p Prompt) leastLoaded(candidates []Candidate) int {
 	best := 0
 	for i, c := range candidates {
-		if c.Load*candidates[best].Slots < candidates[best].Load*c.Slots {
+		b := candidates[best]
+		load, lowest := c.Load*b.Slots, b.Load*c.Slots
+		if load < lowest || load == lowest && replicaScore(p.Key, c.Hash) > replicaScore(p.Key, b.Hash) {
 			best = i
 		}
 	}
