Routers keep to the request rates that replicas name

Nothing read the rate that a replica in need names in its answers.

Change: package ratelimit, between the routers of the users' platform. - Learn: each answer of a replica (signed, or one that states that it was not run) says a rate or none. None ends the limit only if its request was sent after the limit was last stated. - Share: news go to four random routers at once, which forward them; heartbeats name eight statements each by turns, and a router that has started gets all of them with the list of replicas, before it is ready. - Divide: all routers compute the same order for a replica; the first ones have equal shares of at least half a request a second, in token buckets with staggered starts. - Forget: at a restart of the replica, a minute after the last answer with the limit, and after the end. 4,096 replicas at most. A limit near zero still lets one request through in five seconds, whose answer shows whether it has ended. - The token is taken right before the request is written, in repeats and grants of coordinators too. - The rest goes to other replicas. Replicas with a limit read no parts while others have capacity, and parts stay at holders near the lowest load. If all are at their limits the request is refused at once (503, why=limit), each client for a later token.

--- a/edge/router.go
+++ b/edge/router.go
@@ -21,6 +21,7 @@
 	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/relay"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
@@ -80,6 +81,8 @@
 	directory    *placing.Directory
 	reads        *placing.Reads
 	quarantine   *quarantine.Table
+	rateLimits   *ratelimit.Table
+	rateLimiter  *ratelimit.Limiter
 	node         *mesh.Node
 	proxy        *relay.Proxy
 	pool         *relay.Pool
@@ -169,12 +172,13 @@
 	r.lists.start(r.clock.Now(), r.node.RendezvousScore(listTopic))
 	r.node.SetSeeds(r.seeds(s))
 	r.bounds.Store(&s.bounds)
+	r.initRateLimits()
 	r.slowStart = &slowstart.Limiter{Bound: r.coldBound, Share: r.node.SharePosition}
 	retryBudget := budget.New(budget.Config{Ratio: s.bounds.retryRatio, Window: s.bounds.retryWindow, Extra: s.bounds.retryExtra}, r.clock)
 	r.proxy = &relay.Proxy{
 		Zone: s.router.zone, Regions: s.router.regions, Clock: r.clock, Current: r.current, Table: r.table, Dialect: r.Dialect,
 		RetryBudget: retryBudget, Pool: r.pool, Log: r.Log, Metrics: relay.NewMetrics(r.metricSet), Routers: r.node.RouterCount,
-		SlowStart: r.slowStart, Burn: r.burn, SuccessTarget: func() float64 { return r.bounds.Load().successTarget },
+		SlowStart: r.slowStart, RateLimit: r.rateLimiter, RecordRate: r.recordRate, Burn: r.burn, SuccessTarget: func() float64 { return r.bounds.Load().successTarget },
 		Quarantine: sharedQuarantine{r}, Directory: r.directory, Reads: r.reads, BroadcastReads: r.node.Broadcast, MarkLeaving: r.markLeaving,
 		CacheHolders: r.queryHolders, PublishPlacements: r.publishPlacements,
 		MaxLoadFactor: s.bounds.maxLoadFactor, Gate: overload.NewGate(r.clock),
@@ -298,6 +302,7 @@
 		r.table.Expire(max(minCountsTTL, countsTTLRounds*cover))
 		r.pool.Prune()
 		r.quarantine.Expire()
+		r.expireLimits()
 		r.logQuarantine("clock")
 		r.trackColdReplicas()
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -8,16 +8,18 @@
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
 
-// maxChanges, maxReports and maxCrashes limit the changes, load reports and crashes of replicas in a
+// These constants limit the changes, load reports, crashes and request rates of replicas in a
 // heartbeat.
 const (
 	maxChanges = 32
 	maxReports = 16
 	maxCrashes = 6
+	maxLimits  = 8
 )
 
 // minUpdateTTL is the minimum time for which updates are published. It spans several heartbeats,
@@ -47,6 +49,7 @@
 	h.Changes = r.table.RecentChanges(maxChanges, min(ttl, maxChangesTTL))
 	h.Evacuations = r.evacuations()
 	h.Crashes = r.quarantine.Recent(maxCrashes)
+	h.Limits = r.rateLimits.Recent(maxLimits)
 	h.Settled = r.settled.Load()
 	h.Reads = r.reads.Own()
 	h.Delta = r.directory.Recent(ttl)
@@ -58,6 +61,7 @@
 	current := r.recordPeerPosition(peridotusher.Position{Epoch: h.Epoch}, h.Name)
 	r.mergePeerEvacuations(h.Evacuations, h.Name)
 	r.mergeQuarantine(quarantine.Update{Crashes: h.Crashes}, h.Name)
+	r.mergeLimits(h.Name, h.Limits)
 	if len(h.Changes) > 0 {
 		r.publishChanges(h.Name, r.table.Merge(h.Changes))
 	}
@@ -82,7 +86,7 @@
 
 // Respond implements mesh.State.
 func (s state) Respond(request mesh.SyncRequest) *mesh.SyncResponse {
-	response := &mesh.SyncResponse{Entries: s.r.table.DifferingEntries(request.Replicas), Store: s.r.epoch.position(), Evacuations: s.r.table.Evacuations()}
+	response := &mesh.SyncResponse{Entries: s.r.table.DifferingEntries(request.Replicas), Store: s.r.epoch.position(), Evacuations: s.r.table.Evacuations(), Limits: s.r.rateLimits.All()}
 	if len(request.Replicas) > 0 {
 		response.ReadAge, response.OutageAge, _ = s.r.lists.ages(s.r.clock.Now())
 		response.Complete = s.r.table.Complete()
@@ -104,6 +108,7 @@
 func (s state) Apply(response *mesh.SyncResponse) error {
 	current := s.r.recordPeerPosition(response.Store, "peer")
 	s.r.mergePeerEvacuations(response.Evacuations, "peer") // before the router can become ready
+	s.r.mergeLimits("peer", response.Limits)
 	s.r.publishChanges("peer", s.r.table.Merge(response.Entries))
 	if response.Complete {
 		s.r.table.MarkComplete()
@@ -145,6 +150,9 @@
 // ApplyQuarantine implements mesh.State.
 func (s state) ApplyQuarantine(u quarantine.Update) { s.r.mergeQuarantine(u, "peer") }
 
+// ApplyLimits implements mesh.State.
+func (s state) ApplyLimits(limits []ratelimit.Statement) { s.r.mergeLimits("peer", limits) }
+
 // HandleDelegation implements mesh.State. Further requests are dropped while one is pending.
 func (s state) HandleDelegation(hops int) {
 	select {
--- a/mesh/change.go
+++ b/mesh/change.go
@@ -9,6 +9,7 @@
 
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -85,6 +86,7 @@
 	changeEntry protowire.Number = iota + 1
 	changeCrash
 	changeSound
+	changeLimit
 )
 
 // delegatedHops is the field number of a delegated task.
@@ -94,6 +96,7 @@
 type changes struct {
 	entries    []replicas.Entry
 	quarantine quarantine.Update
+	limits     []ratelimit.Statement
 }
 
 // unmarshalChanges decodes a message with changes.
@@ -113,6 +116,10 @@
 			s, err := unmarshalSound(raw)
 			out.quarantine.Sound = append(out.quarantine.Sound, s)
 			return err
+		case changeLimit:
+			s, err := unmarshalLimit(raw)
+			out.limits = append(out.limits, s)
+			return err
 		}
 		return nil
 	})
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -52,6 +53,8 @@
 	Evacuations []replicas.Evacuation
 	// Crashes are the latest crashes of replicas, and those because of which requests are blocked.
 	Crashes []quarantine.Crash
+	// Limits are request rates that replicas have stated, and ends of such limits.
+	Limits []ratelimit.Statement
 	// Delta contains the sender's latest placements of parts (shared prompt prefixes) at
 	// replicas.
 	Delta placing.Delta
@@ -99,6 +102,7 @@
 	heartbeatEvacuation
 	heartbeatUptime
 	heartbeatCrash
+	heartbeatLimit
 )
 
 // maxReportedRouters bounds the number of routers that a heartbeat reports, since time-outs are
@@ -150,6 +154,7 @@
 	for _, c := range h.Crashes {
 		out = appendBytes(out, heartbeatCrash, marshalCrash(c))
 	}
+	out = appendLimits(out, heartbeatLimit, h.Limits)
 	for _, m := range h.Known {
 		out = appendBytes(out, heartbeatKnown, m.marshal())
 	}
@@ -256,6 +261,10 @@
 		c, err := unmarshalCrash(raw)
 		h.Crashes = append(h.Crashes, c)
 		return err
+	case heartbeatLimit:
+		s, err := unmarshalLimit(raw)
+		h.Limits = append(h.Limits, s)
+		return err
 	}
 	return nil
 }
--- a/mesh/heartbeat_test.go
+++ b/mesh/heartbeat_test.go
@@ -8,6 +8,7 @@
 
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -30,6 +31,7 @@
 			{Zone: "b", Active: true, Epoch: 3, Revision: 98, Age: time.Minute}, {Zone: "c", Epoch: 2, Revision: 1 << 40},
 		},
 		Crashes:     sampleQuarantine.Crashes,
+		Limits:      []ratelimit.Statement{{Replica: 1 << 31, Rate: 2.5, Limited: true, Age: 30 * time.Millisecond}, {Replica: 2, Limited: true}, {Replica: 3}},
 		Uptime:      90 * time.Minute,
 		Reports:     []replicas.Report{{Replica: 8, Load: 70, Pace: 8, Age: 30 * time.Millisecond}, {Replica: 9}, {Replica: 10, Pace: 1.25}},
 		Delta:       placing.Delta{Placements: []placing.Placement{{Key: 1 << 60, Replica: 5}}, Sequence: 12},
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -13,6 +13,7 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -39,6 +40,8 @@
 	ApplyChanges(changes []replicas.Entry)
 	// ApplyQuarantine applies what another router learned about parts that crash replicas.
 	ApplyQuarantine(u quarantine.Update)
+	// ApplyLimits applies request rates of replicas that another router learned.
+	ApplyLimits(limits []ratelimit.Statement)
 	// HandleDelegation handles the request of a router that cannot read the list of replicas to
 	// read it instead. hops is how many times the request was forwarded.
 	HandleDelegation(hops int)
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -13,6 +13,7 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -42,6 +43,7 @@
 	changes    []replicas.Entry
 	delegated  []int
 	quarantine quarantine.Update
+	limits     []ratelimit.Statement
 }
 
 func (s *testState) Fill(h *Heartbeat) {
@@ -124,6 +126,12 @@
 	s.quarantine.Sound = append(s.quarantine.Sound, u.Sound...)
 }
 
+func (s *testState) ApplyLimits(limits []ratelimit.Statement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = append(s.limits, limits...)
+}
+
 func (s *testState) HandleDelegation(hops int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -32,12 +32,14 @@
 func TestChangesWithUnknownFields(t *testing.T) {
 	entries := sampleHeartbeat().Changes
 	body := append(marshalQuarantine(sampleQuarantine), marshalChanges(entries)...)
-	body = appendBytes(body, changeSound+1, []byte("later"))
+	limits := sampleHeartbeat().Limits
+	body = appendLimits(body, changeLimit, limits)
+	body = appendBytes(body, changeLimit+1, []byte("later"))
 	got, err := unmarshalChanges(body)
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := changes{entries: entries, quarantine: sampleQuarantine}
+	want := changes{entries: entries, quarantine: sampleQuarantine, limits: limits}
 	if diff := cmp.Diff(want, got, cmp.AllowUnexported(changes{}), cmp.AllowUnexported(replicas.Entry{})); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
--- a/mesh/query.go
+++ b/mesh/query.go
@@ -215,6 +215,9 @@
 	if !changes.quarantine.IsEmpty() {
 		n.State.ApplyQuarantine(changes.quarantine)
 	}
+	if len(changes.limits) > 0 {
+		n.State.ApplyLimits(changes.limits)
+	}
 	return nil
 }
 
--- a/mesh/sync.go
+++ b/mesh/sync.go
@@ -7,6 +7,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -80,6 +81,8 @@
 	Complete bool
 	// Evacuations are the evacuations of zones that are in force or ended recently.
 	Evacuations []replicas.Evacuation
+	// Limits are request rates that replicas have stated, and ends of such limits.
+	Limits []ratelimit.Statement
 	// Placements are the placements that the responding router knows.
 	Placements placing.Snapshot
 	// Settled is whether Placements includes those made before the responding router started.
@@ -109,6 +112,7 @@
 	responseBase
 	responseEvacuation
 	responseComplete
+	responseLimit
 )
 
 // The field numbers of a placing.Version on the wire.
@@ -135,6 +139,7 @@
 	for _, e := range r.Evacuations {
 		out = appendBytes(out, responseEvacuation, marshalEvacuation(e))
 	}
+	out = appendLimits(out, responseLimit, r.Limits)
 	out = appendBytes(out, responsePlacements, packPlacements(r.Placements.Placements))
 	for _, version := range r.Placements.Versions {
 		out = appendBytes(out, responseVersions, marshalVersion(version))
@@ -168,6 +173,10 @@
 			e, err := unmarshalEvacuation(raw)
 			r.Evacuations = append(r.Evacuations, e)
 			return err
+		case responseLimit:
+			s, err := unmarshalLimit(raw)
+			r.Limits = append(r.Limits, s)
+			return err
 		case responsePlacements:
 			placements, err := unpackPlacements(raw)
 			r.Placements.Placements = placements
--- a/mesh/sync_test.go
+++ b/mesh/sync_test.go
@@ -24,7 +24,7 @@
 
 func TestSyncResponseRoundTrip(t *testing.T) {
 	text := bytes.Repeat([]byte(`{"name":"r-2yhvz3p","kind":"streaming"},`), 10000)
-	sent := SyncResponse{Configuration: text, Version: 4, Store: peridotusher.Position{Epoch: 2, Revision: 30}, Entries: sampleHeartbeat().Changes, Evacuations: sampleHeartbeat().Evacuations, Complete: true, Settled: true, ReadAge: time.Second, OutageAge: time.Minute, Format: format}
+	sent := SyncResponse{Configuration: text, Version: 4, Store: peridotusher.Position{Epoch: 2, Revision: 30}, Entries: sampleHeartbeat().Changes, Evacuations: sampleHeartbeat().Evacuations, Limits: sampleHeartbeat().Limits, Complete: true, Settled: true, ReadAge: time.Second, OutageAge: time.Minute, Format: format}
 	sent.Placements.Placements = []placing.Placement{{Key: 1 << 60, Replica: 5}, {Key: 3, Replica: 1 << 31}}
 	sent.Placements.Versions = []placing.Version{{Origin: placing.Origin{Name: "r1", Incarnation: 8}, Sequence: 3}, {Origin: placing.Origin{Name: "r2"}}}
 	data, err := sent.marshal(&compressionCache{})
--- a/placing/candidate.go
+++ b/placing/candidate.go
@@ -17,6 +17,8 @@
 	// Pace is the slowdown factor of the replica: with 2, work takes twice as long as usual.
 	// 0 means that the replica does not report it.
 	Pace float64
+	// Limited is set if the replica limits its request rate, which the request is within.
+	Limited bool
 }
 
 // pace returns the reported slowdown factor, or 1 if there is none.
--- a/placing/prompt.go
+++ b/placing/prompt.go
@@ -1,6 +1,9 @@
 package placing
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	// homeLimitFraction and homeExtraRequests limit the requests at a replica that has to read
@@ -12,6 +15,9 @@
 	// tenths of a second out of date.
 	holderLimitFraction = 0.95
 	holderExtraRequests = 2.5
+	// nearLoadFactor and nearExtraRequests define which loads are close to the lowest one.
+	nearLoadFactor    = 1.25
+	nearExtraRequests = 2.0
 	// maxWaitingPrefill is the number of waiting prompt tokens above which a replica gets no
 	// part that it has to read, if another replica has capacity. Reading as many takes a
 	// quarter of a second.
@@ -38,6 +44,10 @@
 	Excluded, ExcludedLoad int
 	// Saturated lets replicas without a free slot get requests; see the function of that name.
 	Saturated bool
+	// Limited is set if replicas of the service limit their request rates. The others are then
+	// above the limit for their load more often, and a replica that has the part cached is preferred
+	// to one that would have to read it.
+	Limited bool
 }
 
 // Saturated reports whether so few of a service's replicas have free slots that requests should be
@@ -48,14 +58,14 @@
 // Choose returns the least loaded replica that has the part cached and has free capacity. If
 // there is none, it returns the first one with free capacity in the part's rendezvous order,
 // so that routers make the same choice independently of each other. If none has free
-// capacity, it returns the least loaded one.
+// capacity, it returns the least loaded one. Replicas that limit their request rates get parts
+// to read only if no other one has free capacity.
 func (p Prompt) Choose(candidates []Candidate) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	mean := p.meanLoad(candidates)
 	holder, home := -1, -1
-	var homeScore uint64
 	for i, c := range candidates {
 		if p.holdsPart(c) {
 			if p.holderHasCapacity(c, mean) && p.lessLoaded(candidates, i, holder) {
@@ -63,11 +73,13 @@
 			}
 			continue
 		}
-		score := replicaScore(p.Key, c.Hash)
-		if p.homeHasCapacity(c, mean) && (home < 0 || score > homeScore) {
-			home, homeScore = i, score
+		if p.homeHasCapacity(c, mean) && p.betterHome(candidates, i, home) {
+			home = i
 		}
 	}
+	if holder < 0 && p.Limited && (home < 0 || candidates[home].Limited) {
+		holder = p.nearHolder(candidates)
+	}
 	choice := Choice{MeanLoad: mean}
 	switch {
 	case holder >= 0:
@@ -80,6 +92,37 @@
 	return choice, true
 }
 
+// betterHome reports whether candidate i is to read the part rather than candidate j: one without a
+// limit for its request rate, then the first one in the part's rendezvous order.
+func (p Prompt) betterHome(candidates []Candidate, i, j int) bool {
+	if j < 0 {
+		return true
+	}
+	a, b := candidates[i], candidates[j]
+	if a.Limited != b.Limited {
+		return b.Limited
+	}
+	return replicaScore(p.Key, a.Hash) > replicaScore(p.Key, b.Hash)
+}
+
+// nearHolder returns the least loaded candidate that has the part cached, if its load is close to the
+// lowest one of those that do not limit their request rates; -1 if there is none.
+func (p Prompt) nearHolder(candidates []Candidate) int {
+	lowest := math.MaxInt
+	for _, c := range candidates {
+		if !c.Limited {
+			lowest = min(lowest, c.Load)
+		}
+	}
+	holder := -1
+	for i, c := range candidates {
+		if p.holdsPart(c) && float64(c.Load) <= nearLoadFactor*float64(lowest)+nearExtraRequests && p.lessLoaded(candidates, i, holder) {
+			holder = i
+		}
+	}
+	return holder
+}
+
 // meanLoad returns the mean load of all replicas of the service, in requests.
 func (p Prompt) meanLoad(candidates []Candidate) float64 {
 	n := float64(len(candidates))
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -60,6 +60,7 @@
 		f.MarkLeaving(r, t.call.ID)
 	}
 	t.applyColdTime(x)
+	t.recordRate(x)
 	switch {
 	case x.reply.Backoff > 0:
 		now := f.Clock.Now()
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -21,7 +21,7 @@
 	for _, e := range replicas.DetectOutliers(now, accepting) {
 		f.Log.Event("ejected", "replica", e.ID(), "service", e.Service(), "samples", e.Samples, "failed", e.FailureRatio, "baseline", e.Baseline)
 	}
-	healthy := t.withMemory(t.withCapacity(replicas.Healthy(now, t.sendableOrBlock(now, accepting))))
+	healthy := t.withMemory(t.withCapacity(replicas.Healthy(now, t.withinRateOrBlock(t.sendableOrBlock(now, accepting)))))
 	candidates := t.candidates(now, healthy)
 	var choice placing.Choice
 	var ok bool
@@ -48,6 +48,7 @@
 	out := make([]placing.Candidate, len(healthy))
 	for i, r := range healthy {
 		out[i] = placing.Candidate{Hash: r.Hash(), Zone: r.Zone(), Load: t.loadAt(r), Slots: r.Slots(), Prefill: r.PrefillBacklog(now)}
+		out[i].Limited = t.proxy.RateLimit.Limited(r.Hash())
 		if r.ReportsPace() {
 			out[i].Pace = r.Pace(now)
 		}
@@ -103,7 +104,7 @@
 	shared := t.sharedParts()
 	longest := shared[len(shared)-1].ID
 	t.findHolders(ctx, longest)
-	prompt := placing.Prompt{Key: longest, MaxLoadFactor: t.proxy.MaxLoadFactor, Holders: t.holders, Saturated: t.saturated}
+	prompt := placing.Prompt{Key: longest, MaxLoadFactor: t.proxy.MaxLoadFactor, Holders: t.holders, Saturated: t.saturated, Limited: t.isRateLimited()}
 	prompt.Excluded, prompt.ExcludedLoad = t.excludedLoad(candidates)
 	for _, h := range t.cacheHolders {
 		placing.AddRecent(candidates, h)
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -11,8 +11,9 @@
 )
 
 // errShareRefused means that the request was not sent, because another request took this router's
-// share of the cold replica, or because the replica has restarted since it was chosen.
-var errShareRefused = errors.New("this router has no free share of the cold replica's request limit, or the replica has restarted")
+// share of a cold replica or of a request rate, or because the replica has restarted since it was
+// chosen.
+var errShareRefused = errors.New("this router has no free share of the replica's request limit, or the replica has restarted")
 
 // coldState is the state of a request with respect to cold replicas. A replica that started
 // recently is cold: it gets requests at a limited rate, of which each router has a share.
@@ -101,14 +102,18 @@
 	return cmp.Or(next, retryAfterFailed)
 }
 
-// takeShare takes the share for a request just before it is written, if the replica is cold. The
+// takeShare takes the share for a request just before it is written, if the replica limits its
+// request rate or is cold. The
 // replica may have become cold or restarted since it was chosen. The caller calls recordSent
 // once the request is written.
 func (t *task) takeShare(chosen *replicas.Replica) (recordSent func(), ok bool) {
+	f := t.proxy
+	if !f.RateLimit.Take(chosen.Hash()) {
+		return nil, false
+	}
 	if !t.cold.limited {
 		return func() {}, true
 	}
-	f := t.proxy
 	r, ok := f.Table.Current(chosen)
 	if !ok {
 		f.Metrics.countColdSend("restarted")
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"peridotusher.example/peridotusher/ratelimit"
 )
 
 // Call holds what the platform's headers of a client request say.
@@ -69,10 +71,17 @@
 	// Pace is the replica's current slowdown factor: 1 is its usual speed, 2 means that work
 	// takes twice as long, 0 that it is not stated.
 	Pace float64
+	// Rate is the number of requests a second that the replica accepts from all routers together,
+	// if LimitsRate is set. RateMalformed means that a rate is stated that cannot be parsed.
+	Rate                      float64
+	LimitsRate, RateMalformed bool
 	// MalformedLoad is the stated load if it cannot be parsed completely, else "".
 	MalformedLoad string
 }
 
+// MaxRate is the largest request rate that a replica may state, in requests a second.
+const MaxRate = ratelimit.MaxRate
+
 // BackoffMalformed stands for a backoff that cannot be parsed.
 const BackoffMalformed time.Duration = -1
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -51,8 +51,8 @@
 	// whether the replica is abandoned; 0 sets no limit.
 	headTimeout   time.Duration
 	shouldAbandon func() bool
-	// takeShare takes the share for sending to the replica, if it is cold; sent is called once
-	// the request is written.
+	// takeShare takes the share for sending to the replica, if it is cold or limits its request
+	// rate; sent is called once the request is written.
 	takeShare func() (sent func(), ok bool)
 }
 
--- a/relay/final.go
+++ b/relay/final.go
@@ -28,8 +28,11 @@
 		t.abortAnswer(why, t.lastFailure())
 	}
 	if !t.mayHaveRun && t.cold.blocked {
-		t.w.Header().Set("Retry-After", formatSeconds(roundUp(t.cold.wait, time.Millisecond)))
-		t.deny(http.StatusServiceUnavailable, why)
+		t.denyUntil(t.cold.wait, why)
+		return
+	}
+	if !t.mayHaveRun && t.rateBlocked {
+		t.refuseBeyondRate(why)
 		return
 	}
 	if !t.mayHaveRun {
@@ -91,6 +94,12 @@
 	t.deny(status, why)
 }
 
+// denyUntil refuses a request that has not run, and tells the client exactly when to retry.
+func (t *task) denyUntil(after time.Duration, why string) {
+	t.w.Header().Set("Retry-After", formatSeconds(roundUp(after, time.Millisecond)))
+	t.deny(http.StatusServiceUnavailable, why)
+}
+
 // roundUp rounds a duration up to a multiple of a unit.
 func roundUp(d, unit time.Duration) time.Duration { return (d + unit - 1) / unit * unit }
 
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -21,6 +21,7 @@
 	"peridotusher.example/peridotusher/budget"
 	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
@@ -185,6 +186,7 @@
 	b.proxy = &Proxy{
 		Zone: "a", Clock: clock, Current: current, Table: table, Directory: placing.NewDirectory(clock, placing.Origin{Name: "r0", Incarnation: 1}), Dialect: testDialect{},
 		Reads: placing.NewReads(clock), BroadcastReads: func() {}, MarkLeaving: func(r *replicas.Replica, _ string) { table.MarkLeaving(r) },
+		RecordRate:   func(ratelimit.Answer) {},
 		CacheHolders: func(context.Context, uint64) []placing.CacheHolder { return nil }, PublishPlacements: func(placing.Event, ...placing.Placement) {},
 		RetryBudget: budget.New(budget.Config{Ratio: 0.2, Window: 10 * time.Second, Extra: 100}, clock),
 		Pool:        NewPool(clock), Metrics: NewMetrics(b.counters), Log: discard{}, Routers: func() int { return 1 }, Gate: overload.NewGate(clock), MaxLoadFactor: 2, BodyMemory: 1 << 20, MaxConnections: 100,
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -119,6 +119,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_without_memory_total{service=%q}", service)).Add(n)
 }
 
+// countBeyondRate counts a request that was refused because all replicas were at their request rates.
+func (m *Metrics) countBeyondRate(service string) {
+	if m == nil {
+		return
+	}
+	service = m.boundedValue(m.services, service, maxServices)
+	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_beyond_rate_total{service=%q}", service)).Inc()
+}
+
 // countRetryDecision counts the retry budget's decisions on one more attempt.
 func (m *Metrics) countRetryDecision(route string, allowed bool) {
 	if m == nil {
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -17,6 +17,7 @@
 	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
+	"peridotusher.example/peridotusher/ratelimit"
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 	"peridotusher.example/peridotusher/slowstart"
@@ -73,6 +74,10 @@
 	Quarantine Quarantine
 	// SlowStart limits the requests to cold replicas; nil disables the limit.
 	SlowStart *slowstart.Limiter
+	// RateLimit limits the requests to replicas that state a request rate; nil disables the limit.
+	// RecordRate records what an answer says about the rate.
+	RateLimit  *ratelimit.Limiter
+	RecordRate func(a ratelimit.Answer)
 	// Admission grants slots at replicas to requests for plain services, if some replica of the
 	// service reports its pace. If nil, this router chooses all replicas itself.
 	Admission Admission
--- a/relay/region.go
+++ b/relay/region.go
@@ -58,6 +58,8 @@
 	switch {
 	case t.cold.blocked:
 		return "cold"
+	case t.rateBlocked:
+		return "limit"
 	case t.allFull, t.retryAfter > 0:
 		return "overload"
 	case t.allBackingOff:
--- a/relay/task.go
+++ b/relay/task.go
@@ -67,6 +67,7 @@
 	candidateCount int
 	chosenLoad     int // requests at the chosen replica at the time of the choice
 	cold           coldState
+	rateBlocked    bool // whether all replicas that could serve are at their request rates
 
 	partIDs []uint64 // cache of sharedPartIDs
 
@@ -196,15 +197,15 @@
 	return t.route.Retryable() && len(t.retryCandidates()) > 0 && t.allowNextAttempt()
 }
 
-// retryCandidates returns the remaining candidates that accept requests and are warm, so that
-// sending to them requires no share of a cold replica's limit. There are none if the request is
+// retryCandidates returns the remaining candidates that accept requests, are within their request
+// rates and are warm, so that sending to them requires no share of a cold replica's limit. There are none if the request is
 // quarantined.
 func (t *task) retryCandidates() []*replicas.Replica {
 	if _, blocked := t.quarantined(); blocked {
 		return nil
 	}
 	now := t.proxy.Clock.Now()
-	return t.warm(now, replicas.Accepting(now, t.remainingCandidates()))
+	return t.withinRate(t.warm(now, replicas.Accepting(now, t.remainingCandidates())))
 }
 
 // remainingCandidates returns the ready replicas in allowed regions that have not been tried.
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -23,6 +23,8 @@
 	backedOff atomic.Bool
 	// malformedLoad is set once the replica reported a malformed load.
 	malformedLoad atomic.Bool
+	// malformedRate is set once the replica stated a malformed request rate.
+	malformedRate atomic.Bool
 	// malformedCold is set once the replica reported a malformed cold time.
 	malformedCold atomic.Bool
 	// coldUntil is the time at which the replica stops being cold, nil if it never was cold.
