Own product: a planned stop cuts no request without an answer

Requests that arrived while a router stopped were all taken; those whose deadlines lay beyond settle and drain were cut with no answer when the process ended, calls that may not be repeated among them.

Change: package caller refuses requests during a stop that may outlast it by their deadlines (503, not-run, router_stopping, Retry-After). 300 ms before the end it ends the requests in flight, which are answered with their verdict (503, may-have-run).

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -28,6 +28,9 @@
 	defer s.limitWriteTime(w, call.Request.Deadline)()
 	answer := &chatAnswer{w: w, streamed: body.Stream, clock: s.Clock, started: started}
 	engine, err := s.answerChat(ctx, call, answer)
+	if err != nil {
+		err = s.stoppedFailure(r.Context(), err)
+	}
 	s.finishChat(call, class, answer, engine, err)
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"slices"
@@ -77,21 +76,18 @@
 }
 
 // deadlineOf returns the deadline of the answer: after limit, or earlier if the
-// caller's deadline header asks for less.
+// caller's deadline header asks for less. It returns an error if the request must not be accepted.
 func (s *Server) deadlineOf(r *http.Request, limit time.Duration) (time.Time, error) {
 	text := r.Header.Get(deadlineHeader)
 	if text == "" {
-		return s.Clock.Now().Add(limit), nil
+		deadline := s.Clock.Now().Add(limit)
+		return deadline, s.checkStop(deadline)
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms <= 0 {
 		return time.Time{}, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseBadRequest, "header %s must be a positive number of milliseconds", deadlineHeader)
 	}
 	requested := time.Duration(ms) * time.Millisecond
-	return s.Clock.Now().Add(min(requested, limit)), nil
-}
-
-// withDeadline bounds the context by the time left until the deadline.
-func (s *Server) withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, deadline.Sub(s.Clock.Now()))
+	deadline := s.Clock.Now().Add(min(requested, limit))
+	return deadline, s.checkStop(deadline)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -110,12 +110,18 @@
 	Record   func(Outcome)
 
 	stopping atomic.Bool
-	inFlight atomic.Int64
+	// answerBy is the time by which requests have to be answered during a stop; nil before it.
+	answerBy atomic.Pointer[time.Time]
+	// requestsEnded ends at that time, by endRequests; nil before Run.
+	requestsEnded context.Context
+	endRequests   context.CancelFunc
+	inFlight      atomic.Int64
 }
 
 // Run serves until ctx ends. It then fails the readiness check, waits for Settle so
 // that the balancer notices, stops accepting connections and returns when the
-// requests in flight have ended or Drain has passed.
+// requests in flight have ended or Drain has passed. Shortly before that it answers
+// the remaining requests with a failure.
 func (s *Server) Run(ctx context.Context) error {
 	httpServer := &http.Server{
 		Handler:           s.Handler(),
@@ -123,8 +129,10 @@
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
 	}
+	s.requestsEnded, s.endRequests = context.WithCancel(context.Background())
+	defer s.endRequests()
 	return httpserve.Until(ctx, httpServer, s.Listener, func() error {
-		s.stopping.Store(true)
+		defer s.beginStop()()
 		time.Sleep(s.Settle)
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
--- a/caller/service.go
+++ b/caller/service.go
@@ -37,7 +37,7 @@
 		"ms":           s.Clock.Now().Sub(started).Milliseconds(),
 	}
 	if err != nil {
-		f := peridotusher.AsFailure(err)
+		f := peridotusher.AsFailure(s.stoppedFailure(r.Context(), err))
 		out.Verdict = f.Verdict()
 		out.Cause = f.Cause()
 		writeFailure(w, f)
--- /dev/null
+++ b/caller/stop_test.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/document"
+	"peridotusher.example/peridotusher/examples"
+)
+
+// slowServices answer a call when its context ends.
+type slowServices struct{ started chan struct{} }
+
+// Call implements Services.
+func (s slowServices) Call(ctx context.Context, _ ServiceCall) (ServiceAnswer, error) {
+	s.started <- struct{}{}
+	<-ctx.Done()
+	cause := peridotusher.CauseCallerDisconnected
+	if ctx.Err() == context.DeadlineExceeded {
+		cause = peridotusher.CauseDeadline
+	}
+	return ServiceAnswer{}, peridotusher.FailWith(peridotusher.MayHaveRun, cause, ctx.Err())
+}
+
+// TestRequestsOfAStopAreAnswered guards against requests that a planned stop cuts with no answer at its end,
+// and against ones that are accepted during the stop although they may outlast it.
+func TestRequestsOfAStopAreAnswered(t *testing.T) {
+	const settle, drain = 500 * time.Millisecond, 500 * time.Millisecond
+	doc, problems := document.Parse("kalimera.ini", examples.Kalimera)
+	if len(problems) > 0 {
+		t.Fatal(problems)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	services := slowServices{make(chan struct{}, 3)}
+	s := &Server{
+		Listener: l, Services: services, Log: log, Document: func() *document.Document { return doc },
+		Clock: peridotusher.ClockFunc(time.Now), NewID: func() string { return "r1" },
+		Limits: Limits{BodyBytes: 1000}, Settle: settle, Drain: drain,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var server, callers errgroup.Group
+	server.Go(func() error { return s.Run(ctx) })
+	answers := make([][]string, 3)
+	call := func(i int, headers string) {
+		callers.Go(func() error {
+			answers[i] = exchange(t, l.Addr().String(), post("/services/profiles/profiles/7", "kalimera-shop-athina-example-key", headers, "{}"))
+			return nil
+		})
+	}
+	call(0, "Idempotency-Key: a\r\n")
+	<-services.started
+	stop()
+	time.Sleep(settle / 4)
+	call(1, "Idempotency-Key: b\r\n")
+	call(2, "Idempotency-Key: c\r\nX-Deadline-Ms: 200\r\n")
+	if err := server.Wait(); err != nil {
+		t.Errorf("the stop cut requests: %v", err)
+	}
+	if err := callers.Wait(); err != nil {
+		t.Error(err)
+	}
+	want := [][]string{
+		{"503 Service Unavailable", "may-have-run", "router_stopping"},
+		{"503 Service Unavailable", "not-run", "router_stopping"},
+		{"504 Gateway Timeout", "may-have-run", "deadline_exceeded"},
+	}
+	if diff := cmp.Diff(want, answers); diff != "" {
+		t.Errorf("in flight before the stop, then during it with a late and an early deadline (-want +got):\n%s", diff)
+	}
+}
