Own product: an engine's owner keeps to the request rate that it reports

Its owner, which gives all its permits, keeps a token bucket; asks beyond it go to engines with capacity, wait if the queue can still serve them, or are refused at once with the time until the rate allows them. The stand-in engine plays it.

--- a/engine.go
+++ b/engine.go
@@ -41,8 +41,11 @@
 	Versions []LoadedVersion
 	Adapters []string
 	Role     string
-	Cached   int       // tokens in the prefix cache
-	Sampled  time.Time // when the engine took the sample, on the router's clock
+	Cached   int // tokens in the prefix cache
+	// RequestRate is the number of requests a second that the engine accepts, if LimitsRate is set.
+	RequestRate float64
+	LimitsRate  bool
+	Sampled     time.Time // when the engine took the sample, on the router's clock
 }
 
 // Engine is a router's view of one model engine.
--- a/engine/load.go
+++ b/engine/load.go
@@ -28,7 +28,8 @@
 	Cached   int             `json:"cached"`
 	Capacity int             `json:"capacity"`
 	Sequence uint64          `json:"sequence"`
-	Age      int64           `json:"age"` // milliseconds since the sample was taken
+	Age      int64           `json:"age"`  // milliseconds since the sample was taken
+	Rate     *float64        `json:"rate"` // accepted requests a second, nil if there is no limit
 }
 
 // Report is the load that an engine reports, sampled SampledAgo before it was sent.
@@ -66,6 +67,15 @@
 // Sequence returns the sequence number of the latest cache event.
 func (r Report) Sequence() uint64 { return r.wire.Sequence }
 
+// RequestRate returns the number of requests a second that the engine accepts, and whether it
+// limits them. A negative number is no limit.
+func (r Report) RequestRate() (rate float64, limited bool) {
+	if r.wire.Rate == nil || *r.wire.Rate < 0 {
+		return 0, false
+	}
+	return *r.wire.Rate, true
+}
+
 // SampledAgo returns the age of the report when the engine sent it.
 func (r Report) SampledAgo() time.Duration { return time.Duration(r.wire.Age) * time.Millisecond }
 
--- a/entry/loads.go
+++ b/entry/loads.go
@@ -68,6 +68,7 @@
 		Cached:   r.CacheTokens(),
 		Sampled:  now.Add(-r.SampledAgo()),
 	}
+	report.RequestRate, report.LimitsRate = r.RequestRate()
 	for _, v := range r.Versions() {
 		report.Versions = append(report.Versions, peridotusher.LoadedVersion{Model: v.Model, Version: v.Version, Ready: v.Ready})
 	}
--- a/ledger.go
+++ b/ledger.go
@@ -42,10 +42,13 @@
 	Slots     int        // work units that the engine can run at once
 	Engines   []EngineID // live engines that serve the same model
 	Unbounded bool       // set for placement policies without a load bound
+	// RequestRate returns the number of requests a second that an engine accepts, if it limits
+	// them; nil means that none does.
+	RequestRate func(EngineID) (rate float64, limited bool)
 }
 
 // Admit records a permit if the engine's load stays within the bound and the
-// engine's slots, and reports whether it did.
+// engine's slots, and the engine's request rate allows it, and reports whether it did.
 func (l *Ledger) Admit(now time.Time, id PermitID, ask Ask, expires time.Time, limits LoadLimits) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -55,6 +58,7 @@
 		return false
 	}
 	entry.add(now, id, permitRecord{work: ask.Request.Work, ingress: ask.Ingress, granted: now, expires: expires})
+	entry.rate.take()
 	return true
 }
 
@@ -243,10 +247,13 @@
 	return l.fits(now, engine, work, limits)
 }
 
-// fits reports whether the load before the work is below the limit and the load
-// with it is within the slots. Some engine is always below the limit, because some
+// fits reports whether the engine's request rate allows a request, the load before the
+// work is below the limit and the load with it is within the slots. Some engine is always below the limit, because some
 // engine has at most the mean load.
 func (l *Ledger) fits(now time.Time, engine EngineID, work int, limits LoadLimits) bool {
+	if l.rateDelay(now, engine, 1, limits) > 0 {
+		return false
+	}
 	if limits.Unbounded {
 		return true
 	}
@@ -263,6 +270,27 @@
 	return load+work <= limits.Slots && load < limit
 }
 
+// RateDelay returns the time until an owned engine's request rate allows the n-th request from
+// now on; zero if the engine does not limit its requests.
+func (l *Ledger) RateDelay(now time.Time, engine EngineID, n int, limits LoadLimits) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rateDelay(now, engine, n, limits)
+}
+
+func (l *Ledger) rateDelay(now time.Time, engine EngineID, n int, limits LoadLimits) time.Duration {
+	entry, owned := l.owned[engine]
+	if !owned || limits.RequestRate == nil {
+		return 0
+	}
+	rate, limited := limits.RequestRate(engine)
+	if !limited {
+		entry.rate = requestRate{}
+		return 0
+	}
+	return entry.rate.delay(now, rate, n)
+}
+
 // limit returns the load below which an engine may get the work: the bound times
 // the mean load. The engine's own load counts in full, that of the others at its
 // minimum. If the engine's own load counted at its minimum too, work that no
--- a/ledger_engine.go
+++ b/ledger_engine.go
@@ -28,6 +28,7 @@
 	formerWork      int // the former owner's count, minimum load until formerWorkUntil
 	formerWorkUntil time.Time
 	suspendedUntil  time.Time // no new permits before
+	rate            requestRate
 }
 
 // permitRecord is one permit that has not been released.
--- a/owner.go
+++ b/owner.go
@@ -235,13 +235,19 @@
 	limits LoadLimits
 }
 
+// requestRate returns the number of requests a second that an engine accepts, by its report.
+func (o *Owner) requestRate(engine EngineID) (rate float64, limited bool) {
+	e, ok := o.Placer.Engines.Get(engine)
+	return e.report.RequestRate, ok && e.report.LimitsRate
+}
+
 func (o *Owner) askCandidates(doc *document.Document, ask Ask) (askCandidates, error) {
 	list, err := o.Placer.candidatesFor(doc, ask.Request)
 	if err != nil {
 		return askCandidates{}, err
 	}
 	c := askCandidates{candidates: list}
-	c.limits = LoadLimits{Bound: doc.Policy().Bound(), Engines: list.ids, Unbounded: !o.Placer.Bounded(doc)}
+	c.limits = LoadLimits{Bound: doc.Policy().Bound(), Engines: list.ids, Unbounded: !o.Placer.Bounded(doc), RequestRate: o.requestRate}
 	if model, ok := doc.Model(ask.Request.Model); ok {
 		c.limits.Slots = model.Slots()
 	}
--- a/owner_queue.go
+++ b/owner_queue.go
@@ -48,7 +48,8 @@
 }
 
 // expectedDelay returns the minimum time that one more ask is expected to wait: until
-// the engine's backoff ends, and as long as the queue takes with all slots in use.
+// the engine's backoff ends, as long as the queue takes with all slots in use, and until
+// the engine's request rate allows the requests of the queue and this one.
 // Using the slots avoids too long an estimate in a burst, when the load is low at
 // first and rises with each permit granted.
 func (o *Owner) expectedDelay(doc *document.Document, ask Ask) time.Duration {
@@ -57,12 +58,20 @@
 		running = max(running, model.Slots())
 	}
 	suspended := o.Ledger.SuspendedFor(o.Clock.Now(), ask.Engine)
-	return max(suspended, o.Queue.Delay(ask.Engine, running))
+	return max(suspended, o.Queue.Delay(ask.Engine, running), o.rateDelay(ask.Engine))
+}
+
+// rateDelay returns the time until the engine's request rate allows one more request than those
+// in its queue.
+func (o *Owner) rateDelay(engine EngineID) time.Duration {
+	limits := LoadLimits{RequestRate: o.requestRate}
+	return o.Ledger.RateDelay(o.Clock.Now(), engine, o.Queue.Len(engine)+1, limits)
 }
 
 // refuseTooLate returns the refusal of an ask that would be granted after its deadline.
 func (o *Owner) refuseTooLate(ask Ask) Answer {
-	return Answer{Cause: CauseOverloaded, Ticket: ask.Ticket, RetryAfter: o.Queue.RetryAfter(ask.Engine, o.Ledger.Work(ask.Engine)), Loads: o.Ledger.MinLoads()}
+	after := max(o.Queue.RetryAfter(ask.Engine, o.Ledger.Work(ask.Engine)), o.rateDelay(ask.Engine))
+	return Answer{Cause: CauseOverloaded, Ticket: ask.Ticket, RetryAfter: after, Loads: o.Ledger.MinLoads()}
 }
 
 // endWait handles an ask whose wait has ended: it redirects the ask to another engine,
--- a/standin/engine_faults.go
+++ b/standin/engine_faults.go
@@ -16,6 +16,7 @@
 	refuse        bool
 	slow          float64
 	load          *EngineLoadOverride
+	rate          *float64 // accepted requests a second, nil without a limit
 	crossedEvents int
 	undelimited   bool // answers have neither a length nor chunks
 	brokenStreams int  // next streams that end inside an event
@@ -82,6 +83,12 @@
 	e.change(func(f *engineFaults) { f.load = o })
 }
 
+// LimitRate makes the engine report a number of requests a second that it accepts; nil ends
+// the limit.
+func (e *Engine) LimitRate(rate *float64) {
+	e.change(func(f *engineFaults) { f.rate = rate })
+}
+
 // CrossEvents makes the engine write events of another stream in place of the next n.
 func (e *Engine) CrossEvents(n int) {
 	e.change(func(f *engineFaults) { f.crossedEvents = n })
--- a/standin/engine_load.go
+++ b/standin/engine_load.go
@@ -21,6 +21,7 @@
 	Capacity int             `json:"capacity"`
 	Sequence uint64          `json:"sequence"`
 	Age      int64           `json:"age"` // milliseconds
+	Rate     *float64        `json:"rate,omitempty"`
 }
 
 // engineSample is the load at one point in time.
@@ -148,9 +149,11 @@
 	now := e.Clock.Now()
 	sample := e.loads[0]
 	override := e.faults.load
+	rate := e.faults.rate
 	e.mu.Unlock()
 	load := sample.load
 	load.Age = now.Sub(sample.at).Milliseconds()
+	load.Rate = rate
 	if override != nil {
 		load.Running, load.Waiting, load.Work = override.Running, override.Waiting, override.Work
 	}
