--- a/edge/ratelimit.go
+++ b/edge/ratelimit.go
@@ -27,7 +27,6 @@
 
 // logLimit logs a limit or its end.
 func (r *Router) logLimit(s ratelimit.Statement, from string) {
-	r.metricSet.GetOrCreateCounter("peridotusher_limit_changes_total").Inc()
 	replica, ok := r.table.Find(s.Replica)
 	if !ok {
 		return // it has left, or this router does not know it yet
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -8,15 +8,16 @@
 )
 
 const (
-	// minShareRate is the lowest rate of a share, in requests a second. The buckets of all shares
-	// together hold no more than what the rate allows in two seconds.
+	// minShareRate is the lowest rate of a share, in requests a second. With it the buckets of all
+	// shares together hold no more than what the rate allows in two seconds.
 	minShareRate = 0.5
 	// trialRate is the lowest rate at which a replica gets requests, in requests a second.
 	trialRate = 0.2
 	// burstTime is the time whose tokens a bucket holds, since requests do not arrive at equal
 	// intervals.
 	burstTime = 200 * time.Millisecond
-	// learnTime is how long a router that has started takes at most to learn the number of routers.
+	// learnTime is how long a router that has started takes at most to learn the number of routers. It
+	// is the same as learnTime in package mesh.
 	learnTime = 2 * time.Second
 	// maxRetryAfter bounds the time after which a refused client is told to return.
 	maxRetryAfter = 4 * time.Second
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -56,11 +56,12 @@
 	return out
 }
 
-// withCapacity returns the replicas that can take the request. Once few of them can, by loads that are
-// outdated, these are all that can be connected to.
+// withCapacity returns the replicas that can take the request. Where loads are outdated and few model
+// replicas have capacity by these, it returns all of them.
 func (t *task) withCapacity(healthy []*replicas.Replica) []*replicas.Replica {
 	kept := t.belowLoadLimit(healthy)
-	t.saturated = t.proxy.Table.UsesReports() && len(kept) > 0 && placing.Saturated(len(kept), len(healthy))
+	outdated := t.isModelService() && t.proxy.Table.UsesReports()
+	t.saturated = outdated && len(kept) > 0 && placing.Saturated(len(kept), len(healthy))
 	if t.saturated {
 		return healthy
 	}
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -103,9 +103,8 @@
 }
 
 // takeShare takes the share for a request just before it is written, if the replica limits its
-// request rate or is cold. The
-// replica may have become cold or restarted since it was chosen. The caller calls recordSent
-// once the request is written.
+// request rate or is cold. The replica may have become so, or have restarted, since it was chosen.
+// The caller calls recordSent once the request is written.
 func (t *task) takeShare(chosen *replicas.Replica) (recordSent func(), ok bool) {
 	f := t.proxy
 	if !f.RateLimit.Take(chosen.Hash()) {
--- a/relay/task.go
+++ b/relay/task.go
@@ -63,11 +63,12 @@
 	saturated     bool // whether few replicas have free capacity, so that all are candidates
 	choice        placing.Choice
 	candidate     placing.Candidate // the chosen replica as known at the time of the choice
-	// candidateCount is the number of replicas that the choice was made from.
-	candidateCount int
-	chosenLoad     int // requests at the chosen replica at the time of the choice
-	cold           coldState
-	rateBlocked    bool // whether all replicas that could serve are at their request rates
+	// candidateCount is the number of replicas that the choice was made from, chosenLoad the number of
+	// requests at the chosen one at that time.
+	candidateCount, chosenLoad int
+
+	cold        coldState
+	rateBlocked bool // whether all replicas that could serve are at their request rates
 
 	partIDs []uint64 // cache of sharedPartIDs
 
@@ -198,8 +199,8 @@
 }
 
 // retryCandidates returns the remaining candidates that accept requests, are within their request
-// rates and are warm, so that sending to them requires no share of a cold replica's limit. There are none if the request is
-// quarantined.
+// rates and are warm, so that sending to them requires no share of a cold replica's limit. There
+// are none if the request is quarantined.
 func (t *task) retryCandidates() []*replicas.Replica {
 	if _, blocked := t.quarantined(); blocked {
 		return nil
--- a/replicas/cold.go
+++ b/replicas/cold.go
@@ -152,10 +152,6 @@
 // clampCold limits a reported cold time to the range from 0 to MaxCold.
 func clampCold(d time.Duration) time.Duration { return min(max(d, 0), MaxCold) }
 
-// MarkMalformedRate records that an answer stated a malformed request rate, and reports whether that
-// is the first one.
-func (r *Replica) MarkMalformedRate() bool { return !r.malformedRate.Swap(true) }
-
 // MarkMalformedCold records that an answer reported a malformed cold time, and reports
 // whether this is the first one.
 func (r *Replica) MarkMalformedCold() bool { return !r.malformedCold.Swap(true) }
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -160,6 +160,10 @@
 	return !r.lastSuccess.IsZero() && now.Sub(r.lastSuccess) < aliveTTL
 }
 
+// MarkMalformedRate records that an answer stated a malformed request rate, and reports whether
+// that is the first one.
+func (r *Replica) MarkMalformedRate() (first bool) { return !r.malformedRate.Swap(true) }
+
 // setLeaving records whether the replica is leaving or was removed.
 func (r *Replica) setLeaving(now time.Time, leaving bool) {
 	r.mu.Lock()
