--- a/cmd/peridotusher/operate.go
+++ b/cmd/peridotusher/operate.go
@@ -61,7 +61,7 @@
 		Usage: "show routers, engines with their owners and loads, and who disagrees",
 		Description: "Asks every router that the first one names.\n" +
 			"Example: peridotusher status --router 192.0.2.1:8001\n" +
-			"Example: peridotusher status --json | jq '.engines'" + exitCodes,
+			"Example: peridotusher status --json | jq '.routers[].engines'" + exitCodes,
 		Flags: routerFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			status, err := newClient(cmd).Status(ctx)
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -88,7 +88,7 @@
 	observer.end(err)
 	f := peridotusher.AsFailure(err)
 	if f.Verdict() != peridotusher.NotRun {
-		s.recordIfCrashed(permit.Engine(), s.sentAt, err)
+		s.recordIfCrashed(permit.Engine(), err)
 	}
 	permit.Done(s.ctx, f.Verdict(), true)
 	s.excluded[permit.Engine().ID()] = true
--- a/entry/chatstream.go
+++ b/entry/chatstream.go
@@ -90,7 +90,7 @@
 			return caller.ChatEvent{ID: s.eventID(event), Data: data}, nil
 		}
 		if !errors.Is(err, io.EOF) {
-			s.recordIfCrashed(s.permit.Engine(), s.sentAt, err)
+			s.recordIfCrashed(s.permit.Engine(), err)
 			err = s.recover(err)
 		}
 		if errors.Is(err, io.EOF) {
--- a/entry/document.go
+++ b/entry/document.go
@@ -44,12 +44,3 @@
 	}
 	return h.source.Document()
 }
-
-// ConfigStatus returns the state of this router's configuration, and the zero
-// Status before Run has built the host.
-func (h *Host) ConfigStatus() config.Status {
-	if !h.built.Load() {
-		return config.Status{}
-	}
-	return h.source.Status()
-}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -48,13 +48,16 @@
 	if !table.IsSuspicious() {
 		return nil
 	}
-	left, blocked := table.Blocked(s.sharedParts())
-	if !admitted && !blocked {
-		var ok bool
+	var left time.Duration
+	ok := true
+	if admitted {
+		var blocked bool
+		left, blocked = table.Blocked(s.sharedParts())
+		ok = !blocked
+	} else {
 		left, ok = table.Admit(s.sharedParts())
-		blocked = !ok
 	}
-	if !blocked {
+	if ok {
 		return nil
 	}
 	f := peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseQuarantined, "requests with messages of this chat crash engines")
@@ -74,12 +77,12 @@
 
 // recordIfCrashed records a crash if the engine has ended, whose connection broke with an error
 // before it had sent any event.
-func (s *chatStream) recordIfCrashed(e peridotusher.Engine, sentAt time.Time, err error) {
+func (s *chatStream) recordIfCrashed(e peridotusher.Engine, err error) {
 	if s.begun || !quarantine.ClosedByPeer(err) || len(s.sharedParts()) == 0 || !service.HasEnded(s.ctx, e.Address()) {
 		return
 	}
 	s.host.Log.WithFields(logrus.Fields{"request": s.call.Request.ID, "engine": e.ID()}).Warn("engine crashed before the first event")
-	s.host.quarantine.RecordCrash(crashHash(e.ID(), s.host.Clock.Now()), sentAt, s.sharedParts())
+	s.host.quarantine.RecordCrash(crashHash(e.ID(), s.host.Clock.Now()), s.sentAt, s.sharedParts())
 }
 
 // crashHash identifies a crash of an engine, which may start again under its ID.
--- a/operator/client.go
+++ b/operator/client.go
@@ -19,6 +19,9 @@
 	gatherWorkers  = 32
 )
 
+// errNoRouters means that the client has no router to ask.
+var errNoRouters = errors.New("no router to ask")
+
 // ErrNotFound means that no router knows the named router, engine, organisation, model or class.
 var ErrNotFound = errors.New("not found")
 
--- a/operator/explaintext.go
+++ b/operator/explaintext.go
@@ -44,6 +44,9 @@
 
 // explain queries the first reachable router.
 func (c *Client) explain(ctx context.Context, organisation, model, chat, class string) (*Explanation, error) {
+	if len(c.Routers) == 0 {
+		return nil, errNoRouters
+	}
 	query := url.Values{"org": {organisation}, "model": {model}, "chat": {chat}, "class": {class}}
 	var failed error
 	for _, address := range c.Routers {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -236,3 +236,10 @@
 		}
 	}
 }
+
+// TestExplainWithoutRouters guards against a crash of a client that has no router to ask.
+func TestExplainWithoutRouters(t *testing.T) {
+	if e, err := (&Client{}).Explain(context.Background(), "o", "m", "c", ""); err == nil {
+		t.Errorf("explanation %v of no router", e)
+	}
+}
