Own product: routers keep to the rates that replicas of plain services state

A token is taken right before a call is sent, in repeats and hedges too; replicas without one are skipped, and if none is left the call is refused at once, not run, with a time. The stand-in service plays it.

--- a/entry/host.go
+++ b/entry/host.go
@@ -64,6 +64,7 @@
 	claims        *claimTable
 	streams       streamTable
 	retries       retries
+	rates         *serviceRates
 	// quarantine holds which messages of chats crash engines, as far as this router has seen.
 	quarantine *quarantine.Table
 	metrics    *operator.Metrics
@@ -94,6 +95,7 @@
 	group.Go(func() error { return h.watchHosts(background) })
 	group.Go(func() error { return h.pollLoads(background) })
 	group.Go(func() error { return h.runAdmission(background) })
+	group.Go(func() error { return h.broadcastRates(background) })
 	group.Go(func() error { return h.runEngineTasks(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error { return h.announceLeaving(ctx, background) })
@@ -184,6 +186,7 @@
 	h.node.HandleHealth(healthHandler{host: h})
 	h.registerPeerMetrics()
 	h.buildClaims()
+	h.buildRates()
 	return h.buildClients()
 }
 
--- a/entry/services.go
+++ b/entry/services.go
@@ -29,7 +29,8 @@
 	return s.callNonIdempotent(ctx, call, serviceRequest(call, false))
 }
 
-// orderedReplicas returns the service's replicas, those in the router's own zone first.
+// orderedReplicas returns the service's replicas that are within their request rates, those in the
+// router's own zone first.
 func (s *serviceHandler) orderedReplicas(call caller.ServiceCall) []document.Replica {
 	var inZone, otherZones []document.Replica
 	for _, r := range call.Service.Replicas() {
@@ -39,7 +40,7 @@
 			otherZones = append(otherZones, r)
 		}
 	}
-	return append(inZone, otherZones...)
+	return s.host.rates.within(append(inZone, otherZones...))
 }
 
 func serviceRequest(call caller.ServiceCall, idempotent bool) service.Request {
--- a/entry/servicesend.go
+++ b/entry/servicesend.go
@@ -22,7 +22,7 @@
 // callNonIdempotent sends a call that must not run twice. It is sent to another
 // replica only if it certainly did not run at the previous one.
 func (s *serviceHandler) callNonIdempotent(ctx context.Context, call caller.ServiceCall, req service.Request) (caller.ServiceAnswer, error) {
-	last := sendResult{err: noReplicasError(call)}
+	last := sendResult{err: s.noReplicasError(call)}
 	for n, replica := range s.orderedReplicas(call) {
 		if n > 0 && !s.consumeRetry(ctx, call) {
 			break
@@ -41,7 +41,7 @@
 func (s *serviceHandler) callIdempotent(ctx context.Context, call caller.ServiceCall) (caller.ServiceAnswer, error) {
 	replicas := s.orderedReplicas(call)
 	if len(replicas) == 0 {
-		return caller.ServiceAnswer{}, noReplicasError(call)
+		return caller.ServiceAnswer{}, s.noReplicasError(call)
 	}
 	var group errgroup.Group
 	defer func() { _ = group.Wait() }()
@@ -103,11 +103,16 @@
 
 // send sends the call to one replica.
 func (s *serviceHandler) send(ctx context.Context, replica document.Replica, req service.Request) sendResult {
-	response, err := s.host.serviceClient.Call(ctx, replica.Address(), req)
 	answer := caller.ServiceAnswer{Endpoint: replica.Address()}
+	if err := s.host.rates.take(replica); err != nil {
+		return sendResult{answer, err}
+	}
+	sentAt := s.host.Clock.Now()
+	response, err := s.host.serviceClient.Call(ctx, replica.Address(), req)
 	if err != nil {
 		return sendResult{answer, err}
 	}
+	s.host.recordRate(replica, response, sentAt)
 	if req.Fence != 0 && response.Status == http.StatusPreconditionFailed {
 		return sendResult{answer, fencedError()}
 	}
@@ -115,7 +120,11 @@
 	return sendResult{answer, nil}
 }
 
-func noReplicasError(call caller.ServiceCall) error {
+// noReplicasError returns the failure of a call for which no replica can be used.
+func (s *serviceHandler) noReplicasError(call caller.ServiceCall) error {
+	if s.host.rates != nil && len(call.Service.Replicas()) > 0 {
+		return s.host.rates.refusal(call)
+	}
 	return peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseNoEndpoint, "service %q has no replicas", call.Service.Name())
 }
 
--- a/service/call.go
+++ b/service/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -21,8 +22,12 @@
 	headerKey     = "Idempotency-Key"
 	headerFence   = "X-Fencing-Token"
 	headerVerdict = "X-Verdict"
+	headerRate    = "X-Request-Rate"
 )
 
+// maxRequestRate bounds the request rate that a replica may state, in requests a second.
+const maxRequestRate = 1 << 20
+
 // Request is one call to a plain service.
 type Request struct {
 	Method     string
@@ -47,6 +52,20 @@
 	Body   []byte
 }
 
+// RequestRate returns the number of requests a second that the replica accepts from all routers
+// together, and whether it limits them.
+func (r Response) RequestRate() (rate float64, limited bool, err error) {
+	text := r.Header.Get(headerRate)
+	if text == "" {
+		return 0, false, nil
+	}
+	rate, err = strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(rate) || rate < 0 || rate > maxRequestRate {
+		return 0, false, errors.Newf("%s is %q, want a number from 0 to %d", headerRate, text, maxRequestRate)
+	}
+	return rate, true, nil
+}
+
 // Call sends one request and reads its complete answer. The error is a
 // *peridotusher.Failure. If the connection broke inside the body, the Response
 // holds the part of the body that arrived.
--- a/standin/service.go
+++ b/standin/service.go
@@ -38,6 +38,7 @@
 	truncateAnswer int
 	refuse         bool
 	silent         bool
+	rate           string // accepted requests a second that answers state; "" without a limit
 }
 
 // serviceOutcome is the way in which a call is answered or fails.
@@ -67,6 +68,10 @@
 // SetSilent makes the service run calls and never answer them.
 func (s *Service) SetSilent(on bool) { s.change(func(f *serviceFaults) { f.silent = on }) }
 
+// LimitRate makes answers state a number of requests a second that the service accepts; ""
+// ends the limit.
+func (s *Service) LimitRate(rate string) { s.change(func(f *serviceFaults) { f.rate = rate }) }
+
 // change edits the faults.
 func (s *Service) change(edit func(*serviceFaults)) {
 	s.mu.Lock()
@@ -117,6 +122,9 @@
 	}
 	status, answer, outcome := s.run(r, body)
 	defer s.finish()
+	if rate := s.rate(); rate != "" {
+		w.Header().Set("X-Request-Rate", rate)
+	}
 	switch outcome {
 	case serviceRefuse:
 		engineRefuse(w)
@@ -138,6 +146,13 @@
 	}
 }
 
+// rate returns the request rate that answers state.
+func (s *Service) rate() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.rate
+}
+
 // finish records the end of a call.
 func (s *Service) finish() {
 	s.mu.Lock()
