--- a/entry/servicerates.go
+++ b/entry/servicerates.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
@@ -108,18 +107,18 @@
 	}
 	after := s.limiter.RetryAfter(call.Service.Name(), hashes)
 	f := peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "all replicas of service %q are at their request rates", call.Service.Name())
-	return f.WithRetryAfter(time.Duration(math.Ceil(after.Seconds())) * time.Second)
+	return f.WithRetryAfter(after)
 }
 
-// record records what an answer says about the rate that its replica accepts, and publishes it if it
+// recordRate records what an answer says about the rate that its replica accepts, and publishes it if it
 // is new.
 func (h *Host) recordRate(r document.Replica, response service.Response, sentAt time.Time) {
-	rate, limited, err := response.RequestRate()
-	if err != nil {
-		h.Log.WithError(err).WithField("endpoint", r.Address()).Warn("malformed request rate")
+	if h.rates == nil {
 		return
 	}
-	if h.rates == nil {
+	rate, limited, err := response.RequestRate()
+	if err != nil {
+		h.Log.WithError(err).WithField("endpoint", r.Address()).Debug("malformed request rate")
 		return
 	}
 	news := h.rates.table.Record(ratelimit.Answer{Replica: replicaHash(r), Rate: rate, Limited: limited, SentAt: sentAt})
