Heartbeats name one request rate a second, within their budget

Cause: eight statements in each heartbeat while replicas name limits take 9,828 bytes a second with seven other routers, 6,144 allowed (TestHeartbeatBandwidth with limits in its heartbeat failed).

Change: news are forwarded at once as before; a heartbeat repeats one statement, once a second, which is 119 bytes a second there. A router that has started still gets all with the list. TestPackagesDoNotUseTimeOfDay looks at package ratelimit too.

--- a/edge/clock_test.go
+++ b/edge/clock_test.go
@@ -15,7 +15,7 @@
 		"../edge/clock.go":        2, // the start of the monotonic clock, and the incarnation
 		"../eventlog/eventlog.go": 1, // timestamps of log lines
 	}
-	for _, dir := range []string{"edge", "mesh", "relay", "replicas", "placing", "overload", "budget", "routing", "platform", "eventlog", "httpserve", "pause"} {
+	for _, dir := range []string{"edge", "mesh", "relay", "replicas", "placing", "overload", "ratelimit", "budget", "routing", "platform", "eventlog", "httpserve", "pause"} {
 		files, err := filepath.Glob("../" + dir + "/*.go")
 		if err != nil || len(files) == 0 {
 			t.Fatalf("%s has no files: %v", dir, err)
--- a/edge/ratelimit.go
+++ b/edge/ratelimit.go
@@ -1,6 +1,14 @@
 package edge
 
-import "peridotusher.example/peridotusher/ratelimit"
+import (
+	"time"
+
+	"peridotusher.example/peridotusher/ratelimit"
+)
+
+// limitsInterval is the time between two heartbeats that name request rates. News are forwarded at
+// once; heartbeats only repeat them for routers that missed some.
+const limitsInterval = time.Second
 
 // initRateLimits sets up the limits for the request rates that replicas state.
 func (r *Router) initRateLimits() {
@@ -17,6 +25,21 @@
 	r.publishLimits(from, r.rateLimits.Merge(limits))
 }
 
+// dueLimits returns the request rates for a heartbeat, which are sent once in limitsInterval.
+func (r *Router) dueLimits() []ratelimit.Statement {
+	now := r.clock.Now()
+	r.mu.Lock()
+	due := now.Sub(r.limitsSentAt) >= limitsInterval
+	if due {
+		r.limitsSentAt = now
+	}
+	r.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return r.rateLimits.Recent(maxLimits)
+}
+
 // publishLimits logs request rates that are new to this router, and publishes them.
 func (r *Router) publishLimits(from string, news []ratelimit.Statement) {
 	for _, s := range news {
--- a/edge/router.go
+++ b/edge/router.go
@@ -111,6 +111,7 @@
 	failingCalls map[string]bool // kinds of store calls whose last call failed
 	loggedKeys   map[string]bool // malformed keys that were logged
 	quarantined  []string        // parts of the quarantine's rules as logged last
+	limitsSentAt time.Time       // when a heartbeat last named request rates
 }
 
 // Run serves until ctx ends and then stops gracefully.
--- a/edge/state.go
+++ b/edge/state.go
@@ -19,7 +19,7 @@
 	maxChanges = 32
 	maxReports = 16
 	maxCrashes = 6
-	maxLimits  = 8
+	maxLimits  = 1
 )
 
 // minUpdateTTL is the minimum time for which updates are published. It spans several heartbeats,
@@ -49,7 +49,7 @@
 	h.Changes = r.table.RecentChanges(maxChanges, min(ttl, maxChangesTTL))
 	h.Evacuations = r.evacuations()
 	h.Crashes = r.quarantine.Recent(maxCrashes)
-	h.Limits = r.rateLimits.Recent(maxLimits)
+	h.Limits = r.dueLimits()
 	h.Settled = r.settled.Load()
 	h.Reads = r.reads.Own()
 	h.Delta = r.directory.Recent(ttl)
--- a/mesh/heartbeat_test.go
+++ b/mesh/heartbeat_test.go
@@ -56,7 +56,7 @@
 }
 
 // TestHeartbeatBandwidth checks the bandwidth of heartbeats in a fleet of typical size: a router with a
-// dozen requests a second and seven other routers may send 6 KB of heartbeats a second.
+// dozen requests a second, replicas with limits and seven other routers may send 6 KB of heartbeats a second.
 func TestHeartbeatBandwidth(t *testing.T) {
 	const others, budget = 7, 6 << 10
 	h := Heartbeat{
@@ -68,6 +68,8 @@
 		h.Counts = append(h.Counts, replicas.Count{Replica: 1<<31 + uint32(i), Held: 1, Good: 300, Bad: 3})
 	}
 	perSecond := float64(others*(len(h.marshal())+datagramOverhead)) / heartbeatInterval.Seconds()
+	limit := []ratelimit.Statement{{Replica: 1 << 31, Rate: 2.5, Limited: true, Age: time.Second}}
+	perSecond += float64(others * len(appendLimits(nil, heartbeatLimit, limit))) // in one heartbeat a second
 	if perSecond > budget {
 		t.Errorf("heartbeats take %.0f bytes a second, want at most %d", perSecond, budget)
 	}
