--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 REVIEW_ROOT=$(cd ../.. && pwd)
 export REVIEW_ROOT
-exec "$REVIEW_ROOT/target/review-rig" other-writer record.txt
+exec "$REVIEW_ROOT/target/review-rig" hup-in-stop record.txt
--- a/review/rig/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command rig runs a case of the review: a small fleet of the project's routers as separate processes
+// Command platform runs a case of the review: a small fleet of the project's routers as separate processes
 // between stand-ins for the platform, the replicas and the consumers.
 //
 // It exits with 1 if the rule was broken, with 0 if it held and with 2 if the case could not run.
