--- a/review/platform/hupinstop.go
+++ b/review/platform/hupinstop.go
@@ -11,7 +11,7 @@
 func init() { cases["hup-in-stop"] = hupInStop }
 
 // hupInStop stops one of three routers with SIGTERM while it forwards answers, and tells it 4.5 s
-// later with SIGHUP that its settings file has changed.
+// later with SIGHUP that its settings file has changed. The others get none.
 func hupInStop(rec *recorder, trouble bool) (string, error) {
 	f, err := newFleet(rec)
 	if err != nil {
@@ -60,11 +60,10 @@
 	time.Sleep(4500 * time.Millisecond)
 	if trouble {
 		f.writeSettings(stopped, "\n") // the changed settings
-		for _, r := range f.routers {
-			if !r.hasExited() {
-				r.signal(syscall.SIGHUP)
-			}
+		if stopped.hasExited() {
+			return "", fmt.Errorf("%s ended before the SIGHUP", stopped.name)
 		}
+		stopped.signal(syscall.SIGHUP)
 	}
 	wg.Wait()
 	select {
