Handle SIGHUP from a router's start to its end

Cause: a signal without a handler has its default action, which for SIGHUP is to end the process. The handler existed only while the settings file was followed: from a few milliseconds after the start until the listener was closed, 3.4 s after SIGTERM, though requests go on for up to 4 s more. Ruled out: the reload (the file is not read at that time, and the process ends by the signal, not by a panic) and the handler of SIGTERM (it stays registered until the process exits).

Change: package signals registers the handler when it is initialized, before main and most other packages, and never removes it. The router is given the channel; the follower compares with the text that its settings came from. `serve` logs the signal. Commands that serve no requests keep the default action. loadtest ends its routers on SIGHUP, as they no longer end by themselves. New log line: signal.

Measured: TestHangupEndsNoRequest failed before (the process ended while it read its settings) and passes, also with the race detector.

--- a/cmd/loadtest/main.go
+++ b/cmd/loadtest/main.go
@@ -31,7 +31,8 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	// The routers that it starts outlive SIGHUP, so that signal has to end them too.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	if err := command().Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -31,6 +31,7 @@
 	"github.com/urfave/cli/v3"
 
 	"peridotusher.example/peridotusher/ini"
+	"peridotusher.example/peridotusher/signals"
 )
 
 // The exit codes.
@@ -61,20 +62,7 @@
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return cli.Exit(err, exitInvalid)
 		},
-		Commands: []*cli.Command{
-			demoCommand(),
-			serveCommand(),
-			platformCommand(),
-			checkCommand(),
-			statusCommand(),
-			explainCommand(),
-			accountCommand(),
-			drainCommand(),
-			reportCommand(),
-			configCommand(),
-			planCommand(),
-			rolloutCommand(),
-		},
+		Commands: append(routerCommands(), toolCommands()...),
 	}
 	err := root.Run(ctx, args)
 	if err == nil {
@@ -90,6 +78,34 @@
 	return exitFailure
 }
 
+// routerCommands returns the commands that run a router until SIGTERM. No other signal that has a
+// handler ends them.
+func routerCommands() []*cli.Command {
+	return []*cli.Command{serveCommand(), platformCommand()}
+}
+
+// toolCommands returns the commands that SIGHUP ends, as when their terminal is closed.
+func toolCommands() []*cli.Command {
+	commands := []*cli.Command{
+		demoCommand(),
+		checkCommand(),
+		statusCommand(),
+		explainCommand(),
+		accountCommand(),
+		drainCommand(),
+		reportCommand(),
+		configCommand(),
+		planCommand(),
+		rolloutCommand(),
+	}
+	for _, c := range commands {
+		c.Before = func(ctx context.Context, _ *cli.Command) (context.Context, error) {
+			return ctx, signals.RestoreHangup()
+		}
+	}
+	return commands
+}
+
 // printProblems prints the problems found in a file to standard error. It returns an error with
 // exitInvalid, nil if there are no problems.
 func printProblems(cmd *cli.Command, problems []ini.Problem) error {
--- a/cmd/peridotusher/platform.go
+++ b/cmd/peridotusher/platform.go
@@ -12,6 +12,7 @@
 	"peridotusher.example/peridotusher/edge"
 	"peridotusher.example/peridotusher/eventlog"
 	"peridotusher.example/peridotusher/platform"
+	"peridotusher.example/peridotusher/signals"
 )
 
 // heapGrowth is the GOGC percentage. It is below the default of 100, because on small hosts
@@ -22,7 +23,7 @@
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "run one router on a platform with a store of its own, until SIGTERM",
-		Description: "SIGTERM ends the requests in flight and exits with 0.\n" +
+		Description: "SIGTERM ends the requests in flight and exits with 0. SIGHUP reads the settings again.\n" +
 			"Example: peridotusher platform --settings edge.ini",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this process", Required: true, Sources: cli.EnvVars("PERIDOTUSHER_CONFIG")},
@@ -50,7 +51,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return log.Run(logCtx) })
 	router := &edge.Router{
-		Settings: cfg, SettingsPath: path, Source: store, Decode: platform.DecodeDocument,
+		Settings: cfg, SettingsPath: path, Hangup: signals.Hangup(), Source: store, Decode: platform.DecodeDocument,
 		Dialect: platform.Dialect{}, Log: log, SharesCapacity: platform.SharesCapacity,
 	}
 	if metricsPort != "" {
--- a/cmd/peridotusher/serve.go
+++ b/cmd/peridotusher/serve.go
@@ -9,13 +9,14 @@
 
 	"peridotusher.example/peridotusher/entry"
 	"peridotusher.example/peridotusher/settings"
+	"peridotusher.example/peridotusher/signals"
 )
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run one router until SIGTERM",
-		Description: "SIGTERM ends the requests in flight and exits with 0.\n" +
+		Description: "SIGTERM ends the requests in flight and exits with 0. SIGHUP is ignored: new settings require a restart.\n" +
 			"Example: peridotusher serve --settings router.ini",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this process", Required: true},
@@ -47,6 +48,7 @@
 	}
 	defer cleanup()
 	host.PeerVersion = protocol
+	host.Hangup = signals.Hangup()
 	host.Caller, err = net.Listen("tcp", cfg.Caller().Listen())
 	if err != nil {
 		return err
--- a/edge/reload.go
+++ b/edge/reload.go
@@ -4,34 +4,27 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 )
 
 // reloadInterval is the interval at which the settings file is checked for changes.
 const reloadInterval = 2 * time.Second
 
-// followSettings applies changes of the settings file until ctx ends, on SIGHUP at once. Seeds
-// and bounds change; the other settings require a restart.
+// followSettings applies changes of the settings file until ctx ends, at once if Hangup receives a
+// signal. Seeds and bounds change; the other settings require a restart.
 func (r *Router) followSettings(ctx context.Context) error {
 	if r.SettingsPath == "" {
 		return nil
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	tick := time.NewTicker(reloadInterval)
 	defer tick.Stop()
-	loaded, err := os.ReadFile(r.SettingsPath)
-	if err != nil {
-		r.Log.Event("reload", "path", r.SettingsPath, "error", err)
-	}
+	loaded := r.Settings.text
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case s := <-r.Hangup:
+			r.Log.Event("signal", "name", s.String())
 		case <-tick.C:
 		}
 		r.countWakeUp("settings")
--- a/edge/router.go
+++ b/edge/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -61,7 +62,10 @@
 	Settings *Settings
 	// SettingsPath is the settings file, which is watched for changes; "" for none.
 	SettingsPath string
-	Source       Source
+	// Hangup receives a signal when the settings file has changed; nil for no signals.
+	Hangup <-chan os.Signal
+
+	Source Source
 	// Decode parses the source text of a configuration.
 	Decode  func(source []byte) (*routing.Document, error)
 	Dialect relay.Dialect
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -15,6 +15,8 @@
 	bounds boundSection
 
 	admission admissionSection
+
+	text []byte // from which the settings were parsed
 }
 
 type routerSection struct {
@@ -128,7 +130,7 @@
 // Parse parses the text of a settings file.
 func Parse(name string, text []byte) (*Settings, []ini.Problem) {
 	file, problems := ini.Read(name, text)
-	s := &Settings{}
+	s := &Settings{text: text}
 	ini.Defaults(admissionFields, &s.admission) // most files lack this section
 	problems = append(problems, file.Decode(map[string]ini.Kind{
 		"router": sectionKind(routerFields, &s.router),
--- a/entry/host.go
+++ b/entry/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -47,7 +48,8 @@
 	Clock         peridotusher.Clock
 	Log           logrus.FieldLogger
 	Seed          uint64
-	StreamSecret  string // signs event ids; streams cannot be resumed if empty
+	StreamSecret  string           // signs event ids; streams cannot be resumed if empty
+	Hangup        <-chan os.Signal // SIGHUP, which is logged only; nil for none
 
 	source        *config.Source
 	built         atomic.Bool
@@ -99,6 +101,7 @@
 	group.Go(func() error { return h.runEngineTasks(background) })
 	group.Go(func() error { return h.operatorServer().Run(background) })
 	group.Go(func() error { return h.announceLeaving(ctx, background) })
+	group.Go(func() error { return h.logHangups(background) })
 	group.Go(func() error {
 		defer stopBackground()
 		return h.serveCallers(ctx, background)
@@ -136,6 +139,18 @@
 	return err
 }
 
+// logHangups logs SIGHUP until ctx ends. It changes nothing, since new settings require a restart.
+func (h *Host) logHangups(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-h.Hangup:
+			h.Log.WithField("signal", s.String()).Warn("signal ignored: a restart applies new settings")
+		}
+	}
+}
+
 // announceLeaving announces to the other routers that this one is stopping when
 // ctx ends, unless the background tasks end first.
 func (h *Host) announceLeaving(ctx, background context.Context) error {
