Keep routers running when the reader of their log has ended

What callers see: a router whose standard output or error is a pipe ends with its next log line once the reader is gone, and cuts off all answers in flight.

Cause: the same as of SIGHUP, a signal without a handler. A write to a broken pipe on descriptor 1 or 2 raises SIGPIPE, which ends a Go process by default. SIGQUIT and SIGABRT still end a router with a dump of its goroutines, since that is what they are sent for.

Change: `serve` and `platform` ignore SIGPIPE, so that the write fails and the line is lost. The other commands keep the default action, as their output may go through a pager.

--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -81,7 +81,14 @@
 // routerCommands returns the commands that run a router until SIGTERM. No other signal that has a
 // handler ends them.
 func routerCommands() []*cli.Command {
-	return []*cli.Command{serveCommand(), platformCommand()}
+	commands := []*cli.Command{serveCommand(), platformCommand()}
+	for _, c := range commands {
+		c.Before = func(ctx context.Context, _ *cli.Command) (context.Context, error) {
+			signals.IgnoreBrokenPipe()
+			return ctx, nil
+		}
+	}
+	return commands
 }
 
 // toolCommands returns the commands that SIGHUP ends, as when their terminal is closed.
--- a/cmd/peridotusher/signals_test.go
+++ b/cmd/peridotusher/signals_test.go
@@ -60,7 +60,7 @@
 }
 
 // TestOnlyStopSignalsEndRouters guards against routers that a signal without a handler ends, with
-// their requests in flight.
+// their requests in flight. SIGPIPE also comes from a write to a log whose reader has ended.
 func TestOnlyStopSignalsEndRouters(t *testing.T) {
 	binary, err := testbed.Build(t.Context(), t.TempDir())
 	if err != nil {
@@ -69,6 +69,7 @@
 	signals := map[string][]syscall.Signal{
 		"hangup": {syscall.SIGHUP, syscall.SIGHUP},
 		"others": {syscall.SIGPIPE, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGIO, syscall.SIGPWR},
+		"log":    nil,
 	}
 	for _, command := range []string{"serve", "platform"} {
 		for name, sent := range signals {
@@ -80,6 +81,9 @@
 				}
 				t.Cleanup(func() { _ = log.Close() })
 				t.Cleanup(func() { _ = r.Close() })
+				if name == "log" {
+					_ = r.Close()
+				}
 				process, wait := startRouter(t, binary, command, log)
 				for _, s := range sent {
 					_ = process.Signal(s) // wait reports a process that has ended
--- a/signals/signals.go
+++ b/signals/signals.go
@@ -1,14 +1,16 @@
 // Package signals keeps the operating system's signals from ending a router process that has
-// requests in flight. A signal without a handler has its default action, and that of SIGHUP is to
-// end the process. A router therefore handles it from its start to its end, also while it stops.
+// requests in flight. A signal without a handler has its default action: SIGHUP ends the process,
+// and so does SIGPIPE, which a write to a log without a reader raises. A router therefore handles
+// both from its start to its end, also while it stops.
 //
 // # Usage
 //
+//	signals.IgnoreBrokenPipe()
 //	for range signals.Hangup() {
 //		reload()
 //	}
 //
-// A command that serves no requests keeps the default action:
+// A command that serves no requests keeps the default actions:
 //
 //	err := signals.RestoreHangup()
 package signals
@@ -45,3 +47,7 @@
 		return nil
 	}
 }
+
+// IgnoreBrokenPipe makes writes to standard output and standard error fail if their reader has
+// ended. By default such a write ends the process.
+func IgnoreBrokenPipe() { signal.Ignore(syscall.SIGPIPE) }
