Limit what answers of services take, each and together

What callers see: an endpoint that sends a head or a body without end takes 10 MB for a head and 16 MB for a body, and as much again for garbage, for each call; 60 calls took 772 MB. The process runs out of memory, and the requests of all other clients end with it.

Cause: each answer was read up to a limit of its own, whatever others had in memory, and the limits were those of the largest answer that any endpoint may give: 16 MB for a load report of an engine too.

Change: heads have 64 KB and 256 names at most (short names take twenty times their size). All answers that are being read share 32 MB; beyond that the largest one of the endpoint with most memory is given up, so that sound answers of others arrive. Reports, orders and states of engines have 256 KB at most.

Measured: TestEndlessAnswersShareMemory: the heap grows by 772 MB without the shared limit, by 86 to 93 MB with it (128 MB allowed), and 137 to 144 sound answers of 1 MB arrive meanwhile.

--- a/engine/client.go
+++ b/engine/client.go
@@ -19,6 +19,9 @@
 	defaultIdleTimeout   = 30 * time.Second
 )
 
+// maxAnswerBytes is the largest answer to a call that returns no cached prefix.
+const maxAnswerBytes = 256 << 10
+
 // Options are the settings of a Client. A zero duration takes its default.
 type Options struct {
 	DialTimeout   time.Duration
--- a/service/call.go
+++ b/service/call.go
@@ -43,6 +43,8 @@
 	// OwnConnection sends an idempotent call on a connection of its own, like all others. On a
 	// shared one a late copy of an earlier answer may be taken for the answer to this call.
 	OwnConnection bool
+
+	AnswerLimit int64 // largest answer body in bytes, Options.AnswerLimit if zero
 }
 
 // Response is the answer to a call.
@@ -70,7 +72,9 @@
 // *peridotusher.Failure. If the connection broke inside the body, the Response
 // holds the part of the body that arrived.
 func (c *Client) Call(ctx context.Context, address string, r Request) (Response, error) {
-	req, err := r.httpRequest(ctx, address)
+	reading, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	req, err := r.httpRequest(reading, address)
 	if err != nil {
 		return Response{}, peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseBadRequest, err)
 	}
@@ -79,10 +83,13 @@
 		return Response{}, sendFailure(ctx, written, err)
 	}
 	defer resp.Body.Close()
+	if err := CheckHead(resp); err != nil {
+		return Response{}, peridotusher.FailWith(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, err)
+	}
 	if f := Refusal(resp); f != nil {
 		return Response{}, f
 	}
-	body, err := c.readBody(resp.Body)
+	body, err := c.readBody(address, resp.Body, r, cancel)
 	if err == nil && endedWithEndpoint(ctx, address, r, resp) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -138,16 +145,24 @@
 	return resp, connected.Load(), err
 }
 
-// readBody reads the body. It fails if the body is longer than Options.AnswerLimit.
-func (c *Client) readBody(body io.Reader) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, c.opts.AnswerLimit+1))
-	if err != nil {
-		return b, err
+// readBody reads the body of an answer within the limits of its size and of the memory for answers.
+// cancel cancels the call.
+func (c *Client) readBody(address string, body io.Reader, r Request, cancel context.CancelCauseFunc) ([]byte, error) {
+	limit := c.opts.AnswerLimit
+	if r.AnswerLimit > 0 {
+		limit = r.AnswerLimit
 	}
-	if int64(len(b)) > c.opts.AnswerLimit {
-		return nil, errors.Newf("answer is longer than %d bytes", c.opts.AnswerLimit)
+	answer := &answerReader{body: body, address: address, limit: limit, memory: c.memory, cancel: cancel}
+	defer c.memory.add(answer)()
+	return answer.readAll()
+}
+
+// CheckHead returns an error if the head of an answer has more names than an endpoint would send.
+func CheckHead(resp *http.Response) error {
+	if n := len(resp.Header); n > maxHeaderFields {
+		return errors.Newf("head has %d names, %d allowed", n, maxHeaderFields)
 	}
-	return b, nil
+	return nil
 }
 
 // Refusal returns a Failure if the answer states that the endpoint refused the
--- a/service/client.go
+++ b/service/client.go
@@ -15,6 +15,14 @@
 	defaultHeaderTimeout = 30 * time.Second
 	defaultIdleTimeout   = 10 * time.Second
 	defaultAnswerLimit   = 16 << 20 // bytes
+	defaultAnswerMemory  = 32 << 20 // bytes
+)
+
+const (
+	// MaxHeadBytes is the largest head of an answer, including the informational ones before it.
+	MaxHeadBytes = 64 << 10
+	// maxHeaderFields limits the names in a head. Short ones take many times their size in memory.
+	maxHeaderFields = 256
 )
 
 // Options are the settings of a Client. A zero field takes its default.
@@ -23,6 +31,7 @@
 	HeaderTimeout time.Duration // wait for the answer's header after the request was written
 	IdleTimeout   time.Duration // how long an unused connection stays open
 	AnswerLimit   int64         // largest answer body in bytes
+	AnswerMemory  int64         // limit in bytes of all answers that are being read
 }
 
 // Client calls plain services.
@@ -30,11 +39,12 @@
 	opts   Options
 	dialer net.Dialer
 	pooled *http.Transport // for idempotent calls only
+	memory *answerMemory
 }
 
 // New returns a Client and a function that closes its idle connections.
 func New(opts Options) (*Client, func(), error) {
-	if opts.DialTimeout < 0 || opts.HeaderTimeout < 0 || opts.IdleTimeout < 0 || opts.AnswerLimit < 0 {
+	if opts.DialTimeout < 0 || opts.HeaderTimeout < 0 || opts.IdleTimeout < 0 || opts.AnswerLimit < 0 || opts.AnswerMemory < 0 {
 		return nil, nil, errors.New("service: negative option")
 	}
 	if opts.DialTimeout == 0 {
@@ -49,12 +59,17 @@
 	if opts.AnswerLimit == 0 {
 		opts.AnswerLimit = defaultAnswerLimit
 	}
-	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout}}
+	if opts.AnswerMemory == 0 {
+		opts.AnswerMemory = defaultAnswerMemory
+	}
+	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout}, memory: newAnswerMemory(opts.AnswerMemory)}
 	c.pooled = &http.Transport{
 		DialContext:           c.dialer.DialContext,
 		DisableCompression:    true,
 		IdleConnTimeout:       opts.IdleTimeout,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
+
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 	return c, c.pooled.CloseIdleConnections, nil
 }
@@ -74,6 +89,8 @@
 		DisableCompression:    true,
 		DisableKeepAlives:     true,
 		ResponseHeaderTimeout: c.opts.HeaderTimeout,
+
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 	return t, g
 }
