Limit what a router reads and keeps of an engine's answer

What callers see: an engine that sends a head without end takes the whole memory of the router that reads it: 1.5 GB in five seconds with six such engines, of 30 MB at usual load. All requests of the process end with it.

Cause: the reader of streams and of cache events passed the connection to http.ReadResponse, which limits neither a head nor the number of informational answers before it. Besides, comments and repeated events were skipped without end, for which idle time-outs never expire, and the text of an answer was kept without limit, so that another engine could continue it.

Change: a head has 64 KB and 256 names at most, an event 256 KB (1 MB before, as in relay). At most 4 MB are skipped between two events that are of use. An answer of more than 1 MB of text is not kept, and cannot be continued.

--- a/engine/cache.go
+++ b/engine/cache.go
@@ -77,6 +77,7 @@
 			Gap:      data.Sequence != after+1,
 		}
 		after = data.Sequence
+		events.accept()
 		if err := fn(event); err != nil {
 			return err
 		}
--- a/engine/events.go
+++ b/engine/events.go
@@ -10,8 +10,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventBytes is the largest server-sent event in bytes.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the largest server-sent event in bytes.
+	maxEventBytes = 256 << 10
+	// maxSkippedBytes limits the comments and the events that are of no use between two that are.
+	maxSkippedBytes = 4 << 20
+)
 
 // streamBufferBytes is the size of each buffer of a stream in bytes. Most events are smaller.
 const streamBufferBytes = 1 << 10
@@ -19,6 +23,9 @@
 // errEventTooLong is the error of an event over maxEventBytes.
 var errEventTooLong = errors.Newf("event is longer than %d bytes", maxEventBytes)
 
+// errNoEvent is the error of a stream without any event of use in maxSkippedBytes.
+var errNoEvent = errors.Newf("no event of use in %d bytes", maxSkippedBytes)
+
 // rawEvent is one server-sent event.
 type rawEvent struct {
 	id   string
@@ -28,8 +35,9 @@
 // eventReader splits a body into server-sent events. Comment lines yield no event,
 // but onLine is called for them too, so that they count as activity.
 type eventReader struct {
-	r      *bufio.Reader
-	onLine func() // called after every line
+	r       *bufio.Reader
+	onLine  func() // called after every line
+	skipped int    // bytes read since the last call of accept
 }
 
 // newEventReader returns a reader of body that calls onLine after every line.
@@ -48,6 +56,10 @@
 			return rawEvent{}, err
 		}
 		e.onLine()
+		e.skipped += len(line) + 1
+		if e.skipped > maxSkippedBytes {
+			return rawEvent{}, errNoEvent
+		}
 		size += len(line)
 		if len(line) == 0 {
 			if event.data != nil {
@@ -60,6 +72,9 @@
 	}
 }
 
+// accept records that the event that next returned is of use.
+func (e *eventReader) accept() { e.skipped = 0 }
+
 // add adds one line to the event.
 func (ev *rawEvent) add(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
--- a/engine/partial.go
+++ b/engine/partial.go
@@ -19,6 +19,10 @@
 	template       chunkTemplate
 }
 
+// maxPartialBytes is the longest text in bytes that another engine can continue. It limits the memory
+// of an answer that does not end.
+const maxPartialBytes = 1 << 20
+
 // partialChunk holds the fields of a chunk that a Partial reads.
 type partialChunk struct {
 	ID      json.RawMessage `json:"id"`
@@ -32,8 +36,7 @@
 // Add records one delivered chunk.
 func (p *PartialAnswer) Add(data []byte) {
 	if text, ok := p.template.text(data); ok {
-		p.text.Write(text)
-		p.textChunks++
+		p.addText(text)
 		return
 	}
 	var c partialChunk
@@ -55,6 +58,19 @@
 	}
 }
 
+// addText records the text of a chunk, unless the answer cannot be continued any more.
+func (p *PartialAnswer) addText(text []byte) {
+	p.textChunks++
+	if p.text.Len()+len(text) > maxPartialBytes {
+		p.notContinuable = true
+	}
+	if p.notContinuable {
+		p.text.Reset()
+		return
+	}
+	p.text.Write(text)
+}
+
 func (p *PartialAnswer) addDelta(delta map[string]json.RawMessage) {
 	for name, value := range delta {
 		switch name {
@@ -66,8 +82,7 @@
 				continue
 			}
 			if text != "" {
-				p.text.WriteString(text)
-				p.textChunks++
+				p.addText([]byte(text))
 			}
 		default:
 			p.notContinuable = p.notContinuable || string(value) != "null"
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -133,6 +133,7 @@
 			s.client.discard(DiscardEarly)
 			return Event{}, s.failWith(peridotusher.CauseEndpointError, errors.Wrapf(ErrMisplacedEvent, "id %q", raw.id))
 		default:
+			s.events.accept()
 			s.nextOffset++
 			s.receivedEvent = true
 			return Event{id: raw.id, stream: stream, offset: offset, data: raw.data}, nil
@@ -163,7 +164,7 @@
 		err = errIdle
 		cause = peridotusher.CauseEndpointLost
 	}
-	if errors.Is(err, errEventTooLong) {
+	if errors.Is(err, errEventTooLong) || errors.Is(err, errNoEvent) {
 		cause = peridotusher.CauseEndpointError
 	}
 	return s.failWith(cause, err)
@@ -202,7 +203,7 @@
 // CancelStream asks the engine to stop the stream of the given id. A stream that
 // the engine no longer knows counts as canceled.
 func (c *Client) CancelStream(ctx context.Context, address, id string) error {
-	r := service.Request{Method: http.MethodDelete, Path: "/v1/streams/" + id, Idempotent: true}
+	r := service.Request{Method: http.MethodDelete, Path: "/v1/streams/" + id, Idempotent: true, AnswerLimit: maxAnswerBytes}
 	resp, err := c.plain.Call(ctx, address, r)
 	if err != nil {
 		return err
--- a/engine/unpooled.go
+++ b/engine/unpooled.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/service"
 )
 
 // unpooledTransport sends each request on a new connection, in the calling
@@ -48,18 +50,43 @@
 func exchange(conn net.Conn, req *http.Request) (*http.Response, error) {
 	req.Close = true
 	written := req.Write(conn)
-	r := bufio.NewReaderSize(conn, streamBufferBytes)
+	limited := &headReader{Reader: conn, remaining: service.MaxHeadBytes}
+	r := bufio.NewReaderSize(limited, streamBufferBytes)
 	for {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
 			return nil, errors.CombineErrors(written, err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			limited.inBody = true
+			return resp, service.CheckHead(resp)
 		}
 	}
 }
 
+// errHeadTooLong is the error of an answer whose head exceeds service.MaxHeadBytes.
+var errHeadTooLong = errors.Newf("head is longer than %d bytes", service.MaxHeadBytes)
+
+// headReader limits the bytes that are read before the body of an answer.
+type headReader struct {
+	io.Reader
+	remaining int
+	inBody    bool
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(b []byte) (int, error) {
+	if h.inBody {
+		return h.Reader.Read(b)
+	}
+	if h.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.Reader.Read(b)
+	h.remaining -= n
+	return n, err
+}
+
 // unpooledBody is an answer's body whose Close closes the connection.
 type unpooledBody struct {
 	io.ReadCloser
