Refuse heads of more than 256 names from replicas

Cause: a head of 64 KB may hold 11,600 short names, and takes 1 MB in memory for as long as its answer is forwarded. A replica that sends such a head and a body without end kept it from each request there.

Change: a head with more than 256 names is no answer; another replica is tried as for a broken one.

Measured: the new case of TestAnswersWithoutEnd failed before (64 MB were read and forwarded, one replica was tried) and passes.

--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -74,6 +75,10 @@
 	const refusal = "HTTP/1.1 503 Busy\r\nId: ID\r\nNot-Run: 1\r\n"
 	const failure = "HTTP/1.1 500 Oops\r\nId: ID\r\nSignature: s\r\n"
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	names := ""
+	for i := range 1000 {
+		names += fmt.Sprintf("%x:\r\n", i)
+	}
 	tests := []struct {
 		name, text, filler string
 		route              routing.Route
@@ -82,6 +87,7 @@
 		{"no answer", "", "z", idempotent},
 		{"head line", "HTTP/1.1 200 OK\r\nA: ", "a", idempotent},
 		{"head lines", "HTTP/1.1 200 OK\r\n", "A: aaaaaaaaaaaaaaaaaaaaaaaaaa\r\n", idempotent},
+		{"head of many names", "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n" + names + chunked, "8\r\naaaaaaaa\r\n", idempotent},
 		{"informational answers", "", "HTTP/1.1 102 Wait\r\n\r\n", idempotent},
 		{"stray answer", "HTTP/1.1 200 OK\r\nId: 99\r\nSignature: s\r\n" + chunked, "8\r\naaaaaaaa\r\n", idempotent},
 		{"refusal of a length", refusal + "Content-Length: 99999999999\r\n\r\n", "a", idempotent},
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -29,6 +29,8 @@
 	// body of an answer to another request.
 	maxHeadBytes  = 64 << 10
 	maxStrayBytes = 256 << 10
+	// maxHeaderFields limits the names in a head. Short ones take many times their size in memory.
+	maxHeaderFields = 256
 	// headReadTimeout limits the time from the first byte of a head to its last one.
 	headReadTimeout = 2 * time.Second
 	// maxDrainBytes and drainTimeout limit the reading of a body that is not forwarded. If it is
@@ -192,6 +194,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if n := len(resp.Header); n > maxHeaderFields {
+			return nil, errors.Newf("head has %d names, %d allowed", n, maxHeaderFields)
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
