Believe no answer without the request's id on a kept connection

What callers saw: a replica sends bytes after a complete answer, in the form of a 503 without an id. With a 421 in that form a request ran twice.

Cause: an unsigned answer without an id was taken for the request's own, on any connection.

Change: on a connection that had an answer before, one without the id is skipped like any other stray answer, and the request's own is awaited. A new connection has no earlier answer: there a refusal without an id is believed as before, but any other unsigned answer without an id is a broken one. Its status is not passed on.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -62,6 +62,7 @@
 	// connection open.
 	idleSince time.Time
 	keepAlive time.Duration
+	hadAnswer bool // whether an earlier answer was read from it
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -39,6 +39,9 @@
 	drainTimeout  = 100 * time.Millisecond
 )
 
+// errNoID means that an answer lacks the request's id.
+var errNoID = errors.New("an answer without the request's id")
+
 // outgoing is a request as it is sent to a replica.
 type outgoing struct {
 	id            string
@@ -166,7 +169,11 @@
 			return err
 		}
 		reply := d.ReadReply(resp)
-		if reply.ID == out.id || reply.ID == "" && (reply.NotRun || reply.Misdirected || !reply.Signed) {
+		own, err := x.belongsTo(out, reply)
+		if err != nil {
+			return err
+		}
+		if own {
 			x.resp, x.reply = resp, reply
 			x.conn.unlimitBytes()
 			return x.conn.setReadTimeout(0, nil)
@@ -183,6 +190,21 @@
 	return errors.Newf("more than %d answers to other requests", maxStrayAnswers)
 }
 
+// belongsTo reports whether an answer belongs to the request. One without an id may be bytes that the
+// replica sent after an earlier answer on the connection. On a new connection it can only be the
+// answer to this request, but is no proper one unless it promises that the request has not run.
+func (x *exchange) belongsTo(out outgoing, reply Reply) (bool, error) {
+	switch {
+	case reply.ID == out.id:
+		return true, nil
+	case reply.ID != "" || reply.Signed || x.conn.hadAnswer:
+		return false, nil
+	case reply.NotRun || reply.Misdirected:
+		return true, nil
+	}
+	return false, errNoID
+}
+
 // readFinalHead reads the head of an answer and skips informational ones.
 func (x *exchange) readFinalHead(req *http.Request, out outgoing) (*http.Response, error) {
 	x.conn.limitBytes(maxHeadBytes)
@@ -252,6 +274,7 @@
 			keepAlive = replicaKeepAlive(x.resp)
 		}
 		x.awaitWriter()
+		x.conn.hadAnswer = true
 		x.pool.put(x.replica, x.conn, keepAlive)
 	})
 }
