Deliver what a client has not read when its connection is closed

Cause: connections carry TCP_USER_TIMEOUT of 2.5 s, which the kernel applies to a client that does not read, too. It is lifted once a second for such clients while their connection is open. A stopping router closes each connection behind its answer; from then on nothing lifts the time-out, and the kernel drops what it has yet to deliver. The same holds for each other close behind an answer, as of `Connection: close`.

Change: the time-out is extended to 15 s when a connection with data that may not have been acknowledged is closed. A dead client's data is kept that long; its descriptor is free at once.

--- a/relay/acktimeout.go
+++ b/relay/acktimeout.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
@@ -72,6 +74,20 @@
 	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, limit)
 }
 
+// closedAckTimeout replaces unackedTimeout when a connection is closed. The kernel then delivers what
+// is left, but nobody can lift the timeout any more for a client that pauses.
+const closedAckTimeout = 15 * time.Second
+
+// extendAckTimeout prepares a connection with data that may not have been acknowledged for its close.
+func (c *clientConn) extendAckTimeout() {
+	if c.raw == nil || !c.mayBeUnacked.Load() {
+		return
+	}
+	_ = c.raw.Control(func(fd uintptr) { // fails only if it is closed
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(closedAckTimeout.Milliseconds()))
+	})
+}
+
 // isWindowClosed reports whether the client has acknowledged everything sent and accepts no more
 // data.
 func isWindowClosed(info *unix.TCPInfo) bool { return info.Unacked == 0 && info.Notsent_bytes > 0 }
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -179,6 +179,7 @@
 	if c.buffer != nil {
 		c.buffer.removeConn(c)
 	}
+	c.extendAckTimeout()
 	return c.Conn.Close()
 }
 
--- a/relay/slow_test.go
+++ b/relay/slow_test.go
@@ -270,6 +270,22 @@
 	}
 }
 
+// TestClosedConnectionIsReadLate guards against answers that the kernel drops because their client
+// does not read for a while, after the router has closed the connection behind them.
+func TestClosedConnectionIsReadLate(t *testing.T) {
+	t.Parallel()
+	const size = 500_000 // fits into the socket buffers
+	b, log := newSlowFixture(t, longAnswerRoute, smallBound, 0, sizedAnswer)
+	c := b.slowClient(slowRequest{id: "1", size: size, framing: "length"})
+	await(t, "the answer in the socket buffers", func() bool { return len(b.requests()) == 1 && b.proxy.Active() == 0 })
+	b.proxy.Stop(StopPolicy{AcceptAllUntil: time.Now()})
+	b.stop()
+	time.Sleep(4 * time.Second)
+	if got, complete := readAll(c, 0); got != size || !complete {
+		t.Errorf("%d of %d bytes, complete %v; %v", got, size, complete, log.all())
+	}
+}
+
 // TestFastReaderNeedsNoBuffer has a client read long answers at once: nothing is buffered for it.
 func TestFastReaderNeedsNoBuffer(t *testing.T) {
 	b, _ := newSlowFixture(t, longAnswerRoute, smallBound, 0, sizedAnswer)
