Take an answer for complete whose replica exits as planned

What callers saw: a replica that exits as planned ends its answers, which have neither length nor chunks, with their connections, and is gone.

Cause: behind such an answer the router connects to the replica, and takes the answer for broken off if the replica has ended, as after a crash, whose connections the kernel closes in order, too.

Change: a replica that has been leaving, or removed, for at least the drain time exits as planned; its end breaks off no answer. A stream that ends inside an event is still broken off, and so is an answer of a replica that ends before its drain time is over, or without having left.

What remains: a crash after the drain time can't be told from an exit.

--- a/edge/router.go
+++ b/edge/router.go
@@ -186,6 +186,7 @@
 		SlowStart: r.slowStart, RateLimit: r.rateLimiter, RecordRate: r.recordRate, Burn: r.burn, SuccessTarget: func() float64 { return r.bounds.Load().successTarget },
 		Quarantine: sharedQuarantine{r}, Directory: r.directory, Reads: r.reads, BroadcastReads: r.node.Broadcast, MarkLeaving: r.markLeaving,
 		CacheHolders: r.queryHolders, PublishPlacements: r.publishPlacements,
+		DrainTime:     func() time.Duration { return r.bounds.Load().drainTime },
 		MaxLoadFactor: s.bounds.maxLoadFactor, Gate: overload.NewGate(r.clock),
 		BodyMemory:     int64(s.router.memoryMB) * megabyte / bodyMemoryDivisor,
 		AnswerMemory:   int64(s.router.memoryMB) * megabyte / answerMemoryDivisor,
--- a/relay/framing.go
+++ b/relay/framing.go
@@ -30,7 +30,15 @@
 
 // endedWithReplica reports whether a body that ended with its connection was broken off by the end
 // of the replica, since the kernel closes the connections of a process that has crashed in order.
-// The check opens a connection, which takes the place of the one that is lost.
+// A replica that has been leaving for longer than it goes on serving exits as planned, after it has
+// ended its answers. The check opens a connection, which takes the place of the one that is lost.
 func (t *task) endedWithReplica(ctx context.Context, x *exchange) bool {
-	return !isDelimited(x.resp) && t.proxy.hasEnded(ctx, x.replica)
+	if isDelimited(x.resp) {
+		return false
+	}
+	f := t.proxy
+	if leaving := x.replica.LeavingFor(f.Clock.Now()); leaving > 0 && f.DrainTime != nil && leaving >= f.DrainTime() {
+		return false
+	}
+	return f.hasEnded(ctx, x.replica)
 }
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -96,6 +96,9 @@
 	// KeepAliveTimeout is the keep-alive timeout that answers announce to clients, in whole seconds. 0
 	// announces none.
 	KeepAliveTimeout time.Duration
+	// DrainTime returns how long a replica serves at least after it has announced that it is leaving;
+	// nil if that is not known.
+	DrainTime func() time.Duration
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 )
 
@@ -109,6 +111,49 @@
 	}
 }
 
+// TestPlannedExitEndsAnswers guards against answers with neither length nor chunks that are cut off
+// because their replica has exited behind them as planned. Before its drain time is over, or without an
+// announcement, its end is a crash.
+func TestPlannedExitEndsAnswers(t *testing.T) {
+	const plainHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\n"
+	two := event(1) + event(2)
+	long := strings.Repeat("a", 2*maxBufferedAnswer)
+	tests := []struct {
+		name     string
+		route    routing.Route
+		answer   string
+		body     string
+		drain    time.Duration
+		complete bool
+	}{
+		{"stream", streaming, closeHead + two, two, time.Millisecond, true},
+		{"stream inside an event", streaming, closeHead + two + half, two, time.Millisecond, false},
+		{"stream before the end of the drain time", streaming, closeHead + two, two, time.Minute, false},
+		{"answer", nonIdempotent, plainHead + "hello", "hello", time.Millisecond, true},
+		{"long answer", nonIdempotent, plainHead + long, long, time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b *fixture
+			b = newFixture(t, tt.route, func(c net.Conn, r *http.Request, body string) bool {
+				replica, _ := b.proxy.Table.Find(replicas.HashOf("a", 0))
+				b.proxy.Table.MarkLeaving(replica)
+				time.Sleep(10 * time.Millisecond)
+				b.closeListener("a")
+				return respond(tt.answer, false)(c, r, body)
+			})
+			b.proxy.DrainTime = func() time.Duration { return tt.drain }
+			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+			if resp == nil || resp.StatusCode != http.StatusOK || complete != tt.complete {
+				t.Errorf("answer = %v, complete %v, want %v", resp, complete, tt.complete)
+			}
+			if diff := cmp.Diff(tt.body, body); diff != "" {
+				t.Errorf("body (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestStreamClosedBeforeFirstEventFails guards against an empty answer that looks complete.
 func TestStreamClosedBeforeFirstEventFails(t *testing.T) {
 	b := newFixture(t, streaming, respond(closeHead, false))
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -176,6 +176,16 @@
 	}
 }
 
+// LeavingFor returns for how long the replica has been leaving or removed; 0 if it is neither.
+func (r *Replica) LeavingFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leavingSince.IsZero() {
+		return 0
+	}
+	return now.Sub(r.leavingSince)
+}
+
 // isSource reports whether other replicas can still fetch cached parts (shared prompt
 // prefixes) from this one.
 func (r *Replica) isSource(now time.Time) bool {
