Drop only the text beyond the limit of an answer that goes on

Since the text of an answer that cannot be continued for another reason was dropped, too. TestPartialWithChunkTemplate failed for that when a chunk's keys were read in another order (1 of 2 runs of engine; the order is that of a map).

--- a/engine/partial.go
+++ b/engine/partial.go
@@ -58,15 +58,13 @@
 	}
 }
 
-// addText records the text of a chunk, unless the answer cannot be continued any more.
+// addText records the text of a chunk. Text beyond maxPartialBytes is dropped, and the answer cannot
+// be continued any more.
 func (p *PartialAnswer) addText(text []byte) {
 	p.textChunks++
 	if p.text.Len()+len(text) > maxPartialBytes {
 		p.notContinuable = true
-	}
-	if p.notContinuable {
 		p.text.Reset()
-		return
 	}
 	p.text.Write(text)
 }
