--- a/answertest/endless_test.go
+++ b/answertest/endless_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,52 +11,30 @@
 
 	"peridotusher.example/peridotusher/hosts"
 	"peridotusher.example/peridotusher/soak"
+	"peridotusher.example/peridotusher/standin"
 	"peridotusher.example/peridotusher/testbed"
 )
 
-// startEndlessEngine starts an engine that answers each connection with a text and then with a filler
-// until the other side closes, and returns its address.
-func startEndlessEngine(t *testing.T, text, filler string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var group errgroup.Group
-	t.Cleanup(func() { _ = group.Wait() }) // the functions return no errors
-	t.Cleanup(func() { _ = l.Close() })
-	block := strings.Repeat(filler, 1+(64<<10)/len(filler))
-	group.Go(func() error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			group.Go(func() error {
-				defer c.Close()
-				_, _ = c.Read(make([]byte, 4<<10)) // the request
-				_, err := io.WriteString(c, text)
-				for err == nil {
-					_, err = io.WriteString(c, block)
-					time.Sleep(time.Millisecond)
-				}
-				return nil
-			})
-		}
-	})
-	return l.Addr().String()
-}
-
 // TestEndlessEnginesLeaveMemory guards against a router process that keeps what engines send without
 // end, in a head or a body, and runs out of memory. Requests must be served meanwhile.
 func TestEndlessEnginesLeaveMemory(t *testing.T) {
 	const maxResident = 256 << 20 // of a router, by the users' target
 	bed := start(t, testbed.Options{Zones: []string{"a"}, RoutersPerZone: 1, EnginesPerZone: 2})
 	const ok = "HTTP/1.1 200 OK\r\n"
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	t.Cleanup(func() { _ = group.Wait() }) // its functions return no errors
+	t.Cleanup(cancel)
 	for i, answer := range [][2]string{
 		{"", "z"}, {ok + "A: ", "a"}, {ok, "A: aaaaaaaaaaaaa\r\n"}, {"", "HTTP/1.1 102 Wait\r\n\r\n"}, {ok + "\r\n", "a"}, {ok + "\r\n", ": a\n\n"},
 	} {
-		if err := bed.List(fmt.Sprintf("endless-%d", i), hosts.KindEngine, "a", startEndlessEngine(t, answer[0], answer[1])); err != nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := &standin.Endless{Listener: l, Text: answer[0], Filler: answer[1]}
+		group.Go(func() error { return e.Run(ctx) })
+		if err := bed.List(fmt.Sprintf("endless-%d", i), hosts.KindEngine, "a", l.Addr().String()); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,46 +14,28 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/engine"
 	"peridotusher.example/peridotusher/service"
+	"peridotusher.example/peridotusher/standin"
 )
 
 // maxEndlessBytes is how many bytes an endless answer has at most, in case that they are all read.
 const maxEndlessBytes = 96 << 20
 
-// startEndless starts an endpoint that answers each request with a text, and then with a filler
-// until the other side closes, slowly enough for socket buffers to stay almost empty. It returns its
-// address and the number of filler bytes sent.
-func startEndless(t *testing.T, text, filler string) (address string, sent *atomic.Int64) {
+// startEndless starts an endpoint that answers with a text and then with a filler without end.
+func startEndless(t *testing.T, text, filler string) *standin.Endless {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	sent = new(atomic.Int64)
+	e := &standin.Endless{Listener: l, Text: text, Filler: filler, MaxBytes: maxEndlessBytes}
+	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
-	t.Cleanup(func() { _ = group.Wait() }) // the functions return no errors
-	t.Cleanup(func() { _ = l.Close() })
-	block := strings.Repeat(filler, 1+(64<<10)/len(filler))
-	group.Go(func() error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			group.Go(func() error {
-				defer c.Close()
-				_, _ = c.Read(make([]byte, 4<<10)) // the request
-				_, err := io.WriteString(c, text)
-				for err == nil && sent.Load() < maxEndlessBytes {
-					var n int
-					n, err = io.WriteString(c, block)
-					sent.Add(int64(n))
-					time.Sleep(time.Millisecond)
-				}
-				return nil
-			})
-		}
+	group.Go(func() error { return e.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait() // its function returns no error
 	})
-	return l.Addr().String(), sent
+	return e
 }
 
 // endlessCalls are the calls to an engine or a service, each with the limit in bytes of its answer's
@@ -139,10 +119,10 @@
 		for _, tt := range tests {
 			t.Run(name+" "+tt.name, func(t *testing.T) {
 				t.Parallel()
-				address, sent := startEndless(t, tt.text, tt.filler)
+				e := startEndless(t, tt.text, tt.filler)
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
-				err := call.call(ctx, newClient(t, waitLimit), address)
+				err := call.call(ctx, newClient(t, waitLimit), e.Listener.Addr().String())
 				if err == nil || ctx.Err() != nil {
 					t.Errorf("the call ended with %v", err)
 				}
@@ -150,7 +130,7 @@
 				if !tt.inHead {
 					limit = call.body
 				}
-				if n := sent.Load(); n > limit+maxSockets {
+				if n := e.Sent(); n > limit+maxSockets {
 					t.Errorf("%d KB were read, %d KB allowed besides %d KB in socket buffers", n>>10, limit>>10, maxSockets>>10)
 				}
 			})
@@ -165,8 +145,8 @@
 		names += fmt.Sprintf("%x:\r\n", i)
 	}
 	for name, call := range endlessCalls {
-		address, _ := startEndless(t, "HTTP/1.1 200 OK\r\nX-Stream-Id: s\r\n"+names+"\r\nid: s:0\ndata: x\n\nid: s:1\ndata: [DONE]\n\n", "a")
-		if err := call.call(testContext(t), newClient(t, waitLimit), address); err == nil || !strings.Contains(err.Error(), "names") {
+		e := startEndless(t, "HTTP/1.1 200 OK\r\nX-Stream-Id: s\r\n"+names+"\r\nid: s:0\ndata: x\n\nid: s:1\ndata: [DONE]\n\n", "a")
+		if err := call.call(testContext(t), newClient(t, waitLimit), e.Listener.Addr().String()); err == nil || !strings.Contains(err.Error(), "names") {
 			t.Errorf("%s ended with %v", name, err)
 		}
 	}
