Part the reading of an answer from the memory for answers

One concept a file; comments say what ends a router, and a head that is refused returns no answer besides its error.

--- a/cmd/peridotusher/main.go
+++ b/cmd/peridotusher/main.go
@@ -78,8 +78,8 @@
 	return exitFailure
 }
 
-// routerCommands returns the commands that run a router until SIGTERM. No other signal that has a
-// handler ends them.
+// routerCommands returns the commands that run a router until SIGTERM. Neither SIGHUP nor the end of
+// their log's reader ends them.
 func routerCommands() []*cli.Command {
 	commands := []*cli.Command{serveCommand(), platformCommand()}
 	for _, c := range commands {
--- a/engine/unpooled.go
+++ b/engine/unpooled.go
@@ -57,9 +57,12 @@
 		if err != nil {
 			return nil, errors.CombineErrors(written, err)
 		}
+		if err := service.CheckHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			limited.inBody = true
-			return resp, service.CheckHead(resp)
+			return resp, nil
 		}
 	}
 }
--- a/service/call.go
+++ b/service/call.go
@@ -153,7 +153,8 @@
 		limit = r.AnswerLimit
 	}
 	answer := &answerReader{body: body, address: address, limit: limit, memory: c.memory, cancel: cancel}
-	defer c.memory.add(answer)()
+	release := c.memory.add(answer)
+	defer release()
 	return answer.readAll()
 }
 
