Cut connections that the fault proxy is about to open

Cause: a connection that was accepted before Refuse was set, and reached its target after ResetConnections, lived through the cut. Two zones that a test cuts stayed connected by it.

Change: the fault is checked once more when the connection can be reset.

--- a/faultproxy/proxy.go
+++ b/faultproxy/proxy.go
@@ -126,7 +126,9 @@
 	l := &connection{client: client, server: server}
 	p.add(l)
 	defer p.remove(l)
-	if ctx.Err() != nil {
+	// ResetConnections may have missed it, but then Refuse was set before.
+	if ctx.Err() != nil || p.currentFault().Refuse {
+		l.reset()
 		return
 	}
 	var group errgroup.Group
--- a/faultproxy/proxy_test.go
+++ b/faultproxy/proxy_test.go
@@ -140,3 +140,24 @@
 		t.Errorf("healed connection: %v", err)
 	}
 }
+
+// TestCutSparesNoNewConnection guards against a connection that survives a cut, because it was
+// accepted before Refuse was set and reached the target after ResetConnections.
+func TestCutSparesNoNewConnection(t *testing.T) {
+	p := startEcho(t)
+	for range 300 {
+		p.Heal()
+		var conns [8]net.Conn
+		for i := range conns {
+			conns[i] = dial(t, p)
+		}
+		p.Set(Fault{Refuse: true})
+		p.ResetConnections()
+		for _, conn := range conns {
+			if got, err := echo(t, conn, "a", time.Second); err == nil {
+				t.Fatalf("a connection still echoes %q", got)
+			}
+			conn.Close()
+		}
+	}
+}
