State the limit of an engine's answers once

Four calls named it. The client's default is that limit now, and the one call with a larger answer, the export of a prefix, names its own. The answer to an import, of which nothing is read, has the smaller limit, too.

--- a/engine/cache.go
+++ b/engine/cache.go
@@ -91,6 +91,8 @@
 		Path:       "/cache/export",
 		Query:      url.Values{"chat": {string(chat)}}.Encode(),
 		Idempotent: true,
+
+		AnswerLimit: maxExportBytes,
 	})
 }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -19,8 +19,12 @@
 	defaultIdleTimeout   = 30 * time.Second
 )
 
-// maxAnswerBytes is the largest answer to a call that returns no cached prefix.
-const maxAnswerBytes = 256 << 10
+const (
+	// maxAnswerBytes is the largest answer to a call, except for an exported prefix.
+	maxAnswerBytes = 256 << 10
+	// maxExportBytes is the largest exported prefix.
+	maxExportBytes = 16 << 20
+)
 
 // Options are the settings of a Client. A zero duration takes its default.
 type Options struct {
@@ -55,6 +59,7 @@
 	plain, closePlain, err := service.New(service.Options{
 		DialTimeout:   opts.DialTimeout,
 		HeaderTimeout: opts.HeaderTimeout,
+		AnswerLimit:   maxAnswerBytes,
 	})
 	if err != nil {
 		return nil, nil, err
--- a/engine/load.go
+++ b/engine/load.go
@@ -82,7 +82,7 @@
 // Load requests an engine's load report.
 func (c *Client) Load(ctx context.Context, address string) (Report, error) {
 	var report Report
-	r := service.Request{Method: http.MethodGet, Path: "/load", Idempotent: true, AnswerLimit: maxAnswerBytes}
+	r := service.Request{Method: http.MethodGet, Path: "/load", Idempotent: true}
 	err := c.callJSON(ctx, address, r, &report.wire)
 	return report, err
 }
--- a/engine/order.go
+++ b/engine/order.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return OrderResult{}, peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseBadRequest, err)
 	}
-	r := service.Request{Method: http.MethodPost, Path: "/orders", Body: body, Fence: o.Fence, Check: o.Check, AnswerLimit: maxAnswerBytes}
+	r := service.Request{Method: http.MethodPost, Path: "/orders", Body: body, Fence: o.Fence, Check: o.Check}
 	var answer orderAnswer
 	if err := c.callJSON(ctx, address, r, &answer); err != nil {
 		return OrderResult{}, err
@@ -115,7 +115,7 @@
 // State requests an engine's state.
 func (c *Client) State(ctx context.Context, address string) (State, error) {
 	var state State
-	r := service.Request{Method: http.MethodGet, Path: "/orders", Idempotent: true, AnswerLimit: maxAnswerBytes}
+	r := service.Request{Method: http.MethodGet, Path: "/orders", Idempotent: true}
 	err := c.callJSON(ctx, address, r, &state.wire)
 	return state, err
 }
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -203,7 +203,7 @@
 // CancelStream asks the engine to stop the stream of the given id. A stream that
 // the engine no longer knows counts as canceled.
 func (c *Client) CancelStream(ctx context.Context, address, id string) error {
-	r := service.Request{Method: http.MethodDelete, Path: "/v1/streams/" + id, Idempotent: true, AnswerLimit: maxAnswerBytes}
+	r := service.Request{Method: http.MethodDelete, Path: "/v1/streams/" + id, Idempotent: true}
 	resp, err := c.plain.Call(ctx, address, r)
 	if err != nil {
 		return err
