--- a/engine/unpooled.go
+++ b/engine/unpooled.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"peridotusher.example/peridotusher/service"
+	"peridotusher.example/peridotusher/httphead"
 )
 
 // unpooledTransport sends each request on a new connection, in the calling
@@ -50,14 +50,14 @@
 func exchange(conn net.Conn, req *http.Request) (*http.Response, error) {
 	req.Close = true
 	written := req.Write(conn)
-	limited := &headReader{Reader: conn, remaining: service.MaxHeadBytes}
+	limited := &headReader{Reader: conn, remaining: httphead.MaxBytes}
 	r := bufio.NewReaderSize(limited, streamBufferBytes)
 	for {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
 			return nil, errors.CombineErrors(written, err)
 		}
-		if err := service.CheckHead(resp); err != nil {
+		if err := httphead.Check(resp); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
@@ -67,8 +67,8 @@
 	}
 }
 
-// errHeadTooLong is the error of an answer whose head exceeds service.MaxHeadBytes.
-var errHeadTooLong = errors.Newf("head is longer than %d bytes", service.MaxHeadBytes)
+// errHeadTooLong is the error of an answer whose head exceeds httphead.MaxBytes.
+var errHeadTooLong = errors.Newf("head is longer than %d bytes", httphead.MaxBytes)
 
 // headReader limits the bytes that are read before the body of an answer.
 type headReader struct {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/httphead"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -25,12 +26,8 @@
 	// maxStrayAnswers is the number of answers to other requests that are skipped before the one
 	// that belongs to the request.
 	maxStrayAnswers = 2
-	// maxHeadBytes limits a head including the informational answers before it, maxStrayBytes the
-	// body of an answer to another request.
-	maxHeadBytes  = 64 << 10
+	// maxStrayBytes limits the body of an answer to another request.
 	maxStrayBytes = 256 << 10
-	// maxHeaderFields limits the names in a head. Short ones take many times their size in memory.
-	maxHeaderFields = 256
 	// headReadTimeout limits the time from the first byte of a head to its last one.
 	headReadTimeout = 2 * time.Second
 	// maxDrainBytes and drainTimeout limit the reading of a body that is not forwarded. If it is
@@ -207,7 +204,7 @@
 
 // readFinalHead reads the head of an answer and skips informational ones.
 func (x *exchange) readFinalHead(req *http.Request, out outgoing) (*http.Response, error) {
-	x.conn.limitBytes(maxHeadBytes)
+	x.conn.limitBytes(httphead.MaxBytes)
 	for {
 		if err := x.awaitHead(out); err != nil {
 			return nil, err
@@ -216,8 +213,8 @@
 		if err != nil {
 			return nil, err
 		}
-		if n := len(resp.Header); n > maxHeaderFields {
-			return nil, errors.Newf("head has %d names, %d allowed", n, maxHeaderFields)
+		if err := httphead.Check(resp); err != nil {
+			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
--- a/service/call.go
+++ b/service/call.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/httphead"
 )
 
 // Headers of a call and its answer.
@@ -83,7 +84,7 @@
 		return Response{}, sendFailure(ctx, written, err)
 	}
 	defer resp.Body.Close()
-	if err := CheckHead(resp); err != nil {
+	if err := httphead.Check(resp); err != nil {
 		return Response{}, peridotusher.FailWith(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, err)
 	}
 	if f := Refusal(resp); f != nil {
@@ -158,14 +159,6 @@
 	return answer.readAll()
 }
 
-// CheckHead returns an error if the head of an answer has more names than an endpoint would send.
-func CheckHead(resp *http.Response) error {
-	if n := len(resp.Header); n > maxHeaderFields {
-		return errors.Newf("head has %d names, %d allowed", n, maxHeaderFields)
-	}
-	return nil
-}
-
 // Refusal returns a Failure if the answer states that the endpoint refused the
 // request before running it, else nil.
 func Refusal(resp *http.Response) *peridotusher.Failure {
--- a/service/client.go
+++ b/service/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/httphead"
 )
 
 // Defaults of Options.
@@ -18,13 +20,6 @@
 	defaultAnswerMemory  = 32 << 20 // bytes
 )
 
-const (
-	// MaxHeadBytes is the largest head of an answer, including the informational ones before it.
-	MaxHeadBytes = 64 << 10
-	// maxHeaderFields limits the names in a head. Short ones take many times their size in memory.
-	maxHeaderFields = 256
-)
-
 // Options are the settings of a Client. A zero field takes its default.
 type Options struct {
 	DialTimeout   time.Duration
@@ -69,7 +64,7 @@
 		IdleConnTimeout:       opts.IdleTimeout,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
 
-		MaxResponseHeaderBytes: MaxHeadBytes,
+		MaxResponseHeaderBytes: httphead.MaxBytes,
 	}
 	return c, c.pooled.CloseIdleConnections, nil
 }
@@ -90,7 +85,7 @@
 		DisableKeepAlives:     true,
 		ResponseHeaderTimeout: c.opts.HeaderTimeout,
 
-		MaxResponseHeaderBytes: MaxHeadBytes,
+		MaxResponseHeaderBytes: httphead.MaxBytes,
 	}
 	return t, g
 }
