--- a/relay/acktimeout.go
+++ b/relay/acktimeout.go
@@ -43,7 +43,7 @@
 	}
 	c.mayBeUnacked.Store(false) // before the check, so that no later write is missed
 	var unreachable error
-	err := c.raw.Control(func(fd uintptr) { unreachable = c.setAckTimeout(int(fd)) })
+	err := c.raw.Control(func(fd uintptr) { unreachable = c.setAckTimeout(fd) })
 	if err != nil {
 		return nil // the connection is closed
 	}
@@ -51,8 +51,8 @@
 }
 
 // setAckTimeout lifts or restores TCP_USER_TIMEOUT as the state of the socket requires.
-func (c *clientConn) setAckTimeout(fd int) error {
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+func (c *clientConn) setAckTimeout(fd uintptr) error {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
 		return nil // not a TCP connection
 	}
@@ -66,12 +66,12 @@
 	if windowClosed == c.noAckTimeout {
 		return nil
 	}
-	limit := 0
-	if !windowClosed {
-		limit = int(unackedTimeout.Milliseconds())
+	limit := unackedTimeout
+	if windowClosed {
+		limit = 0
 	}
 	c.noAckTimeout = windowClosed
-	return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, limit)
+	return setUserTimeout(fd, limit)
 }
 
 // closedAckTimeout replaces unackedTimeout when a connection is closed. The kernel then delivers what
@@ -83,9 +83,8 @@
 	if c.raw == nil || !c.mayBeUnacked.Load() {
 		return
 	}
-	_ = c.raw.Control(func(fd uintptr) { // fails only if it is closed
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(closedAckTimeout.Milliseconds()))
-	})
+	// Both fail only if it is closed.
+	_ = c.raw.Control(func(fd uintptr) { _ = setUserTimeout(fd, closedAckTimeout) })
 }
 
 // isWindowClosed reports whether the client has acknowledged everything sent and accepts no more
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -35,15 +35,18 @@
 // ControlSocket sets the TCP_USER_TIMEOUT of a socket, for which package net has no setting.
 func ControlSocket(_, _ string, c syscall.RawConn) error {
 	var set error
-	err := c.Control(func(fd uintptr) {
-		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
+	err := c.Control(func(fd uintptr) { set = setUserTimeout(fd, unackedTimeout) })
 	if err != nil {
 		return err
 	}
 	return set
 }
 
+// setUserTimeout sets the TCP_USER_TIMEOUT of a socket; 0 removes it.
+func setUserTimeout(fd uintptr, d time.Duration) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
 // errTooLong means that a replica sent more bytes than allowed where they are limited.
 var errTooLong = errors.New("more bytes than an answer has there")
 
