Share what tests of ends of streams and two readers of leaving had twice

isSource asks LeavingFor, which had the same check and lock. The head and the body of plain answers stand once in the tests; their assertions are the same.

--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -17,10 +17,15 @@
 const (
 	// closeHead is the head of a stream that ends with its connection.
 	closeHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+	// plainHead is the same for an answer that is no stream.
+	plainHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\n"
 	// half is an incomplete event.
 	half = "id: 3\nda"
 )
 
+// longBody is a body that is forwarded before it has ended.
+var longBody = strings.Repeat("a", 2*maxBufferedAnswer)
+
 // TestStreamEndedInsideEventIsBrokenOff guards against streams that are ended as complete though
 // their replica broke them off.
 func TestStreamEndedInsideEventIsBrokenOff(t *testing.T) {
@@ -69,9 +74,7 @@
 // TestAnswerThatEndsWithItsReplicaIsBrokenOff guards against answers with neither length nor chunks that
 // look complete because the connections of a crashed replica are closed in order.
 func TestAnswerThatEndsWithItsReplicaIsBrokenOff(t *testing.T) {
-	const plainHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\n"
 	two := event(1) + event(2)
-	long := strings.Repeat("a", 2*maxBufferedAnswer)
 	tests := []struct {
 		name     string
 		route    routing.Route
@@ -85,7 +88,7 @@
 		{"resumable stream", resumable, closeHead + two, resumeAfter, http.StatusOK, two + event(3) + event(4) + event(5), true},
 		{"answer", nonIdempotent, plainHead + "hel", nil, http.StatusBadGateway, "failed\n", true},
 		{"idempotent answer", idempotent, plainHead + "hel", respond(okAnswer, true), http.StatusOK, "hello", true},
-		{"long answer", nonIdempotent, plainHead + long, nil, http.StatusOK, long, false},
+		{"long answer", nonIdempotent, plainHead + longBody, nil, http.StatusOK, longBody, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -115,9 +118,7 @@
 // because their replica has exited behind them as planned. Before its drain time is over, or without an
 // announcement, its end is a crash.
 func TestPlannedExitEndsAnswers(t *testing.T) {
-	const plainHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\n\r\n"
 	two := event(1) + event(2)
-	long := strings.Repeat("a", 2*maxBufferedAnswer)
 	tests := []struct {
 		name     string
 		route    routing.Route
@@ -130,7 +131,7 @@
 		{"stream inside an event", streaming, closeHead + two + half, two, time.Millisecond, false},
 		{"stream before the end of the drain time", streaming, closeHead + two, two, time.Minute, false},
 		{"answer", nonIdempotent, plainHead + "hello", "hello", time.Millisecond, true},
-		{"long answer", nonIdempotent, plainHead + long, long, time.Millisecond, true},
+		{"long answer", nonIdempotent, plainHead + longBody, longBody, time.Millisecond, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -168,7 +169,6 @@
 func TestAbortedAnswerWithoutLengthIsReset(t *testing.T) {
 	const chunkedHead = "HTTP/1.1 200 OK\r\nId: ID\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 	two := event(1) + event(2)
-	long := strings.Repeat("a", 2*maxBufferedAnswer)
 	tests := []struct {
 		name     string
 		route    routing.Route
@@ -177,8 +177,8 @@
 	}{
 		{"stream", streaming, respond(streamHead+chunk(two)+chunk(""), false), true},
 		{"broken stream", streaming, respond(streamHead+chunk(two), false), false},
-		{"answer", nonIdempotent, respond(chunkedHead+chunk(long)+chunk(""), false), true},
-		{"broken answer", nonIdempotent, respond(chunkedHead+chunk(long), false), false},
+		{"answer", nonIdempotent, respond(chunkedHead+chunk(longBody)+chunk(""), false), true},
+		{"broken answer", nonIdempotent, respond(chunkedHead+chunk(longBody), false), false},
 	}
 	for _, buffered := range []int64{0, 1 << 20} {
 		for _, tt := range tests {
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -189,9 +189,7 @@
 // isSource reports whether other replicas can still fetch cached parts (shared prompt
 // prefixes) from this one.
 func (r *Replica) isSource(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.leavingSince.IsZero() || now.Sub(r.leavingSince) < sourceGracePeriod
+	return r.LeavingFor(now) < sourceGracePeriod
 }
 
 // outcomeSummary holds the decayed number of a replica's outcomes, their failure ratio, and
