--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -105,7 +105,8 @@
 
 // fixture is a router's proxy with scripted replicas.
 type fixture struct {
-	t *testing.T
+	grace time.Duration // of a stop
+	t     *testing.T
 	// id is the request id that unique inserts.
 	id    string
 	proxy *Proxy
@@ -165,7 +166,7 @@
 func newFixtureOn(t *testing.T, l net.Listener, change func(*Proxy), route routing.Route, scripts ...script) *fixture {
 	t.Helper()
 	clock := monotonicClock
-	b := &fixture{t: t, id: fmt.Sprint(os.Getpid(), "-", fixtureCount.Add(1)), counters: metrics.NewSet(), servers: make(map[string]*scriptedServer)}
+	b := &fixture{t: t, grace: time.Second, id: fmt.Sprint(os.Getpid(), "-", fixtureCount.Add(1)), counters: metrics.NewSet(), servers: make(map[string]*scriptedServer)}
 	table := replicas.NewTable(clock)
 	var entries []replicas.Entry
 	for i, s := range scripts {
@@ -195,7 +196,7 @@
 	b.url = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	b.stop = cancel
-	b.running.Go(func() error { return b.proxy.Run(ctx, l, func() time.Duration { return time.Second }) })
+	b.running.Go(func() error { return b.proxy.Run(ctx, l, func() time.Duration { return b.grace }) })
 	t.Cleanup(func() {
 		cancel()
 		if err := b.running.Wait(); err != nil {
--- /dev/null
+++ b/relay/pausedsocket_test.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// pastAckTimeout is longer than the kernel keeps a connection with data that is not accepted.
+const pastAckTimeout = unackedTimeout + 1500*time.Millisecond
+
+// TestReaderPausesLateInStop guards against answers that the kernel drops because their client pauses
+// after a stopping router has closed its listener, while their connections are still open.
+func TestReaderPausesLateInStop(t *testing.T) {
+	t.Parallel()
+	const size = 500_000 // fits into the socket buffers
+	late := make(chan struct{})
+	head := strings.Replace(plainHead, "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n", 1)
+	b, log := newSlowFixture(t, longAnswerRoute, smallBound, 0, func(c net.Conn, r *http.Request, body string) bool {
+		<-late
+		respond(head+chunk(strings.Repeat("a", size)), true)(c, r, body)
+		time.Sleep(pastAckTimeout)
+		return respond(chunk("the end")+chunk(""), false)(c, r, body)
+	})
+	b.grace = 2 * pastAckTimeout
+	c := b.slowClient(slowRequest{id: "1", framing: "chunked"})
+	await(t, "the request in flight", func() bool { return len(b.requests()) == 1 })
+	b.proxy.Stop(StopPolicy{AcceptAllUntil: time.Now()})
+	b.stop()
+	time.Sleep(200 * time.Millisecond)
+	close(late)
+	time.Sleep(pastAckTimeout)
+	if got, complete := readAll(c, 0); got != size+len("the end") || !complete {
+		t.Errorf("%d of %d bytes, complete %v; %v", got, size, complete, log.all())
+	}
+}
