Let replicas pause inside a body

Callers saw: 502 for a request with a long body whose replica pauses for more than 2.5 s before it has read the body, though its host answers; the request may run all the same, so that one that must not be repeated is lost. Cause: connections to replicas have the same TCP_USER_TIMEOUT as those of clients, but only for clients was it lifted while the peer's window is closed. Change: ackTimeout holds that logic for both. Ruled out: the store's client sends no bodies, and sessions between routers end after 1.5 s. Measured: TestReplicaPausesInBody got 502 in both cases before (1 MB, within the socket buffers, and 12 MB) and passes now.

--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -6,7 +6,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,7 +28,7 @@
 type clientConn struct {
 	net.Conn
 	buffer    *answerBuffer // nil: writes block until the client reads
-	raw       syscall.RawConn
+	acks      ackTimeout
 	onClose   func()
 	closeOnce sync.Once
 
@@ -39,9 +38,7 @@
 	rawWritten int
 	rawWrite   func(fd uintptr) bool
 
-	mayBeUnacked atomic.Bool // whether sent data may not have been acknowledged
-	noAckTimeout bool        // whether TCP_USER_TIMEOUT is lifted; used only by updateAckTimeout
-	draining     atomic.Bool // whether a goroutine writes buffered data; set with buffer.mu locked
+	draining atomic.Bool // whether a goroutine writes buffered data; set with buffer.mu locked
 	// endsAnswer is set while an answer is incomplete whose end is that of the connection.
 	endsAnswer atomic.Bool
 
@@ -60,11 +57,7 @@
 		}
 		return true // also if the socket buffer is full, so that it does not wait
 	}
-	if s, ok := c.(syscall.Conn); ok {
-		if raw, err := s.SyscallConn(); err == nil {
-			out.raw = raw
-		}
-	}
+	out.acks.init(c)
 	buffer.addConn(out)
 	return out
 }
@@ -96,7 +89,7 @@
 	if c.buffer == nil {
 		return c.Conn.Write(b)
 	}
-	c.mayBeUnacked.Store(true)
+	c.acks.mayBeUnacked.Store(true)
 	n := 0
 	if !c.draining.Load() {
 		n = c.writeNonblocking(b)
@@ -115,11 +108,11 @@
 // writeNonblocking writes what the socket accepts without blocking and returns the number of
 // bytes. An error shows up again in the next write.
 func (c *clientConn) writeNonblocking(b []byte) int {
-	if c.raw == nil {
+	if c.acks.raw == nil {
 		return 0
 	}
 	c.rawData, c.rawWritten = b, 0
-	_ = c.raw.Write(c.rawWrite) // the next write returns the same error
+	_ = c.acks.raw.Write(c.rawWrite) // the next write returns the same error
 	c.rawData = nil
 	return c.rawWritten
 }
@@ -179,7 +172,9 @@
 	if c.buffer != nil {
 		c.buffer.removeConn(c)
 	}
-	c.extendAckTimeout()
+	if !c.acks.isAcked() {
+		_ = c.acks.set(closedAckTimeout) // fails only if it is closed
+	}
 	return c.Conn.Close()
 }
 
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -66,6 +66,7 @@
 	idleSince time.Time
 	keepAlive time.Duration
 	hadAnswer bool // whether an earlier answer was read from it
+	acks      ackTimeout
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
@@ -75,6 +76,7 @@
 		return nil, err
 	}
 	out := &conn{Conn: c}
+	out.acks.init(c)
 	out.br = bufio.NewReaderSize(out, readBufferSize)
 	return out, nil
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -70,7 +70,9 @@
 
 	writer         errgroup.Group
 	requestWritten atomic.Bool // whether the complete request was written
-	endOnce        sync.Once
+	// stopWatchingAcks ends the watch of a long body's acknowledgements; nil for other requests.
+	stopWatchingAcks func()
+	endOnce          sync.Once
 	// stopWatching ends the watch for the end of the context. It returns false if the context had
 	// ended before.
 	stopWatching func() bool
@@ -148,6 +150,7 @@
 		x.requestWritten.Store(true)
 		return nil
 	}
+	x.stopWatchingAcks = x.pool.watchAcks(x.conn)
 	x.writer.Go(func() error {
 		_, err := x.conn.Write(out.body)
 		x.requestWritten.Store(err == nil)
@@ -267,7 +270,7 @@
 		// connection is not reused, so that nothing has to wait for the rest.
 		healthy := x.stopWatching() && x.requestWritten.Load()
 		keepAlive := time.Duration(0)
-		if healthy && isDelimited(x.resp) && x.reply.ID != "" && !x.skippedStray {
+		if healthy && isDelimited(x.resp) && x.reply.ID != "" && !x.skippedStray && x.isRequestAcked() {
 			keepAlive = replicaKeepAlive(x.resp)
 		}
 		x.awaitWriter()
@@ -276,6 +279,12 @@
 	})
 }
 
+// isRequestAcked reports whether the replica's host has received the complete request. Until then a
+// replica that reads the rest of a long body later would delay the next request.
+func (x *exchange) isRequestAcked() bool {
+	return x.stopWatchingAcks == nil || x.conn.acks.isAcked() && x.conn.acks.update() == nil
+}
+
 // abort ends the exchange immediately by resetting the connection.
 func (x *exchange) abort() {
 	x.endOnce.Do(func() {
@@ -287,6 +296,9 @@
 
 // awaitWriter waits for the writer of the body, which ends when the connection is closed.
 func (x *exchange) awaitWriter() {
+	if x.stopWatchingAcks != nil {
+		x.stopWatchingAcks()
+	}
 	if !x.requestWritten.Load() {
 		_ = x.conn.Close() // ends the writer
 	}
--- a/relay/pausedsocket_test.go
+++ b/relay/pausedsocket_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -36,3 +37,22 @@
 		t.Errorf("%d of %d bytes, complete %v; %v", got, size, complete, log.all())
 	}
 }
+
+// TestReplicaPausesInBody guards against requests that fail because the kernel gives up a connection
+// whose replica pauses before it has read the body.
+func TestReplicaPausesInBody(t *testing.T) {
+	t.Parallel()
+	for name, size := range map[string]int{"in the socket buffers": 1 << 20, "more than the socket buffers": 12 << 20} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b, log := newSlowFixture(t, longAnswerRoute, smallBound, 0, sizedAnswer)
+			b.proxy.Current.Load().Limits.BodyBytes = int64(size)
+			b.proxy.BodyMemory = 2 * int64(size)
+			raw := post(fmt.Sprintf("Pause: %v\r\nSize: 5\r\nFraming: length\r\nContent-Length: %d\r\n", pastAckTimeout, size), strings.Repeat("b", size))
+			resp, _, complete := b.send(strings.Replace(raw, "Patience: 2s", "Patience: 20s", 1))
+			if resp == nil || !complete || resp.StatusCode != http.StatusOK {
+				t.Errorf("the answer is %v; %v", resp, log.all())
+			}
+		})
+	}
+}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,11 +28,39 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by replica id, most recently used last
+	// sending are the connections on which long bodies are sent.
+	sending map[*conn]struct{}
 }
 
 // NewPool returns an empty Pool.
 func NewPool(clock peridotusher.Clock) *Pool {
-	return &Pool{clock: clock, idle: make(map[string][]*conn)}
+	return &Pool{clock: clock, idle: make(map[string][]*conn), sending: make(map[*conn]struct{})}
+}
+
+// watchAcks keeps the TCP_USER_TIMEOUT of a connection up to date while a long body is sent on it:
+// the replica may pause before it has read the body. The returned function ends that.
+func (p *Pool) watchAcks(c *conn) (stop func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sending[c] = struct{}{}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.sending, c)
+	}
+}
+
+// updateAckTimeouts updates the timeouts of the connections on which long bodies are sent and resets
+// those whose replica is unreachable.
+func (p *Pool) updateAckTimeouts() {
+	p.mu.Lock()
+	sending := slices.Collect(maps.Keys(p.sending))
+	p.mu.Unlock()
+	for _, c := range sending {
+		if c.acks.update() != nil {
+			c.reset() // a pending read or write ends with an error
+		}
+	}
 }
 
 // get returns an idle connection that is open and quiet, or a new one.
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -142,9 +142,7 @@
 	group.Go(func() error {
 		conns.run(connected, func() connLimits {
 			f.Metrics.countWakeUp("limits")
-			if buffer != nil {
-				buffer.updateAckTimeouts()
-			}
+			f.updateAckTimeouts()
 			return f.connLimits()
 		})
 		return nil
@@ -157,6 +155,15 @@
 	return group.Wait()
 }
 
+// updateAckTimeouts updates TCP_USER_TIMEOUT for the connections of clients and replicas with data that
+// may not have been acknowledged.
+func (f *Proxy) updateAckTimeouts() {
+	if buffer := f.answerBuffer.Load(); buffer != nil {
+		buffer.updateAckTimeouts()
+	}
+	f.Pool.updateAckTimeouts()
+}
+
 // shutdown waits for the requests in flight for at most the grace period, then aborts them.
 func (f *Proxy) shutdown(ctx context.Context, server *http.Server, grace time.Duration) error {
 	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
