Keep closed connections until their clients have received everything

A check of the timeouts at the moment of the close could also leave 2.5 s set. Change: a connection whose client has not acknowledged everything is half-closed and lingers: it is checked after 20 ms, then ever less often, with the timeout lifted for a client that pauses, and closed when all is received, after 15 s at most. A stop waits for that within its grace period.

--- a/relay/acktimeout.go
+++ b/relay/acktimeout.go
@@ -14,10 +14,6 @@
 // assumed to be unreachable.
 const maxUnansweredProbes = 3
 
-// closedAckTimeout replaces unackedTimeout when a connection is closed. The kernel then delivers what
-// is left, but nobody can lift the timeout any more for a client that pauses.
-const closedAckTimeout = 15 * time.Second
-
 var errPeerUnreachable = errors.New("the peer's host does not answer")
 
 // ackTimeout manages the TCP_USER_TIMEOUT of a connection. The kernel would close the connection after
--- a/relay/answerbuffer.go
+++ b/relay/answerbuffer.go
@@ -44,11 +44,12 @@
 	metrics  *Metrics
 	drainers errgroup.Group
 
-	mu      sync.Mutex
-	conns   map[*clientConn]struct{}
-	slow    map[*clientConn]struct{}
-	used    int64 // memory of the blocks of all clients, in bytes
-	stopped bool
+	mu        sync.Mutex
+	conns     map[*clientConn]struct{}
+	slow      map[*clientConn]struct{}
+	lingering map[*clientConn]*lingering
+	used      int64 // memory of the blocks of all clients, in bytes
+	stopped   bool
 }
 
 // bufferState is the state of one connection in the answer buffer.
@@ -67,7 +68,10 @@
 }
 
 func newAnswerBuffer(clock peridotusher.Clock, bound int64, log Log, metrics *Metrics) *answerBuffer {
-	m := &answerBuffer{clock: clock, bound: bound, log: log, metrics: metrics, conns: make(map[*clientConn]struct{}), slow: make(map[*clientConn]struct{})}
+	m := &answerBuffer{
+		clock: clock, bound: bound, log: log, metrics: metrics,
+		conns: make(map[*clientConn]struct{}), slow: make(map[*clientConn]struct{}), lingering: make(map[*clientConn]*lingering),
+	}
 	metrics.registerSlowClients(m)
 	return m
 }
@@ -307,12 +311,19 @@
 	return c.buffered.err
 }
 
-// awaitEmpty waits until the buffer is empty or ctx ends.
+// isEmpty reports whether clients have received everything that was written for them.
+func (m *answerBuffer) isEmpty() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.slow) == 0 && len(m.lingering) == 0
+}
+
+// awaitEmpty waits until the buffer is empty and no connection lingers, or ctx ends.
 func (m *answerBuffer) awaitEmpty(ctx context.Context) {
 	tick := time.NewTicker(emptyCheckInterval)
 	defer tick.Stop()
 	for {
-		if slow, _ := m.stats(); slow == 0 {
+		if m.isEmpty() {
 			return
 		}
 		select {
@@ -323,7 +334,7 @@
 	}
 }
 
-// stop aborts the answers that are still buffered.
+// stop aborts the answers that are still buffered and closes the connections that linger.
 func (m *answerBuffer) stop() {
 	m.mu.Lock()
 	m.stopped = true
@@ -331,5 +342,6 @@
 		m.abort(c, "stop", errStopped)
 	}
 	m.mu.Unlock()
+	m.endLingering()
 	_ = m.drainers.Wait() // its functions return no error
 }
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -159,7 +159,7 @@
 func (c *clientConn) Close() error {
 	if c.endsAnswer.Load() {
 		c.reset()
-		return c.closeNow()
+		return c.release()
 	}
 	if c.buffer != nil && c.buffer.deferClose(c) {
 		return nil
@@ -167,14 +167,20 @@
 	return c.closeNow()
 }
 
+// closeNow closes the connection, or lingers if the client has not acknowledged everything.
 func (c *clientConn) closeNow() error {
+	if c.buffer != nil && c.buffer.linger(c) {
+		return nil
+	}
+	return c.release()
+}
+
+// release closes the connection at once.
+func (c *clientConn) release() error {
 	c.closeOnce.Do(c.onClose)
 	if c.buffer != nil {
 		c.buffer.removeConn(c)
 	}
-	if !c.acks.isAcked() {
-		_ = c.acks.set(closedAckTimeout) // fails only if it is closed
-	}
 	return c.Conn.Close()
 }
 
--- a/relay/pausedsocket_test.go
+++ b/relay/pausedsocket_test.go
@@ -38,6 +38,37 @@
 	}
 }
 
+// TestStopAwaitsDelivery guards against answers that are lost with a router's process or its network
+// namespace, because it ends before their clients have received what the kernel holds for them.
+func TestStopAwaitsDelivery(t *testing.T) {
+	t.Parallel()
+	const size = 500_000 // fits into the socket buffers
+	b, log := newSlowFixture(t, longAnswerRoute, smallBound, 0, sizedAnswer)
+	b.grace = 2 * pastAckTimeout
+	c := b.slowClient(slowRequest{id: "1", size: size, framing: "length"})
+	await(t, "the answer in the socket buffers", func() bool { return len(b.requests()) == 1 && b.proxy.Active() == 0 })
+	b.proxy.Stop(StopPolicy{AcceptAllUntil: time.Now()})
+	b.stop()
+	ended := make(chan error, 1)
+	b.group.Go(func() error {
+		ended <- b.running.Wait()
+		return nil
+	})
+	select {
+	case err := <-ended:
+		t.Fatalf("the router ended before the answer was read: %v", err)
+	case <-time.After(pastAckTimeout):
+	}
+	if got, complete := readAll(c, 0); got != size || !complete {
+		t.Errorf("%d of %d bytes, complete %v; %v", got, size, complete, log.all())
+	}
+	select {
+	case <-ended:
+	case <-time.After(2 * maxLingerInterval):
+		t.Error("the router goes on after the answer was read")
+	}
+}
+
 // TestReplicaPausesInBody guards against requests that fail because the kernel gives up a connection
 // whose replica pauses before it has read the body.
 func TestReplicaPausesInBody(t *testing.T) {
