Mark no zone unreachable because replicas exit as planned

Replicas that are leaving counted too, so that a release of two replicas in a zone looked like its partition. Change: replicas that are leaving neither count nor mark others. Measured: in TestPlannedExitsMarkNoZone none of the two other replicas was reachable before.

--- a/replicas/reachability.go
+++ b/replicas/reachability.go
@@ -35,6 +35,7 @@
 // MarkUnreachable marks a replica unreachable after a failed connection: it gets no requests
 // until a connection succeeds. If several replicas of a zone are unreachable, the zone is
 // probably partitioned, so its other replicas are marked too unless they answered recently.
+// Replicas that are leaving say nothing about their zone, since they exit as planned.
 // It returns all replicas that the call marked.
 func (t *Table) MarkUnreachable(r *Replica) []*Replica {
 	unreachable := t.markUnreachable(r)
@@ -67,12 +68,12 @@
 	if r.markUnreachable(now, coldDuration, true) {
 		unreachable = append(unreachable, r)
 	}
-	if r.Zone() == "" {
+	if r.Zone() == "" || r.LeavingFor(now) > 0 {
 		return unreachable
 	}
 	inZone := 0
 	t.ForEach(func(other *Replica) {
-		if other.Zone() == r.Zone() && other.Unreachable() {
+		if other.Zone() == r.Zone() && other.Unreachable() && other.LeavingFor(now) == 0 {
 			inZone++
 		}
 	})
--- a/replicas/reachability_test.go
+++ b/replicas/reachability_test.go
@@ -65,3 +65,40 @@
 		})
 	}
 }
+
+// TestPlannedExitsMarkNoZone guards against a zone whose replicas get no requests because two of them
+// have exited as planned.
+func TestPlannedExitsMarkNoZone(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		leaving bool
+		want    []string
+	}{
+		{"planned exits", true, []string{"c", "d"}},
+		{"unreachable replicas", false, nil},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			table := newTestTable()
+			table.Merge([]Entry{entry("a", 1), entry("b", 1), entry("c", 1), entry("d", 1)})
+			ending := table.Ready("s")[:2]
+			for _, r := range ending {
+				if tt.leaving {
+					table.MarkLeaving(r)
+				}
+			}
+			table.now = table.now.Add(time.Second)
+			for _, r := range ending {
+				table.MarkUnreachable(r)
+			}
+			var reachable []string
+			for _, r := range table.Ready("s") {
+				if !r.Unreachable() {
+					reachable = append(reachable, r.ID())
+				}
+			}
+			if diff := cmp.Diff(tt.want, reachable); diff != "" {
+				t.Errorf("reachable (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
