Count a replica's drain time from the platform's side

Change: what a router may have learned late is added, from the interval of lists and the time in which updates spread; after an outage that is the whole drain time. If that leaves a doubt, it reads the replica's entry: a replica that has crashed is still registered as ready, one that departs is not. Ruled out: to take any end of a leaving replica for planned, since one that crashes within its drain time would pass half an answer for a whole one (TestPlannedExitEndsAnswers, unchanged).

--- a/edge/router.go
+++ b/edge/router.go
@@ -187,6 +187,7 @@
 		Quarantine: sharedQuarantine{r}, Directory: r.directory, Reads: r.reads, BroadcastReads: r.node.Broadcast, MarkLeaving: r.markLeaving,
 		CacheHolders: r.queryHolders, PublishPlacements: r.publishPlacements,
 		DrainTime:     func() time.Duration { return r.bounds.Load().drainTime },
+		Registry:      &registry{router: r},
 		MaxLoadFactor: s.bounds.maxLoadFactor, Gate: overload.NewGate(r.clock),
 		BodyMemory:     int64(s.router.memoryMB) * megabyte / bodyMemoryDivisor,
 		AnswerMemory:   int64(s.router.memoryMB) * megabyte / answerMemoryDivisor,
--- a/edge/source.go
+++ b/edge/source.go
@@ -25,6 +25,8 @@
 	// Replicas reads a page of the list of replicas: the first one if after is empty, otherwise
 	// the one after the page whose Next this is.
 	Replicas(ctx context.Context, after string) (replicas.Page, error)
+	// Replica reads the entry of a replica. Removed is set if there is none.
+	Replica(ctx context.Context, id string) (replicas.Entry, error)
 	// Parts returns the parts (shared prompt prefixes) that the replica at the address has cached.
 	Parts(ctx context.Context, address string) ([]relay.Part, error)
 }
--- /dev/null
+++ b/relay/ended.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/replicas"
+)
+
+// Registry is what the platform knows of replicas at the moment. A router learns of changes later.
+type Registry interface {
+	// Entry reads the entry of a replica. Removed is set if there is none, which a replica that has
+	// just crashed still has.
+	Entry(ctx context.Context, r *replicas.Replica) (replicas.Entry, error)
+	// Lag returns how long this router may learn of a change after the platform.
+	Lag() time.Duration
+}
+
+// endedWithReplica reports whether a body that ended with its connection was broken off by a crash of
+// the replica, since the kernel closes the connections of a process that has crashed in order.
+func (t *task) endedWithReplica(ctx context.Context, x *exchange) bool {
+	return !isDelimited(x.resp) && t.proxy.hasCrashed(ctx, x.replica)
+}
+
+// hasCrashed reports whether a replica has ended other than by a planned exit, before which it ends its
+// answers.
+func (f *Proxy) hasCrashed(ctx context.Context, r *replicas.Replica) bool {
+	if f.mayHaveExited(r) || !f.hasEnded(ctx, r) {
+		return false
+	}
+	planned, err := f.wasDeparting(ctx, r)
+	f.Log.Event("ended", "replica", r.ID(), "planned", planned, "leaving", f.leavingFor(r), "error", err)
+	return !planned
+}
+
+// mayHaveExited reports whether a replica may have exited as planned, since it has been leaving for
+// longer than it goes on serving. That time begins when the platform accepts the replica's report,
+// before this router learns of it.
+func (f *Proxy) mayHaveExited(r *replicas.Replica) bool {
+	leaving := f.leavingFor(r)
+	if leaving <= 0 || f.DrainTime == nil {
+		return false
+	}
+	if f.Registry != nil {
+		leaving += f.Registry.Lag()
+	}
+	return leaving >= f.DrainTime()
+}
+
+// leavingFor returns for how long the replica has been known to be leaving or removed; 0 if it is
+// neither.
+func (f *Proxy) leavingFor(r *replicas.Replica) time.Duration {
+	now := f.Clock.Now()
+	leaving := r.LeavingFor(now)
+	// The table replaces a Replica whose entry has changed.
+	if current, ok := f.Table.Current(r); ok {
+		leaving = max(leaving, current.LeavingFor(now))
+	}
+	return leaving
+}
+
+// wasDeparting reports whether the platform knew of a replica's departure before the replica ended: it
+// is no longer registered, or is leaving and this router has not learned of it in time.
+func (f *Proxy) wasDeparting(ctx context.Context, r *replicas.Replica) (bool, error) {
+	if f.Registry == nil {
+		return false, nil
+	}
+	learned := f.leavingFor(r) > 0
+	e, err := f.Registry.Entry(ctx, r)
+	if err != nil {
+		return false, err
+	}
+	return e.Removed || e.Leaving && !learned && replicas.HashOf(e.ID, e.StartedAt) == r.Hash(), nil
+}
+
+// hasEnded reports whether a replica refuses connections. A replica that only drops connections
+// accepts the one that is opened to find out, which is kept for a later request.
+func (f *Proxy) hasEnded(ctx context.Context, r *replicas.Replica) bool {
+	c, err := dial(ctx, r.Address(), dialTimeout)
+	if err == nil {
+		f.Pool.put(r, c, probedConnTTL)
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	f.markUnreachable(r)
+	return true
+}
--- /dev/null
+++ b/relay/ended_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/replicas"
+)
+
+// testRegistry is a Registry with one answer.
+type testRegistry struct {
+	entry replicas.Entry
+	err   error
+	lag   time.Duration
+}
+
+func (g testRegistry) Entry(context.Context, *replicas.Replica) (replicas.Entry, error) {
+	return g.entry, g.err
+}
+
+func (g testRegistry) Lag() time.Duration { return g.lag }
+
+// endingReplica is a script of replica a, which closes its listener before it answers.
+func endingReplica(b **fixture, leaving bool, answer string) script {
+	return func(c net.Conn, r *http.Request, body string) bool {
+		if leaving {
+			replica, _ := (*b).proxy.Table.Find(replicas.HashOf("a", 0))
+			(*b).proxy.Table.MarkLeaving(replica)
+			time.Sleep(10 * time.Millisecond)
+		}
+		(*b).closeListener("a")
+		return respond(answer, false)(c, r, body)
+	}
+}
+
+// TestDepartureLearnedLate guards against complete answers that are cut off because the router learned of
+// their replica's departure later than the platform, or not yet, when the replica exits right after its
+// drain time.
+func TestDepartureLearnedLate(t *testing.T) {
+	two := event(1) + event(2)
+	leaving := replicas.Entry{ID: "a", Leaving: true}
+	tests := []struct {
+		name     string
+		leaving  bool // as the router knows
+		registry testRegistry
+		complete bool
+	}{
+		{"learned late", true, testRegistry{entry: leaving, lag: time.Minute}, true},
+		{"not learned, leaving", false, testRegistry{entry: leaving}, true},
+		{"not learned, removed", false, testRegistry{entry: replicas.Entry{ID: "a", Removed: true}}, true},
+		{"learned, removed since", true, testRegistry{entry: replicas.Entry{ID: "a", Removed: true}}, true},
+		{"learned, still to serve", true, testRegistry{entry: leaving}, false},
+		{"crashed", false, testRegistry{entry: replicas.Entry{ID: "a"}}, false},
+		{"crashed, another start leaves", false, testRegistry{entry: replicas.Entry{ID: "a", StartedAt: 9, Leaving: true}}, false},
+		{"unknown", false, testRegistry{entry: leaving, err: errors.New("no store")}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b *fixture
+			b = newFixture(t, streaming, endingReplica(&b, tt.leaving, closeHead+two))
+			b.proxy.DrainTime = func() time.Duration { return time.Minute }
+			b.proxy.Registry = tt.registry
+			_, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+			if body != two || complete != tt.complete {
+				t.Errorf("stream %q, complete %v, want %v", body, complete, tt.complete)
+			}
+		})
+	}
+}
+
+// TestDepartureOfReplacedRecord guards against a planned exit that counts as a crash because the entry of
+// the replica, and with it the router's record, has changed since the request was sent.
+func TestDepartureOfReplacedRecord(t *testing.T) {
+	var b *fixture
+	b = newFixture(t, streaming, func(c net.Conn, r *http.Request, body string) bool {
+		replica, _ := b.proxy.Table.Find(replicas.HashOf("a", 0))
+		changed := replicas.Entry{ID: "a", Service: "s", Address: replica.Address(), Zone: "a", Slots: 9, Revision: 2}
+		b.proxy.Table.Merge([]replicas.Entry{changed})
+		return endingReplica(&b, true, closeHead+event(1))(c, r, body)
+	})
+	b.proxy.DrainTime = func() time.Duration { return time.Millisecond }
+	if _, body, complete := b.send(post("Content-Length: 0\r\n", "")); body != event(1) || !complete {
+		t.Errorf("stream %q, complete %v, want a complete one", body, complete)
+	}
+}
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -99,6 +99,8 @@
 	// DrainTime returns how long a replica serves at least after it has announced that it is leaving;
 	// nil if that is not known.
 	DrainTime func() time.Duration
+	// Registry tells whether a replica that has ended was departing; nil if that is not known.
+	Registry Registry
 	// Routers returns the number of routers that share the retry budget.
 	Routers func() int
 
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
@@ -80,7 +77,7 @@
 	}
 }
 
-// recordIfCrashed records a crash if a replica has ended, whose connection broke with an error
+// recordIfCrashed records a crash if a replica has crashed, whose connection broke with an error
 // before it had sent anything of the answer.
 func (t *task) recordIfCrashed(ctx context.Context, r *replicas.Replica, err error) {
 	f := t.proxy
@@ -92,18 +89,3 @@
 	f.Metrics.countCrash()
 	f.Quarantine.RecordCrash(r, t.sentAt, parts)
 }
-
-// hasEnded reports whether a replica refuses connections. A replica that only drops connections
-// accepts the one that is opened to find out, which is kept for a later request.
-func (f *Proxy) hasEnded(ctx context.Context, r *replicas.Replica) bool {
-	c, err := dial(ctx, r.Address(), dialTimeout)
-	if err == nil {
-		f.Pool.put(r, c, probedConnTTL)
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
-	}
-	f.markUnreachable(r)
-	return true
-}
