Take no planned exit for a crash that a prompt caused

Change: the quarantine asks as the ends of answers do whether the exit was planned. Measured: TestPlannedExitIsNoCrash counted a crash for the planned exit before.

--- a/relay/ended_test.go
+++ b/relay/ended_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
 
+	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -88,3 +90,34 @@
 		t.Errorf("stream %q, complete %v, want a complete one", body, complete)
 	}
 }
+
+// TestPlannedExitIsNoCrash guards against a quarantine of prompts whose requests arrived at a replica
+// just before its planned exit.
+func TestPlannedExitIsNoCrash(t *testing.T) {
+	for name, tt := range map[string]struct {
+		entry   replicas.Entry
+		crashes int
+	}{
+		"crash":        {replicas.Entry{ID: "a"}, 1},
+		"planned exit": {replicas.Entry{ID: "a", Removed: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b *fixture
+			b = newFixture(t, streaming, endingReplica(&b, false, ""))
+			table := &countingQuarantine{tableQuarantine: tableQuarantine{quarantine.NewTable(b.proxy.Clock)}}
+			b.proxy.Quarantine, b.proxy.Registry = table, testRegistry{entry: tt.entry}
+			b.sendPrompt("a bb own")
+			if diff := cmp.Diff(tt.crashes, table.crashes); diff != "" {
+				t.Errorf("crashes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// countingQuarantine counts crashes.
+type countingQuarantine struct {
+	tableQuarantine
+	crashes int
+}
+
+func (q *countingQuarantine) RecordCrash(*replicas.Replica, time.Time, []uint64) { q.crashes++ }
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -82,7 +82,7 @@
 func (t *task) recordIfCrashed(ctx context.Context, r *replicas.Replica, err error) {
 	f := t.proxy
 	parts := t.sharedPartIDs()
-	if f.Quarantine == nil || len(parts) == 0 || !quarantine.ClosedByPeer(err) || !f.hasEnded(ctx, r) {
+	if f.Quarantine == nil || len(parts) == 0 || !quarantine.ClosedByPeer(err) || !f.hasCrashed(ctx, r) {
 		return
 	}
 	f.Log.Event("crash", "id", t.call.ID, "replica", r.ID(), "parts", quarantine.FormatParts(parts), "after", f.Clock.Now().Sub(t.sentAt))
