--- a/entry/servicesend.go
+++ b/entry/servicesend.go
@@ -107,6 +107,7 @@
 	if err := s.host.rates.take(replica); err != nil {
 		return sendResult{answer, err}
 	}
+	req.Departed = func() bool { return hasDeparted(s.host.Document(), replica) }
 	sentAt := s.host.Clock.Now()
 	response, err := s.host.serviceClient.Call(ctx, replica.Address(), req)
 	if err != nil {
--- a/service/call.go
+++ b/service/call.go
@@ -41,6 +41,10 @@
 	Key        string       // idempotency key, empty for none
 	Check      func() error // runs right before the first byte is written; an error aborts the call
 
+	// Departed reports whether the endpoint was taken out of use, so that its end is no crash; nil if
+	// that is not known.
+	Departed func() bool
+
 	// OwnConnection sends an idempotent call on a connection of its own, like all others. On a
 	// shared one a late copy of an earlier answer may be taken for the answer to this call.
 	OwnConnection bool
--- a/service/ended.go
+++ b/service/ended.go
@@ -23,8 +23,12 @@
 }
 
 // endedWithEndpoint reports whether an answer without length and chunks was broken off by the end of
-// the endpoint: the kernel closes the connections of a process that has crashed in order.
+// the endpoint: the kernel closes the connections of a process that has crashed in order. An endpoint
+// that has departed ended its answers before.
 func endedWithEndpoint(ctx context.Context, address string, r Request, resp *http.Response) bool {
 	isDelimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return !isDelimited && r.Method != http.MethodHead && HasEnded(ctx, address)
+	if isDelimited || r.Method == http.MethodHead || !HasEnded(ctx, address) {
+		return false
+	}
+	return r.Departed == nil || !r.Departed()
 }
--- a/service/ended_test.go
+++ b/service/ended_test.go
@@ -61,3 +61,16 @@
 		}
 	}
 }
+
+// TestAnswerOfDepartedEndpointIsComplete guards against complete answers that are taken for broken off
+// because their endpoint was taken out of use and has exited behind them.
+func TestAnswerOfDepartedEndpointIsComplete(t *testing.T) {
+	for _, departed := range []bool{false, true} {
+		fetch := service.Request{Method: http.MethodGet, Path: "/profiles/7", Idempotent: true, OwnConnection: true}
+		fetch.Departed = func() bool { return departed }
+		answer, err := newClient(t, service.Options{}).Call(testContext(t), serveUndelimited(t, true), fetch)
+		if diff := cmp.Diff(departed, err == nil); diff != "" || string(answer.Body) != "waist" {
+			t.Errorf("departed %v: body %q, complete (-want +got):\n%s%v", departed, answer.Body, diff, err)
+		}
+	}
+}
