Part sockets and their closing from relay as package tcp

relay had grown three files on TCP_USER_TIMEOUT, acknowledgements and lingering closes, which the own product needs as well. They move to package tcp, whose Listener serves any HTTP server.

--- a/edge/router.go
+++ b/edge/router.go
@@ -27,6 +27,7 @@
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 	"peridotusher.example/peridotusher/slowstart"
+	"peridotusher.example/peridotusher/tcp"
 )
 
 const (
@@ -213,7 +214,7 @@
 // listen opens the sockets and starts their servers.
 func (r *Router) listen(ctx context.Context, group *errgroup.Group) error {
 	s := r.Settings
-	cfg := net.ListenConfig{KeepAliveConfig: relay.KeepAlive(), Control: relay.ControlSocket}
+	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
 	datagrams, err := net.ListenPacket("udp4", r.node.Self.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for heartbeats")
--- a/relay/answerbuffer.go
+++ b/relay/answerbuffer.go
@@ -11,6 +11,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/blocks"
+	"peridotusher.example/peridotusher/tcp"
 )
 
 const (
@@ -43,13 +44,13 @@
 	log      Log
 	metrics  *Metrics
 	drainers errgroup.Group
+	closer   *tcp.Closer
 
-	mu        sync.Mutex
-	conns     map[*clientConn]struct{}
-	slow      map[*clientConn]struct{}
-	lingering map[*clientConn]*lingering
-	used      int64 // memory of the blocks of all clients, in bytes
-	stopped   bool
+	mu      sync.Mutex
+	conns   map[*clientConn]struct{}
+	slow    map[*clientConn]struct{}
+	used    int64 // memory of the blocks of all clients, in bytes
+	stopped bool
 }
 
 // bufferState is the state of one connection in the answer buffer.
@@ -69,8 +70,8 @@
 
 func newAnswerBuffer(clock peridotusher.Clock, bound int64, log Log, metrics *Metrics) *answerBuffer {
 	m := &answerBuffer{
-		clock: clock, bound: bound, log: log, metrics: metrics,
-		conns: make(map[*clientConn]struct{}), slow: make(map[*clientConn]struct{}), lingering: make(map[*clientConn]*lingering),
+		clock: clock, bound: bound, log: log, metrics: metrics, closer: tcp.NewCloser(),
+		conns: make(map[*clientConn]struct{}), slow: make(map[*clientConn]struct{}),
 	}
 	metrics.registerSlowClients(m)
 	return m
@@ -311,19 +312,12 @@
 	return c.buffered.err
 }
 
-// isEmpty reports whether clients have received everything that was written for them.
-func (m *answerBuffer) isEmpty() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.slow) == 0 && len(m.lingering) == 0
-}
-
-// awaitEmpty waits until the buffer is empty and no connection lingers, or ctx ends.
+// awaitEmpty waits until the buffer is empty and clients have received everything, or ctx ends.
 func (m *answerBuffer) awaitEmpty(ctx context.Context) {
 	tick := time.NewTicker(emptyCheckInterval)
 	defer tick.Stop()
 	for {
-		if m.isEmpty() {
+		if slow, _ := m.stats(); slow == 0 && m.closer.Count() == 0 {
 			return
 		}
 		select {
@@ -342,6 +336,8 @@
 		m.abort(c, "stop", errStopped)
 	}
 	m.mu.Unlock()
-	m.endLingering()
+	if unread := m.closer.Stop(); unread > 0 {
+		m.log.Event("unread", "connections", unread)
+	}
 	_ = m.drainers.Wait() // its functions return no error
 }
--- a/relay/answerbuffer_test.go
+++ b/relay/answerbuffer_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/blocks"
@@ -242,25 +241,6 @@
 	_ = group.Wait()
 }
 
-// TestIsWindowClosed distinguishes clients that do not read from those whose host does not
-// respond.
-func TestIsWindowClosed(t *testing.T) {
-	tests := map[string]struct {
-		info unix.TCPInfo
-		want bool
-	}{
-		"all acknowledged":    {unix.TCPInfo{}, false},
-		"in flight":           {unix.TCPInfo{Unacked: 3, Notsent_bytes: 9}, false},
-		"last data in flight": {unix.TCPInfo{Unacked: 1}, false},
-		"window closed":       {unix.TCPInfo{Notsent_bytes: 9}, true},
-	}
-	for name, tt := range tests {
-		if got := isWindowClosed(&tt.info); got != tt.want {
-			t.Errorf("%s: %v", name, got)
-		}
-	}
-}
-
 // BenchmarkClientWrite compares writes to a client that reads at once with and without an answer
 // buffer.
 func BenchmarkClientWrite(b *testing.B) {
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"peridotusher.example/peridotusher/tcp"
 )
 
 const (
@@ -28,7 +30,7 @@
 type clientConn struct {
 	net.Conn
 	buffer    *answerBuffer // nil: writes block until the client reads
-	acks      ackTimeout
+	acks      *tcp.Acks
 	onClose   func()
 	closeOnce sync.Once
 
@@ -57,7 +59,7 @@
 		}
 		return true // also if the socket buffer is full, so that it does not wait
 	}
-	out.acks.init(c)
+	out.acks = tcp.NewAcks(c, tcp.UnackedTimeout)
 	buffer.addConn(out)
 	return out
 }
@@ -89,7 +91,7 @@
 	if c.buffer == nil {
 		return c.Conn.Write(b)
 	}
-	c.acks.mayBeUnacked.Store(true)
+	c.acks.MarkWritten()
 	n := 0
 	if !c.draining.Load() {
 		n = c.writeNonblocking(b)
@@ -108,11 +110,12 @@
 // writeNonblocking writes what the socket accepts without blocking and returns the number of
 // bytes. An error shows up again in the next write.
 func (c *clientConn) writeNonblocking(b []byte) int {
-	if c.acks.raw == nil {
+	raw := c.acks.RawConn()
+	if raw == nil {
 		return 0
 	}
 	c.rawData, c.rawWritten = b, 0
-	_ = c.acks.raw.Write(c.rawWrite) // the next write returns the same error
+	_ = raw.Write(c.rawWrite) // the next write returns the same error
 	c.rawData = nil
 	return c.rawWritten
 }
@@ -167,21 +170,26 @@
 	return c.closeNow()
 }
 
-// closeNow closes the connection, or lingers if the client has not acknowledged everything.
+// closeNow closes the connection once the client has acknowledged everything that was written.
 func (c *clientConn) closeNow() error {
-	if c.buffer != nil && c.buffer.linger(c) {
-		return nil
+	if c.buffer == nil {
+		return c.release()
 	}
-	return c.release()
+	return c.buffer.closer.Close(c.Conn, c.acks, c.forget)
 }
 
 // release closes the connection at once.
 func (c *clientConn) release() error {
+	c.forget()
+	return c.Conn.Close()
+}
+
+// forget removes the connection from the router's tables.
+func (c *clientConn) forget() {
 	c.closeOnce.Do(c.onClose)
 	if c.buffer != nil {
 		c.buffer.removeConn(c)
 	}
-	return c.Conn.Close()
 }
 
 // reset closes the connection with a TCP reset, so that an answer on it does not look complete,
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -13,39 +13,12 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
-)
 
-const (
-	// readBufferSize is the size of the read buffer of a replica connection, in bytes.
-	readBufferSize = 4096
-	// unackedTimeout closes a connection whose sent data is not acknowledged (TCP_USER_TIMEOUT).
-	unackedTimeout = 2500 * time.Millisecond
-	// probeIdle, probeInterval and probeCount are the TCP keep-alive parameters. They detect a
-	// dead connection while no data is sent.
-	probeIdle     = 1500 * time.Millisecond
-	probeInterval = 700 * time.Millisecond
-	probeCount    = 2
+	"peridotusher.example/peridotusher/tcp"
 )
 
-// KeepAlive returns the TCP keep-alive settings of all connections of a router.
-func KeepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
-}
-
-// ControlSocket sets the TCP_USER_TIMEOUT of a socket, for which package net has no setting.
-func ControlSocket(_, _ string, c syscall.RawConn) error {
-	var set error
-	err := c.Control(func(fd uintptr) { set = setUserTimeout(fd, unackedTimeout) })
-	if err != nil {
-		return err
-	}
-	return set
-}
-
-// setUserTimeout sets the TCP_USER_TIMEOUT of a socket; 0 removes it.
-func setUserTimeout(fd uintptr, d time.Duration) error {
-	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-}
+// readBufferSize is the size of the read buffer of a replica connection, in bytes.
+const readBufferSize = 4096
 
 // errTooLong means that a replica sent more bytes than allowed where they are limited.
 var errTooLong = errors.New("more bytes than an answer has there")
@@ -66,17 +39,16 @@
 	idleSince time.Time
 	keepAlive time.Duration
 	hadAnswer bool // whether an earlier answer was read from it
-	acks      ackTimeout
+	acks      *tcp.Acks
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: ControlSocket}
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	out := &conn{Conn: c}
-	out.acks.init(c)
+	out := &conn{Conn: c, acks: tcp.NewAcks(c, tcp.UnackedTimeout)}
 	out.br = bufio.NewReaderSize(out, readBufferSize)
 	return out, nil
 }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -282,7 +282,7 @@
 // isRequestAcked reports whether the replica's host has received the complete request. Until then a
 // replica that reads the rest of a long body later would delay the next request.
 func (x *exchange) isRequestAcked() bool {
-	return x.stopWatchingAcks == nil || x.conn.acks.isAcked() && x.conn.acks.update() == nil
+	return x.stopWatchingAcks == nil || x.conn.acks.IsAcked() && x.conn.acks.Update() == nil
 }
 
 // abort ends the exchange immediately by resetting the connection.
--- a/relay/pausedsocket_test.go
+++ b/relay/pausedsocket_test.go
@@ -7,10 +7,12 @@
 	"strings"
 	"testing"
 	"time"
+
+	"peridotusher.example/peridotusher/tcp"
 )
 
 // pastAckTimeout is longer than the kernel keeps a connection with data that is not accepted.
-const pastAckTimeout = unackedTimeout + 1500*time.Millisecond
+const pastAckTimeout = tcp.UnackedTimeout + 1500*time.Millisecond
 
 // TestReaderPausesLateInStop guards against answers that the kernel drops because their client pauses
 // after a stopping router has closed its listener, while their connections are still open.
@@ -64,7 +66,7 @@
 	}
 	select {
 	case <-ended:
-	case <-time.After(2 * maxLingerInterval):
+	case <-time.After(2 * tcp.MaxLingerInterval):
 		t.Error("the router goes on after the answer was read")
 	}
 }
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -57,7 +57,7 @@
 	sending := slices.Collect(maps.Keys(p.sending))
 	p.mu.Unlock()
 	for _, c := range sending {
-		if c.acks.update() != nil {
+		if c.acks.Update() != nil {
 			c.reset() // a pending read or write ends with an error
 		}
 	}
--- a/relay/slowfixture_test.go
+++ b/relay/slowfixture_test.go
@@ -20,6 +20,7 @@
 
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
+	"peridotusher.example/peridotusher/tcp"
 )
 
 const (
@@ -103,13 +104,13 @@
 // the size of the socket send buffer for answers; 0 leaves it to the kernel.
 func newSlowFixture(t *testing.T, route routing.Route, bound int64, send int, s script) (*fixture, *abortLog) {
 	t.Helper()
-	cfg := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: func(network, address string, c syscall.RawConn) error {
+	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive(), Control: func(network, address string, c syscall.RawConn) error {
 		if send > 0 {
 			if err := bufferSize(unix.SO_SNDBUF, send)(network, address, c); err != nil {
 				return err
 			}
 		}
-		return ControlSocket(network, address, c)
+		return tcp.Control(network, address, c)
 	}}
 	l, err := cfg.Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
--- /dev/null
+++ b/tcp/doc.go
@@ -0,0 +1,19 @@
+// Package tcp sets up the connections of a router and closes them without losing what their peers have
+// yet to receive.
+//
+// The kernel gives up a connection with TCP_USER_TIMEOUT whose data is not acknowledged in time. That
+// detects a host that is gone, but would also end a connection whose peer is alive and pauses. Acks
+// therefore lifts the timeout while the peer's receive window is closed, and a Closer keeps a connection
+// open until its peer has received everything.
+//
+// # Usage
+//
+//	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
+//	l, err := cfg.Listen(ctx, "tcp", address)
+//	...
+//	closer := tcp.NewCloser()
+//	err = server.Serve(&tcp.Listener{Listener: l, Closer: closer})
+//	...
+//	closer.Await(grace)
+//	closer.Stop()
+package tcp
