Await slow callers at a stop of the own product, too

Change: connections of callers are closed by tcp.Closer, and a stop waits for it within Drain. Measured: TestStopAwaitsReaders: the server ended before the answer was read; passes now.

--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/document"
 	"peridotusher.example/peridotusher/httpserve"
+	"peridotusher.example/peridotusher/tcp"
 )
 
 // ChatCall is one caller's request to a model.
@@ -120,8 +121,8 @@
 
 // Run serves until ctx ends. It then fails the readiness check, waits for Settle so
 // that the balancer notices, stops accepting connections and returns when the
-// requests in flight have ended or Drain has passed. Shortly before that it answers
-// the remaining requests with a failure.
+// requests in flight have ended and callers have received the answers, or Drain
+// has passed. Shortly before that it answers the remaining requests with a failure.
 func (s *Server) Run(ctx context.Context) error {
 	httpServer := &http.Server{
 		Handler:           s.Handler(),
@@ -131,15 +132,26 @@
 	}
 	s.requestsEnded, s.endRequests = context.WithCancel(context.Background())
 	defer s.endRequests()
-	return httpserve.Until(ctx, httpServer, s.Listener, func() error {
+	closer := tcp.NewCloser()
+	return httpserve.Until(ctx, httpServer, &tcp.Listener{Listener: s.Listener, Closer: closer}, func() error {
 		defer s.beginStop()()
 		time.Sleep(s.Settle)
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
-		return httpServer.Shutdown(drainCtx)
+		err := httpServer.Shutdown(drainCtx)
+		s.awaitReaders(drainCtx, closer)
+		return err
 	})
 }
 
+// awaitReaders waits until callers have received their answers or ctx ends.
+func (s *Server) awaitReaders(ctx context.Context, closer *tcp.Closer) {
+	closer.Await(ctx)
+	if unread := closer.Stop(); unread > 0 {
+		s.Log.WithField("connections", unread).Warn("router stopped before callers had read their answers")
+	}
+}
+
 // Handler returns the handler of all routes.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -1,7 +1,12 @@
 package caller
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -63,3 +68,57 @@
 		t.Errorf("in flight before the stop, then during it with a late and an early deadline (-want +got):\n%s", diff)
 	}
 }
+
+// largeAnswer is a service whose answer fits into the socket buffers, but not into the receive buffer of a
+// caller that does not read.
+type largeAnswer []byte
+
+// Call implements Services.
+func (a largeAnswer) Call(context.Context, ServiceCall) (ServiceAnswer, error) {
+	return ServiceAnswer{Status: http.StatusOK, Body: a}, nil
+}
+
+// TestStopAwaitsReaders guards against answers that are lost with the process because it ends before slow
+// callers have received what the kernel holds for them.
+func TestStopAwaitsReaders(t *testing.T) {
+	answer := largeAnswer(bytes.Repeat([]byte("a"), 60_000))
+	s, address := newServer(t, nil, answer)
+	s.Drain = 5 * time.Second
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var server errgroup.Group
+	ended := make(chan error, 1)
+	server.Go(func() error {
+		ended <- s.Run(ctx)
+		return nil
+	})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.(*net.TCPConn).SetReadBuffer(8 << 10); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(c, post("/services/profiles/profiles/7", "kalimera-shop-athina-example-key", "Idempotency-Key: a\r\n", "{}")) // the answer shows an error
+	br := bufio.NewReaderSize(c, 512)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	stop()
+	select {
+	case err := <-ended:
+		t.Fatalf("the server ended before the answer was read: %v", err)
+	case <-time.After(500 * time.Millisecond):
+	}
+	body, err := io.ReadAll(resp.Body)
+	if diff := cmp.Diff(len(answer), len(body)); diff != "" || err != nil {
+		t.Errorf("bytes (-want +got):\n%s%v", diff, err)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("the stop cut requests: %v", err)
+	}
+	_ = server.Wait() // its function returns no error
+}
