Choose another replica if the chosen one begins to leave

Found in the class of times that the store counts (DRAIN): a request waits up to half of its objective for another one's read of the prompt, and for a connection, after its replica was chosen. The wait adds to the time in which this router learned of the departure, so that the request may reach the replica after its drain time. Change: the request goes to another replica if there is one; else it is sent, as before. Measured: TestLeavingWhileWaiting; without the check the first case fails.

--- a/relay/ended_test.go
+++ b/relay/ended_test.go
@@ -91,6 +91,28 @@
 	}
 }
 
+// TestLeavingWhileWaiting guards against requests that reach a replica after its drain time: it begins to
+// leave after it was chosen, while the request waits for another one's read.
+func TestLeavingWhileWaiting(t *testing.T) {
+	b := newFixture(t, streaming, resumeAfter, resumeAfter)
+	r, _ := b.proxy.Table.Find(replicas.HashOf("a", 0))
+	b.proxy.Table.MarkLeaving(r)
+	doc := b.proxy.Current.Load()
+	for _, tt := range []struct {
+		name  string
+		tried map[string]bool
+		want  bool
+	}{
+		{"another replica is ready", map[string]bool{"a": true}, true},
+		{"the other one was tried", map[string]bool{"a": true, "b": true}, false},
+	} {
+		task := &task{proxy: b.proxy, doc: doc, route: doc.Routes[0], serviceName: "s", tried: tt.tried}
+		if diff := cmp.Diff(tt.want, task.hasBecomeUnusable(r, b.proxy.Clock.Now())); diff != "" {
+			t.Errorf("%s: unusable (-want +got):\n%s", tt.name, diff)
+		}
+	}
+}
+
 // TestPlannedExitIsNoCrash guards against a quarantine of prompts whose requests arrived at a replica
 // just before its planned exit.
 func TestPlannedExitIsNoCrash(t *testing.T) {
--- a/relay/task.go
+++ b/relay/task.go
@@ -235,8 +235,8 @@
 	t.readWait += t.awaitRead(ctx, r)
 	sent := f.Clock.Now()
 	t.sentAt = sent
-	if r.BackoffRemaining(sent) > 0 || f.Table.Evacuated(r.Zone()) {
-		return false // the replica has changed since it was chosen
+	if t.hasBecomeUnusable(r, sent) {
+		return false
 	}
 	if _, blocked := t.quarantined(); blocked {
 		return false // by a crash since then
@@ -259,6 +259,16 @@
 	return t.handleAnswer(ctx, x, sent)
 }
 
+// hasBecomeUnusable reports whether the replica has changed since it was chosen so that the request
+// must not be sent to it. One that is leaving still gets it if there is no other.
+func (t *task) hasBecomeUnusable(r *replicas.Replica, now time.Time) bool {
+	f := t.proxy
+	if r.BackoffRemaining(now) > 0 || f.Table.Evacuated(r.Zone()) {
+		return true
+	}
+	return f.leavingFor(r) > 0 && len(t.remainingCandidates()) > 0
+}
+
 // countArrival counts a replica that received the request.
 func (t *task) countArrival() {
 	t.arrivals++
