--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -2,13 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/tcp"
 )
 
 func TestMetrics(t *testing.T) {
@@ -52,3 +59,34 @@
 		}
 	}
 }
+
+// TestMetricsReaderPauses guards against metrics that are cut off because their reader pauses for longer
+// than the TCP_USER_TIMEOUT of clients.
+func TestMetricsReaderPauses(t *testing.T) {
+	const size = 8 << 20 // more than the socket buffers hold
+	l, err := listenForReports(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	ctx, stop := context.WithCancel(t.Context())
+	group.Go(func() error {
+		return serve(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, size)) // the reader counts the bytes
+		}))
+	})
+	resp, err := http.Get("http://" + l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	time.Sleep(tcp.UnackedTimeout + 1500*time.Millisecond)
+	n, err := io.Copy(io.Discard, resp.Body)
+	if diff := cmp.Diff(int64(size), n); diff != "" || err != nil {
+		t.Errorf("bytes (-want +got):\n%s%v", diff, err)
+	}
+	stop()
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/edge/router.go
+++ b/edge/router.go
@@ -56,6 +56,8 @@
 	megabyte            = 1 << 20
 	// readHeaderTimeout limits reading the headers of a request for readiness or metrics.
 	readHeaderTimeout = 2 * time.Second
+	// writeTimeout limits writing the answer to such a request.
+	writeTimeout = 15 * time.Second
 )
 
 // Router is one router process. Its fields are set before Run.
@@ -229,7 +231,7 @@
 		return errors.Wrap(err, "listen for clients")
 	}
 	group.Go(func() error { return r.proxy.Run(ctx, clients, r.remainingGrace) })
-	readinessListener, err := cfg.Listen(ctx, "tcp4", s.listen.ready)
+	readinessListener, err := listenForReports(ctx, s.listen.ready)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness")
 	}
@@ -237,7 +239,7 @@
 	if r.MetricsAddress == "" {
 		return nil
 	}
-	metricsListener, err := cfg.Listen(ctx, "tcp4", r.MetricsAddress)
+	metricsListener, err := listenForReports(ctx, r.MetricsAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
@@ -245,6 +247,13 @@
 	return nil
 }
 
+// listenForReports listens for readers of readiness or metrics. Their connections have no
+// TCP_USER_TIMEOUT, since nothing lifts it for a reader that pauses; writeTimeout ends them.
+func listenForReports(ctx context.Context, address string) (net.Listener, error) {
+	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive()}
+	return cfg.Listen(ctx, "tcp4", address)
+}
+
 // remainingGrace is the time for requests in flight once the proxy accepts no more connections.
 func (r *Router) remainingGrace() time.Duration {
 	if s := r.stopping.Load(); s != nil {
@@ -285,7 +294,7 @@
 
 // serve handles requests on a listener until ctx ends.
 func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout, IdleTimeout: time.Minute}
 	return httpserve.Until(ctx, server, l, server.Close)
 }
 
