--- a/edge/router.go
+++ b/edge/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"strconv"
 	"sync"
@@ -17,7 +16,6 @@
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/admission"
 	"peridotusher.example/peridotusher/budget"
-	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/overload"
 	"peridotusher.example/peridotusher/placing"
@@ -27,7 +25,6 @@
 	"peridotusher.example/peridotusher/replicas"
 	"peridotusher.example/peridotusher/routing"
 	"peridotusher.example/peridotusher/slowstart"
-	"peridotusher.example/peridotusher/tcp"
 )
 
 const (
@@ -54,10 +51,6 @@
 	// answerMemoryDivisor does the same for answers that slow clients have not read yet.
 	answerMemoryDivisor = 8
 	megabyte            = 1 << 20
-	// readHeaderTimeout limits reading the headers of a request for readiness or metrics.
-	readHeaderTimeout = 2 * time.Second
-	// writeTimeout limits writing the answer to such a request.
-	writeTimeout = 15 * time.Second
 )
 
 // Router is one router process. Its fields are set before Run.
@@ -213,47 +206,6 @@
 	return out
 }
 
-// listen opens the sockets and starts their servers.
-func (r *Router) listen(ctx context.Context, group *errgroup.Group) error {
-	s := r.Settings
-	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
-	datagrams, err := net.ListenPacket("udp4", r.node.Self.Address)
-	if err != nil {
-		return errors.Wrap(err, "listen for heartbeats")
-	}
-	sessions, err := cfg.Listen(ctx, "tcp4", r.node.Self.Address)
-	if err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "listen for sessions"), datagrams.Close())
-	}
-	group.Go(func() error { return r.node.Run(ctx, datagrams, sessions) })
-	clients, err := cfg.Listen(ctx, "tcp4", s.listen.clients)
-	if err != nil {
-		return errors.Wrap(err, "listen for clients")
-	}
-	group.Go(func() error { return r.proxy.Run(ctx, clients, r.remainingGrace) })
-	readinessListener, err := listenForReports(ctx, s.listen.ready)
-	if err != nil {
-		return errors.Wrap(err, "listen for readiness")
-	}
-	group.Go(func() error { return serve(ctx, readinessListener, http.HandlerFunc(r.serveReadiness)) })
-	if r.MetricsAddress == "" {
-		return nil
-	}
-	metricsListener, err := listenForReports(ctx, r.MetricsAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
-	}
-	group.Go(func() error { return serve(ctx, metricsListener, r.metricsHandler()) })
-	return nil
-}
-
-// listenForReports listens for readers of readiness or metrics. Their connections have no
-// TCP_USER_TIMEOUT, since nothing lifts it for a reader that pauses; writeTimeout ends them.
-func listenForReports(ctx context.Context, address string) (net.Listener, error) {
-	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive()}
-	return cfg.Listen(ctx, "tcp4", address)
-}
-
 // remainingGrace is the time for requests in flight once the proxy accepts no more connections.
 func (r *Router) remainingGrace() time.Duration {
 	if s := r.stopping.Load(); s != nil {
@@ -286,18 +238,6 @@
 	return r.current.Load() != nil && r.hasList.Load() && (s == nil || s.inRotation(r.clock.Now()))
 }
 
-func (r *Router) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if !r.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-// serve handles requests on a listener until ctx ends.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout, IdleTimeout: time.Minute}
-	return httpserve.Until(ctx, server, l, server.Close)
-}
-
 // runHousekeeping removes outdated state until ctx ends.
 func (r *Router) runHousekeeping(ctx context.Context) error {
 	tick := time.NewTicker(housekeepingInterval)
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -139,10 +139,10 @@
 	}
 	limited := &limitListener{Listener: l, buffer: buffer, maxOpen: int64(f.MaxConnections), onRefused: func() { f.Log.Event("refused", "connections", f.MaxConnections) }}
 	group, ctx := errgroup.WithContext(ctx)
-	// Connections remain open after ctx ends, until the requests in flight have ended.
-	connected, disconnected := context.WithCancel(context.WithoutCancel(ctx))
+	// Clients are served after ctx ends, until the requests in flight have ended.
+	serving, endServing := context.WithCancel(context.WithoutCancel(ctx))
 	group.Go(func() error {
-		conns.run(connected, func() connLimits {
+		conns.run(serving, func() connLimits {
 			f.Metrics.countWakeUp("limits")
 			f.updateAckTimeouts()
 			return f.connLimits()
@@ -151,7 +151,7 @@
 	})
 	group.Go(func() error { return f.probeUnreachable(ctx) })
 	group.Go(func() error {
-		defer disconnected()
+		defer endServing()
 		return httpserve.Until(ctx, server, limited, func() error { return f.shutdown(ctx, server, grace()) })
 	})
 	return group.Wait()
