Read the send queue also where the kernel has no TCP_INFO

A failure of TCP_INFO looked as if everything had been received; TIOCOUTQ alone tells that data is queued.

--- a/tcp/acks.go
+++ b/tcp/acks.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// state reads the state of the connection. It returns false if the connection is closed or no TCP
-// connection.
+// state reads the state of the connection. It returns false if the connection is closed or its state is
+// not known.
 func (a *Acks) state() (s state, ok bool) {
 	if a.raw == nil {
 		return state{}, false
--- a/tcp/state.go
+++ b/tcp/state.go
@@ -11,17 +11,18 @@
 	unansweredProbes int
 }
 
-// readState reads the state of a socket. It returns false if the socket is no TCP connection.
+// readState reads the state of a socket, as far as the kernel tells it. It returns false if that is
+// nothing.
 func readState(fd int) (state, bool) {
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return state{}, false
+	info, infoErr := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if infoErr != nil {
+		info = &unix.TCPInfo{}
 	}
-	queued, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
-	if err != nil {
+	queued, queueErr := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+	if queueErr != nil {
 		queued = 0
 	}
-	return newState(info, queued), true
+	return newState(info, queued), infoErr == nil || queueErr == nil
 }
 
 // newState returns the state that the kernel's information and the bytes in the send queue describe.
