--- a/edge/registry.go
+++ b/edge/registry.go
@@ -22,7 +22,7 @@
 	reads  singleflight.Group // by replica id
 }
 
-// Entry implements relay.Registry. All requests at a replica end with it, so that concurrent calls
+// Entry implements relay.Registry. Many requests end together with their replica; concurrent calls
 // share one read.
 func (g *registry) Entry(ctx context.Context, r *replicas.Replica) (replicas.Entry, error) {
 	v, err, _ := g.reads.Do(r.ID(), func() (any, error) {
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -12,10 +12,10 @@
 
 // Registry is what the platform knows of replicas at the moment. A router learns of changes later.
 type Registry interface {
-	// Entry reads the entry of a replica. Removed is set if there is none, which a replica that has
-	// just crashed still has.
+	// Entry reads the entry of a replica. Removed is set if there is none; a replica that has just
+	// crashed still has one.
 	Entry(ctx context.Context, r *replicas.Replica) (replicas.Entry, error)
-	// Lag returns how long this router may learn of a change after the platform.
+	// Lag returns how much later than the platform this router may learn of a change.
 	Lag() time.Duration
 }
 
