--- a/tcp/closer.go
+++ b/tcp/closer.go
@@ -13,9 +13,9 @@
 	// lingerTimeout limits how long a connection lingers, and how long the kernel goes on delivering
 	// what is left after a Stop.
 	lingerTimeout = 15 * time.Second
-	// minLingerInterval and MaxLingerInterval bound the time between two checks of a lingering
-	// connection, which doubles with each check.
+	// minLingerInterval is the time until the first check of a lingering connection.
 	minLingerInterval = 20 * time.Millisecond
+	// MaxLingerInterval bounds the time between two checks, which doubles with each check.
 	MaxLingerInterval = 640 * time.Millisecond
 	// awaitInterval is the interval of checks whether any connection lingers.
 	awaitInterval = 10 * time.Millisecond
