--- a/relay/conn.go
+++ b/relay/conn.go
@@ -42,9 +42,13 @@
 	acks      *tcp.Acks
 }
 
+// NewDialer returns a dialer for connections that detect a host that does not respond.
+func NewDialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
+}
+
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := NewDialer(timeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
