Simplify what the review of sockets and departures added

Found when its diff was read again: - Acks.Update tells whether all is acknowledged; the socket was read twice for that. - awaitEmpty polled for lingering connections beside Closer.Await; it calls that now, once the drainers have ended, which a connection that was just drained could slip past before. - leavingFor read two records of a replica, for each request: the table's present one keeps the time now when an entry changes (Replica.withEntry), which is where it was lost. - a replica's time of leaving was looked up three times for one end; the log line tells the one that decided. What is learned during the check counts as learned late. - a departed endpoint is not dialled any more to find out whether it has ended. - sinceOutage, isDeparting and tcp.CloseWrite serve their twins.

--- a/edge/evacuation.go
+++ b/edge/evacuation.go
@@ -25,7 +25,7 @@
 // Evacuations that the list lacks have ended, except shortly after an outage: like the entries of
 // replicas, evacuations that a backup lacks get time to be written again.
 func (r *Router) mergeEvacuationSnapshot(at peridotusher.Position, keys replicas.EvacuationList, from string) {
-	if _, outage := r.lists.latest(); r.clock.Now().Sub(outage) < outageGracePeriod {
+	if r.sinceOutage() < outageGracePeriod {
 		r.mergeEvacuations(keys, from)
 		return
 	}
--- a/entry/engine_eligibility.go
+++ b/entry/engine_eligibility.go
@@ -126,8 +126,7 @@
 // updateEngine sets the engine's state and weight in the engine table. A leaving
 // engine stays leaving.
 func (s *eligibilityTable) updateEngine(id peridotusher.EngineID) {
-	e, ok := s.engines.Get(id)
-	if !ok || e.State() == peridotusher.EngineLeaving {
+	if isDeparting(s.engines, id) {
 		return
 	}
 	state := peridotusher.EngineLive
--- a/relay/acktimeout.go
+++ b/relay/acktimeout.go
@@ -12,7 +12,7 @@
 	}
 	m.mu.Unlock()
 	for _, c := range unread {
-		if err := c.acks.Update(); err != nil {
+		if _, err := c.acks.Update(); err != nil {
 			m.mu.Lock()
 			m.abort(c, "client", err)
 			m.mu.Unlock()
--- a/relay/answerbuffer.go
+++ b/relay/answerbuffer.go
@@ -316,16 +316,18 @@
 func (m *answerBuffer) awaitEmpty(ctx context.Context) {
 	tick := time.NewTicker(emptyCheckInterval)
 	defer tick.Stop()
-	for {
-		if slow, _ := m.stats(); slow == 0 && m.closer.Count() == 0 {
-			return
-		}
+	for slow, _ := m.stats(); slow > 0; slow, _ = m.stats() {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 		}
 	}
+	if ctx.Err() != nil {
+		return // requests may be in flight still
+	}
+	_ = m.drainers.Wait() // they have written everything and close connections that may linger
+	m.closer.Await(ctx)
 }
 
 // stop aborts the answers that are still buffered and closes the connections that linger.
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -206,8 +206,5 @@
 	if c.draining.Load() {
 		return nil // the connection is closed once everything is written
 	}
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
+	return tcp.CloseWrite(c.Conn)
 }
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -28,19 +28,19 @@
 // hasCrashed reports whether a replica has ended other than by a planned exit, before which it ends its
 // answers.
 func (f *Proxy) hasCrashed(ctx context.Context, r *replicas.Replica) bool {
-	if f.mayHaveExited(r) || !f.hasEnded(ctx, r) {
+	leaving := f.leavingFor(r)
+	if f.mayHaveExited(leaving) || !f.hasEnded(ctx, r) {
 		return false
 	}
-	planned, err := f.wasDeparting(ctx, r)
-	f.Log.Event("ended", "replica", r.ID(), "planned", planned, "leaving", f.leavingFor(r), "error", err)
+	planned, err := f.wasDeparting(ctx, r, leaving > 0)
+	f.Log.Event("ended", "replica", r.ID(), "planned", planned, "leaving", leaving, "error", err)
 	return !planned
 }
 
-// mayHaveExited reports whether a replica may have exited as planned, since it has been leaving for
-// longer than it goes on serving. That time begins when the platform accepts the replica's report,
+// mayHaveExited reports whether a replica that has been known to be leaving for that long may have
+// exited as planned. The time for which it goes on serving begins when the platform accepts its report,
 // before this router learns of it.
-func (f *Proxy) mayHaveExited(r *replicas.Replica) bool {
-	leaving := f.leavingFor(r)
+func (f *Proxy) mayHaveExited(leaving time.Duration) bool {
 	if leaving <= 0 || f.DrainTime == nil {
 		return false
 	}
@@ -53,22 +53,18 @@
 // leavingFor returns for how long the replica has been known to be leaving or removed; 0 if it is
 // neither.
 func (f *Proxy) leavingFor(r *replicas.Replica) time.Duration {
-	now := f.Clock.Now()
-	leaving := r.LeavingFor(now)
-	// The table replaces a Replica whose entry has changed.
 	if current, ok := f.Table.Current(r); ok {
-		leaving = max(leaving, current.LeavingFor(now))
+		r = current
 	}
-	return leaving
+	return r.LeavingFor(f.Clock.Now())
 }
 
 // wasDeparting reports whether the platform knew of a replica's departure before the replica ended: it
-// is no longer registered, or is leaving and this router has not learned of it in time.
-func (f *Proxy) wasDeparting(ctx context.Context, r *replicas.Replica) (bool, error) {
+// is no longer registered, or is leaving and this router had not learned of it.
+func (f *Proxy) wasDeparting(ctx context.Context, r *replicas.Replica, learned bool) (bool, error) {
 	if f.Registry == nil {
 		return false, nil
 	}
-	learned := f.leavingFor(r) > 0
 	e, err := f.Registry.Entry(ctx, r)
 	if err != nil {
 		return false, err
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -282,7 +282,11 @@
 // isRequestAcked reports whether the replica's host has received the complete request. Until then a
 // replica that reads the rest of a long body later would delay the next request.
 func (x *exchange) isRequestAcked() bool {
-	return x.stopWatchingAcks == nil || x.conn.acks.IsAcked() && x.conn.acks.Update() == nil
+	if x.stopWatchingAcks == nil {
+		return true
+	}
+	acked, err := x.conn.acks.Update()
+	return acked && err == nil
 }
 
 // abort ends the exchange immediately by resetting the connection.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -57,7 +57,7 @@
 	sending := slices.Collect(maps.Keys(p.sending))
 	p.mu.Unlock()
 	for _, c := range sending {
-		if c.acks.Update() != nil {
+		if _, err := c.acks.Update(); err != nil {
 			c.reset() // a pending read or write ends with an error
 		}
 	}
--- a/replicas/replica.go
+++ b/replicas/replica.go
@@ -75,7 +75,7 @@
 		n := newReplica(e)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		n.cold = r.cold
+		n.cold, n.leavingSince = r.cold, r.leavingSince
 		n.publishCold()
 		return n
 	}
--- a/service/ended.go
+++ b/service/ended.go
@@ -27,8 +27,8 @@
 // that has departed ended its answers before.
 func endedWithEndpoint(ctx context.Context, address string, r Request, resp *http.Response) bool {
 	isDelimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if isDelimited || r.Method == http.MethodHead || !HasEnded(ctx, address) {
+	if isDelimited || r.Method == http.MethodHead || r.Departed != nil && r.Departed() {
 		return false
 	}
-	return r.Departed == nil || !r.Departed()
+	return HasEnded(ctx, address)
 }
--- a/tcp/acks.go
+++ b/tcp/acks.go
@@ -53,28 +53,30 @@
 // IsAcked reports whether the peer has acknowledged everything that was written, or never will.
 func (a *Acks) IsAcked() bool {
 	s, ok := a.state()
-	return !ok || s.closed || !s.hasUnacked()
+	return !ok || !s.hasUnacked()
 }
 
 // Update lifts TCP_USER_TIMEOUT while the peer has closed the receive window but answers the kernel's
-// probes, and restores it otherwise. It returns ErrUnreachable if the peer does not answer them.
-func (a *Acks) Update() error {
+// probes, and restores it otherwise. It returns IsAcked as of that check, and ErrUnreachable if the peer
+// does not answer the probes.
+func (a *Acks) Update() (acked bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.mayBeUnacked.Store(false) // before the check, so that no later write is missed
 	s, ok := a.state()
 	if !ok {
-		return nil
+		return true, nil
 	}
-	if s.hasUnacked() {
+	acked = !s.hasUnacked()
+	if !acked {
 		a.mayBeUnacked.Store(true)
 	}
 	paused := s.isPaused()
 	if paused && a.lifted && s.unansweredProbes >= maxUnansweredProbes {
-		return ErrUnreachable
+		return false, ErrUnreachable
 	}
 	if paused == a.lifted {
-		return nil
+		return acked, nil
 	}
 	limit := a.timeout
 	if paused {
@@ -82,7 +84,7 @@
 	}
 	a.lifted = paused
 	a.setTimeout(limit)
-	return nil
+	return acked, nil
 }
 
 // setTimeout sets TCP_USER_TIMEOUT, which fails only if the connection is closed; 0 removes it.
--- a/tcp/closer.go
+++ b/tcp/closer.go
@@ -81,8 +81,8 @@
 // check closes a lingering connection if its peer has acknowledged everything, is unreachable or takes
 // too long. Otherwise it schedules the next check.
 func (m *Closer) check(l *lingering) {
-	err := l.acks.Update()
-	if err != nil || l.acks.IsAcked() || !time.Now().Before(l.deadline) {
+	acked, err := l.acks.Update()
+	if err != nil || acked || !time.Now().Before(l.deadline) {
 		m.end(l)
 		return
 	}
--- a/tcp/listener.go
+++ b/tcp/listener.go
@@ -37,9 +37,4 @@
 }
 
 // CloseWrite allows net/http to end an answer before it closes the connection.
-func (c *closingConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
+func (c *closingConn) CloseWrite() error { return CloseWrite(c.Conn) }
--- a/tcp/socket.go
+++ b/tcp/socket.go
@@ -26,6 +26,14 @@
 // Control sets the TCP_USER_TIMEOUT of a socket, for which package net has no setting.
 func Control(_, _ string, c syscall.RawConn) error { return control(c, UnackedTimeout) }
 
+// CloseWrite closes the sending half of a connection that can do that, and has no effect on others.
+func CloseWrite(c net.Conn) error {
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // control sets the TCP_USER_TIMEOUT of a socket; 0 removes it.
 func control(c syscall.RawConn, timeout time.Duration) error {
 	var set error
--- a/tcp/state.go
+++ b/tcp/state.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// hasUnacked reports whether data that was written has not been acknowledged.
-func (s state) hasUnacked() bool { return s.unacked > 0 || s.unsent > 0 || s.queued > 0 }
+// hasUnacked reports whether data that was written has not been acknowledged and still may be.
+func (s state) hasUnacked() bool { return !s.closed && (s.unacked > 0 || s.unsent > 0 || s.queued > 0) }
 
 // isPaused reports whether the peer has acknowledged everything sent and accepts no more data. That is
 // assumed, too, where the kernel tells that data is queued, but not whether it was sent.
