--- a/account/request.go
+++ b/account/request.go
@@ -130,6 +130,9 @@
 
 // disconnectCause returns what the request was waiting for when its client disconnected.
 func disconnectCause(fields map[string]string) string {
+	if fields["by"] == "router" {
+		return "closed by the router"
+	}
 	if fields["sends"] == "0" {
 		return "before it was sent"
 	}
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -33,6 +33,7 @@
 	acks      *tcp.Acks
 	onClose   func()
 	closeOnce sync.Once
+	closed    atomic.Bool // whether the router has closed the connection, which may linger
 
 	// rawData and rawWritten are the argument and result of rawWrite. A closure per write would
 	// be allocated each time.
@@ -160,6 +161,7 @@
 // Close implements net.Conn. Buffered data is written before the connection is closed, unless an
 // answer would then look complete.
 func (c *clientConn) Close() error {
+	c.closed.Store(true)
 	if c.endsAnswer.Load() {
 		c.reset()
 		return c.release()
@@ -195,6 +197,7 @@
 // reset closes the connection with a TCP reset, so that an answer on it does not look complete,
 // whatever its framing.
 func (c *clientConn) reset() {
+	c.closed.Store(true)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // on failure it is closed as usual
 	}
--- a/relay/final.go
+++ b/relay/final.go
@@ -20,7 +20,7 @@
 		if err := t.clientAbortError(); err != nil {
 			t.abortAnswer("client", err)
 		}
-		t.proxy.Log.Event("left", "id", t.call.ID, "route", t.routeName(), "sends", t.sends)
+		t.proxy.Log.Event("left", "id", t.call.ID, "route", t.routeName(), "by", t.closedBy(), "sends", t.sends)
 		t.proxy.Metrics.countAnswer(t.routeName(), "left", t.proxy.Clock.Now().Sub(t.began))
 		panic(http.ErrAbortHandler)
 	}
@@ -55,6 +55,14 @@
 	return t.client.buffer.abortError(t.client)
 }
 
+// closedBy returns which side closed the client's connection.
+func (t *task) closedBy() string {
+	if c := clientConnOf(t.r.Context()); c != nil && c.closed.Load() {
+		return "router"
+	}
+	return "client"
+}
+
 // clientRetryAfter returns the time after which the client may retry.
 func (t *task) clientRetryAfter() time.Duration {
 	if t.retryAfter > 0 {
