Serve the next request on a connection whose answer began before a stop

Callers saw: a request sent right after an answer, on the same connection and shortly after SIGTERM, ended without an answer, though a replica may have run it.

Cause: connTable closed a connection that became idle during a stop, since its answer had not announced the end. Its client may have sent the next request by then. Since that close may only half-close the connection and set a read deadline in the past; net/http removes read deadlines before it waits for the next request, read it and passed it on, and the answer could not be written.

Change: the connection stays open, and the next answer announces its end; so does an answer whose head is written after the stop began. Whatever closes a connection closes its tcp.Gate first, behind which nothing that is read is handed on, whatever becomes of read deadlines.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -254,10 +254,19 @@
 	if length < 0 && !t.r.ProtoAtLeast(1, 1) { // no chunks in HTTP/1.0
 		t.setConnEndsAnswer(true)
 	}
-	t.w.WriteHeader(resp.StatusCode)
+	t.writeStatus(resp.StatusCode)
 	t.headWritten = true
 }
 
+// writeStatus writes the head of an answer. If the router has begun to stop since the request arrived, the head
+// announces the end of the connection.
+func (t *task) writeStatus(status int) {
+	if t.proxy.stopping() {
+		announceClose(t.w.Header())
+	}
+	t.w.WriteHeader(status)
+}
+
 // setConnEndsAnswer sets whether the end of the client's connection would end an incomplete
 // answer.
 func (t *task) setConnEndsAnswer(ends bool) {
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -33,7 +33,7 @@
 	acks      *tcp.Acks
 	onClose   func()
 	closeOnce sync.Once
-	closed    atomic.Bool // whether the router has closed the connection, which may linger
+	gate      tcp.Gate // closed once the router has closed the connection, which may linger
 
 	// rawData and rawWritten are the argument and result of rawWrite. A closure per write would
 	// be allocated each time.
@@ -87,6 +87,12 @@
 	return nil
 }
 
+// Read implements net.Conn.
+func (c *clientConn) Read(b []byte) (int, error) { return c.gate.Read(c.Conn, b) }
+
+// IsClosed reports whether the router has closed the connection.
+func (c *clientConn) IsClosed() bool { return c.gate.IsClosed() }
+
 // Write implements net.Conn.
 func (c *clientConn) Write(b []byte) (int, error) {
 	if c.buffer == nil {
@@ -161,7 +167,7 @@
 // Close implements net.Conn. Buffered data is written before the connection is closed, unless an
 // answer would then look complete.
 func (c *clientConn) Close() error {
-	c.closed.Store(true)
+	c.gate.Close()
 	if c.endsAnswer.Load() {
 		c.reset()
 		return c.release()
@@ -197,7 +203,7 @@
 // reset closes the connection with a TCP reset, so that an answer on it does not look complete,
 // whatever its framing.
 func (c *clientConn) reset() {
-	c.closed.Store(true)
+	c.gate.Close()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // on failure it is closed as usual
 	}
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -25,8 +25,7 @@
 // connTable closes client connections that exceed the time limits. The limits may change while
 // connections are open.
 type connTable struct {
-	clock    peridotusher.Clock
-	stopping func() bool
+	clock peridotusher.Clock
 
 	mu           sync.Mutex
 	awaitingHead map[net.Conn]time.Time // connections without a request so far, by the time they were opened
@@ -35,18 +34,12 @@
 	lastCheck time.Time
 }
 
-func newConnTable(clock peridotusher.Clock, stopping func() bool) *connTable {
-	return &connTable{clock: clock, stopping: stopping, awaitingHead: make(map[net.Conn]time.Time), idle: make(map[net.Conn]time.Time)}
+func newConnTable(clock peridotusher.Clock) *connTable {
+	return &connTable{clock: clock, awaitingHead: make(map[net.Conn]time.Time), idle: make(map[net.Conn]time.Time)}
 }
 
-// state is the server's ConnState hook. An answer that was begun before a stop did not announce
-// the end of its connection. Such a connection is closed right after the answer, when the client
-// cannot have sent another request yet.
+// state is the server's ConnState hook.
 func (t *connTable) state(c net.Conn, s http.ConnState) {
-	if s == http.StateIdle && t.stopping() {
-		_ = c.Close() // the server notices
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.awaitingHead, c)
--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -44,7 +44,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			now := time.Unix(0, 0)
-			table := newConnTable(peridotusher.ClockFunc(func() time.Time { return now }), func() bool { return false })
+			table := newConnTable(peridotusher.ClockFunc(func() time.Time { return now }))
 			var unused, idle, busy trackedConn
 			for _, c := range []*trackedConn{&unused, &idle, &busy} {
 				table.state(c, http.StateNew)
--- a/relay/final.go
+++ b/relay/final.go
@@ -57,7 +57,7 @@
 
 // closedBy returns which side closed the client's connection.
 func (t *task) closedBy() string {
-	if c := clientConnOf(t.r.Context()); c != nil && c.closed.Load() {
+	if c := clientConnOf(t.r.Context()); c != nil && c.IsClosed() {
 		return "router"
 	}
 	return "client"
@@ -124,7 +124,7 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := why + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
-	t.w.WriteHeader(status)
+	t.writeStatus(status)
 	if _, err := t.w.Write([]byte(text)); err != nil {
 		t.proxy.Log.Event("client", "id", t.call.ID, "error", err)
 	}
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -122,7 +122,7 @@
 // Run serves clients on the listener until ctx ends. Then it closes the listener and waits for
 // the requests in flight, for at most the time that grace returns at that moment.
 func (f *Proxy) Run(ctx context.Context, l net.Listener, grace func() time.Duration) error {
-	conns := newConnTable(f.Clock, f.stopping)
+	conns := newConnTable(f.Clock)
 	f.conns.Store(conns)
 	server := &http.Server{
 		Handler:           f,
