Serve requests on open connections after a stop closed the listener

Callers saw: a request on a connection that was open when a stopping router closed its listener ended without an answer, 3.4 s and later after SIGTERM: the first one on a new connection, the next one on a kept connection (within the time that Keep-Alive had announced), and one whose head had been received in part.

Cause: http.Server.Shutdown. From its start on net/http reads a whole request and returns without an answer, it closes connections as soon as they are idle, and counts one as idle until the head of its next request is complete. Class: a connection is closed while a request is, was or may be read from it.

Change: httpserve.Conns replaces Shutdown and the table of limits. It closes a connection without a request only if nothing was received since the last answer, which tcp.Gate decides in one place with the reads; in a stop only after the announced time of reuse and two retransmissions. A request whose connection was closed after it had been read is not passed on.

--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -1,9 +1,21 @@
-// Package httpserve runs an HTTP server until a context ends.
+// Package httpserve runs an HTTP server until a context ends, and stops one without dropping requests.
+//
+// http.Server.Shutdown closes a connection as soon as it is idle, whatever its client was told, and drops a
+// request that it reads from then on. Conns closes a connection only if nothing was received on it since the
+// last answer, and a request that was read is served.
 //
 // # Usage
 //
 //	server := &http.Server{Handler: h}
 //	group.Go(func() error { return httpserve.Until(ctx, server, listener, server.Close) })
+//
+// A server that stops gracefully, whose listener returns connections that implement Conn:
+//
+//	conns := &httpserve.Conns{Clock: clock}
+//	server := &http.Server{Handler: conns.Handler(h), ConnState: conns.Track, ConnContext: conns.Context}
+//	group.Go(func() error {
+//		return httpserve.UntilDrained(ctx, server, listener, settle, func() error { return conns.Drain(grace, idle) })
+//	})
 package httpserve
 
 import (
@@ -33,3 +45,27 @@
 	})
 	return group.Wait()
 }
+
+// UntilDrained serves on the listener until ctx ends or serving fails. It then calls settle, during which new
+// connections are still accepted, closes the listener and calls drain, which has to wait for the requests in
+// flight. Requests that arrive on open connections are served until drain returns and the server is closed.
+func UntilDrained(ctx context.Context, server *http.Server, l net.Listener, settle func(), drain func() error) error {
+	group, ctx := errgroup.WithContext(ctx)
+	accepted := make(chan struct{}) // closed when no more connections are accepted
+	group.Go(func() error {
+		defer close(accepted)
+		err := server.Serve(l)
+		if ctx.Err() != nil && errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		return errors.Wrapf(err, "serve %s", l.Addr())
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		settle()
+		_ = l.Close() // it may have been closed before
+		<-accepted
+		return errors.CombineErrors(drain(), server.Close())
+	})
+	return group.Wait()
+}
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -90,7 +90,17 @@
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) { return c.gate.Read(c.Conn, b) }
 
-// IsClosed reports whether the router has closed the connection.
+// MarkIdle implements httpserve.Conn.
+func (c *clientConn) MarkIdle() { c.gate.MarkIdle() }
+
+// CloseIfIdle implements httpserve.Conn.
+func (c *clientConn) CloseIfIdle() {
+	if c.gate.CloseIfIdle() {
+		_ = c.Close() // nothing can be done about an error
+	}
+}
+
+// IsClosed implements httpserve.Conn.
 func (c *clientConn) IsClosed() bool { return c.gate.IsClosed() }
 
 // Write implements net.Conn.
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
-	"sync"
 	"time"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/httpserve"
 )
 
 const (
@@ -22,38 +20,20 @@
 // read, and how long a connection may be idle; 0 means no limit.
 type connLimits struct{ head, idle time.Duration }
 
-// connTable closes client connections that exceed the time limits. The limits may change while
+// limitedConns closes client connections that exceed the time limits. The limits may change while
 // connections are open.
-type connTable struct {
-	clock peridotusher.Clock
-
-	mu           sync.Mutex
-	awaitingHead map[net.Conn]time.Time // connections without a request so far, by the time they were opened
-	idle         map[net.Conn]time.Time // idle connections, by the end of their latest answer
+type limitedConns struct {
+	httpserve.Conns
 	// lastCheck is when closeExpired ran last.
 	lastCheck time.Time
 }
 
-func newConnTable(clock peridotusher.Clock) *connTable {
-	return &connTable{clock: clock, awaitingHead: make(map[net.Conn]time.Time), idle: make(map[net.Conn]time.Time)}
-}
-
-// state is the server's ConnState hook.
-func (t *connTable) state(c net.Conn, s http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.awaitingHead, c)
-	delete(t.idle, c)
-	switch s {
-	case http.StateNew:
-		t.awaitingHead[c] = t.clock.Now()
-	case http.StateIdle:
-		t.idle[c] = t.clock.Now()
-	}
+func newLimitedConns(clock peridotusher.Clock) *limitedConns {
+	return &limitedConns{Conns: httpserve.Conns{Clock: clock}}
 }
 
 // run closes connections beyond the limits until ctx ends.
-func (t *connTable) run(ctx context.Context, limits func() connLimits) {
+func (t *limitedConns) run(ctx context.Context, limits func() connLimits) {
 	tick := time.NewTicker(limitCheckInterval)
 	defer tick.Stop()
 	for {
@@ -68,36 +48,18 @@
 
 // closeExpired closes the connections that are beyond the limits. If the process was suspended,
 // requests may have arrived that are not read yet; then all limits start anew.
-func (t *connTable) closeExpired(limits connLimits) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
+func (t *limitedConns) closeExpired(limits connLimits) {
+	now := t.Clock.Now()
 	suspended := !t.lastCheck.IsZero() && now.Sub(t.lastCheck) > 2*limitCheckInterval
 	t.lastCheck = now
 	if suspended {
-		resetTimes(t.awaitingHead, now)
-		resetTimes(t.idle, now)
+		t.Restart()
 		return
 	}
-	closeOlder(t.awaitingHead, now, limits.head)
-	closeOlder(t.idle, now, limits.idle)
-}
-
-func resetTimes(conns map[net.Conn]time.Time, now time.Time) {
-	for c := range conns {
-		conns[c] = now
+	if limits.head > 0 {
+		t.CloseNew(limits.head + limitMargin)
 	}
-}
-
-// closeOlder closes the connections that are older than the limit. No request is running on them.
-func closeOlder(conns map[net.Conn]time.Time, now time.Time, limit time.Duration) {
-	if limit <= 0 {
-		return
-	}
-	for c, since := range conns {
-		if now.Sub(since) > limit+limitMargin {
-			_ = c.Close() // the server notices
-			delete(conns, c)
-		}
+	if limits.idle > 0 {
+		t.CloseIdle(limits.idle + limitMargin)
 	}
 }
--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -22,6 +22,10 @@
 	return nil
 }
 
+func (c *trackedConn) CloseIfIdle()   { c.closed = true }
+func (c *trackedConn) MarkIdle()      {}
+func (c *trackedConn) IsClosed() bool { return c.closed }
+
 // TestConnectionLimits has connections without a request, idle ones and one with a running
 // request, under changing limits and with a suspension of the process.
 func TestConnectionLimits(t *testing.T) {
@@ -44,14 +48,14 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			now := time.Unix(0, 0)
-			table := newConnTable(peridotusher.ClockFunc(func() time.Time { return now }))
+			table := newLimitedConns(peridotusher.ClockFunc(func() time.Time { return now }))
 			var unused, idle, busy trackedConn
 			for _, c := range []*trackedConn{&unused, &idle, &busy} {
-				table.state(c, http.StateNew)
+				table.Track(c, http.StateNew)
 			}
-			table.state(&idle, http.StateActive)
-			table.state(&idle, http.StateIdle)
-			table.state(&busy, http.StateActive)
+			table.Track(&idle, http.StateActive)
+			table.Track(&idle, http.StateIdle)
+			table.Track(&busy, http.StateActive)
 			table.closeExpired(tt.limits)
 			for range (tt.after - tt.suspended) / limitCheckInterval {
 				now = now.Add(limitCheckInterval)
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -314,10 +314,7 @@
 	b.t.Helper()
 	idle := 0
 	for range 500 {
-		conns := b.proxy.conns.Load()
-		conns.mu.Lock()
-		idle = len(conns.idle)
-		conns.mu.Unlock()
+		idle = b.proxy.conns.Load().Count(http.StateIdle)
 		if idle == want {
 			return
 		}
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -34,6 +34,9 @@
 	// writeMargin is the time after a request's deadline in which its client may still read the
 	// answer.
 	writeMargin = 300 * time.Millisecond
+	// keepAliveMargin is added to the time for which clients may use idle connections again. A packet that was
+	// lost twice is sent again within it.
+	keepAliveMargin = 600 * time.Millisecond
 )
 
 // Proxy is the reverse proxy that serves clients. Its fields are set before Run.
@@ -107,7 +110,7 @@
 	usualTimes placing.LatencyTracker
 	bodies     atomic.Int64 // bytes of request bodies in memory
 	stopPolicy atomic.Pointer[StopPolicy]
-	conns      atomic.Pointer[connTable] // client connections; nil before Run
+	conns      atomic.Pointer[limitedConns] // client connections; nil before Run
 	active     atomic.Int64
 	// answerBuffer buffers answers for slow clients; nil before Run and if AnswerMemory is 0.
 	answerBuffer atomic.Pointer[answerBuffer]
@@ -122,15 +125,17 @@
 // Run serves clients on the listener until ctx ends. Then it closes the listener and waits for
 // the requests in flight, for at most the time that grace returns at that moment.
 func (f *Proxy) Run(ctx context.Context, l net.Listener, grace func() time.Duration) error {
-	conns := newConnTable(f.Clock)
+	conns := newLimitedConns(f.Clock)
 	f.conns.Store(conns)
 	server := &http.Server{
-		Handler:           f,
+		Handler:           conns.Handler(f),
 		MaxHeaderBytes:    maxRequestHeadBytes,
 		ReadHeaderTimeout: maxHeaderTimeout,
-		ConnState:         conns.state,
-		ConnContext:       withClientConn,
-		ErrorLog:          nil,
+		ConnState:         conns.Track,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return withClientConn(conns.Context(ctx, c), c)
+		},
+		ErrorLog: nil,
 	}
 	var buffer *answerBuffer
 	if f.AnswerMemory > 0 {
@@ -152,7 +157,7 @@
 	group.Go(func() error { return f.probeUnreachable(ctx) })
 	group.Go(func() error {
 		defer endServing()
-		return httpserve.Until(ctx, server, limited, func() error { return f.shutdown(ctx, server, grace()) })
+		return httpserve.UntilDrained(ctx, server, limited, func() {}, func() error { return f.drain(ctx, grace()) })
 	})
 	return group.Wait()
 }
@@ -166,20 +171,20 @@
 	f.Pool.updateAckTimeouts()
 }
 
-// shutdown waits for the requests in flight for at most the grace period, then aborts them.
-func (f *Proxy) shutdown(ctx context.Context, server *http.Server, grace time.Duration) error {
+// drain waits until all connections have ended, for at most the grace period. Those on which clients may send
+// more requests, as they were told, are kept for that.
+func (f *Proxy) drain(ctx context.Context, grace time.Duration) error {
 	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
-	err := server.Shutdown(graceCtx)
+	err := f.conns.Load().Drain(graceCtx, f.keepAliveTimeout()+keepAliveMargin)
 	if err != nil {
 		f.Log.Event("cut", "requests", f.active.Load(), "error", err)
-		err = server.Close()
 	}
 	if buffer := f.answerBuffer.Load(); buffer != nil {
 		buffer.awaitEmpty(graceCtx)
 		buffer.stop()
 	}
-	return err
+	return nil
 }
 
 // Stop begins a graceful stop: from now on each answer closes its connection, and requests that
