Own product: answer requests on connections that are open when a stop closes the listener

Callers saw the same as on the users' platform: from the end of the settle time on, requests on open connections were read and dropped by http.Server.Shutdown, and the connection of an answer in flight was closed under the next call. The server drains by httpserve.Conns now, which keeps idle connections for a second.

--- a/caller/server.go
+++ b/caller/server.go
@@ -124,24 +124,32 @@
 // requests in flight have ended and callers have received the answers, or Drain
 // has passed. Shortly before that it answers the remaining requests with a failure.
 func (s *Server) Run(ctx context.Context) error {
+	conns := &httpserve.Conns{Clock: s.Clock}
 	httpServer := &http.Server{
-		Handler:           s.Handler(),
+		Handler:           conns.Handler(s.Handler()),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
+		ConnState:         conns.Track,
+		ConnContext:       conns.Context,
 	}
 	s.requestsEnded, s.endRequests = context.WithCancel(context.Background())
 	defer s.endRequests()
 	closer := tcp.NewCloser()
-	return httpserve.Until(ctx, httpServer, &tcp.Listener{Listener: s.Listener, Closer: closer}, func() error {
-		defer s.beginStop()()
+	var endStop func()
+	settle := func() {
+		endStop = s.beginStop()
 		time.Sleep(s.Settle)
+	}
+	drain := func() error {
+		defer endStop()
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
-		err := httpServer.Shutdown(drainCtx)
+		err := conns.Drain(drainCtx, idleReuseTime)
 		s.awaitReaders(drainCtx, closer)
 		return err
-	})
+	}
+	return httpserve.UntilDrained(ctx, httpServer, &tcp.Listener{Listener: s.Listener, Closer: closer}, settle, drain)
 }
 
 // awaitReaders waits until callers have received their answers or ctx ends.
--- a/caller/stop.go
+++ b/caller/stop.go
@@ -13,6 +13,9 @@
 	// stopRetryAfter is when a caller may return whose request a stopping router refuses. The balancer
 	// then sends it to another router.
 	stopRetryAfter = time.Second
+	// idleReuseTime is how long an idle connection stays open once the listener is closed. Clients that send
+	// again within that time get an answer, which announces the end of the connection.
+	idleReuseTime = time.Second
 )
 
 // beginStop begins a graceful stop: from now on the server refuses requests whose answers may outlast it.
