Keep a stopping router current until its last request is answered

A router that stops ended its reader of the list, its heartbeats and its fetches when it closed its listener, up to 4.2 s before its end. Requests that arrive on open connections in that time are served since the last commits, and went to replicas that had left meanwhile (TestDrainingRouterLearnsOfChanges failed: the request reached the replica that had left).

--- a/edge/listen.go
+++ b/edge/listen.go
@@ -20,38 +20,33 @@
 	writeTimeout = 15 * time.Second
 )
 
-// listen opens the sockets and starts their servers.
-func (r *Router) listen(ctx context.Context, group *errgroup.Group) error {
+// listen opens the sockets and starts their servers, except for that of clients, whose listener it returns.
+func (r *Router) listen(ctx context.Context, group *errgroup.Group) (clients net.Listener, err error) {
 	s := r.Settings
 	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
 	datagrams, err := net.ListenPacket("udp4", r.node.Self.Address)
 	if err != nil {
-		return errors.Wrap(err, "listen for heartbeats")
+		return nil, errors.Wrap(err, "listen for heartbeats")
 	}
 	sessions, err := cfg.Listen(ctx, "tcp4", r.node.Self.Address)
 	if err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "listen for sessions"), datagrams.Close())
+		return nil, errors.CombineErrors(errors.Wrap(err, "listen for sessions"), datagrams.Close())
 	}
 	group.Go(func() error { return r.node.Run(ctx, datagrams, sessions) })
-	clients, err := cfg.Listen(ctx, "tcp4", s.listen.clients)
-	if err != nil {
-		return errors.Wrap(err, "listen for clients")
-	}
-	group.Go(func() error { return r.proxy.Run(ctx, clients, r.remainingGrace) })
 	readinessListener, err := listenForReports(ctx, s.listen.ready)
 	if err != nil {
-		return errors.Wrap(err, "listen for readiness")
+		return nil, errors.Wrap(err, "listen for readiness")
 	}
 	group.Go(func() error { return serve(ctx, readinessListener, http.HandlerFunc(r.serveReadiness)) })
-	if r.MetricsAddress == "" {
-		return nil
-	}
-	metricsListener, err := listenForReports(ctx, r.MetricsAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
+	if r.MetricsAddress != "" {
+		metricsListener, err := listenForReports(ctx, r.MetricsAddress)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen for metrics")
+		}
+		group.Go(func() error { return serve(ctx, metricsListener, r.metricsHandler()) })
 	}
-	group.Go(func() error { return serve(ctx, metricsListener, r.metricsHandler()) })
-	return nil
+	clients, err = cfg.Listen(ctx, "tcp4", s.listen.clients)
+	return clients, errors.Wrap(err, "listen for clients")
 }
 
 // listenForReports listens for readers of readiness or metrics. Their connections have no
--- a/edge/router.go
+++ b/edge/router.go
@@ -120,10 +120,17 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, run := errgroup.WithContext(run)
-	if err := r.listen(run, group); err != nil {
+	clients, err := r.listen(run, group)
+	if err != nil {
 		stop()
 		return errors.CombineErrors(err, group.Wait())
 	}
+	accepting, stopAccepting := context.WithCancel(run)
+	defer stopAccepting()
+	group.Go(func() error {
+		defer stop() // the router stays current until the last request has been answered
+		return r.proxy.Run(accepting, clients, r.remainingGrace)
+	})
 	group.Go(func() error { return r.followConfiguration(run) })
 	group.Go(func() error { return r.followReplicas(run) })
 	group.Go(func() error { return r.learnParts(run) })
@@ -134,10 +141,10 @@
 	select {
 	case <-ctx.Done():
 		r.stop()
-		stop()
+		stopAccepting()
 	case <-run.Done():
 	}
-	err := group.Wait()
+	err = group.Wait()
 	r.pool.Close()
 	r.Log.Event("stop", "router", r.Settings.Name(), "error", err)
 	return err
