--- a/limits.go
+++ b/limits.go
@@ -43,10 +43,9 @@
 // orgUsage is this router's use of one organisation's limits.
 type orgUsage struct {
 	inFlight  int
-	tokens    float64
-	filledAt  time.Time
-	rate      float64 // averaged demand
-	refusals  float64 // averaged number of refusals due to the limit of requests in flight
+	requests  TokenBucket // for the limit of requests a second
+	rate      float64     // averaged demand
+	refusals  float64     // averaged number of refusals due to the limit of requests in flight
 	decayedAt time.Time
 }
 
@@ -126,7 +125,7 @@
 	}
 	u, ok := l.own[org]
 	if !ok {
-		u = &orgUsage{filledAt: now, decayedAt: now, tokens: 1}
+		u = &orgUsage{requests: NewTokenBucket(now, 1), decayedAt: now}
 		l.own[org] = u
 	}
 	return u
@@ -187,16 +186,13 @@
 
 // takeToken takes a token, or returns the time until there is one.
 func (u *orgUsage) takeToken(now time.Time, perSecond float64) time.Duration {
-	burst := max(perSecond, 1)
-	if elapsed := now.Sub(u.filledAt); elapsed > 0 {
-		u.tokens = min(u.tokens+elapsed.Seconds()*perSecond, burst)
-	}
-	u.filledAt = now
-	if u.tokens >= 1 {
-		u.tokens--
+	u.requests.Refill(now, perSecond, max(perSecond, 1))
+	missing := u.requests.Missing(1)
+	if missing <= 0 {
+		u.requests.Take()
 		return 0
 	}
-	return time.Duration((1 - u.tokens) / max(perSecond, baseDemand) * float64(time.Second))
+	return time.Duration(missing / max(perSecond, baseDemand) * float64(time.Second))
 }
 
 // decay lowers the averaged demand linearly with the time since the last call.
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -33,23 +33,11 @@
 	Share func(key uint64) (rank, routers int, known bool)
 
 	mu      sync.Mutex
-	buckets map[uint32]*bucket // by replica
+	buckets map[uint32]*peridotusher.TokenBucket // by replica
 	// returns is when the last refused client of each service was told to return.
 	returns map[string]time.Time
 }
 
-// bucket is a token bucket that holds one token, or those of burstTime if that is more.
-type bucket struct {
-	tokens float64
-	at     time.Time
-}
-
-// refill adds the tokens of the time since the last call.
-func (b *bucket) refill(now time.Time, rate float64) {
-	b.tokens = min(b.tokens+rate*now.Sub(b.at).Seconds(), max(1, rate*burstTime.Seconds()))
-	b.at = now
-}
-
 // Limited reports whether the replica limits its requests.
 func (l *Limiter) Limited(replica uint32) bool {
 	if l == nil {
@@ -79,27 +67,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.bucket(replica, own)
-	if b.tokens < 1 {
+	if b.Missing(1) > 0 {
 		return false
 	}
 	if take {
-		b.tokens--
+		b.Take()
 	}
 	return true
 }
 
-// bucket returns the bucket of a replica, refilled by the share; l.mu must be held.
-func (l *Limiter) bucket(replica uint32, own share) *bucket {
+// bucket returns the bucket of a replica, refilled by the share; l.mu must be held. It holds one token, or
+// those of burstTime if that is more.
+func (l *Limiter) bucket(replica uint32, own share) *peridotusher.TokenBucket {
 	now := l.Clock.Now()
 	b, ok := l.buckets[replica]
 	if !ok {
 		if l.buckets == nil {
-			l.buckets = make(map[uint32]*bucket)
+			l.buckets = make(map[uint32]*peridotusher.TokenBucket)
 		}
-		b = &bucket{at: now, tokens: own.start}
+		started := peridotusher.NewTokenBucket(now, own.start)
+		b = &started
 		l.buckets[replica] = b
 	}
-	b.refill(now, own.rate)
+	b.Refill(now, own.rate, max(1, own.rate*burstTime.Seconds()))
 	return b
 }
 
