Bound how long a connection without a whole request stays open

Another part of the router that failed began a drain without a stop policy, so that clients on kept connections were served to its end and cut then.

Line ends before a request do not begin it now. The rest of a head has the time limit for heads from its first byte, on kept connections too. A drain without a policy sets one. After a suspension of the process a drain gives all connections their time anew. httpserve.Limits names the limits, the two kinds of connections embed the gate, and one context key holds a request's connection.

--- a/caller/keptconn_test.go
+++ b/caller/keptconn_test.go
@@ -37,13 +37,14 @@
 		"next call after a pause":    {kept: true, pause: 100 * time.Millisecond},
 		"new connection":             {},
 		"part of a head is sent":     {sentBefore: 20},
+		"the rest of a head is late": {sentBefore: 20, pause: 3 * idleReuseTime / 2},
 		"all but the last byte sent": {sentBefore: len(call) - 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			services := gatedServices{make(chan struct{}, 2), make(chan struct{})}
 			s, address := newServer(t, nil, services)
-			s.Drain, s.Limits.HeaderTimeout, s.Limits.BodyTimeout = 5*time.Second, time.Second, time.Second
+			s.Drain, s.Limits.HeaderTimeout, s.Limits.BodyTimeout = 5*time.Second, 3*time.Second, time.Second
 			ctx, stop := context.WithCancel(context.Background())
 			defer stop()
 			var server errgroup.Group
--- a/caller/server.go
+++ b/caller/server.go
@@ -126,12 +126,12 @@
 func (s *Server) Run(ctx context.Context) error {
 	conns := &httpserve.Conns{Clock: s.Clock}
 	httpServer := &http.Server{
-		Handler:           conns.Handler(s.Handler()),
+		Handler:           httpserve.RejectClosed(s.Handler()),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
 		ConnState:         conns.Track,
-		ConnContext:       conns.Context,
+		ConnContext:       httpserve.WithConn,
 	}
 	s.requestsEnded, s.endRequests = context.WithCancel(context.Background())
 	defer s.endRequests()
@@ -145,7 +145,7 @@
 		defer endStop()
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
-		err := conns.Drain(drainCtx, idleReuseTime)
+		err := conns.Drain(drainCtx, httpserve.Limits{Head: s.Limits.HeaderTimeout, New: idleReuseTime, Idle: idleReuseTime})
 		s.awaitReaders(drainCtx, closer)
 		return err
 	}
--- a/httpserve/conns.go
+++ b/httpserve/conns.go
@@ -12,58 +12,77 @@
 	"peridotusher.example/peridotusher"
 )
 
-// drainInterval is the interval of checks for idle connections while a server stops.
-const drainInterval = 10 * time.Millisecond
+const (
+	// drainInterval is the interval of checks for unused connections while a server stops.
+	drainInterval = 10 * time.Millisecond
+	// suspensionThreshold is the time between two of these checks from which on the process was suspended,
+	// so that requests may have arrived that are not read yet.
+	suspensionThreshold = time.Second
+)
 
-// ErrNotDrained means that a stop had no time left for connections with requests in flight.
+// ErrNotDrained means that requests were in flight at the end of a stop.
 var ErrNotDrained = errors.New("requests were in flight at the end of the stop")
 
-// Conn is a connection that can be closed without cutting a request off. A tcp.Gate implements most of it.
+// Conn is a connection that can be closed without losing a request. An embedded tcp.Gate implements most of
+// it.
 type Conn interface {
 	net.Conn
-	// MarkIdle records that everything received so far has been answered.
+	// MarkIdle records that the request that was read last has been answered.
 	MarkIdle()
-	// CloseIfIdle closes the connection unless a part of a request was received since MarkIdle.
+	// IsReceiving reports whether a part of a request was read since MarkIdle.
+	IsReceiving() bool
+	// CloseIfIdle closes the connection unless it IsReceiving.
 	CloseIfIdle()
 	// IsClosed reports whether the connection was closed, also if it lingers.
 	IsClosed() bool
 }
 
-// Conns tracks the connections of a server, all of which are a Conn, and closes those that serve no request.
-// http.Server.Shutdown does not do for that: it drops requests that it reads on connections that are open
-// still. Its fields are set before the first connection.
+// Limits are the times after which connections without a request are closed; 0 means never.
+type Limits struct {
+	// Head is the longest time from the opening of a connection, or from the first byte of a later request, until
+	// the head of the request has been read.
+	Head time.Duration
+	// New is the longest time from the opening of a connection until the first byte of its first request.
+	New time.Duration
+	// Idle is the longest time between the end of an answer and the first byte of the next request.
+	Idle time.Duration
+}
+
+// Conns tracks the connections of a server, each of which is a Conn, and closes those without a request. Its
+// fields are set before the first connection.
 type Conns struct {
 	Clock peridotusher.Clock
 
-	mu     sync.Mutex
-	states map[Conn]connState
+	mu    sync.Mutex
+	conns map[Conn]*connState
 }
 
-// connState is the state of a connection since a time.
+// connState is the state of a connection.
 type connState struct {
-	state http.ConnState
-	since time.Time
+	state          http.ConnState
+	since          time.Time // when the state began
+	receivingSince time.Time // when a part of the next request was noticed; zero if there is none
 }
 
+// isUnused reports whether no request is being handled.
+func (s *connState) isUnused() bool { return s.state == http.StateNew || s.state == http.StateIdle }
+
 // Track is the server's ConnState hook.
 func (t *Conns) Track(nc net.Conn, state http.ConnState) {
-	c, ok := nc.(Conn)
-	if !ok {
-		return
-	}
+	c := nc.(Conn) // as all connections that the listener returns
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
-		delete(t.states, c)
+		delete(t.conns, c)
 		return
 	case http.StateIdle:
 		c.MarkIdle()
 	}
-	if t.states == nil {
-		t.states = make(map[Conn]connState)
+	if t.conns == nil {
+		t.conns = make(map[Conn]*connState)
 	}
-	t.states[c] = connState{state, t.Clock.Now()}
+	t.conns[c] = &connState{state: state, since: t.Clock.Now()}
 }
 
 // Count returns the number of connections in a state.
@@ -71,7 +90,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
-	for _, s := range t.states {
+	for _, s := range t.conns {
 		if s.state == state {
 			n++
 		}
@@ -79,51 +98,80 @@
 	return n
 }
 
-// CloseNew closes the connections that were opened at least age ago and on which no request was read
-// completely.
-func (t *Conns) CloseNew(age time.Duration) {
-	t.each(http.StateNew, age, func(c Conn) { _ = c.Close() }) // the server notices
-}
-
-// CloseIdle closes the connections that have been idle for at least age.
-func (t *Conns) CloseIdle(age time.Duration) { t.each(http.StateIdle, age, Conn.CloseIfIdle) }
-
-// Restart makes the ages of all connections begin anew.
+// Restart makes the times to which limits apply begin anew, after the process was suspended.
 func (t *Conns) Restart() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
-	for c, s := range t.states {
-		t.states[c] = connState{s.state, now}
+	for _, s := range t.conns {
+		s.since, s.receivingSince = now, time.Time{}
 	}
 }
 
-// each calls f for the connections that have been in a state for at least age. The server cannot begin to
-// handle a request on them meanwhile, since it waits for Track.
-func (t *Conns) each(state http.ConnState, age time.Duration, f func(Conn)) {
+// CloseUnused closes the connections without a request that are beyond the limits. The server begins to handle
+// no request on them meanwhile, since it waits for Track.
+func (t *Conns) CloseUnused(limits Limits) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
-	for c, s := range t.states {
-		if s.state == state && now.Sub(s.since) >= age {
-			f(c)
+	for c, s := range t.conns {
+		switch {
+		case !s.isUnused():
+		case s.exceedsHead(now, limits.Head, c.IsReceiving()):
+			_ = c.Close() // the server notices
+		case isReached(s.waitLimit(limits), s.since, now):
+			c.CloseIfIdle()
 		}
 	}
 }
 
-// Drain waits until no connection is left. It closes those without a request that have been idle or new for
-// at least idle, and at the end of ctx all of these. Then it returns ErrNotDrained if others are left.
-func (t *Conns) Drain(ctx context.Context, idle time.Duration) error {
+// waitLimit returns the limit of the time until the first byte of a request.
+func (s *connState) waitLimit(limits Limits) time.Duration {
+	if s.state == http.StateNew {
+		return limits.New
+	}
+	return limits.Idle
+}
+
+// isReached reports whether a limit, 0 for none, is reached since a time.
+func isReached(limit time.Duration, since, now time.Time) bool {
+	return limit > 0 && now.Sub(since) >= limit
+}
+
+// exceedsHead reports whether the client has exceeded the limit for sending the head of a request. receiving is
+// whether a part of it was read.
+func (s *connState) exceedsHead(now time.Time, limit time.Duration, receiving bool) bool {
+	switch {
+	case s.state == http.StateNew:
+		return isReached(limit, s.since, now)
+	case !receiving:
+		s.receivingSince = time.Time{}
+	case s.receivingSince.IsZero():
+		s.receivingSince = now
+	default:
+		return isReached(limit, s.receivingSince, now)
+	}
+	return false
+}
+
+// Drain waits until no connection is left, and closes those without a request that are beyond the limits. At the
+// end of ctx it closes all that are idle, and returns ErrNotDrained if requests are in flight.
+func (t *Conns) Drain(ctx context.Context, limits Limits) error {
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
-	for {
-		t.closeUnused(idle)
+	for last := t.Clock.Now(); ; {
+		now := t.Clock.Now()
+		if now.Sub(last) > suspensionThreshold {
+			t.Restart()
+		}
+		last = now
+		t.CloseUnused(limits)
 		if t.open() == 0 {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			t.closeUnused(0)
+			t.CloseUnused(Limits{New: time.Nanosecond, Idle: time.Nanosecond})
 			if t.Count(http.StateActive) > 0 {
 				return ErrNotDrained
 			}
@@ -133,31 +181,31 @@
 	}
 }
 
-// closeUnused closes the connections without a request that have been idle or new for at least age.
-func (t *Conns) closeUnused(age time.Duration) {
-	t.each(http.StateNew, age, Conn.CloseIfIdle)
-	t.CloseIdle(age)
-}
-
 // open returns the number of connections.
 func (t *Conns) open() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.states)
+	return len(t.conns)
 }
 
 // connKey is the context key of a request's Conn.
 type connKey struct{}
 
-// Context is the server's ConnContext hook.
-func (t *Conns) Context(ctx context.Context, c net.Conn) context.Context {
+// WithConn is the ConnContext hook of a server with Conns.
+func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// Handler returns a handler that serves no request whose connection was closed after it had been read.
-func (t *Conns) Handler(next http.Handler) http.Handler {
+// ConnOf returns the connection of a request, or nil if it is not known.
+func ConnOf(ctx context.Context) Conn {
+	c, _ := ctx.Value(connKey{}).(Conn)
+	return c
+}
+
+// RejectClosed returns a handler that serves no request whose connection was closed after it had been read.
+func RejectClosed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(Conn); ok && c.IsClosed() {
+		if c := ConnOf(r.Context()); c != nil && c.IsClosed() {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
--- a/httpserve/conns_test.go
+++ b/httpserve/conns_test.go
@@ -33,13 +33,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s := &drainedServer{address: l.Addr().String(), conns: &Conns{Clock: peridotusher.ClockFunc(time.Now)}, stop: stop, result: make(chan error, 1)}
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	server := &http.Server{Handler: s.conns.Handler(ok), ConnState: s.conns.Track, ConnContext: s.conns.Context}
+	server := &http.Server{Handler: RejectClosed(ok), ConnState: s.conns.Track, ConnContext: WithConn}
 	var group errgroup.Group
 	group.Go(func() error {
 		s.result <- UntilDrained(ctx, server, &tcp.Listener{Listener: l, Closer: tcp.NewCloser()}, func() {}, func() error {
 			graceCtx, cancel := context.WithTimeout(context.Background(), grace)
 			defer cancel()
-			return s.conns.Drain(graceCtx, idle)
+			return s.conns.Drain(graceCtx, Limits{New: idle, Idle: idle})
 		})
 		return nil
 	})
@@ -116,10 +116,9 @@
 // TestRequestOfClosedConnIsNotServed guards against requests that are served although their connection was closed after they were read.
 func TestRequestOfClosedConnIsNotServed(t *testing.T) {
 	served := 0
-	conns := &Conns{Clock: peridotusher.ClockFunc(time.Now)}
-	h := conns.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	h := RejectClosed(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
 	for _, closed := range []bool{false, true} {
-		r, err := http.NewRequestWithContext(conns.Context(context.Background(), closableConn{closed: closed}), http.MethodGet, "/", nil)
+		r, err := http.NewRequestWithContext(WithConn(context.Background(), closableConn{closed: closed}), http.MethodGet, "/", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -143,6 +142,7 @@
 	closed bool
 }
 
-func (closableConn) MarkIdle()        {}
-func (closableConn) CloseIfIdle()     {}
-func (c closableConn) IsClosed() bool { return c.closed }
+func (closableConn) MarkIdle()         {}
+func (closableConn) IsReceiving() bool { return false }
+func (closableConn) CloseIfIdle()      {}
+func (c closableConn) IsClosed() bool  { return c.closed }
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -1,8 +1,8 @@
 // Package httpserve runs an HTTP server until a context ends, and stops one without dropping requests.
 //
-// http.Server.Shutdown closes a connection as soon as it is idle, whatever its client was told, and drops a
-// request that it reads from then on. Conns closes a connection only if nothing was received on it since the
-// last answer, and a request that was read is served.
+// http.Server.Shutdown closes a connection as soon as it is idle, whatever its client was told, and drops
+// requests that it reads from then on. Conns closes a connection for being idle only if no part of a request was
+// read since the last answer, and only after the time for which the client may use it again.
 //
 // # Usage
 //
@@ -12,9 +12,9 @@
 // A server that stops gracefully, whose listener returns connections that implement Conn:
 //
 //	conns := &httpserve.Conns{Clock: clock}
-//	server := &http.Server{Handler: conns.Handler(h), ConnState: conns.Track, ConnContext: conns.Context}
+//	server := &http.Server{Handler: httpserve.RejectClosed(h), ConnState: conns.Track, ConnContext: httpserve.WithConn}
 //	group.Go(func() error {
-//		return httpserve.UntilDrained(ctx, server, listener, settle, func() error { return conns.Drain(grace, idle) })
+//		return httpserve.UntilDrained(ctx, server, listener, settle, func() error { return conns.Drain(grace, limits) })
 //	})
 package httpserve
 
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/tcp"
 )
 
@@ -29,11 +30,11 @@
 // goroutine that serves the connection writes to it, and only that one sets its write deadline.
 type clientConn struct {
 	net.Conn
+	tcp.Gate
 	buffer    *answerBuffer // nil: writes block until the client reads
 	acks      *tcp.Acks
 	onClose   func()
 	closeOnce sync.Once
-	gate      tcp.Gate // closed once the router has closed the connection, which may linger
 
 	// rawData and rawWritten are the argument and result of rawWrite. A closure per write would
 	// be allocated each time.
@@ -65,17 +66,9 @@
 	return out
 }
 
-// clientKey is the context key of a request's clientConn.
-type clientKey struct{}
-
-// withClientConn is the server's ConnContext hook.
-func withClientConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, clientKey{}, c)
-}
-
 // clientConnOf returns the connection of a request, or nil if it is not a clientConn.
 func clientConnOf(ctx context.Context) *clientConn {
-	c, _ := ctx.Value(clientKey{}).(*clientConn)
+	c, _ := httpserve.ConnOf(ctx).(*clientConn)
 	return c
 }
 
@@ -88,21 +81,15 @@
 }
 
 // Read implements net.Conn.
-func (c *clientConn) Read(b []byte) (int, error) { return c.gate.Read(c.Conn, b) }
-
-// MarkIdle implements httpserve.Conn.
-func (c *clientConn) MarkIdle() { c.gate.MarkIdle() }
+func (c *clientConn) Read(b []byte) (int, error) { return c.Receive(c.Conn, b) }
 
 // CloseIfIdle implements httpserve.Conn.
 func (c *clientConn) CloseIfIdle() {
-	if c.gate.CloseIfIdle() {
+	if c.ShutIfIdle() {
 		_ = c.Close() // nothing can be done about an error
 	}
 }
 
-// IsClosed implements httpserve.Conn.
-func (c *clientConn) IsClosed() bool { return c.gate.IsClosed() }
-
 // Write implements net.Conn.
 func (c *clientConn) Write(b []byte) (int, error) {
 	if c.buffer == nil {
@@ -177,7 +164,7 @@
 // Close implements net.Conn. Buffered data is written before the connection is closed, unless an
 // answer would then look complete.
 func (c *clientConn) Close() error {
-	c.gate.Close()
+	c.Shut()
 	if c.endsAnswer.Load() {
 		c.reset()
 		return c.release()
@@ -213,7 +200,7 @@
 // reset closes the connection with a TCP reset, so that an answer on it does not look complete,
 // whatever its framing.
 func (c *clientConn) reset() {
-	c.gate.Close()
+	c.Shut()
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // on failure it is closed as usual
 	}
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -16,10 +16,6 @@
 	limitCheckInterval = time.Second
 )
 
-// connLimits limits how long a new connection may take until the head of its first request is
-// read, and how long a connection may be idle; 0 means no limit.
-type connLimits struct{ head, idle time.Duration }
-
 // limitedConns closes client connections that exceed the time limits. The limits may change while
 // connections are open.
 type limitedConns struct {
@@ -33,7 +29,7 @@
 }
 
 // run closes connections beyond the limits until ctx ends.
-func (t *limitedConns) run(ctx context.Context, limits func() connLimits) {
+func (t *limitedConns) run(ctx context.Context, limits func() httpserve.Limits) {
 	tick := time.NewTicker(limitCheckInterval)
 	defer tick.Stop()
 	for {
@@ -48,7 +44,7 @@
 
 // closeExpired closes the connections that are beyond the limits. If the process was suspended,
 // requests may have arrived that are not read yet; then all limits start anew.
-func (t *limitedConns) closeExpired(limits connLimits) {
+func (t *limitedConns) closeExpired(limits httpserve.Limits) {
 	now := t.Clock.Now()
 	suspended := !t.lastCheck.IsZero() && now.Sub(t.lastCheck) > 2*limitCheckInterval
 	t.lastCheck = now
@@ -56,10 +52,16 @@
 		t.Restart()
 		return
 	}
-	if limits.head > 0 {
-		t.CloseNew(limits.head + limitMargin)
+	t.CloseUnused(withMargin(limits))
+}
+
+// withMargin returns the limits after which connections are closed.
+func withMargin(limits httpserve.Limits) httpserve.Limits {
+	if limits.Head > 0 {
+		limits.Head += limitMargin
 	}
-	if limits.idle > 0 {
-		t.CloseIdle(limits.idle + limitMargin)
+	if limits.Idle > 0 {
+		limits.Idle += limitMargin
 	}
+	return limits
 }
--- a/relay/keptconn_test.go
+++ b/relay/keptconn_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sync/errgroup"
 )
 
 // keptAnswer is how a request on a kept connection was answered.
@@ -77,20 +78,27 @@
 // TestRequestsOnOpenConnsAreAnsweredAfterListenerCloses guards against requests that a stop reads and drops.
 func TestRequestsOnOpenConnsAreAnsweredAfterListenerCloses(t *testing.T) {
 	before, after, _ := strings.Cut(get(""), "Key:")
+	const keepAlive = time.Second
+	const late = keepAlive + keepAliveMargin // as long as a connection stays without a request
 	tests := map[string]struct {
-		before, after string // parts of the request sent before and after the listener is closed
-		kept          bool   // whether a request was answered on the connection before
+		before, after string        // parts of the request sent before and after the listener is closed
+		kept          bool          // whether a request was answered on the connection before
+		pause         time.Duration // before the second part
 	}{
-		"new connection":             {after: get("")},
-		"part of the head":           {before: before, after: "Key:" + after},
-		"kept connection":            {after: get(""), kept: true},
-		"part of the head when kept": {before: before, after: "Key:" + after, kept: true},
+		"new connection":                  {after: get("")},
+		"part of the head":                {before: before, after: "Key:" + after},
+		"part of the head, the rest late": {before: before, after: "Key:" + after, pause: late},
+		"kept connection":                 {after: get(""), kept: true},
+		"kept connection, packet lost":    {after: get(""), kept: true, pause: keepAlive + keepAliveMargin/2},
+		"part of the head when kept":      {before: before, after: "Key:" + after, kept: true},
+		"the same, the rest comes late":   {before: before, after: "Key:" + after, kept: true, pause: late},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			b := newFixture(t, idempotent, respond(okAnswer, true))
-			b.grace = 3 * time.Second
-			b.proxy.KeepAliveTimeout = 2 * time.Second
+			b.grace = 5 * time.Second
+			b.proxy.KeepAliveTimeout = keepAlive
 			c := b.dial()
 			br := bufio.NewReader(c)
 			if tt.kept {
@@ -111,9 +119,52 @@
 				}
 				return err != nil
 			})
+			time.Sleep(tt.pause)
 			if diff := cmp.Diff(keptAnswer{http.StatusOK, true}, b.exchangeOn(c, br, tt.after)); diff != "" {
 				t.Errorf("answer (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
+
+// TestStopIsNotHeldByStrayBytes guards against stops that wait for a request which a client does not send.
+func TestStopIsNotHeldByStrayBytes(t *testing.T) {
+	b := newFixture(t, idempotent, respond(okAnswer, true))
+	b.grace = 10 * time.Second
+	c := b.dial()
+	if got := b.exchangeOn(c, bufio.NewReader(c), get("")); got.Status != http.StatusOK {
+		t.Fatalf("the answer is %v", got)
+	}
+	if _, err := io.WriteString(c, "\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	b.stop()
+	if err := b.running.Wait(); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > b.grace/2 {
+		t.Errorf("the stop took %v", took)
+	}
+}
+
+// TestClosedClientConnIsNotRead guards against requests that are passed on although their connection is closed and lingers for its client.
+func TestClosedClientConnIsNotRead(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	c := newClientConn(server, nil, func() {})
+	c.Shut()
+	var group errgroup.Group
+	group.Go(func() error {
+		_, _ = io.WriteString(client, get("")) // fails at the end
+		return nil
+	})
+	if n, err := c.Read(make([]byte, 10)); n != 0 || err != net.ErrClosed {
+		t.Errorf("%d bytes were read, %v", n, err)
+	}
+	other := newClientConn(server, nil, func() {})
+	if err := other.Close(); err != nil || !other.IsClosed() { // also ends the write
+		t.Errorf("closed: %v, %v", other.IsClosed(), err)
+	}
+	_ = group.Wait()
+}
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -122,20 +122,18 @@
 	Event(kind string, fields ...any)
 }
 
-// Run serves clients on the listener until ctx ends. Then it closes the listener and waits for
-// the requests in flight, for at most the time that grace returns at that moment.
+// Run serves clients on the listener until ctx ends. Then it closes the listener and drains the open
+// connections, for at most the time that grace returns at that moment.
 func (f *Proxy) Run(ctx context.Context, l net.Listener, grace func() time.Duration) error {
 	conns := newLimitedConns(f.Clock)
 	f.conns.Store(conns)
 	server := &http.Server{
-		Handler:           conns.Handler(f),
+		Handler:           httpserve.RejectClosed(f),
 		MaxHeaderBytes:    maxRequestHeadBytes,
 		ReadHeaderTimeout: maxHeaderTimeout,
 		ConnState:         conns.Track,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return withClientConn(conns.Context(ctx, c), c)
-		},
-		ErrorLog: nil,
+		ConnContext:       httpserve.WithConn,
+		ErrorLog:          nil,
 	}
 	var buffer *answerBuffer
 	if f.AnswerMemory > 0 {
@@ -144,17 +142,17 @@
 	}
 	limited := &limitListener{Listener: l, buffer: buffer, maxOpen: int64(f.MaxConnections), onRefused: func() { f.Log.Event("refused", "connections", f.MaxConnections) }}
 	group, ctx := errgroup.WithContext(ctx)
-	// Clients are served after ctx ends, until the requests in flight have ended.
+	// Clients are served after ctx ends, until all connections are drained.
 	serving, endServing := context.WithCancel(context.WithoutCancel(ctx))
 	group.Go(func() error {
-		conns.run(serving, func() connLimits {
+		conns.run(serving, func() httpserve.Limits {
 			f.Metrics.countWakeUp("limits")
 			f.updateAckTimeouts()
 			return f.connLimits()
 		})
 		return nil
 	})
-	group.Go(func() error { return f.probeUnreachable(ctx) })
+	group.Go(func() error { return f.probeUnreachable(serving) })
 	group.Go(func() error {
 		defer endServing()
 		return httpserve.UntilDrained(ctx, server, limited, func() {}, func() error { return f.drain(ctx, grace()) })
@@ -171,13 +169,17 @@
 	f.Pool.updateAckTimeouts()
 }
 
-// drain waits until all connections have ended, for at most the grace period. Those on which clients may send
-// more requests, as they were told, are kept for that.
+// drain waits until all connections have ended, for at most the grace period. A connection stays open for as
+// long as its client was told that it may use it again.
 func (f *Proxy) drain(ctx context.Context, grace time.Duration) error {
+	if !f.stopping() { // a part of the router has failed
+		f.Stop(StopPolicy{AnswerBy: f.Clock.Now().Add(grace)})
+	}
 	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer cancel()
-	err := f.conns.Load().Drain(graceCtx, f.keepAliveTimeout()+keepAliveMargin)
-	if err != nil {
+	unused := f.keepAliveTimeout() + keepAliveMargin
+	limits := httpserve.Limits{Head: f.connLimits().Head, New: unused, Idle: unused}
+	if err := f.conns.Load().Drain(graceCtx, limits); err != nil {
 		f.Log.Event("cut", "requests", f.active.Load(), "error", err)
 	}
 	if buffer := f.answerBuffer.Load(); buffer != nil {
@@ -197,12 +199,12 @@
 func (f *Proxy) Active() int64 { return f.active.Load() }
 
 // connLimits returns the limits of the current configuration.
-func (f *Proxy) connLimits() connLimits {
+func (f *Proxy) connLimits() httpserve.Limits {
 	doc := f.Current.Load()
 	if doc == nil {
-		return connLimits{head: defaultHeaderTimeout}
+		return httpserve.Limits{Head: defaultHeaderTimeout}
 	}
-	return connLimits{head: doc.Limits.HeaderTimeout, idle: doc.Limits.IdleTimeout}
+	return httpserve.Limits{Head: doc.Limits.HeaderTimeout, Idle: doc.Limits.IdleTimeout}
 }
 
 // ServeHTTP implements http.Handler.
@@ -261,7 +263,7 @@
 // keepAliveTimeout returns how long an idle client connection may be reused: KeepAliveTimeout, or the
 // configured idle timeout if that is shorter.
 func (f *Proxy) keepAliveTimeout() time.Duration {
-	if idle := f.connLimits().idle; idle > 0 {
+	if idle := f.connLimits().Idle; idle > 0 {
 		return min(f.KeepAliveTimeout, idle)
 	}
 	return f.KeepAliveTimeout
--- a/tcp/gate.go
+++ b/tcp/gate.go
@@ -1,60 +1,70 @@
 package tcp
 
 import (
+	"bytes"
 	"net"
 	"sync"
 )
 
-// Gate orders the reads from a connection and its end. Once it is closed, nothing that is read from the
-// connection is handed on, even if a read deadline that was to end a read is removed again. The zero value is
+// Gate orders the reads from a connection and its end. Once it is shut, nothing that is read from the
+// connection is handed on, even if the read deadline that was to end the reads is removed again. The zero value is
 // open and idle.
 type Gate struct {
-	mu       sync.Mutex
-	closed   bool
-	received bool // whether anything was received since MarkIdle
+	mu        sync.Mutex
+	shut      bool
+	receiving bool // whether a part of a request was read since MarkIdle
 }
 
-// Read reads from a connection while the gate is open. Bytes that arrive as it closes are discarded.
-func (g *Gate) Read(c net.Conn, b []byte) (int, error) {
+// Receive reads from the gate's connection while the gate is open. Bytes that arrive as it shuts are
+// discarded.
+func (g *Gate) Receive(c net.Conn, b []byte) (int, error) {
 	if g.IsClosed() {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Read(b)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed {
+	if g.shut {
 		return 0, net.ErrClosed
 	}
-	g.received = g.received || n > 0
+	// Line ends before a request do not begin it; some clients send one behind a body.
+	g.receiving = g.receiving || len(bytes.Trim(b[:n], "\r\n")) > 0
 	return n, err
 }
 
-// MarkIdle records that everything received so far has been answered.
+// MarkIdle records that the request that was read last has been answered.
 func (g *Gate) MarkIdle() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.received = false
+	g.receiving = false
 }
 
-// Close closes the gate.
-func (g *Gate) Close() {
+// Shut shuts the gate.
+func (g *Gate) Shut() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = true
+	g.shut = true
 }
 
-// CloseIfIdle closes the gate unless something was received since MarkIdle. It reports whether the gate is
-// closed.
-func (g *Gate) CloseIfIdle() bool {
+// ShutIfIdle shuts the gate unless a part of a request was read since MarkIdle. It reports whether the gate is
+// shut.
+func (g *Gate) ShutIfIdle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = g.closed || !g.received
-	return g.closed
+	g.shut = g.shut || !g.receiving
+	return g.shut
 }
 
-// IsClosed reports whether the gate is closed.
+// IsReceiving reports whether a part of a request was read since MarkIdle.
+func (g *Gate) IsReceiving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.receiving
+}
+
+// IsClosed reports whether the gate is shut, because the connection is closed or lingers.
 func (g *Gate) IsClosed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.closed
+	return g.shut
 }
--- a/tcp/gate_test.go
+++ b/tcp/gate_test.go
@@ -19,14 +19,15 @@
 // TestClosedGateHandsNothingOn guards against requests that are served though their connection is being closed.
 func TestClosedGateHandsNothingOn(t *testing.T) {
 	tests := map[string]struct {
-		early bool // whether the text is sent before the gate is to be closed
+		early string // sent before the gate is to be closed
 		close func(g *Gate) bool
 		want  received
 	}{
-		"closed while a read waits":       {false, func(g *Gate) bool { g.Close(); return true }, received{"", true}},
-		"closed if idle, and it is":       {false, (*Gate).CloseIfIdle, received{"", true}},
-		"closed if idle, but it is not":   {true, (*Gate).CloseIfIdle, received{"b", false}},
-		"closed after a part of the text": {true, func(g *Gate) bool { g.Close(); return true }, received{"", true}},
+		"closed while a read waits":       {"", func(g *Gate) bool { g.Shut(); return true }, received{"", true}},
+		"closed if idle, and it is":       {"", (*Gate).ShutIfIdle, received{"", true}},
+		"closed if idle, but it is not":   {"a", (*Gate).ShutIfIdle, received{"b", false}},
+		"closed if idle behind line ends": {"\r\n", (*Gate).ShutIfIdle, received{"", true}},
+		"closed after a part of the text": {"a", func(g *Gate) bool { g.Shut(); return true }, received{"", true}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -43,13 +44,13 @@
 			}
 			read := func() received {
 				buf := make([]byte, 1)
-				n, err := g.Read(server, buf)
+				n, err := g.Receive(server, buf)
 				return received{string(buf[:n]), err == net.ErrClosed}
 			}
 			g.MarkIdle()
-			if tt.early {
-				write("a")
-				if diff := cmp.Diff(received{"a", false}, read()); diff != "" {
+			for _, b := range tt.early {
+				write(string(b))
+				if diff := cmp.Diff(received{string(b), false}, read()); diff != "" {
 					t.Fatalf("(-want +got):\n%s", diff)
 				}
 			}
@@ -72,3 +73,38 @@
 		})
 	}
 }
+
+// TestClosedConnIsNotRead guards against requests that are read from a connection which lingers for its client, since its server removes read deadlines.
+func TestClosedConnIsNotRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closer := NewCloser()
+	defer closer.Stop()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := (&Listener{Listener: l, Closer: closer}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if err := c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = c.Write(make([]byte, 64<<20)) // more than the client receives without reading
+	if err := c.Close(); err != nil || closer.Count() != 1 {
+		t.Fatalf("%d connections linger, %v", closer.Count(), err)
+	}
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(client, "GET") // the read shows an error
+	time.Sleep(10 * time.Millisecond)    // so that it arrives
+	if n, err := c.Read(make([]byte, 3)); n != 0 || err != net.ErrClosed {
+		t.Errorf("%d bytes were read, %v", n, err)
+	}
+}
--- a/tcp/listener.go
+++ b/tcp/listener.go
@@ -23,33 +23,27 @@
 // closingConn is a connection that is closed by a Closer. It implements httpserve.Conn.
 type closingConn struct {
 	net.Conn
+	Gate
 	closer *Closer
 	acks   *Acks
-	gate   Gate
 
 	once sync.Once
 	err  error // of Close
 }
 
 // Read implements net.Conn.
-func (c *closingConn) Read(b []byte) (int, error) { return c.gate.Read(c.Conn, b) }
-
-// MarkIdle implements httpserve.Conn.
-func (c *closingConn) MarkIdle() { c.gate.MarkIdle() }
+func (c *closingConn) Read(b []byte) (int, error) { return c.Receive(c.Conn, b) }
 
 // CloseIfIdle implements httpserve.Conn.
 func (c *closingConn) CloseIfIdle() {
-	if c.gate.CloseIfIdle() {
+	if c.ShutIfIdle() {
 		_ = c.Close() // nothing can be done about an error
 	}
 }
 
-// IsClosed implements httpserve.Conn.
-func (c *closingConn) IsClosed() bool { return c.gate.IsClosed() }
-
 // Close implements net.Conn.
 func (c *closingConn) Close() error {
-	c.gate.Close()
+	c.Shut()
 	c.once.Do(func() { c.err = c.closer.Close(c.Conn, c.acks, func() {}) })
 	return c.err
 }
