--- a/caller/keptconn_test.go
+++ b/caller/keptconn_test.go
@@ -107,3 +107,40 @@
 	}
 	t.Fatal("the listener is open")
 }
+
+// TestStopIsNotHeldByChecks guards against a stop that waits for a balancer which checks readiness on a kept connection.
+func TestStopIsNotHeldByChecks(t *testing.T) {
+	for _, path := range []string{"/readyz", "/healthz", "/unknown"} {
+		s, address := newServer(t, nil, nil)
+		s.Drain = 10 * time.Second
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		var server errgroup.Group
+		server.Go(func() error { return s.Run(ctx) })
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		check := "GET " + path + " HTTP/1.1\r\nHost: router\r\n\r\n"
+		_, _ = io.WriteString(c, check) // the answer shows an error
+		if readStatus(br) == 0 {
+			t.Fatal("no answer to the first check")
+		}
+		stop()
+		awaitClosed(t, address)
+		_, _ = io.WriteString(c, check) // the answer shows an error
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if !resp.Close {
+			t.Errorf("the answer of %s does not announce the end of the connection", path)
+		}
+		if err := server.Wait(); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -126,7 +126,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	conns := &httpserve.Conns{Clock: s.Clock}
 	httpServer := &http.Server{
-		Handler:           httpserve.RejectClosed(s.Handler()),
+		Handler:           httpserve.RejectClosed(s.announceStop(s.Handler())),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    s.Limits.HeaderBytes,
@@ -178,9 +178,6 @@
 // limitConcurrency refuses a request that exceeds the limit of concurrent requests.
 func (s *Server) limitConcurrency(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if s.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
 		defer s.inFlight.Add(-1)
 		if n := s.inFlight.Add(1); s.Limits.Concurrent > 0 && n > int64(s.Limits.Concurrent) {
 			f := peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "this entry host has too many requests in flight")
--- a/caller/stop.go
+++ b/caller/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"peridotusher.example/peridotusher"
@@ -30,6 +31,16 @@
 	return func() { timer.Stop() }
 }
 
+// announceStop returns a handler whose answers announce the end of their connections during a stop.
+func (s *Server) announceStop(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // checkStop returns a failure if the server is stopping and a request with the deadline may outlast that.
 func (s *Server) checkStop(deadline time.Time) error {
 	answerBy := s.answerBy.Load()
