Tell a crash inside the drain time from a planned exit

Cause: mayHaveExited added Registry.Lag, five eighths of the drain time and the time in which updates spread, to the time for which the router had known of the departure, also where it had learned at once. Any end more than a quarter of the drain time later passed for planned. An end that the router had not learned of passed whenever the entry was leaving or gone. Change: a table of replicas records when the store last held its ready replicas as ready, which is when the reading of a complete list began (not after an outage, when entries may have lapsed). A departure keeps that time, and takes it along to other routers in changes, heartbeats and fetches (a new field, which earlier routers skip), with what the way may have taken added: 100 ms for a datagram, the duration of a fetch. An end less than the drain time after it is a crash, whatever the entry says. Where it is unknown, Lag still holds; it is the whole drain time also while no list is known of, and times in datagrams are ignored then, since these may have waited in the socket's queue. Ruled out: a smaller lag, since a list may be as old as its interval; to take the newest known list as the time, since its age may arrive before the change that it showed. Open: a router that does not read the list and has not heard of the departure when the replica crashes still takes the crash for a planned exit.

--- a/edge/departures_test.go
+++ b/edge/departures_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"peridotusher.example/peridotusher/replicas"
 )
 
 // replicaChurn changes the replicas in a memoryStore as releases, crashes and scaling do.
@@ -112,6 +114,82 @@
 	}
 }
 
+// TestDepartureTimesAreBounded guards against planned exits that count as crashes and crashes that count
+// as planned exits: no router takes a departure for later than it was, nor for much earlier if the store
+// serves all routers.
+func TestDepartureTimesAreBounded(t *testing.T) {
+	const (
+		drain   = 2 * time.Second
+		step    = 50 * time.Millisecond
+		joining = 6 * time.Second // the first seconds count as an outage of the store
+		changes = 120             // steps
+	)
+	for name, refused := range map[string]func(int) bool{
+		"all served":      func(int) bool { return false },
+		"a third refused": func(i int) bool { return i%3 == 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newMemoryStore()
+				churn := replicaChurn{store: store}
+				churn.add(40)
+				fleet := testFleet{count: 8, drain: drain, delay: 3 * time.Millisecond, store: store, refused: refused}
+				stop := fleet.start(t)
+				time.Sleep(joining)
+				var sum departureErrors
+				for n := range changes {
+					if n%19 == 0 {
+						churn.replaceOldest(8)
+					}
+					time.Sleep(step)
+					for _, r := range fleet.routers {
+						sum.add(store, r)
+					}
+				}
+				if err := stop(); err != nil {
+					t.Error(err)
+				}
+				t.Logf("%d times known, %d unknown, too long by %v to %v", sum.known, sum.unknown, sum.least, sum.most)
+				if sum.known == 0 || sum.least < 0 {
+					t.Errorf("%d times are known, too short by up to %v", sum.known, -sum.least)
+				}
+				if name == "all served" && (sum.unknown > 0 || sum.most > drain/2) {
+					t.Errorf("%d times are unknown, the others too long by up to %v", sum.unknown, sum.most)
+				}
+			})
+		})
+	}
+}
+
+// departureErrors sums up by how much routers overestimate for how long replicas have been leaving.
+type departureErrors struct {
+	known, unknown int
+	least, most    time.Duration
+}
+
+// add adds the replicas in the store that the router knows to be leaving.
+func (d *departureErrors) add(s *memoryStore, r *Router) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.table.ForEach(func(replica *replicas.Replica) {
+		at, ok := s.departedAt[replica.ID()]
+		if !ok || replica.LeavingFor(r.clock.Now()) == 0 {
+			return
+		}
+		since, ok := r.table.SinceReady(replica)
+		if !ok {
+			d.unknown++
+			return
+		}
+		excess := since - time.Since(at)
+		if d.known == 0 {
+			d.least, d.most = excess, excess
+		}
+		d.known++
+		d.least, d.most = min(d.least, excess), max(d.most, excess)
+	})
+}
+
 // TestListIsReadAtInterval guards against routers that underestimate the age of the list after each
 // exchange between them, and so read it later than necessary. Datagrams take as long as between busy
 // hosts.
@@ -140,3 +218,31 @@
 		}
 	})
 }
+
+// TestDepartureTimesAfterOutage guards against a planned exit that counts as a crash since a message
+// waited with the time in it: after a time without lists the departure may be of any age.
+func TestDepartureTimesAfterOutage(t *testing.T) {
+	for name, tt := range map[string]struct {
+		listed, outage time.Duration // how long ago
+		known          bool
+	}{
+		"current":       {time.Millisecond, time.Hour, true},
+		"no lists":      {time.Minute, time.Hour, false},
+		"recent outage": {time.Millisecond, time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(t)
+			now, drain := r.clock.Now(), r.bounds.Load().drainTime
+			r.lists.readAt, r.lists.outageEnd = now.Add(-tt.listed), now.Add(-tt.outage)
+			r.table.Merge([]replicas.Entry{{ID: "a", Service: "s", Revision: 1}})
+			a := r.table.Ready("s")[0]
+			state{r}.ApplyChanges([]replicas.Entry{{ID: "a", Service: "s", Leaving: true, Revision: 2, SinceReady: time.Second}})
+			if _, known := r.table.SinceReady(a); known != tt.known {
+				t.Errorf("known when the replica was ready: %v, want %v", known, tt.known)
+			}
+			if lag := (&registry{router: r}).Lag(); (lag < drain) != tt.known {
+				t.Errorf("lag %v, drain time %v", lag, drain)
+			}
+		})
+	}
+}
--- a/edge/list.go
+++ b/edge/list.go
@@ -158,6 +158,9 @@
 	_, outage := r.lists.latest()
 	lapsed := startedAt.Sub(outage) < outageGracePeriod
 	changed := r.table.MergeSnapshot(list.At, list.Entries, lapsed)
+	if !lapsed {
+		r.table.RecordReady(startedAt)
+	}
 	r.hasList.Store(true)
 	r.Log.Event("listed", "revision", list.At.Revision, "replicas", len(list.Entries), "changed", len(changed), "lapsed", lapsed, "took", r.clock.Now().Sub(startedAt))
 	if restored {
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -51,16 +51,22 @@
 	return e, nil
 }
 
-// Lag implements relay.Registry. What is learned after an outage of the store may have been in the store
-// for longer than a replica goes on serving.
+// Lag implements relay.Registry. What is learned during an outage of the store or after it may have been
+// in the store for longer than a replica goes on serving.
 func (g *registry) Lag() time.Duration {
-	drainTime := g.router.bounds.Load().drainTime
-	if g.router.sinceOutage() < drainTime {
-		return drainTime
+	if g.router.learnsLate() {
+		return g.router.bounds.Load().drainTime
 	}
 	return g.router.outageGap()
 }
 
+// learnsLate reports whether changes may reach this router only after the drain time of a replica: no
+// list has become known for a long time, or had become known until recently.
+func (r *Router) learnsLate() bool {
+	readAt, _ := r.lists.latest()
+	return r.sinceOutage() < r.bounds.Load().drainTime || r.clock.Now().Sub(readAt) > r.outageGap()
+}
+
 // sinceOutage returns how long ago the last known outage of the store ended.
 func (r *Router) sinceOutage() time.Duration {
 	_, outageEnd := r.lists.latest()
--- a/edge/state.go
+++ b/edge/state.go
@@ -63,7 +63,7 @@
 	r.mergeQuarantine(quarantine.Update{Crashes: h.Crashes}, h.Name)
 	r.mergeLimits(h.Name, h.Limits)
 	if len(h.Changes) > 0 {
-		r.publishChanges(h.Name, r.table.Merge(h.Changes))
+		r.mergeChanges(h.Name, h.Changes)
 	}
 	if current {
 		r.mergePeerList(h.ReadAge, h.OutageAge, h.ReaderScore)
@@ -144,7 +144,7 @@
 
 // ApplyChanges implements mesh.State.
 func (s state) ApplyChanges(changes []replicas.Entry) {
-	s.r.publishChanges("peer", s.r.table.Merge(changes))
+	s.r.mergeChanges("peer", changes)
 }
 
 // ApplyQuarantine implements mesh.State.
@@ -214,6 +214,18 @@
 	maxDeparturesLogged = 200
 )
 
+// mergeChanges merges changes of replicas from a datagram, and publishes those that are new to this
+// router. After a time without lists the datagram may have waited in the socket's queue, so the times
+// that it contains may be outdated.
+func (r *Router) mergeChanges(from string, changes []replicas.Entry) {
+	if r.learnsLate() {
+		for i := range changes {
+			changes[i].SinceReady = 0
+		}
+	}
+	r.publishChanges(from, r.table.Merge(changes))
+}
+
 // publishChanges logs changes of replicas that are new to this router, and publishes them at once.
 func (r *Router) publishChanges(from string, changes []replicas.Entry) {
 	r.logChanges(from, changes)
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -25,11 +25,20 @@
 	entryAnnounced
 	entryReportsCold
 	entryCold
+	entrySinceReady
 )
 
 // maxSlots bounds the slots of a replica in a message.
 const maxSlots = 1 << 20
 
+const (
+	// maxSinceReady is the maximum of Entry.SinceReady in a message. Longer times are unknown.
+	maxSinceReady = time.Hour
+	// datagramDelay is the time from the sending of a datagram to its processing that is added to
+	// the times that it contains.
+	datagramDelay = 100 * time.Millisecond
+)
+
 func marshalEntry(e replicas.Entry) []byte {
 	out := appendBytes(nil, entryID, []byte(e.ID))
 	out = appendBytes(out, entryService, []byte(e.Service))
@@ -46,9 +55,20 @@
 	if e.ReportsCold {
 		out = appendNumber(out, entryCold, uint64((e.ColdRemaining+time.Millisecond-1)/time.Millisecond)) // rounded up
 	}
+	out = appendNumber(out, entrySinceReady, uint64((e.SinceReady+time.Millisecond-1)/time.Millisecond)) // rounded up
 	return appendFlag(out, entryAnnounced, e.LeavingAnnounced)
 }
 
+// delayEntries adds the delay of the message that contained the entries to the times since their
+// replicas were ready.
+func delayEntries(entries []replicas.Entry, delay time.Duration) {
+	for i := range entries {
+		if entries[i].SinceReady > 0 {
+			entries[i].SinceReady += delay
+		}
+	}
+}
+
 func unmarshalEntry(data []byte) (replicas.Entry, error) {
 	var e replicas.Entry
 	err := eachField(data, func(n protowire.Number, v uint64, raw []byte) error {
@@ -79,6 +99,10 @@
 			e.LeavingAnnounced = v != 0
 		case entryReportsCold:
 			e.ReportsCold = v != 0
+		case entrySinceReady:
+			if v <= uint64(maxSinceReady/time.Millisecond) {
+				e.SinceReady = time.Duration(v) * time.Millisecond
+			}
 		case entryCold:
 			e.ColdRemaining = time.Duration(min(v, uint64(replicas.MaxCold/time.Millisecond))) * time.Millisecond
 		}
--- a/mesh/session.go
+++ b/mesh/session.go
@@ -176,8 +176,10 @@
 // fetchFrom fetches missing state from another router, applies it and returns it; nil if that
 // failed.
 func (n *Node) fetchFrom(ctx context.Context, address string, staleness Staleness) *SyncResponse {
+	requestedAt := n.Clock.Now()
 	response, err := n.fetch(ctx, address, n.State.Request(staleness))
 	if err == nil {
+		delayEntries(response.Entries, n.Clock.Now().Sub(requestedAt))
 		err = n.apply(response)
 	}
 	if err != nil {
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -15,7 +15,8 @@
 	// Entry reads the entry of a replica. Removed is set if there is none; a replica that has just
 	// crashed still has one.
 	Entry(ctx context.Context, r *replicas.Replica) (replicas.Entry, error)
-	// Lag returns how much later than the platform this router may learn of a change.
+	// Lag returns how much later than the platform this router may learn of a change of a replica if
+	// it does not know when the replica was last ready.
 	Lag() time.Duration
 }
 
@@ -29,7 +30,7 @@
 // answers.
 func (f *Proxy) hasCrashed(ctx context.Context, r *replicas.Replica) bool {
 	leaving := f.leavingFor(r)
-	if f.mayHaveExited(leaving) || !f.hasEnded(ctx, r) {
+	if f.mayHaveExited(r, leaving) || !f.hasEnded(ctx, r) {
 		return false
 	}
 	planned, err := f.wasDeparting(ctx, r, leaving > 0)
@@ -40,8 +41,8 @@
 // mayHaveExited reports whether a replica that has been known to be leaving for that long may have
 // exited as planned. The time for which it goes on serving begins when the platform accepts its report,
 // before this router learns of it.
-func (f *Proxy) mayHaveExited(leaving time.Duration) bool {
-	if leaving <= 0 || f.DrainTime == nil {
+func (f *Proxy) mayHaveExited(r *replicas.Replica, leaving time.Duration) bool {
+	if leaving <= 0 || f.DrainTime == nil || f.hasToServe(r) {
 		return false
 	}
 	if f.Registry != nil {
@@ -50,6 +51,16 @@
 	return leaving >= f.DrainTime()
 }
 
+// hasToServe reports whether a replica cannot have exited as planned yet, since it was ready less than
+// the drain time ago.
+func (f *Proxy) hasToServe(r *replicas.Replica) bool {
+	if f.DrainTime == nil {
+		return false
+	}
+	d, ok := f.Table.SinceReady(r)
+	return ok && d < f.DrainTime()
+}
+
 // leavingFor returns for how long the replica has been known to be leaving or removed; 0 if it is
 // neither.
 func (f *Proxy) leavingFor(r *replicas.Replica) time.Duration {
@@ -60,9 +71,10 @@
 }
 
 // wasDeparting reports whether the platform knew of a replica's departure before the replica ended: it
-// is no longer registered, or is leaving and this router had not learned of it.
+// is no longer registered, or is leaving and this router had not learned of it. A replica that still had
+// to serve was not.
 func (f *Proxy) wasDeparting(ctx context.Context, r *replicas.Replica, learned bool) (bool, error) {
-	if f.Registry == nil {
+	if f.Registry == nil || f.hasToServe(r) {
 		return false, nil
 	}
 	e, err := f.Registry.Entry(ctx, r)
--- a/relay/ended_test.go
+++ b/relay/ended_test.go
@@ -75,6 +75,42 @@
 	}
 }
 
+// TestExitInsideDrainTime guards against broken answers that look complete because a replica that had
+// to serve for longer counts as one that has exited as planned.
+func TestExitInsideDrainTime(t *testing.T) {
+	leaving, removed := replicas.Entry{ID: "a", Leaving: true}, replicas.Entry{ID: "a", Removed: true}
+	tests := []struct {
+		name     string
+		leaving  bool // as the router knows
+		entry    replicas.Entry
+		readyAgo time.Duration // when the replica was ready; 0 if unknown
+		complete bool
+	}{
+		{"leaving", true, leaving, time.Second, false},
+		{"leaving, drain time over", true, leaving, time.Minute, true},
+		{"leaving, unknown when ready", true, leaving, 0, true},
+		{"removed", true, removed, time.Second, false},
+		{"not learned, leaving", false, leaving, time.Second, false},
+		{"not learned, leaving, drain time over", false, leaving, time.Minute, true},
+		{"not learned, removed", false, removed, time.Second, false},
+		{"not learned, removed, drain time over", false, removed, time.Minute, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b *fixture
+			b = newFixture(t, streaming, endingReplica(&b, tt.leaving, closeHead+event(1)))
+			b.proxy.DrainTime = func() time.Duration { return time.Minute }
+			b.proxy.Registry = testRegistry{entry: tt.entry, lag: time.Minute}
+			if tt.readyAgo > 0 {
+				b.proxy.Table.RecordReady(b.proxy.Clock.Now().Add(-tt.readyAgo))
+			}
+			if _, body, complete := b.send(post("Content-Length: 0\r\n", "")); body != event(1) || complete != tt.complete {
+				t.Errorf("stream %q, complete %v, want %v", body, complete, tt.complete)
+			}
+		})
+	}
+}
+
 // TestDepartureOfReplacedRecord guards against a planned exit that counts as a crash because the entry of
 // the replica, and with it the router's record, has changed since the request was sent.
 func TestDepartureOfReplacedRecord(t *testing.T) {
--- a/replicas/cold.go
+++ b/replicas/cold.go
@@ -273,7 +273,7 @@
 	return true
 }
 
-// entryAt returns the record's entry with the remaining cold time.
+// entryAt returns the record's entry with the times that depend on now.
 func (rec *record) entryAt(now time.Time) Entry {
 	e := rec.entry
 	remaining, carriesOver := rec.replica.reportedCold(now)
@@ -281,5 +281,6 @@
 	if e.ReportsCold {
 		e.ColdRemaining = remaining
 	}
+	e.SinceReady = rec.sinceReady(now)
 	return e
 }
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -31,6 +31,9 @@
 	entry     Entry
 	replica   *Replica
 	changedAt time.Time
+	// readyAt is a time at which the store still held the replica as ready, if the entry is not
+	// usable; zero if unknown.
+	readyAt time.Time
 	// publishCount is how often the entry was returned for publishing since it last changed.
 	publishCount int
 }
@@ -62,6 +65,9 @@
 	unreachableSignal chan struct{}
 	// epoch is the store's present epoch, epochBase its first known revision.
 	epoch, epochBase int64
+	// readyAt is a time at which the store held all replicas as ready whose entries are usable; zero
+	// if unknown.
+	readyAt time.Time
 
 	view           atomic.Pointer[view]
 	usesReports    atomic.Bool
@@ -174,6 +180,7 @@
 		removed.Removed = true
 		removed.Epoch, removed.Revision = at.Epoch, at.Revision
 		if t.mergeEntry(now, removed) {
+			removed.SinceReady = rec.sinceReady(now)
 			changed = append(changed, removed)
 		}
 	}
@@ -213,6 +220,7 @@
 	}
 	now := t.clock.Now()
 	rec.changedAt, rec.publishCount = now, 0
+	rec.readyAt = t.readyAt
 	rec.replica.setLeaving(now, true)
 	t.rebuildView()
 	return []Entry{rec.entryAt(now)}
@@ -234,6 +242,8 @@
 	next, applied := merge(rec.entry, e, t.writtenInEpoch)
 	same := rec.entry.equivalentForRouting(&next)
 	s := classifyStart(&rec.entry, &next)
+	t.mergeReadyTime(now, rec, &e, &next)
+	next.SinceReady = 0
 	reread := next.at() == e.at() && rec.entry.at() == e.at()
 	next.ReportsCold = next.ReportsCold || reread && e.ReportsCold
 	rec.entry = next
@@ -258,6 +268,10 @@
 func (t *Table) newRecord(now time.Time, e Entry) *record {
 	rec := &record{entry: e, replica: newReplica(e), changedAt: now}
 	rec.replica.setLeaving(now, !e.Usable())
+	rec.entry.SinceReady = 0
+	if e.SinceReady > 0 {
+		rec.readyAt = now.Add(-e.SinceReady)
+	}
 	if e.Removed {
 		rec.changedAt = now.Add(-tombstoneTTL / 2)
 	}
