peer: Drain sessions that are idle or replaced

Callers saw "no session with router: EOF", "session shutdown" or "session replaced" on calls between two running routers.

Cause: a session was closed at once when its dialler found it idle or when another session replaced it. The closing side looked at its own pending calls only, so a call of the peer that had been sent failed. The session of a simultaneous dial failed the same way on the side that already used it.

A session is now drained instead: no call starts on it, calls of both sides complete, and it ends once neither side uses it. The kinds Idle and Drained are new. An older peer ignores them, and the session is then closed after SuspectTimeout, so that calls to older peers can still fail. Calls pending on a session whose connection is dead now wait up to SuspectTimeout after its replacement; a session with an earlier process is still closed at once.

TestIdleSessionIsClosedUnlessInUse lets the peer confirm the drain and checks the same ends as before.

--- a/peer/connect.go
+++ b/peer/connect.go
@@ -121,7 +121,7 @@
 	}
 	if !added {
 		n.sessions.notify() // wakes waiters: the older session may end before they use it
-		return mux.Close()
+		s.drain(errReplaced)
 	}
 	defer n.sessions.remove(s)
 	if !n.Members.ReceiveHeartbeat(peer) {
@@ -148,6 +148,7 @@
 	if packs {
 		s.enablePacking()
 	}
+	s.drainTimeout = n.SuspectTimeout
 	s.handleMessage = n.receive
 	s.handleLateReply = n.releaseLatePermit
 	return s
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -10,6 +10,10 @@
 // the router's process and its protocol versions, so heartbeats need not repeat
 // them.
 //
+// If two routers dial each other, both keep the session dialled by the smaller ID.
+// The other one, like a session that is idle, is drained: no call starts on it,
+// and it ends once the calls of both sides are answered.
+//
 // # Usage
 //
 // Set the fields of a Node, run it in a group, and call other routers:
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -115,6 +115,9 @@
 	n.Members.MarkLeaving(n.Self.ID())
 	var group errgroup.Group
 	for _, s := range n.sessions.all() {
+		if !s.usable() {
+			continue
+		}
 		group.Go(func() error {
 			_, err := s.call(ctx, KindLeaving, nil)
 			return err
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -11,6 +11,8 @@
 	KindAsk        Kind = 3
 	KindReturn     Kind = 4
 	KindReport     Kind = 5
+	KindIdle       Kind = 6 // the receiver is to drain the session, which is idle
+	KindDrained    Kind = 7 // the sender has no pending calls on the session and starts none
 	FirstOtherKind Kind = 16
 
 	// KindGrant is an owner's decision on a queued request for a permit.
--- a/peer/links.go
+++ b/peer/links.go
@@ -138,7 +138,7 @@
 	return sessions
 }
 
-// closeIdleSessions closes the sessions that this router dialled on demand to
+// closeIdleSessions drains the sessions that this router dialled on demand to
 // other zones and that carried only heartbeats and digests for IdleTimeout.
 func (n *Node) closeIdleSessions() {
 	if !n.sparse() {
@@ -149,7 +149,7 @@
 	for _, s := range n.sessions.all() {
 		dialledRemote := s.peer.Zone() != n.Self.Zone() && s.dialer == n.Self.ID()
 		if dialledRemote && !slices.Contains(links, s) {
-			s.closeIfIdle(usedBefore)
+			s.drainIfIdle(usedBefore)
 		}
 	}
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -55,6 +55,10 @@
 		n.receiveLeaving(s, e)
 	case KindDigest:
 		n.receiveDigest(s, e)
+	case KindIdle:
+		s.drain(errIdle)
+	case KindDrained:
+		s.receiveDrained()
 	default:
 		s.markUsed()
 		n.forward(s, e)
--- a/peer/session.go
+++ b/peer/session.go
@@ -34,15 +34,19 @@
 	handleLateReply func(*session, *Envelope) // handles replies to canceled calls
 	lanes           [laneCount]*outbox
 	done            chan struct{}
+	draining        chan struct{} // closed when no more calls and messages may start
+	drainTimeout    time.Duration // longest time from the start of draining to the end
 
-	mu       sync.Mutex
-	err      error
-	closed   bool
-	nextID   uint64
-	pending  map[uint64]chan *Envelope
-	state    ReportedState
-	interval time.Duration // interval of the peer's heartbeats
-	lastUsed time.Time     // time of the last message other than a heartbeat or digest
+	mu          sync.Mutex
+	err         error
+	closed      bool
+	nextID      uint64
+	pending     map[uint64]chan *Envelope
+	sending     int  // messages without a reply that are being queued
+	peerDrained bool // whether the peer has no pending calls and starts none
+	state       ReportedState
+	interval    time.Duration // interval of the peer's heartbeats
+	lastUsed    time.Time     // time of the last message other than a heartbeat or digest
 
 	digests digestStates
 }
@@ -54,6 +58,7 @@
 		conn:     conn,
 		traffic:  t,
 		done:     make(chan struct{}),
+		draining: make(chan struct{}),
 		pending:  make(map[uint64]chan *Envelope),
 		lastUsed: conn.clock.Now(),
 		digests:  newDigestStates(),
@@ -76,7 +81,7 @@
 func (s *session) run(mux *yamux.Session, streams []*yamux.Stream) error {
 	var group errgroup.Group
 	group.Go(func() error {
-		<-s.done
+		s.awaitEnd()
 		return mux.Close()
 	})
 	for i, stream := range streams {
@@ -119,8 +124,11 @@
 
 // call sends a message and waits for its reply.
 func (s *session) call(ctx context.Context, kind Kind, body []byte) ([]byte, error) {
-	id, reply := s.registerCall()
-	err := s.send(ctx, &Envelope{Id: id, Kind: uint32(kind), Body: body})
+	id, reply, err := s.registerCall()
+	if err != nil {
+		return nil, err
+	}
+	err = s.queue(ctx, &Envelope{Id: id, Kind: uint32(kind), Body: body})
 	if err != nil {
 		s.cancelCall(id)
 		return nil, err
@@ -147,8 +155,17 @@
 	return e.GetBody(), nil
 }
 
-// send queues a message on the stream of its kind.
+// send queues a message that has no reply on the stream of its kind.
 func (s *session) send(ctx context.Context, e *Envelope) error {
+	if err := s.beginSend(); err != nil {
+		return err
+	}
+	defer s.endSend()
+	return s.queue(ctx, e)
+}
+
+// queue queues a message on the stream of its kind.
+func (s *session) queue(ctx context.Context, e *Envelope) error {
 	if len(e.GetBody()) > maxBodyBytes {
 		return errBodyTooLarge
 	}
@@ -169,14 +186,18 @@
 	return s.lanes[Kind(e.GetKind()).lane()].offer(e)
 }
 
-// registerCall returns the ID of a new call and the channel of its reply.
-func (s *session) registerCall() (uint64, <-chan *Envelope) {
+// registerCall returns the ID of a new call and the channel of its reply. It fails
+// if no more calls may start.
+func (s *session) registerCall() (uint64, <-chan *Envelope, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.usableLocked() {
+		return 0, nil, &ConnectionError{router: s.peer.ID(), err: s.err}
+	}
 	s.nextID++
 	reply := make(chan *Envelope, 1)
 	s.pending[s.nextID] = reply
-	return s.nextID, reply
+	return s.nextID, reply, nil
 }
 
 // cancelCall removes a call. It reports false if the reply was already delivered.
@@ -185,6 +206,7 @@
 	defer s.mu.Unlock()
 	_, ok := s.pending[id]
 	delete(s.pending, id)
+	s.finishDrainLocked()
 	return ok
 }
 
@@ -196,6 +218,7 @@
 	delete(s.pending, e.GetId())
 	if ok {
 		reply <- e
+		s.finishDrainLocked()
 	}
 	s.mu.Unlock()
 	if !ok {
@@ -203,7 +226,7 @@
 	}
 }
 
-// close ends the session. Only the error of the first call is kept.
+// close ends the session. Only the error of the first close or drain is kept.
 func (s *session) close(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -215,22 +238,13 @@
 	if s.closed {
 		return
 	}
+	if s.usableLocked() {
+		s.err = err
+	}
 	s.closed = true
-	s.err = err
 	close(s.done)
 }
 
-// closeIfIdle ends the session if no call is pending on it and it was not used
-// after the given time. It holds mu so that no call starts between the check and
-// the close.
-func (s *session) closeIfIdle(usedBefore time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.pending) == 0 && !s.lastUsed.After(usedBefore) {
-		s.closeLocked(errIdle)
-	}
-}
-
 // isClosed reports whether the session has ended.
 func (s *session) isClosed() bool {
 	s.mu.Lock()
--- a/peer/session_test.go
+++ b/peer/session_test.go
@@ -32,7 +32,8 @@
 				s.registerCall()
 			}
 			clock.advance(c.age)
-			s.closeIfIdle(clock.Now().Add(-idle))
+			s.drainIfIdle(clock.Now().Add(-idle))
+			s.receiveDrained()
 			if s.isClosed() != c.closed {
 				t.Errorf("closed = %v, want %v", s.isClosed(), c.closed)
 			}
--- a/peer/table.go
+++ b/peer/table.go
@@ -22,23 +22,34 @@
 	return &sessionTable{self: self, sessions: make(map[peridotusher.RouterID]*session), changed: make(chan struct{})}
 }
 
-// add registers a session and closes the one that it replaces. It reports false
-// if the existing session is kept instead.
+// add registers a session and drains the one that it replaces, which it closes if
+// it is with an earlier process. It reports false if the existing session is kept
+// instead.
 func (t *sessionTable) add(s *session) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, ok := t.sessions[s.peer.ID()]
-	if ok && !old.isClosed() && !replaces(s, old) {
+	if ok && old.usable() && !replaces(s, old) {
 		return false
 	}
 	t.sessions[s.peer.ID()] = s
 	t.notifyLocked()
 	if ok {
-		old.close(errReplaced)
+		retire(old, s)
 	}
 	return true
 }
 
+// retire ends a session that another replaces. The calls that are pending on it
+// complete, unless the peer's process was restarted.
+func retire(old, s *session) {
+	if s.peer.Incarnation() != old.peer.Incarnation() {
+		old.close(errReplaced)
+		return
+	}
+	old.drain(errReplaced)
+}
+
 // replaces reports whether a new session replaces an old one with the same
 // router. Both routers reach the same decision: the later process wins, then the
 // session dialled by the smaller ID, then the newer session.
@@ -58,12 +69,12 @@
 	}
 }
 
-// get returns the open session with a router.
+// get returns the session with a router that is open and does not drain.
 func (t *sessionTable) get(id peridotusher.RouterID) (*session, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.sessions[id]
-	if !ok || s.isClosed() {
+	if !ok || !s.usable() {
 		return nil, false
 	}
 	return s, true
