--- a/replicas/report.go
+++ b/replicas/report.go
@@ -8,15 +8,8 @@
 	"time"
 )
 
-const (
-	// reportTTL is how long a report of a replica's load is forwarded to other routers, and used at
-	// least.
-	reportTTL = 2 * time.Second
-	// reportTTLSpread is for how much longer a router may use a report, at random. A replica that is
-	// avoided because of its last report gets requests of a few routers then, whose answers carry a new
-	// one, and not of all routers at once.
-	reportTTLSpread = 2 * time.Second
-)
+// reportTTL is how long a report of a replica's load is used and forwarded to other routers.
+const reportTTL = 2 * time.Second
 
 // Report is the load that a replica reported in an answer to some router. In a large fleet
 // routers forward reports to each other, so that each of them knows the loads of busy
@@ -37,8 +30,6 @@
 	load int32
 	own  int32 // this router's requests at that time
 	at   time.Time
-	// ttl is how long this router uses the report.
-	ttl time.Duration
 	// smoothed is the load without this router's requests, averaged over smoothingTimeConstant.
 	smoothed float64
 }
@@ -54,7 +45,7 @@
 		return
 	}
 	baseline, since := r.report.smoothed, at.Sub(r.report.at)
-	r.report = loadReport{load: int32(load), own: r.ownRequests.Load(), at: at, ttl: reportTTL + rand.N(reportTTLSpread)}
+	r.report = loadReport{load: int32(load), own: r.ownRequests.Load(), at: at}
 	others := float64(max(r.report.load-r.report.own, 0))
 	r.report.smoothed = others + (baseline-others)*math.Exp(-float64(since)/float64(smoothingTimeConstant))
 	r.remote.smoothed.Store(int32(math.Round(r.report.smoothed)))
@@ -136,6 +127,6 @@
 	t.ForEach(func(r *Replica) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.remote.useReported.Store(uses && now.Sub(r.report.at) < r.report.ttl)
+		r.remote.useReported.Store(uses && now.Sub(r.report.at) < reportTTL)
 	})
 }
