Keep the end of a rate limit longer than a limit

Cause: an end was kept for 15 s, a limit for a minute. A router that had missed the end told the limit in a heartbeat once the others had forgotten the end, and they took it for new and forwarded it.

Change: ends are kept 5 s longer than limits. TestEndedLimitStaysEnded failed before (limited again 16 s after the end).

--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -16,9 +16,10 @@
 	// limitTTL is how long a limit is kept that no answer has stated again. Replicas with a limit
 	// get requests more often than that, unless nobody sends any.
 	limitTTL = time.Minute
-	// endTTL is how long the end of a limit is kept, so that an older statement that arrives late does
-	// not set the limit again.
-	endTTL = 15 * time.Second
+	// endTTL is how long the end of a limit is kept, so that a router that has missed the end does not
+	// set the limit again at the others. It is longer than limitTTL, since the age of a statement
+	// does not include its time on the network.
+	endTTL = limitTTL + 5*time.Second
 )
 
 // Table holds the latest statement of each replica that has stated a limit. It is safe for concurrent
