--- a/caller/server.go
+++ b/caller/server.go
@@ -136,20 +136,21 @@
 	s.requestsEnded, s.endRequests = context.WithCancel(context.Background())
 	defer s.endRequests()
 	closer := tcp.NewCloser()
-	var endStop func()
-	settle := func() {
-		endStop = s.beginStop()
+	accepting, stopAccepting := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopAccepting()
+	cancelStop := context.AfterFunc(ctx, func() {
+		s.beginStop()
 		time.Sleep(s.Settle)
-	}
-	drain := func() error {
-		defer endStop()
+		stopAccepting()
+	})
+	defer cancelStop()
+	return httpserve.UntilDrained(accepting, httpServer, &tcp.Listener{Listener: s.Listener, Closer: closer}, func() error {
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
 		err := conns.Drain(drainCtx, httpserve.Limits{Head: s.Limits.HeaderTimeout, New: idleReuseTime, Idle: idleReuseTime})
 		s.awaitReaders(drainCtx, closer)
 		return err
-	}
-	return httpserve.UntilDrained(ctx, httpServer, &tcp.Listener{Listener: s.Listener, Closer: closer}, settle, drain)
+	})
 }
 
 // awaitReaders waits until callers have received their answers or ctx ends.
--- a/caller/stop.go
+++ b/caller/stop.go
@@ -14,21 +14,22 @@
 	// stopRetryAfter is when a caller may return whose request a stopping router refuses. The balancer
 	// then sends it to another router.
 	stopRetryAfter = time.Second
-	// idleReuseTime is how long an idle connection stays open once the listener is closed. Clients that send
-	// again within that time get an answer, which announces the end of the connection.
+	// idleReuseTime is for how long a connection may be without a request once the listener is closed, counted
+	// from its opening or last answer. A request within that time is answered, and the answer announces the end
+	// of the connection.
 	idleReuseTime = time.Second
 )
 
-// beginStop begins a graceful stop: from now on the server refuses requests whose answers may outlast it.
-// The returned function stops the timer that ends the others.
-func (s *Server) beginStop() (cleanup func()) {
+// beginStop begins a graceful stop: from now on the server refuses requests whose answers may outlast it, and
+// shortly before its end it ends the others.
+func (s *Server) beginStop() {
 	length := s.Settle + s.Drain
 	answerTime := max(length-stopReserve, length/2)
 	answerBy := s.Clock.Now().Add(answerTime)
 	s.answerBy.Store(&answerBy)
 	s.stopping.Store(true)
 	timer := time.AfterFunc(answerTime, s.endRequests)
-	return func() { timer.Stop() }
+	context.AfterFunc(s.requestsEnded, func() { timer.Stop() })
 }
 
 // announceStop returns a handler whose answers announce the end of their connections during a stop.
--- a/edge/list.go
+++ b/edge/list.go
@@ -159,7 +159,7 @@
 	lapsed := startedAt.Sub(outage) < outageGracePeriod
 	changed := r.table.MergeSnapshot(list.At, list.Entries, lapsed)
 	if !lapsed {
-		r.table.RecordReady(startedAt)
+		r.table.RecordAllReady(startedAt)
 	}
 	r.hasList.Store(true)
 	r.Log.Event("listed", "revision", list.At.Revision, "replicas", len(list.Entries), "changed", len(changed), "lapsed", lapsed, "took", r.clock.Now().Sub(startedAt))
--- a/edge/registry.go
+++ b/edge/registry.go
@@ -60,8 +60,8 @@
 	return g.router.outageGap()
 }
 
-// learnsLate reports whether changes may reach this router only after the drain time of a replica: no
-// list has become known for a long time, or had become known until recently.
+// learnsLate reports whether changes may reach this router later than the drain time of a replica: the
+// last list is too old, or an outage of the store ended less than a drain time ago.
 func (r *Router) learnsLate() bool {
 	readAt, _ := r.lists.latest()
 	return r.sinceOutage() < r.bounds.Load().drainTime || r.clock.Now().Sub(readAt) > r.outageGap()
--- a/edge/state.go
+++ b/edge/state.go
@@ -215,8 +215,8 @@
 )
 
 // mergeChanges merges changes of replicas from a datagram, and publishes those that are new to this
-// router. After a time without lists the datagram may have waited in the socket's queue, so the times
-// that it contains may be outdated.
+// router. A router without recent lists may have been suspended while the datagram waited in the socket's
+// queue. The times in it are too short then, so they count as unknown.
 func (r *Router) mergeChanges(from string, changes []replicas.Entry) {
 	if r.learnsLate() {
 		for i := range changes {
--- a/httpserve/conns.go
+++ b/httpserve/conns.go
@@ -23,7 +23,7 @@
 // ErrNotDrained means that requests were in flight at the end of a stop.
 var ErrNotDrained = errors.New("requests were in flight at the end of the stop")
 
-// Conn is a connection that can be closed without losing a request. An embedded tcp.Gate implements most of
+// Conn is a connection that can be closed without losing a request. An embedded tcp.ReadGate implements most of
 // it.
 type Conn interface {
 	net.Conn
@@ -64,7 +64,8 @@
 	receivingSince time.Time // when a part of the next request was noticed; zero if there is none
 }
 
-// isUnused reports whether no request is being handled.
+// isUnused reports whether no request is being handled. http.Server leaves these states only once it has read
+// the whole head of a request.
 func (s *connState) isUnused() bool { return s.state == http.StateNew || s.state == http.StateIdle }
 
 // Track is the server's ConnState hook.
@@ -98,8 +99,8 @@
 	return n
 }
 
-// Restart makes the times to which limits apply begin anew, after the process was suspended.
-func (t *Conns) Restart() {
+// ResetTimes begins the times to which the limits apply anew, after the process was suspended.
+func (t *Conns) ResetTimes() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
@@ -115,9 +116,12 @@
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
 	for c, s := range t.conns {
+		if !s.isUnused() {
+			continue
+		}
+		s.noteReceiving(c.IsReceiving(), now)
 		switch {
-		case !s.isUnused():
-		case s.exceedsHead(now, limits.Head, c.IsReceiving()):
+		case isReached(limits.Head, s.headSince(), now):
 			_ = c.Close() // the server notices
 		case isReached(s.waitLimit(limits), s.since, now):
 			c.CloseIfIdle()
@@ -133,25 +137,29 @@
 	return limits.Idle
 }
 
-// isReached reports whether a limit, 0 for none, is reached since a time.
+// isReached reports whether a limit, 0 for none, is reached since a time, zero for none.
 func isReached(limit time.Duration, since, now time.Time) bool {
-	return limit > 0 && now.Sub(since) >= limit
+	return limit > 0 && !since.IsZero() && now.Sub(since) >= limit
 }
 
-// exceedsHead reports whether the client has exceeded the limit for sending the head of a request. receiving is
-// whether a part of it was read.
-func (s *connState) exceedsHead(now time.Time, limit time.Duration, receiving bool) bool {
-	switch {
-	case s.state == http.StateNew:
-		return isReached(limit, s.since, now)
-	case !receiving:
+// noteReceiving records whether a part of the next request has been read.
+func (s *connState) noteReceiving(receiving bool, now time.Time) {
+	if !receiving {
 		s.receivingSince = time.Time{}
-	case s.receivingSince.IsZero():
+		return
+	}
+	if s.receivingSince.IsZero() {
 		s.receivingSince = now
-	default:
-		return isReached(limit, s.receivingSince, now)
 	}
-	return false
+}
+
+// headSince returns the time from which the limit for the head of the next request counts; zero if none has
+// begun.
+func (s *connState) headSince() time.Time {
+	if s.state == http.StateNew {
+		return s.since
+	}
+	return s.receivingSince
 }
 
 // Drain waits until no connection is left, and closes those without a request that are beyond the limits. At the
@@ -162,7 +170,7 @@
 	for last := t.Clock.Now(); ; {
 		now := t.Clock.Now()
 		if now.Sub(last) > suspensionThreshold {
-			t.Restart()
+			t.ResetTimes()
 		}
 		last = now
 		t.CloseUnused(limits)
@@ -171,7 +179,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			t.CloseUnused(Limits{New: time.Nanosecond, Idle: time.Nanosecond})
+			t.CloseUnused(Limits{New: time.Nanosecond, Idle: time.Nanosecond}) // whatever their age
 			if t.Count(http.StateActive) > 0 {
 				return ErrNotDrained
 			}
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -14,7 +14,7 @@
 //	conns := &httpserve.Conns{Clock: clock}
 //	server := &http.Server{Handler: httpserve.RejectClosed(h), ConnState: conns.Track, ConnContext: httpserve.WithConn}
 //	group.Go(func() error {
-//		return httpserve.UntilDrained(ctx, server, listener, settle, func() error { return conns.Drain(grace, limits) })
+//		return httpserve.UntilDrained(ctx, server, listener, func() error { return conns.Drain(grace, limits) })
 //	})
 package httpserve
 
@@ -46,10 +46,10 @@
 	return group.Wait()
 }
 
-// UntilDrained serves on the listener until ctx ends or serving fails. It then calls settle, during which new
-// connections are still accepted, closes the listener and calls drain, which has to wait for the requests in
-// flight. Requests that arrive on open connections are served until drain returns and the server is closed.
-func UntilDrained(ctx context.Context, server *http.Server, l net.Listener, settle func(), drain func() error) error {
+// UntilDrained serves on the listener until ctx ends or serving fails. It then closes the listener and calls
+// drain, which has to wait for the requests in flight. Requests that arrive on open connections are served until
+// drain returns and the server is closed.
+func UntilDrained(ctx context.Context, server *http.Server, l net.Listener, drain func() error) error {
 	group, ctx := errgroup.WithContext(ctx)
 	accepted := make(chan struct{}) // closed when no more connections are accepted
 	group.Go(func() error {
@@ -62,7 +62,6 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		settle()
 		_ = l.Close() // it may have been closed before
 		<-accepted
 		return errors.CombineErrors(drain(), server.Close())
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -32,10 +32,10 @@
 const maxSlots = 1 << 20
 
 const (
-	// maxSinceReady is the maximum of Entry.SinceReady in a message. Longer times are unknown.
+	// maxSinceReady is the longest Entry.SinceReady in a message; a longer one counts as unknown.
 	maxSinceReady = time.Hour
-	// datagramDelay is the time from the sending of a datagram to its processing that is added to
-	// the times that it contains.
+	// datagramDelay is the assumed time from the sending of a datagram to its processing. It is added to
+	// the times in the datagram, so that they are not too short.
 	datagramDelay = 100 * time.Millisecond
 )
 
@@ -53,14 +53,16 @@
 	out = appendNumber(out, entrySeq, uint64(e.Seq))
 	out = appendFlag(out, entryReportsCold, e.ReportsCold)
 	if e.ReportsCold {
-		out = appendNumber(out, entryCold, uint64((e.ColdRemaining+time.Millisecond-1)/time.Millisecond)) // rounded up
+		out = appendNumber(out, entryCold, ceilMillis(e.ColdRemaining))
 	}
-	out = appendNumber(out, entrySinceReady, uint64((e.SinceReady+time.Millisecond-1)/time.Millisecond)) // rounded up
+	out = appendNumber(out, entrySinceReady, ceilMillis(e.SinceReady))
 	return appendFlag(out, entryAnnounced, e.LeavingAnnounced)
 }
 
-// delayEntries adds the delay of the message that contained the entries to the times since their
-// replicas were ready.
+// ceilMillis returns a duration in milliseconds, rounded up.
+func ceilMillis(d time.Duration) uint64 { return uint64((d + time.Millisecond - 1) / time.Millisecond) }
+
+// delayEntries adds the time that a message took to the known SinceReady of its entries.
 func delayEntries(entries []replicas.Entry, delay time.Duration) {
 	for i := range entries {
 		if entries[i].SinceReady > 0 {
--- a/mesh/entry_test.go
+++ b/mesh/entry_test.go
@@ -12,8 +12,7 @@
 	"peridotusher.example/peridotusher/replicas"
 )
 
-// TestSinceReadyRoundTrip guards against times since a replica was ready that are shortened on their way:
-// a fraction of a millisecond must not be lost, and a time that is too long is unknown.
+// TestSinceReadyRoundTrip guards against times since ready that a message shortens.
 func TestSinceReadyRoundTrip(t *testing.T) {
 	for sent, want := range map[time.Duration]time.Duration{
 		0:                       0,
@@ -32,8 +31,7 @@
 	}
 }
 
-// TestSinceReadyIncludesDelay guards against a departure that counts as later than it was because the
-// message with it took time.
+// TestSinceReadyIncludesDelay guards against departure times that leave out the delay of a datagram.
 func TestSinceReadyIncludesDelay(t *testing.T) {
 	const sent = time.Second
 	nodes, states := startNodes(t, 2)
@@ -66,8 +64,7 @@
 	return nil
 }
 
-// TestSinceReadyIncludesFetch guards against a departure that counts as later than it was because the
-// fetch that returned it took time.
+// TestSinceReadyIncludesFetch guards against departure times that leave out the duration of a fetch.
 func TestSinceReadyIncludesFetch(t *testing.T) {
 	const delay = 50 * time.Millisecond
 	l, clock := listen(t), peridotusher.ClockFunc(time.Now)
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -121,6 +121,7 @@
 	}
 	if !added {
 		n.sessions.notify() // wakes waiters: the older session may end before they use it
+		// The peer may have begun calls on this session, so it is served until they are answered.
 		s.drain(errReplaced)
 	}
 	defer n.sessions.remove(s)
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -12,7 +12,8 @@
 //
 // If two routers dial each other, both keep the session dialled by the smaller ID.
 // The other one, like a session that is idle, is drained: no call starts on it,
-// and it ends once the calls of both sides are answered.
+// and it ends once the calls of both sides are answered. A message without a reply
+// that is still queued then is lost.
 //
 // # Usage
 //
--- a/peer/drain_test.go
+++ b/peer/drain_test.go
@@ -35,8 +35,7 @@
 	}
 }
 
-// TestReplacedSessionCompletesCalls guards against calls that fail because both routers
-// dialled each other and the session of the call was dropped.
+// TestReplacedSessionCompletesCalls guards against calls that fail because both routers dialled each other.
 func TestReplacedSessionCompletesCalls(t *testing.T) {
 	for _, caller := range []peridotusher.RouterID{"a", "b"} {
 		t.Run("call of "+string(caller), func(t *testing.T) {
@@ -63,8 +62,7 @@
 	}
 }
 
-// TestRefusedSessionServesCalls guards against calls that fail because their router does
-// not know yet that the other one keeps another session.
+// TestRefusedSessionServesCalls guards against calls that fail on a session that the other router does not keep.
 func TestRefusedSessionServesCalls(t *testing.T) {
 	a := startNode(t, "a", 1, listen(t, ""), nil)
 	b := startNode(t, "b", 1, listen(t, ""), nil)
@@ -79,8 +77,7 @@
 	}
 }
 
-// TestIdleSessionCompletesCallsOfPeer guards against calls that fail because the peer
-// closes the session as idle.
+// TestIdleSessionCompletesCallsOfPeer guards against calls that fail because the peer drains the session as idle.
 func TestIdleSessionCompletesCallsOfPeer(t *testing.T) {
 	a, b := startPair(t)
 	sessions := []*session{currentSession(t, a, b), currentSession(t, b, a)}
@@ -88,8 +85,7 @@
 	awaitClosed(t, sessions)
 }
 
-// TestDrainEndsWithoutPeer guards against a session that stays open because an older peer
-// does not know the messages of a drain.
+// TestDrainEndsWithoutPeer guards against sessions that stay open because an older peer does not know drains.
 func TestDrainEndsWithoutPeer(t *testing.T) {
 	s := idleSession(t, peridotusher.NewMember("b", "north", "", 1), "a", newFakeClock())
 	s.drainTimeout = testHeartbeat
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -27,7 +27,7 @@
 		timeout := n.scaledSuspectTimeout(intervalTicks)
 		n.sessions.closeSilent(n.Clock.Now(), timeout)
 		n.Members.Expire(timeout)
-		n.closeIdleSessions()
+		n.drainIdleSessions()
 		n.dialMissingSessions(ctx)
 		if tick%intervalTicks == 0 {
 			intervalTicks = n.sendHeartbeats(intervalTicks)
--- a/peer/links.go
+++ b/peer/links.go
@@ -138,9 +138,9 @@
 	return sessions
 }
 
-// closeIdleSessions drains the sessions that this router dialled on demand to
+// drainIdleSessions drains the sessions that this router dialled on demand to
 // other zones and that carried only heartbeats and digests for IdleTimeout.
-func (n *Node) closeIdleSessions() {
+func (n *Node) drainIdleSessions() {
 	if !n.sparse() {
 		return
 	}
--- a/peer/session.go
+++ b/peer/session.go
@@ -42,7 +42,7 @@
 	closed      bool
 	nextID      uint64
 	pending     map[uint64]chan *Envelope
-	sending     int  // messages without a reply that are being queued
+	sending     int  // messages without a reply that are being put into a queue; they may be unwritten when it is 0
 	peerDrained bool // whether the peer has no pending calls and starts none
 	state       ReportedState
 	interval    time.Duration // interval of the peer's heartbeats
--- a/peer/table.go
+++ b/peer/table.go
@@ -22,9 +22,8 @@
 	return &sessionTable{self: self, sessions: make(map[peridotusher.RouterID]*session), changed: make(chan struct{})}
 }
 
-// add registers a session and drains the one that it replaces, which it closes if
-// it is with an earlier process. It reports false if the existing session is kept
-// instead.
+// add registers a session and retires the one that it replaces. It reports false if
+// the existing session is kept instead.
 func (t *sessionTable) add(s *session) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/ratelimit/end_test.go
+++ b/ratelimit/end_test.go
@@ -5,8 +5,7 @@
 	"time"
 )
 
-// TestEndedLimitStaysEnded guards against a limit that has ended and that all routers keep to again, since
-// one that missed its end tells it after the others have forgotten the end.
+// TestEndedLimitStaysEnded guards against an ended limit that a router which missed its end sets again.
 func TestEndedLimitStaysEnded(t *testing.T) {
 	f := newFleet(2)
 	f.state(2)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -258,8 +258,8 @@
 	t.headWritten = true
 }
 
-// writeStatus writes the head of an answer. If the router has begun to stop since the request arrived, the head
-// announces the end of the connection.
+// writeStatus writes the status and the headers that are set. If the router is stopping, they announce the end
+// of the connection.
 func (t *task) writeStatus(status int) {
 	if t.proxy.stopping() {
 		announceClose(t.w.Header())
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -30,7 +30,7 @@
 // goroutine that serves the connection writes to it, and only that one sets its write deadline.
 type clientConn struct {
 	net.Conn
-	tcp.Gate
+	tcp.ReadGate
 	buffer    *answerBuffer // nil: writes block until the client reads
 	acks      *tcp.Acks
 	onClose   func()
--- a/relay/conns.go
+++ b/relay/conns.go
@@ -49,7 +49,7 @@
 	suspended := !t.lastCheck.IsZero() && now.Sub(t.lastCheck) > 2*limitCheckInterval
 	t.lastCheck = now
 	if suspended {
-		t.Restart()
+		t.ResetTimes()
 		return
 	}
 	t.CloseUnused(withMargin(limits))
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -15,8 +15,7 @@
 	// Entry reads the entry of a replica. Removed is set if there is none; a replica that has just
 	// crashed still has one.
 	Entry(ctx context.Context, r *replicas.Replica) (replicas.Entry, error)
-	// Lag returns how much later than the platform this router may learn of a change of a replica if
-	// it does not know when the replica was last ready.
+	// Lag returns how much later than the platform this router may learn of a change of a replica.
 	Lag() time.Duration
 }
 
@@ -40,7 +39,7 @@
 
 // mayHaveExited reports whether a replica that has been known to be leaving for that long may have
 // exited as planned. The time for which it goes on serving begins when the platform accepts its report,
-// before this router learns of it.
+// before this router learns of it. A replica that still has to serve has not exited as planned.
 func (f *Proxy) mayHaveExited(r *replicas.Replica, leaving time.Duration) bool {
 	if leaving <= 0 || f.DrainTime == nil || f.hasToServe(r) {
 		return false
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -155,7 +155,10 @@
 	group.Go(func() error { return f.probeUnreachable(serving) })
 	group.Go(func() error {
 		defer endServing()
-		return httpserve.UntilDrained(ctx, server, limited, func() {}, func() error { return f.drain(ctx, grace()) })
+		return httpserve.UntilDrained(ctx, server, limited, func() error {
+			f.drain(ctx, grace())
+			return nil
+		})
 	})
 	return group.Wait()
 }
@@ -169,9 +172,9 @@
 	f.Pool.updateAckTimeouts()
 }
 
-// drain waits until all connections have ended, for at most the grace period. A connection stays open for as
-// long as its client was told that it may use it again.
-func (f *Proxy) drain(ctx context.Context, grace time.Duration) error {
+// drain waits until all connections have ended, for at most the grace period. A connection without a request is
+// kept until keepAliveMargin after the time for which its client may use it again.
+func (f *Proxy) drain(ctx context.Context, grace time.Duration) {
 	if !f.stopping() { // a part of the router has failed
 		f.Stop(StopPolicy{AnswerBy: f.Clock.Now().Add(grace)})
 	}
@@ -186,11 +189,10 @@
 		buffer.awaitEmpty(graceCtx)
 		buffer.stop()
 	}
-	return nil
 }
 
-// Stop begins a graceful stop: from now on each answer closes its connection, and requests that
-// may outlast the stop are refused.
+// Stop begins a graceful stop: answers whose head is written from now on announce the end of their
+// connections, and requests that may outlast the stop are refused.
 func (f *Proxy) Stop(e StopPolicy) { f.stopPolicy.Store(&e) }
 
 func (f *Proxy) stopping() bool { return f.stopPolicy.Load() != nil }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -307,8 +307,8 @@
 	}
 }
 
-// TestStopEndsConnections has a router stop while an answer is sent on one connection and another
-// one is idle: the busy connection ends with its answer, the idle one serves a last request.
+// TestStopEndsConnections has a router stop before it has written the head of an answer, beside an idle
+// connection: the busy connection ends with its answer, the idle one serves a last request.
 func TestStopEndsConnections(t *testing.T) {
 	running, proceed := make(chan struct{}), make(chan struct{})
 	slow := func(c net.Conn, _ *http.Request, _ string) bool {
--- a/replicas/cold.go
+++ b/replicas/cold.go
@@ -281,6 +281,6 @@
 	if e.ReportsCold {
 		e.ColdRemaining = remaining
 	}
-	e.SinceReady = rec.sinceReady(now)
+	e.SinceReady = rec.maxLeavingTime(now)
 	return e
 }
--- a/replicas/departure.go
+++ b/replicas/departure.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// minReadyTimeGain is how much later than the known one a time that another router reports has to be
-// to replace it. Smaller differences come from delays of messages.
+// minReadyTimeGain is by how much a ready time told by another router must be later than the known one
+// to replace it. Smaller differences may be delays of messages.
 const minReadyTimeGain = 250 * time.Millisecond
 
-// RecordReady records that at a time the store held all replicas as ready that the table has as ready
-// now. A complete list that was merged proves this for the time at which reading it began.
-func (t *Table) RecordReady(at time.Time) {
+// RecordAllReady records that at this time the store held as ready all replicas that are usable in the
+// table. A complete list proves it for the time at which reading it began.
+func (t *Table) RecordAllReady(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if at.After(t.readyAt) {
@@ -16,9 +16,9 @@
 	}
 }
 
-// SinceReady returns how long ago the store is known to have held a replica as ready: if it is leaving
-// or was removed since, that was not longer ago. ok is false if that is unknown, or if the replica has
-// restarted.
+// SinceReady returns the time since the store was last known to hold a replica as ready. If the replica
+// is leaving or removed, it has been so for at most that long. ok is false if the time is unknown or the
+// replica has restarted.
 func (t *Table) SinceReady(r *Replica) (d time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -28,7 +28,7 @@
 		return 0, false
 	}
 	if !rec.entry.Usable() {
-		d = rec.sinceReady(now)
+		d = rec.maxLeavingTime(now)
 		return d, d > 0
 	}
 	if t.readyAt.IsZero() {
@@ -37,13 +37,13 @@
 	return now.Sub(t.readyAt), true
 }
 
-// sinceReady returns for how long at most a replica that is not usable has been so; 0 if that is
-// unknown. It is never shorter than the time for which this has been known.
-func (rec *record) sinceReady(now time.Time) time.Duration {
+// maxLeavingTime returns for how long at most a replica has been leaving or removed; 0 if it is neither or
+// that is unknown. It is never shorter than the time for which this has been known.
+func (rec *record) maxLeavingTime(now time.Time) time.Duration {
 	if rec.entry.Usable() || rec.readyAt.IsZero() {
 		return 0
 	}
-	return max(now.Sub(rec.readyAt), rec.replica.LeavingFor(now), 1)
+	return max(now.Sub(rec.readyAt), rec.replica.LeavingFor(now), 1) // at least 1 ns, since 0 means unknown
 }
 
 // mergeReadyTime updates a record's readyAt before its entry changes to next by merging e.
--- a/replicas/entry.go
+++ b/replicas/entry.go
@@ -30,8 +30,8 @@
 	LeavingAnnounced bool
 	// Removed is set if the replica is no longer in the store.
 	Removed bool
-	// SinceReady is for how long at most a replica that is leaving or was removed may have been so,
-	// counted from when the store was last known to hold it as ready; 0 if unknown.
+	// SinceReady is the time since the store was last known to hold the replica as ready. It is set only
+	// for a replica that is leaving or removed, which has been so for at most that long; 0 if unknown.
 	SinceReady time.Duration
 	// Epoch and Revision identify the change of the store that the entry describes.
 	Epoch, Revision int64
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -180,7 +180,7 @@
 		removed.Removed = true
 		removed.Epoch, removed.Revision = at.Epoch, at.Revision
 		if t.mergeEntry(now, removed) {
-			removed.SinceReady = rec.sinceReady(now)
+			removed.SinceReady = rec.maxLeavingTime(now)
 			changed = append(changed, removed)
 		}
 	}
--- a/tcp/gate.go
+++ b/tcp/gate.go
@@ -6,10 +6,9 @@
 	"sync"
 )
 
-// Gate orders the reads from a connection and its end. Once it is shut, nothing that is read from the
-// connection is handed on, even if the read deadline that was to end the reads is removed again. The zero value is
-// open and idle.
-type Gate struct {
+// ReadGate makes the end of a connection definite for its reader: once it is shut, no bytes that arrive are
+// handed on, even if the read deadline that was to end the reads is removed. The zero value is open and idle.
+type ReadGate struct {
 	mu        sync.Mutex
 	shut      bool
 	receiving bool // whether a part of a request was read since MarkIdle
@@ -17,7 +16,7 @@
 
 // Receive reads from the gate's connection while the gate is open. Bytes that arrive as it shuts are
 // discarded.
-func (g *Gate) Receive(c net.Conn, b []byte) (int, error) {
+func (g *ReadGate) Receive(c net.Conn, b []byte) (int, error) {
 	if g.IsClosed() {
 		return 0, net.ErrClosed
 	}
@@ -33,14 +32,14 @@
 }
 
 // MarkIdle records that the request that was read last has been answered.
-func (g *Gate) MarkIdle() {
+func (g *ReadGate) MarkIdle() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.receiving = false
 }
 
 // Shut shuts the gate.
-func (g *Gate) Shut() {
+func (g *ReadGate) Shut() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shut = true
@@ -48,7 +47,7 @@
 
 // ShutIfIdle shuts the gate unless a part of a request was read since MarkIdle. It reports whether the gate is
 // shut.
-func (g *Gate) ShutIfIdle() bool {
+func (g *ReadGate) ShutIfIdle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.shut = g.shut || !g.receiving
@@ -56,14 +55,14 @@
 }
 
 // IsReceiving reports whether a part of a request was read since MarkIdle.
-func (g *Gate) IsReceiving() bool {
+func (g *ReadGate) IsReceiving() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.receiving
 }
 
-// IsClosed reports whether the gate is shut, because the connection is closed or lingers.
-func (g *Gate) IsClosed() bool {
+// IsClosed reports whether the gate is shut. The connection itself may linger.
+func (g *ReadGate) IsClosed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.shut
--- a/tcp/listener.go
+++ b/tcp/listener.go
@@ -23,7 +23,7 @@
 // closingConn is a connection that is closed by a Closer. It implements httpserve.Conn.
 type closingConn struct {
 	net.Conn
-	Gate
+	ReadGate
 	closer *Closer
 	acks   *Acks
 
