--- a/httpserve/conns.go
+++ b/httpserve/conns.go
@@ -17,7 +17,7 @@
 	drainInterval = 10 * time.Millisecond
 	// suspensionThreshold is the time between two of these checks from which on the process was suspended,
 	// so that requests may have arrived that are not read yet.
-	suspensionThreshold = time.Second
+	suspensionThreshold = 200 * time.Millisecond
 )
 
 // ErrNotDrained means that requests were in flight at the end of a stop.
--- a/httpserve/conns_test.go
+++ b/httpserve/conns_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,10 +21,11 @@
 
 // drainedServer is a server that stops gracefully.
 type drainedServer struct {
-	address string
-	conns   *Conns
-	stop    func()
-	result  chan error // of the stop
+	address   string
+	conns     *Conns
+	stop      func()
+	result    chan error   // of the stop
+	suspended atomic.Int64 // time that the server's clock is ahead, in nanoseconds
 }
 
 // startDrained starts a server whose stop keeps idle connections for idle and takes at most grace.
@@ -31,7 +33,8 @@
 	t.Helper()
 	l := listen(t)
 	ctx, stop := context.WithCancel(context.Background())
-	s := &drainedServer{address: l.Addr().String(), conns: &Conns{Clock: peridotusher.ClockFunc(time.Now)}, stop: stop, result: make(chan error, 1)}
+	s := &drainedServer{address: l.Addr().String(), stop: stop, result: make(chan error, 1)}
+	s.conns = &Conns{Clock: peridotusher.ClockFunc(func() time.Time { return time.Now().Add(time.Duration(s.suspended.Load())) })}
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	server := &http.Server{Handler: RejectClosed(ok), ConnState: s.conns.Track, ConnContext: WithConn}
 	var group errgroup.Group
@@ -88,6 +91,26 @@
 	}
 }
 
+// TestDrainAfterSuspensionKeepsConns guards against requests that arrived while the process did not run and whose connection is closed unread.
+func TestDrainAfterSuspensionKeepsConns(t *testing.T) {
+	const idle = 600 * time.Millisecond
+	s := startDrained(t, idle, 10*time.Second)
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	br := bufio.NewReader(c)
+	first := exchange(c, br)
+	s.stop()
+	time.Sleep(idle / 6)
+	s.suspended.Store(int64(4 * idle / 3))
+	time.Sleep(idle / 6)
+	if diff := cmp.Diff([]int{200, 200}, []int{first, exchange(c, br)}); diff != "" {
+		t.Errorf("answers before and after the suspension (-want +got):\n%s", diff)
+	}
+}
+
 // TestDrainEnds guards against stops that go on, or report an error, because of connections without a request.
 func TestDrainEnds(t *testing.T) {
 	for name, sent := range map[string]string{"new": "", "idle": request, "part of a head": request[:10]} {
