Use no departure times that waited at a stalled router

A router that had learned late of a departure also ignored that the replica had been ready for longer than the drain time.

Now a router that did not run for 0.4 s (housekeeping ticks each 0.25 s) takes the times in messages for unknown for a second. Shorter stalls are covered by a margin of 0.3 s before the end of the drain time. If it is known when the replica was ready, that alone decides.

--- a/edge/clock.go
+++ b/edge/clock.go
@@ -27,13 +27,19 @@
 // Adjust adds the time in which the host was suspended since the last call, and returns it. It is
 // usually 0.
 func (c *Clock) Adjust() time.Duration {
+	gap := c.suspended()
+	c.lag.Add(int64(gap))
+	return gap
+}
+
+// suspended returns the time in which the host was suspended since the last call of Adjust.
+func (c *Clock) suspended() time.Duration {
 	const noise = 50 * time.Millisecond
 	lag := timeSinceBoot() - c.boot - time.Since(c.start)
 	gap := lag - time.Duration(c.lag.Load())
 	if gap < noise {
 		return 0
 	}
-	c.lag.Store(int64(lag))
 	return gap
 }
 
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -228,6 +228,7 @@
 		conn := network.conns[r.node.Self.Address]
 		group.Go(func() error { return r.node.Run(ctx, conn, conn) })
 		group.Go(func() error { return r.followReplicas(ctx) })
+		group.Go(func() error { return r.runHousekeeping(ctx) })
 	}
 	return func() error {
 		cancel()
--- a/edge/router.go
+++ b/edge/router.go
@@ -97,6 +97,7 @@
 	newQueue    func() admission.ServiceQueue
 	admission   *admission.Client
 	lists       listTracker
+	stalls      stallDetector
 	epoch       epochTracker
 	// delegated receives a hop count when another router cannot read the list of replicas.
 	delegated chan int
@@ -153,6 +154,7 @@
 func (r *Router) init() {
 	s := r.Settings
 	r.clock = NewClock()
+	r.stalls.tick(r.clock.Now())
 	r.startedAt = r.timeOfDay()
 	r.delegated = make(chan int, 1)
 	r.current = routing.NewCurrent()
@@ -260,6 +262,7 @@
 			r.slowStart.DelayAll(r.clock.Now())
 			r.Log.Event("standstill", "length", gap)
 		}
+		r.stalls.tick(r.clock.Now())
 		cover := r.node.CoverTime()
 		r.table.SetUsesReports(cover > reportsCoverThreshold)
 		r.directory.SetIndexed(cover > indexCoverThreshold)
--- a/edge/state.go
+++ b/edge/state.go
@@ -109,6 +109,9 @@
 	current := s.r.recordPeerPosition(response.Store, "peer")
 	s.r.mergePeerEvacuations(response.Evacuations, "peer") // before the router can become ready
 	s.r.mergeLimits("peer", response.Limits)
+	if s.r.stalledRecently() {
+		forgetReadyTimes(response.Entries)
+	}
 	s.r.publishChanges("peer", s.r.table.Merge(response.Entries))
 	if response.Complete {
 		s.r.table.MarkComplete()
@@ -215,13 +218,10 @@
 )
 
 // mergeChanges merges changes of replicas from a datagram, and publishes those that are new to this
-// router. A router without recent lists may have been suspended while the datagram waited in the socket's
-// queue. The times in it are too short then, so they count as unknown.
+// router. After a stall or without recent lists the datagram may have waited in the socket's queue.
 func (r *Router) mergeChanges(from string, changes []replicas.Entry) {
-	if r.learnsLate() {
-		for i := range changes {
-			changes[i].SinceReady = 0
-		}
+	if r.stalledRecently() || r.learnsLate() {
+		forgetReadyTimes(changes)
 	}
 	r.publishChanges(from, r.table.Merge(changes))
 }
--- a/mesh/entry.go
+++ b/mesh/entry.go
@@ -34,9 +34,9 @@
 const (
 	// maxSinceReady is the longest Entry.SinceReady in a message; a longer one counts as unknown.
 	maxSinceReady = time.Hour
-	// datagramDelay is the assumed time from the sending of a datagram to its processing. It is added to
+	// DatagramDelay is the assumed time from the sending of a datagram to its processing. It is added to
 	// the times in the datagram, so that they are not too short.
-	datagramDelay = 100 * time.Millisecond
+	DatagramDelay = 100 * time.Millisecond
 )
 
 func marshalEntry(e replicas.Entry) []byte {
--- a/mesh/entry_test.go
+++ b/mesh/entry_test.go
@@ -40,7 +40,7 @@
 	time.Sleep(heartbeatInterval)
 	states[1].mu.Lock()
 	defer states[1].mu.Unlock()
-	want := []replicas.Entry{{ID: "a", Leaving: true, SinceReady: sent + datagramDelay}, {ID: "b", Leaving: true}}
+	want := []replicas.Entry{{ID: "a", Leaving: true, SinceReady: sent + DatagramDelay}, {ID: "b", Leaving: true}}
 	if diff := cmp.Diff(want, states[1].changes); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
--- a/mesh/query.go
+++ b/mesh/query.go
@@ -210,7 +210,7 @@
 		return err
 	}
 	if len(changes.entries) > 0 {
-		delayEntries(changes.entries, datagramDelay)
+		delayEntries(changes.entries, DatagramDelay)
 		n.State.ApplyChanges(changes.entries)
 	}
 	if !changes.quarantine.IsEmpty() {
--- a/mesh/round.go
+++ b/mesh/round.go
@@ -230,7 +230,7 @@
 	if h.Format != format {
 		return nil
 	}
-	delayEntries(h.Changes, datagramDelay)
+	delayEntries(h.Changes, DatagramDelay)
 	n.State.Merge(&h)
 	switch n.State.Compare(h.summary()) {
 	case Fresh:
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -10,6 +10,10 @@
 	"peridotusher.example/peridotusher/replicas"
 )
 
+// ExitMargin is by how much the time since a replica was ready may be longer than known, because the
+// message with it waited at a router that ran late.
+const ExitMargin = 300 * time.Millisecond
+
 // Registry is what the platform knows of replicas at the moment. A router learns of changes later.
 type Registry interface {
 	// Entry reads the entry of a replica. Removed is set if there is none; a replica that has just
@@ -39,11 +43,15 @@
 
 // mayHaveExited reports whether a replica that has been known to be leaving for that long may have
 // exited as planned. The time for which it goes on serving begins when the platform accepts its report,
-// before this router learns of it. A replica that still has to serve has not exited as planned.
+// before this router learns of it: after the replica was last ready, or, if it is not known when that was,
+// at most Lag before.
 func (f *Proxy) mayHaveExited(r *replicas.Replica, leaving time.Duration) bool {
-	if leaving <= 0 || f.DrainTime == nil || f.hasToServe(r) {
+	if leaving <= 0 || f.DrainTime == nil {
 		return false
 	}
+	if d, ok := f.Table.SinceReady(r); ok {
+		return d >= f.DrainTime()-ExitMargin
+	}
 	if f.Registry != nil {
 		leaving += f.Registry.Lag()
 	}
@@ -57,7 +65,7 @@
 		return false
 	}
 	d, ok := f.Table.SinceReady(r)
-	return ok && d < f.DrainTime()
+	return ok && d < f.DrainTime()-ExitMargin
 }
 
 // leavingFor returns for how long the replica has been known to be leaving or removed; 0 if it is
--- a/relay/ended_test.go
+++ b/relay/ended_test.go
@@ -84,22 +84,24 @@
 		entry    replicas.Entry
 		readyAgo time.Duration // when the replica was ready; 0 if unknown
 		complete bool
+		lag      time.Duration // of the registry
 	}{
-		{"leaving", true, leaving, time.Second, false},
-		{"leaving, drain time over", true, leaving, time.Minute, true},
-		{"leaving, unknown when ready", true, leaving, 0, true},
-		{"removed", true, removed, time.Second, false},
-		{"not learned, leaving", false, leaving, time.Second, false},
-		{"not learned, leaving, drain time over", false, leaving, time.Minute, true},
-		{"not learned, removed", false, removed, time.Second, false},
-		{"not learned, removed, drain time over", false, removed, time.Minute, true},
+		{"leaving", true, leaving, time.Second, false, time.Minute},
+		{"leaving, drain time over", true, leaving, time.Minute, true, time.Minute},
+		{"leaving, drain time over, learned late", true, leaving, time.Minute, true, time.Second},
+		{"leaving, unknown when ready", true, leaving, 0, true, time.Minute},
+		{"removed", true, removed, time.Second, false, time.Minute},
+		{"not learned, leaving", false, leaving, time.Second, false, time.Minute},
+		{"not learned, leaving, drain time over", false, leaving, time.Minute, true, time.Minute},
+		{"not learned, removed", false, removed, time.Second, false, time.Minute},
+		{"not learned, removed, drain time over", false, removed, time.Minute, true, time.Minute},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var b *fixture
 			b = newFixture(t, streaming, endingReplica(&b, tt.leaving, closeHead+event(1)))
 			b.proxy.DrainTime = func() time.Duration { return time.Minute }
-			b.proxy.Registry = testRegistry{entry: tt.entry, lag: time.Minute}
+			b.proxy.Registry = testRegistry{entry: tt.entry, lag: tt.lag}
 			if tt.readyAgo > 0 {
 				b.proxy.Table.RecordAllReady(b.proxy.Clock.Now().Add(-tt.readyAgo))
 			}
