Tests: share opening a connection and running a server

Tests of httpserve and of the own product's stops each had these lines several times. Test files only; their assertions are unchanged, and both packages pass.

--- a/caller/keptconn_test.go
+++ b/caller/keptconn_test.go
@@ -45,15 +45,7 @@
 			services := gatedServices{make(chan struct{}, 2), make(chan struct{})}
 			s, address := newServer(t, nil, services)
 			s.Drain, s.Limits.HeaderTimeout, s.Limits.BodyTimeout = 5*time.Second, 3*time.Second, time.Second
-			ctx, stop := context.WithCancel(context.Background())
-			defer stop()
-			var server errgroup.Group
-			server.Go(func() error { return s.Run(ctx) })
-			c, err := net.Dial("tcp", address)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
+			c, stop, wait := runAndDial(t, s, address)
 			br := bufio.NewReader(c)
 			if tt.kept {
 				_, _ = io.WriteString(c, call) // the answer shows an error
@@ -74,13 +66,28 @@
 			if diff := cmp.Diff(http.StatusOK, readStatus(br)); diff != "" {
 				t.Errorf("status, 0 without an answer (-want +got):\n%s", diff)
 			}
-			if err := server.Wait(); err != nil {
+			if err := wait(); err != nil {
 				t.Errorf("the stop cut requests: %v", err)
 			}
 		})
 	}
 }
 
+// runAndDial runs a server and opens a connection to it. stop begins the server's stop and wait waits for its end.
+func runAndDial(t *testing.T, s *Server, address string) (c net.Conn, stop func(), wait func() error) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	var server errgroup.Group
+	server.Go(func() error { return s.Run(ctx) })
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c, stop, server.Wait
+}
+
 // readStatus reads an answer and returns its status, 0 if it is not complete.
 func readStatus(br *bufio.Reader) int {
 	resp, err := http.ReadResponse(br, nil)
@@ -113,15 +120,7 @@
 	for _, path := range []string{"/readyz", "/healthz", "/unknown"} {
 		s, address := newServer(t, nil, nil)
 		s.Drain = 10 * time.Second
-		ctx, stop := context.WithCancel(context.Background())
-		defer stop()
-		var server errgroup.Group
-		server.Go(func() error { return s.Run(ctx) })
-		c, err := net.Dial("tcp", address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer c.Close()
+		c, stop, wait := runAndDial(t, s, address)
 		br := bufio.NewReader(c)
 		check := "GET " + path + " HTTP/1.1\r\nHost: router\r\n\r\n"
 		_, _ = io.WriteString(c, check) // the answer shows an error
@@ -139,7 +138,7 @@
 		if !resp.Close {
 			t.Errorf("the answer of %s does not announce the end of the connection", path)
 		}
-		if err := server.Wait(); err != nil {
+		if err := wait(); err != nil {
 			t.Error(err)
 		}
 	}
--- a/httpserve/conns_test.go
+++ b/httpserve/conns_test.go
@@ -53,6 +53,17 @@
 	return s
 }
 
+// dial opens a connection that is closed at the end of the test.
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
 // exchange sends a request on a connection and returns the status of the answer, 0 without one.
 func exchange(c net.Conn, br *bufio.Reader) int {
 	_, _ = io.WriteString(c, request) // the answer shows an error
@@ -68,11 +79,7 @@
 func TestDrainKeepsIdleConns(t *testing.T) {
 	const idle = 400 * time.Millisecond
 	s := startDrained(t, idle, 10*time.Second)
-	c, err := net.Dial("tcp", s.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := dial(t, s.address)
 	br := bufio.NewReader(c)
 	first := exchange(c, br)
 	s.stop()
@@ -95,11 +102,7 @@
 func TestDrainAfterSuspensionKeepsConns(t *testing.T) {
 	const idle = 600 * time.Millisecond
 	s := startDrained(t, idle, 10*time.Second)
-	c, err := net.Dial("tcp", s.address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := dial(t, s.address)
 	br := bufio.NewReader(c)
 	first := exchange(c, br)
 	s.stop()
@@ -117,11 +120,7 @@
 		t.Run(name, func(t *testing.T) {
 			const grace = 300 * time.Millisecond
 			s := startDrained(t, time.Minute, grace)
-			c, err := net.Dial("tcp", s.address)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer c.Close()
+			c := dial(t, s.address)
 			_, _ = io.WriteString(c, sent)    // the server's end shows an error
 			time.Sleep(20 * time.Millisecond) // so that it is read
 			began := time.Now()
