Show that a dropped key runs on where seeds are down

Cause: routers find each other through seeds and heartbeats only, so a machine that the store turns away has nobody to learn of a change from.

--- a/review/rig/case_budget.go
+++ b/review/rig/case_budget.go
@@ -10,10 +10,7 @@
 	"time"
 )
 
-func init() {
-	cases["seeds"] = playSeeds
-	cases["reload"] = playReload
-}
+func init() { cases["reload"] = playReload }
 
 // The load of the cases of the retry budget.
 const (
@@ -95,9 +92,18 @@
 
 // startFleet starts routers on the first hosts and waits until they are ready and in touch.
 func (s *stage) startFleet(count int, seeds []string) ([]*router, error) {
+	return s.startFleetAt(count, seeds, nil)
+}
+
+// startFleetAt does the same, with the store at other addresses for some of the routers, by their numbers.
+func (s *stage) startFleetAt(count int, seeds []string, doors map[int]string) ([]*router, error) {
 	var routers []*router
 	for i := range count {
-		r, err := s.newRouter(i+1, seeds, smallBounds)
+		address := s.store.address
+		if door := doors[i+1]; door != "" {
+			address = door
+		}
+		r, err := s.newRouterAt(i+1, address, seeds, smallBounds)
 		if err != nil {
 			return nil, err
 		}
@@ -110,38 +116,6 @@
 	return routers, nil
 }
 
-// playSeeds has all machines lose power at once. Those whose addresses the settings name as seeds are lost for
-// good, the others start again with the settings that they had.
-func playSeeds(s *stage) (bool, error) {
-	const count, lost = 8, 3
-	runs, failing := &ledger{}, &atomic.Bool{}
-	if err := s.startReads(runs, failing); err != nil {
-		return false, err
-	}
-	routers, err := s.startFleet(count, []string{hostIP(1), hostIP(2), hostIP(3)})
-	if err != nil {
-		return false, err
-	}
-	left := routers[lost:]
-	if s.trouble {
-		for _, r := range routers {
-			r.kill()
-		}
-		s.say("all %d machines lose power; %d of them, the seeds, are gone for good", count, lost)
-		time.Sleep(time.Second)
-		for _, r := range left {
-			if err := r.start(); err != nil {
-				return false, err
-			}
-		}
-		if err := awaitReady(left...); err != nil {
-			return false, err
-		}
-	}
-	time.Sleep(6 * time.Second) // twice stable-window-ms
-	return s.playFailing(left, runs, failing, smallBounds)
-}
-
 // playFailing sends requests for 25 s. From 14 s on the replicas fail for failFor.
 func (s *stage) playFailing(routers []*router, runs *ledger, failing *atomic.Bool, b bounds) (bool, error) {
 	c := newClients(routers...)
--- a/review/rig/case_tenants.go
+++ b/review/rig/case_tenants.go
@@ -8,12 +8,19 @@
 
 func init() { cases["tenants"] = playTenants }
 
-// The keys of the case: one that the first version holds and one that none ever holds.
+// The keys of the cases: two that the first version holds and one that none ever holds. The later version may
+// drop the first.
 const (
 	heldKey    = "n2ctnfzs989anu6wsjnb"
+	keptKey    = "anfqasnmgkcuyj8pjbvk"
 	unknownKey = "zz0000000000000000zz"
 )
 
+// oneTenant returns the tenants of a configuration with one tenant.
+func oneTenant(keys ...string) []any {
+	return []any{map[string]any{"name": "hule930", "api-keys": keys, "priority": 1}}
+}
+
 // playTenants takes away the keys of the only tenant with a new version. Without the disruption that version
 // keeps the tenant and adds a route.
 func playTenants(s *stage) (bool, error) {
@@ -21,7 +28,7 @@
 	runs := &ledger{}
 	save := route("r-save", "/save/", "non_idempotent", 1000, 1)
 	save["public"] = false
-	tenants := []any{map[string]any{"name": "hule930", "api-keys": []string{heldKey}, "priority": 1}}
+	tenants := oneTenant(heldKey)
 	s.putVersion(7, tenants, save)
 	if _, err := s.startReplicas(3, 6, runs, func(_ *replica, r *http.Request) reply {
 		return reply{status: http.StatusOK, work: 15 * time.Millisecond, body: "saved for " + r.Header.Get("X-Tenant")}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -18,7 +18,7 @@
 	status             int // 0 without an answer
 	whole              bool
 	body, signature    string
-	key                string
+	key, router        string
 	retryAfter         time.Duration
 }
 
@@ -45,7 +45,7 @@
 
 // sendWithKey sends one attempt to a router and keeps the answer.
 func (c *clients) sendWithKey(r *router, method, path, body string, budget time.Duration, key string) answer {
-	a := answer{attempt: fmt.Sprintf("%016x", 0x1c41d07b00000000+c.next.Add(1)), operation: path, sentAt: time.Now(), key: key}
+	a := answer{attempt: fmt.Sprintf("%016x", 0x1c41d07b00000000+c.next.Add(1)), operation: path, sentAt: time.Now(), key: key, router: r.name}
 	req, err := http.NewRequest(method, "http://"+r.front()+path, strings.NewReader(body))
 	if err != nil {
 		panic(err) // only requests of this program
--- a/review/rig/stage.go
+++ b/review/rig/stage.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -65,6 +67,44 @@
 	portCount = 10000
 )
 
+// storeDoor returns an address of the store at which it turns all calls away with a 503 while refused is set.
+func (s *stage) storeDoor(refused *atomic.Bool) (string, error) {
+	l, err := s.listen("127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refused.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		stopped := make(chan struct{})
+		defer close(stopped)
+		go cutWhen(refused, cancel, stopped)
+		s.store.ServeHTTP(w, r.WithContext(ctx))
+	})
+	go func() { _ = http.Serve(l, handler) }() // ends with the listener
+	return l.Addr().String(), nil
+}
+
+// cutWhen cuts a call that waits once the store turns its machine away.
+func cutWhen(refused *atomic.Bool, cut func(), stopped <-chan struct{}) {
+	const interval = 5 * time.Millisecond
+	for {
+		select {
+		case <-stopped:
+			return
+		case <-time.After(interval):
+			if refused.Load() {
+				cut()
+				return
+			}
+		}
+	}
+}
+
 // freePorts returns count ports that are free on the address of the first router. They are so far apart that a
 // range of internal ports fits between two of them.
 func freePorts(count int) ([]int, error) {
@@ -152,6 +192,7 @@
 	name     string
 	ip       string
 	zone     string
+	store    string // address at which it reaches the store
 	settings string // path of the settings
 	process  *exec.Cmd
 }
@@ -165,7 +206,7 @@
 var smallBounds = bounds{ratio: 0.2, extra: 56}
 
 // settingsText fills in the template of the deploy file.
-func (s *stage) settingsText(name, ip, zone string, seeds []string, b bounds) string {
+func (s *stage) settingsText(name, ip, zone, store string, seeds []string, b bounds) string {
 	full := make([]string, len(seeds))
 	for i, seed := range seeds {
 		full[i] = fmt.Sprintf("%s:%d", seed, s.readyPort)
@@ -175,7 +216,7 @@
 		"memory = 284", "files = 4100", "",
 		"[listen]", fmt.Sprintf("clients = %s:%d", ip, s.clientPort), fmt.Sprintf("ready = %s:%d", ip, s.readyPort), "",
 		"[peers]", "address = " + ip, fmt.Sprintf("ports = %d,%d", s.peerPort, s.peerPort+15), "seeds = " + strings.Join(full, ","), "",
-		"[store]", "address = " + s.store.address, "",
+		"[store]", "address = " + store, "",
 		"[bounds]", "drain = 2000ms", "stop = 8s", fmt.Sprintf("ratio = %v", b.ratio), fmt.Sprintf("extra = %v", b.extra), "window = 10s", "multiple = 2", "",
 		"[admission]", "contracts = base,drain,config,cost,retry,recover,engine,stream,tenants,platform", "",
 	}, "\n")
@@ -183,8 +224,13 @@
 
 // newRouter writes the settings of a router and starts it. number is that of its host.
 func (s *stage) newRouter(number int, seeds []string, b bounds) (*router, error) {
+	return s.newRouterAt(number, s.store.address, seeds, b)
+}
+
+// newRouterAt does the same for a router that reaches the store at another address.
+func (s *stage) newRouterAt(number int, store string, seeds []string, b bounds) (*router, error) {
 	r := &router{
-		stage: s, name: fmt.Sprintf("edge-%d", number), ip: hostIP(number), zone: []string{"zone-a", "zone-b", "zone-c"}[number%3],
+		stage: s, name: fmt.Sprintf("edge-%d", number), ip: hostIP(number), store: store, zone: []string{"zone-a", "zone-b", "zone-c"}[number%3],
 		settings: filepath.Join(s.folder, fmt.Sprintf("edge-%d.ini", number)),
 	}
 	if err := r.write(seeds, b); err != nil {
@@ -202,7 +248,7 @@
 
 // write writes the settings.
 func (r *router) write(seeds []string, b bounds) error {
-	text := r.stage.settingsText(r.name, r.ip, r.zone, seeds, b)
+	text := r.stage.settingsText(r.name, r.ip, r.zone, r.store, seeds, b)
 	return os.WriteFile(r.settings, []byte(text), 0o600)
 }
 
@@ -219,12 +265,6 @@
 	return r.stage.start(r.process)
 }
 
-// kill ends the process with SIGKILL and waits for its end.
-func (r *router) kill() {
-	_ = r.process.Process.Kill() // it may have ended
-	_, _ = r.process.Process.Wait()
-}
-
 // signal sends a signal to the process.
 func (r *router) signal(sig os.Signal) error { return r.process.Process.Signal(sig) }
 
