--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the cases 6 to 10 start, after the build of the deploy file.
+# Builds the stand-ins that the cases 6 to 10 start: one program in a module of its own, without dependencies.
 set -eu
-cd "$(dirname "$0")/.."
-go build -o target/review-2/rig ./review/rig
+cd "$(dirname "$0")/rig/platform"
+go build -o ../../../target/review-2/rig .
