--- a/review/fleet/ends.go
+++ b/review/fleet/ends.go
@@ -124,18 +124,20 @@
 	}
 	time.Sleep(time.Second)
 	if trouble {
+		f.record.add("router 0 freezes")
 		f.routers[0].signal(syscall.SIGSTOP)
 		time.Sleep(500 * time.Millisecond)
 		p := f.replicas["i-0"]
 		p.kill()
 		f.record.add("i-0 is killed")
 		f.beats["i-0"].end()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(2 * time.Second)
 		if err := f.startNth(0); err != nil {
 			return false, err
 		}
-		time.Sleep(1200 * time.Millisecond)
+		time.Sleep(time.Second)
 		f.routers[0].signal(syscall.SIGCONT)
+		f.record.add("router 0 goes on")
 	}
 	bad := false
 	for range calls {
@@ -149,12 +151,14 @@
 	if err := f.begin(3, routeConfig(3, route("r", "/w/", "non_idempotent", 1))); err != nil {
 		return false, err
 	}
-	const target = "/w/x?pieces=10&gap=40&bytes=120&frame=close&status=500"
-	const calls = 60
+	const (
+		target = "/w/x?pieces=10&gap=40&bytes=120&frame=close&status=500"
+		calls  = 400 // in 2 s, so that about 15 are at a replica
+	)
 	replies := make(chan reply)
 	for n := range calls {
 		go func() {
-			time.Sleep(time.Duration(n) * 30 * time.Millisecond)
+			time.Sleep(time.Duration(n) * 5 * time.Millisecond)
 			replies <- f.send(f.routers[n%3].clients, call{method: "GET", target: target, host: "h.example"})
 		}()
 	}
