--- a/review/fleet/fleet.go
+++ b/review/ends/platform/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -87,32 +89,50 @@
 	if err != nil {
 		return nil, err
 	}
-	st, err := newStore(fmt.Sprintf("127.0.2.100:%d", port+20))
+	st, err := newStore(fmt.Sprintf("%s:%d", hostIP(storeHost), port+20))
 	if err != nil {
 		return nil, err
 	}
 	return &fleet{dir: dir, store: st, port: port, record: rec, replicas: make(map[string]*process), beats: make(map[string]*beat)}, nil
 }
 
-// freePorts returns the first of some ports that are free on the addresses of a case.
+// hostIP returns the address of a host. Cases that run at the same time use others.
+func hostIP(number int) string {
+	const spread = 200
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/spread%spread, 1+pid%spread, number)
+}
+
+// The numbers of the hosts: routers from 1 on, replicas from replicaHost on, and the store's.
+const (
+	replicaHost = 50
+	storeHost   = 100
+)
+
+// freePorts returns the first of some ports that are free on the hosts of a case. They are below the range from
+// which the system picks ports by itself.
 func freePorts() (int, error) {
-	for port := 21000 + os.Getpid()%20000; port < 60000; port += 97 {
-		free := true
-		for _, ip := range []string{"127.0.2.1", "127.0.2.2", "127.0.2.3", "127.0.2.4", "127.0.2.50", "127.0.2.51", "127.0.2.52", "127.0.2.100"} {
-			for n := range 24 {
-				l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port+n))
-				if err != nil {
-					free = false
-					break
-				}
-				_ = l.Close()
-			}
-		}
-		if free {
+	const first, last, step, count = 20000, 30000, 50, 24
+	for port := first + os.Getpid()%100*step; port < last; port += step {
+		if arePortsFree(port, count) {
 			return port, nil
 		}
 	}
-	return 0, fmt.Errorf("no free ports")
+	return 0, errors.New("no free ports")
+}
+
+// arePortsFree reports whether ports are free on the hosts of a case.
+func arePortsFree(first, count int) bool {
+	for _, host := range []int{1, 2, 3, replicaHost, replicaHost + 1, replicaHost + 2, storeHost} {
+		for n := range count {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", hostIP(host), first+n))
+			if err != nil {
+				return false
+			}
+			_ = l.Close() // nothing was accepted
+		}
+	}
+	return true
 }
 
 // close ends all processes.
@@ -142,6 +162,7 @@
 // start starts a program. Its output goes to the record, or to a file if log is set.
 func (f *fleet) start(log string, env []string, name string, args ...string) (*process, error) {
 	cmd := exec.Command(name, args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, env...)
 	stdin, err := cmd.StdinPipe()
 	if err != nil {
@@ -195,7 +216,7 @@
 [peers]
 address = %[2]s
 ports = %[5]d,%[6]d
-seeds = 127.0.2.1:%[7]d,127.0.2.2:%[7]d,127.0.2.3:%[7]d
+seeds = %[9]s:%[7]d,%[10]s:%[7]d,%[11]s:%[7]d
 
 [store]
 address = %[8]s
@@ -215,8 +236,8 @@
 // startRouter starts the n-th router, counted from 0, in a zone of its own.
 func (f *fleet) startRouter(n int) (*router, error) {
 	zone := []string{"za", "zb", "zc"}[n%3]
-	ip := fmt.Sprintf("127.0.2.%d", n+1)
-	text := fmt.Sprintf(template, zone, ip, f.port, f.port+1, f.port+2, f.port+17, f.port+18, f.store.addr)
+	ip := hostIP(n + 1)
+	text := fmt.Sprintf(template, zone, ip, f.port, f.port+1, f.port+2, f.port+17, f.port+18, f.store.addr, hostIP(1), hostIP(2), hostIP(3))
 	path := filepath.Join(f.dir, fmt.Sprintf("edge-%d.ini", n))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
@@ -250,7 +271,7 @@
 
 // startReplica starts a replica process and its entry in the store.
 func (f *fleet) startReplica(id, service, zone string, n int) (*process, error) {
-	addr := fmt.Sprintf("127.0.2.%d:%d", 50+n%3, f.port+n/3)
+	addr := net.JoinHostPort(hostIP(replicaHost+n%3), strconv.Itoa(f.port+n/3))
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
--- a/review/fleet/main.go
+++ b/review/ends/platform/main.go
@@ -1,4 +1,13 @@
-// Command fleet runs the cases of the review against router processes on loopback addresses.
+// Command ends plays the cases of the second review in which a replica ends in the middle of answers. It runs router
+// processes, started with the command of the deploy file, between stand-ins for the platform's store, replicas and
+// clients, each replica a process of its own. Everything listens on loopback addresses.
+//
+// # Usage
+//
+//	ends CASE FOLDER
+//
+// writes record.txt into the folder and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not
+// run. With TROUBLE=0 in the environment the case runs without its disruption.
 package main
 
 import (
@@ -15,6 +24,9 @@
 	cannotRun = 2
 )
 
+// caseTimeout is the longest time that a case may take.
+const caseTimeout = 110 * time.Second
+
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"drain-crash":  drainCrash,
@@ -38,7 +50,7 @@
 // second one names.
 func runCase() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: fleet CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: ends CASE FOLDER")
 		return cannotRun
 	}
 	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
@@ -46,7 +58,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
 	}
-	dir, err := os.MkdirTemp("", "fleet")
+	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
@@ -61,6 +73,11 @@
 		return cannotRun
 	}
 	defer f.close()
+	time.AfterFunc(caseTimeout, func() {
+		rec.add("cannot run: the case took too long")
+		f.close()
+		os.Exit(cannotRun)
+	})
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, trouble %v", os.Args[1], trouble)
 	bad, err := cases[os.Args[1]](f, trouble)
