--- a/review/rig/platform/case_entry.go
+++ b/review/rig/platform/case_entry.go
@@ -36,7 +36,7 @@
 }
 
 // playForeignEntry has another writer put one entry that lacks cold-remaining-ms. With FIELD=type the field is there
-// and a text.
+// and a text; with FIELD=name the field is there, and all others have names that begin with a capital.
 func playForeignEntry(s *stage) (bool, error) {
 	runs := &ledger{}
 	save := route("r-save", "/save/", "non_idempotent", 1000, 1)
@@ -62,8 +62,14 @@
 		entry := map[string]any{
 			"service": plainService, "addr": l.Addr().String(), "zone": "zone-b", "version": "v1", "slots": 6, "state": "ready", "seq": 1,
 		}
-		if os.Getenv("FIELD") == "type" {
+		switch os.Getenv("FIELD") {
+		case "type":
 			entry["cold-remaining-ms"] = "soon"
+		case "name": // no field is named as the pages name it, except for one
+			entry = map[string]any{
+				"Service": plainService, "Addr": l.Addr().String(), "Zone": "zone-b", "Version": "v1", "Slots": 6, "State": "ready", "Seq": 1,
+				"cold-remaining-ms": 0,
+			}
 		}
 		s.store.put("servers/other-writer-1", entry)
 		s.say("another writer has put an entry")
