Show that exits while the store is away count as crashes

Cause: relay/ended.go, hasCrashed. A departure that no router has heard of, while the store can't be read, is taken for a crash.

--- a/review/ends/platform/main.go
+++ b/review/ends/platform/main.go
@@ -29,6 +29,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
+	"down-exit":    downExit,
 	"drain-crash":  drainCrash,
 	"freeze-crash": freezeCrash,
 	"error-crash":  errorCrash,
--- a/review/ends/platform/store.go
+++ b/review/ends/platform/store.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +32,8 @@
 	history []item
 	changed chan struct{}
 	server  *http.Server
+	// down is set while the store answers nothing.
+	down atomic.Bool
 }
 
 // newStore starts a store.
@@ -72,6 +75,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	const interval = 20 * time.Millisecond
+	for s.down.Load() && r.Context().Err() == nil {
+		time.Sleep(interval)
+	}
 	q := r.URL.Query()
 	switch r.URL.Path {
 	case "/-/kv-key":
