Name the record in case 6's script, as the other cases do

Cause: run.sh of case 6 gave a folder to the program, which chose the name record.txt, so that nothing in review/6 said that it is written.

The case is unchanged.

--- a/review/ends/platform/main.go
+++ b/review/ends/platform/main.go
@@ -4,16 +4,15 @@
 //
 // # Usage
 //
-//	ends CASE FOLDER
+//	ends CASE record.txt
 //
-// writes record.txt into the folder and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not
+// writes what was sent, answered and run to the file and exits with 0 if the rule held, 1 if it was broken and 2 if the case could not
 // run. With TROUBLE=0 in the environment the case runs without its disruption.
 package main
 
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -47,14 +46,14 @@
 	os.Exit(runCase())
 }
 
-// runCase runs the case that the first argument names. It writes record.txt into the folder that the
-// second one names.
+// runCase runs the case that the first argument names. It writes the record to the file that the second one
+// names.
 func runCase() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: ends CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: ends CASE RECORD")
 		return cannotRun
 	}
-	file, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	file, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
