relay: answer 502 for a run whose status would promise that it was none

Cause: 408, 421, 429 and 503 promise clients that a request has not run. A replica states that by a header. handleAnswer used the header to try another replica only; any other answer was forwarded under its own status. That the request had run was recorded for status 500 and above only, and nothing compared it with the status written. The replica's signature on the answers and the missing "denied" lines rule out that the router refused.

Change: Reply.Verdict, recordVerdict and isFalsePromise make the decision in one place, for all framings and kinds of routes. The answer is discarded, logged ("try verdict=ran status=503", "denied why=replaced status=502") and counted (peridotusher_replaced_total). A signed 421 is the answer of a run, too. Routes whose requests may be repeated keep the replica's status.

It works at any moment of a router: the decision uses the answer, the route and the request's own attempts only.

--- a/httphead/httphead.go
+++ b/httphead/httphead.go
@@ -1,5 +1,6 @@
-// Package httphead limits the heads of HTTP answers. http.ReadResponse limits nothing, http.Transport
-// only the bytes, and a head of short names takes many times its bytes in memory.
+// Package httphead limits the heads of HTTP answers, and knows which statuses are promises.
+// http.ReadResponse limits nothing, http.Transport only the bytes, and a head of short names takes many
+// times its bytes in memory.
 //
 // # Usage
 //
@@ -21,6 +22,16 @@
 	maxNames = 256
 )
 
+// PromisesNotRun reports whether clients take a status for the promise that their request has not run and
+// will not run, so that they send it again.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Check returns an error if the head of an answer has more names than an endpoint would send.
 func Check(resp *http.Response) error {
 	if n := len(resp.Header); n > maxNames {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -74,7 +74,7 @@
 func (t *task) recordRefusal(after time.Duration) {
 	t.retryAfter = after.Truncate(time.Millisecond) + time.Millisecond // rounded up for Retry-After
 	if !t.mayHaveRun {
-		t.failure = peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "no slot at a replica in time")
+		t.recordFailure(peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "no slot at a replica in time"))
 	}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -33,8 +33,9 @@
 	t.applyLoad(x)
 	t.grant.recordLoad(x.reply)
 	t.applyReply(x)
+	t.recordVerdict(x.reply.Verdict())
 	if x.reply.NotRun || x.reply.Misdirected {
-		return t.handleNotRun(x)
+		return t.handleRefusal(x)
 	}
 	if x.resp.StatusCode < http.StatusMultipleChoices && !x.reply.Signed {
 		t.recordFault(x, "an answer without a signature")
@@ -72,8 +73,8 @@
 	}
 }
 
-// handleNotRun handles an answer by which the replica promises not to have run the request.
-func (t *task) handleNotRun(x *exchange) bool {
+// handleRefusal handles an answer by which the replica refuses the request.
+func (t *task) handleRefusal(x *exchange) bool {
 	x.drainBody()
 	if x.reply.Misdirected {
 		t.sends-- // another replica has the address; the intended one received nothing
@@ -81,15 +82,18 @@
 	} else {
 		t.grant.recordShed()
 	}
-	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.NotRun, "status", x.resp.StatusCode)
-	t.failure = peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseOverloaded, "the replica refused with status %d", x.resp.StatusCode)
+	verdict := x.reply.Verdict()
+	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", verdict, "status", x.resp.StatusCode)
+	t.recordFailure(peridotusher.Fail(verdict, peridotusher.CauseOverloaded, "the replica refused with status %d", x.resp.StatusCode))
+	if t.isFalsePromise(x.resp.StatusCode) {
+		t.recordReplaced(x)
+	}
 	return false
 }
 
 // recordFault records an answer that a healthy replica would not send.
 func (t *task) recordFault(x *exchange, format string, args ...any) {
-	t.mayHaveRun = true
-	t.failure = peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, format, args...)
+	t.recordFailure(peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, format, args...))
 	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.MayHaveRun, "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", t.failure)
 	x.replica.Record(t.proxy.Clock.Now(), replicas.Failed)
 }
@@ -98,16 +102,17 @@
 // final answer.
 func (t *task) forwardAnswer(ctx context.Context, x *exchange, took time.Duration) bool {
 	failed := x.resp.StatusCode >= http.StatusInternalServerError
-	if failed {
-		t.mayHaveRun = true
-		if t.willRetry() {
-			t.discardFailed(x)
-			return false
-		}
+	if failed && t.willRetry() {
+		t.discardAnswer(x)
+		return false
+	}
+	if t.isFalsePromise(x.resp.StatusCode) {
+		t.discardAnswer(x)
+		t.recordReplaced(x)
+		return false
 	}
 	body, rest, err := t.readBeforeForwarding(ctx, x)
 	if err != nil {
-		t.mayHaveRun = true
 		if ctx.Err() == nil {
 			t.recordFault(x, "the answer broke off after %d bytes: %v", body.Length(), err)
 			if body.Length() == 0 {
@@ -120,10 +125,8 @@
 		t.recordFault(x, "an error answer that is too long or does not end")
 		return false
 	}
-	outcome := replicas.Good
-	if failed {
-		outcome = replicas.Failed
-	} else {
+	outcome := answerOutcome(x.resp.StatusCode)
+	if !failed {
 		t.recordBegun()
 	}
 	t.writeHead(x.resp, x.resp.ContentLength)
@@ -147,11 +150,19 @@
 	return resp.ContentLength >= 0 && resp.ContentLength <= maxErrorAnswer
 }
 
-// discardFailed discards the answer of a replica that failed, because another one will be tried.
-func (t *task) discardFailed(x *exchange) {
+// answerOutcome returns how an answer to a request that has run counts for its replica.
+func answerOutcome(status int) replicas.Outcome {
+	if status >= http.StatusInternalServerError {
+		return replicas.Failed
+	}
+	return replicas.Good
+}
+
+// discardAnswer discards the answer of a replica that ran the request, because the client does not get it.
+func (t *task) discardAnswer(x *exchange) {
 	x.drainBody()
-	x.replica.Record(t.proxy.Clock.Now(), replicas.Failed)
-	t.failure = peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, "the replica failed with status %d", x.resp.StatusCode)
+	x.replica.Record(t.proxy.Clock.Now(), answerOutcome(x.resp.StatusCode))
+	t.recordFailure(peridotusher.Fail(peridotusher.Ran, peridotusher.CauseEndpointError, "the replica failed with status %d", x.resp.StatusCode))
 	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.Ran, "status", x.resp.StatusCode)
 }
 
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/ratelimit"
 )
 
@@ -53,7 +54,7 @@
 	ID string
 	// NotRun means that the replica promises not to have run the request.
 	NotRun bool
-	// Misdirected means that another replica now has the address.
+	// Misdirected means that another replica now has the address, and has not run the request.
 	Misdirected bool
 	// Signed means that the answer carries a replica's signature.
 	Signed bool
@@ -79,6 +80,16 @@
 	MalformedLoad string
 }
 
+// Verdict returns what the answer states about the request: that it has not run, which only a promise
+// states and no status, or that it has. A signed answer is that of a run even if it claims that another
+// replica now has the address.
+func (r Reply) Verdict() peridotusher.Verdict {
+	if r.NotRun || r.Misdirected && !r.Signed {
+		return peridotusher.NotRun
+	}
+	return peridotusher.Ran
+}
+
 // MaxRate is the largest request rate that a replica may state, in requests a second.
 const MaxRate = ratelimit.MaxRate
 
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -128,6 +128,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_beyond_rate_total{service=%q}", service)).Inc()
 }
 
+// countReplaced counts an answer of a replica that the client did not get, because its status would have
+// promised that the request had not run.
+func (m *Metrics) countReplaced(route string, status int) {
+	if m == nil {
+		return
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_replaced_total{route=%q,status=\"%d\"}", m.routeLabel(route), status)).Inc()
+}
+
 // countRetryDecision counts the retry budget's decisions on one more attempt.
 func (m *Metrics) countRetryDecision(route string, allowed bool) {
 	if m == nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -154,7 +154,6 @@
 
 // handleBrokenStream records a stream that broke off.
 func (t *task) handleBrokenStream(ctx context.Context, x *exchange, err error) bool {
-	t.mayHaveRun = true
 	if ctx.Err() == nil {
 		t.recordFault(x, "the stream broke after event %q and %d bytes (%s): %v", t.lastEventID, t.partialBytes, framing(x.resp), err)
 		t.proxy.Metrics.countResume(t.routeName())
--- a/relay/task.go
+++ b/relay/task.go
@@ -93,6 +93,7 @@
 
 	// The answer.
 	headWritten  bool
+	replaced     bool          // whether the replica's answer is replaced by one of the router's own
 	lastEventID  string        // id of the last event forwarded to the client
 	longestPause time.Duration // longest pause between two events of a replica
 	partialBytes int           // bytes behind the last complete event when a replica's stream ended
@@ -136,7 +137,7 @@
 			return
 		}
 		if !t.allowNextAttempt() {
-			t.answerUnserved(ctx, "failed")
+			t.answerUnserved(ctx, t.failedReason())
 			return
 		}
 	}
@@ -279,12 +280,11 @@
 // recordSendFailure records an attempt that failed before the head of an answer arrived.
 func (t *task) recordSendFailure(ctx context.Context, r *replicas.Replica, failure *peridotusher.Failure) {
 	f := t.proxy
-	t.failure = failure
+	t.recordFailure(failure)
 	if failure.Verdict() == peridotusher.NotRun {
 		t.unsent++
 	} else {
 		t.countArrival()
-		t.mayHaveRun = true
 	}
 	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", failure)
 	switch {
