caller: answer 502 for a call that ran with a status of a refusal

The own product passed a service's 408, 421, 429 or 503 on with the verdict "ran", also for calls that must not be repeated. Callers that act by the status repeat them.

Such an answer, also a recorded one, is replaced by 502 endpoint_error with the verdict "ran"; the endpoint's status is in the message and the log. Calls that may be repeated get the endpoint's answer as before.

--- a/caller/service.go
+++ b/caller/service.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/httphead"
 )
 
 // unforwardedHeaders are the headers that the router does not forward: hop-by-hop
@@ -27,6 +28,9 @@
 		defer cancel()
 		answer, err = s.Services.Call(ctx, call)
 	}
+	if err == nil {
+		err = falsePromise(call, answer)
+	}
 	out := Outcome{Organisation: call.Organisation, Service: r.PathValue("service"), Verdict: peridotusher.Ran, Complete: err == nil}
 	fields := logrus.Fields{
 		"request":      call.ID,
@@ -40,6 +44,7 @@
 		f := peridotusher.AsFailure(s.stoppedFailure(r.Context(), err))
 		out.Verdict = f.Verdict()
 		out.Cause = f.Cause()
+		markReplayed(w, answer)
 		writeFailure(w, f)
 		s.Log.WithFields(fields).WithFields(logrus.Fields{"verdict": f.Verdict(), "cause": f.Cause(), "error": f.Error()}).Warn("call failed")
 	} else {
@@ -51,6 +56,15 @@
 	s.record(out)
 }
 
+// falsePromise returns the failure that takes the place of an answer by whose status callers would repeat
+// a call that has run and must not be repeated, or nil for other answers.
+func falsePromise(call ServiceCall, answer ServiceAnswer) error {
+	if call.Service.Idempotent(call.Method, call.Path) || !httphead.PromisesNotRun(answer.Status) {
+		return nil
+	}
+	return peridotusher.Fail(peridotusher.Ran, peridotusher.CauseEndpointError, "the endpoint ran the call and answered status %d", answer.Status)
+}
+
 func (s *Server) serviceCall(w http.ResponseWriter, r *http.Request) (ServiceCall, error) {
 	call := ServiceCall{Document: s.Document(), ID: peridotusher.RequestID(s.NewID()), Method: r.Method, Path: "/" + r.PathValue("path"), Query: r.URL.RawQuery, Key: r.Header.Get(keyHeader)}
 	org, err := s.authenticate(r, call.Document)
@@ -92,10 +106,15 @@
 		w.Header()[name] = values
 	}
 	w.Header().Set(verdictHeader, peridotusher.Ran.String())
-	if answer.Replayed {
-		w.Header().Set("Idempotent-Replayed", "true")
-	}
+	markReplayed(w, answer)
 	w.WriteHeader(answer.Status)
 	// A write error means that the caller has disconnected. The outcome is recorded anyway.
 	_, _ = w.Write(answer.Body)
 }
+
+// markReplayed tells the caller if the answer is the recorded one of an earlier call with the same key.
+func markReplayed(w http.ResponseWriter, answer ServiceAnswer) {
+	if answer.Replayed {
+		w.Header().Set("Idempotent-Replayed", "true")
+	}
+}
