relay: do not believe a refusal behind an answer to another request

A request that a replica ran was answered 503, and tried at another replica after a 421, if the replica first sent an answer with another id and then bytes in the form of a refusal without an id: on a new connection an answer without an id was taken for that to the request, though one had come before.

An answer without an id counts only if nothing preceded it.

TestRefusalBehindStrayAnswerIsNotBelieved fails before this change in both cases (503 in place of 502).

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -191,13 +191,13 @@
 }
 
 // belongsTo reports whether an answer belongs to the request. One without an id may be bytes that the
-// replica sent after an earlier answer on the connection. On a new connection it can only be the
-// answer to this request, but is no proper one unless it promises that the request has not run.
+// replica sent after an earlier answer on the connection. The first one on a new connection can only be
+// the answer to this request, but is no proper one unless it promises that the request has not run.
 func (x *exchange) belongsTo(out outgoing, reply Reply) (bool, error) {
 	switch {
 	case reply.ID == out.id:
 		return true, nil
-	case reply.ID != "" || reply.Signed || x.conn.hadAnswer:
+	case reply.ID != "" || reply.Signed || x.conn.hadAnswer || x.skippedStray:
 		return false, nil
 	case reply.NotRun || reply.Misdirected:
 		return true, nil
--- a/relay/repeatedanswer_test.go
+++ b/relay/repeatedanswer_test.go
@@ -111,3 +111,19 @@
 		}
 	}
 }
+
+// TestRefusalBehindStrayAnswerIsNotBelieved guards against bytes behind an answer to another request, in
+// the form of a refusal without an id, that are taken for the answer to a request that the replica runs.
+func TestRefusalBehindStrayAnswerIsNotBelieved(t *testing.T) {
+	const stray = "HTTP/1.1 200 OK\r\nId: 99\r\nSignature: z\r\nContent-Length: 5\r\n\r\nOTHER"
+	for _, refusal := range []string{"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n", "HTTP/1.1 421 No\r\n"} {
+		b := newFixture(t, nonIdempotent, respond(stray+refusal+"Content-Length: 0\r\n\r\n", false))
+		resp, _, _ := b.send(get(""))
+		if resp == nil || resp.StatusCode != http.StatusBadGateway {
+			t.Errorf("%q is answered with %v, want status %d", refusal, resp, http.StatusBadGateway)
+		}
+		if n := len(b.requests()); n != 1 {
+			t.Errorf("%q: the replica received %d requests, want 1", refusal, n)
+		}
+	}
+}
