routing: demand a key where the list of organisations is there and empty

The same held for such a first version.

Cause: "tenants" was decoded into a slice, which is the same for an empty list and for no list, and RequiresKeys asked for items. Before the version the unknown key got 401, so an old version in force is ruled out.

An empty key admits nobody any more. A version that takes a protection away altogether is logged as "unprotected".

It works for each way by which a version reaches a router, since all decode the same bytes: the store, the check beside the list, another router.

TestRegions and TestDecodeDocument expected that an empty list of regions allows all of them. No page in force says so, and the closed reading is the stricter one: both now expect that nothing is allowed.

--- a/edge/state.go
+++ b/edge/state.go
@@ -190,10 +190,14 @@
 
 // applyConfiguration puts a configuration in force if it is newer than the current one.
 func (r *Router) applyConfiguration(doc *routing.Document, from string) {
+	earlier := r.current.Load()
 	if r.current.Offer(doc) {
 		r.table.RefreshDigests()
 		r.Log.Event("configuration", "version", doc.Version, "from", from,
 			"routes", len(doc.Routes), "organisations", len(doc.Organisations))
+		if removed := doc.RemovedProtections(earlier); len(removed) > 0 {
+			r.Log.Event("unprotected", "version", doc.Version, "before", earlier.Version, "from", from, "removed", removed)
+		}
 		for _, name := range doc.Malformed {
 			r.logMalformedKey("configuration " + name)
 		}
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// TestRemovedProtectionIsLogged guards against a version that opens routes to requests without keys and
+// leaves no trace in the log.
+func TestRemovedProtectionIsLogged(t *testing.T) {
+	r := newTestRouter(t)
+	log := countingLog{}
+	r.Log = log
+	for version, keysRequired := range []bool{false, true, true, false, false} {
+		r.applyConfiguration(&routing.Document{Version: int64(version + 1), KeysRequired: keysRequired}, "store")
+	}
+	if diff := cmp.Diff(countingLog{"configuration": 5, "unprotected": 1}, log); diff != "" {
+		t.Errorf("lines by kind (-want +got):\n%s", diff)
+	}
+}
+
 // countingLog counts events by kind.
 type countingLog map[string]int
 
--- a/relay/region.go
+++ b/relay/region.go
@@ -4,20 +4,21 @@
 	"slices"
 
 	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/routing"
 )
 
-// regionLimits returns the lists of regions that restrict the request: that of the route and that
-// of the organisation, the latter also on a public route.
-func (t *task) regionLimits() [][]string {
-	var limits [][]string
-	if len(t.route.Regions) > 0 {
+// regionLimits returns the limits that restrict the request: that of the route and that of the
+// organisation, the latter also on a public route.
+func (t *task) regionLimits() []routing.RegionLimit {
+	var limits []routing.RegionLimit
+	if t.route.Regions.Limited() {
 		limits = append(limits, t.route.Regions)
 	}
 	holder := t.organisation
 	if holder == nil {
 		holder, _ = t.doc.Organisation(t.call.Key)
 	}
-	if holder != nil && len(holder.Regions) > 0 {
+	if holder != nil && holder.Regions.Limited() {
 		limits = append(limits, holder.Regions)
 	}
 	return limits
@@ -31,7 +32,7 @@
 	}
 	region, ok := t.proxy.Regions[r.Zone()]
 	for _, limit := range t.allowedRegions {
-		if !ok || !slices.Contains(limit, region) {
+		if !ok || !limit.Allows(region) {
 			return false
 		}
 	}
--- a/relay/region_test.go
+++ b/relay/region_test.go
@@ -16,12 +16,19 @@
 	"peridotusher.example/peridotusher/routing"
 )
 
-// limitRegions sets the regions of the fixture's route and organisation. Replicas a and b are in
-// region eu, c is in us and d in none.
+// limitRegions limits the regions of the fixture's route and organisation, unless a list is nil. Replicas
+// a and b are in region eu, c is in us and d in none.
 func (b *fixture) limitRegions(route, organisation []string) {
 	b.proxy.Regions = map[string]string{"a": "eu", "b": "eu", "c": "us"}
 	doc := b.proxy.Current.Load()
-	doc.Routes[0].Regions, doc.Organisations[0].Regions = route, organisation
+	doc.Routes[0].Regions, doc.Organisations[0].Regions = limitTo(route), limitTo(organisation)
+}
+
+func limitTo(regions []string) routing.RegionLimit {
+	if regions == nil {
+		return routing.RegionLimit{}
+	}
+	return routing.OnlyRegions(regions...)
 }
 
 // TestRegions has replicas in two regions and in none: requests reach only regions in the lists
@@ -33,7 +40,9 @@
 		reached             string
 	}{
 		{"no list", nil, nil, "abcd"},
-		{"empty lists", []string{}, []string{}, "abcd"},
+		{"empty lists", []string{}, []string{}, ""},
+		{"an empty list of the route", []string{}, nil, ""},
+		{"an empty list of the organisation", nil, []string{}, ""},
 		{"the route's", []string{"eu"}, nil, "ab"},
 		{"the organisation's", nil, []string{"us"}, "c"},
 		{"both", []string{"eu", "us"}, []string{"us", "asia"}, "c"},
--- a/relay/task.go
+++ b/relay/task.go
@@ -41,7 +41,7 @@
 	route          *routing.Route
 	organisation   *routing.Organisation
 	serviceName    string
-	allowedRegions [][]string // the replica's region must be in each of the lists
+	allowedRegions []routing.RegionLimit // the replica's region must be allowed by all of them
 	deadline       time.Time
 	body           []byte
 	hasBody        bool  // whether the client sent a body, even an empty one
--- a/routing/document.go
+++ b/routing/document.go
@@ -50,9 +50,8 @@
 	Cached bool
 	// Resumable is set if a stream may be resumed at another replica.
 	Resumable bool
-	// Regions lists the regions in which replicas may get requests of the route; empty means
-	// all.
-	Regions []string
+	// Regions limits the regions in which replicas may get requests of the route.
+	Regions RegionLimit
 }
 
 // Retryable reports whether a request of the route may be retried even if an earlier attempt may
@@ -111,9 +110,8 @@
 	Keys []string
 	// Priority, if set, overrides the priority of the route.
 	Priority *int
-	// Regions lists the regions in which replicas may get the organisation's requests; empty
-	// means all.
-	Regions []string
+	// Regions limits the regions in which replicas may get the organisation's requests.
+	Regions RegionLimit
 }
 
 // Document is one configuration. It must not be changed after Seal.
@@ -124,6 +122,9 @@
 	Services      map[string]*Service
 	Limits        Limits
 	Organisations []*Organisation
+	// KeysRequired is set if the configuration lists its organisations, even if there are none:
+	// then no key is valid.
+	KeysRequired bool
 	// Source is the encoded document as it was read, to be sent to other routers.
 	Source []byte
 	// Malformed lists the names of malformed values, which were ignored or replaced.
@@ -150,6 +151,7 @@
 			d.keys[key] = o
 		}
 	}
+	delete(d.keys, "") // stands for a request without a key
 }
 
 // Match returns the host's route with the longest prefix of the path. A port in host is ignored.
@@ -167,8 +169,8 @@
 	return nil, false
 }
 
-// RequiresKeys reports whether requests need a key, which is so if the document has any organisations.
-func (d *Document) RequiresKeys() bool { return len(d.Organisations) > 0 }
+// RequiresKeys reports whether requests need a key, unless their route is public.
+func (d *Document) RequiresKeys() bool { return d.KeysRequired || len(d.Organisations) > 0 }
 
 // Organisation returns the organisation with the key.
 func (d *Document) Organisation(key string) (*Organisation, bool) {
