tcp: ask longer whether a process has ended behind an answer

Cause: behind such an answer the router asks once, by a connection, whether the replica has ended. The kernel closes a killed process's listening socket after its connections. Planned exits are ruled out, since the log had no such lines.

--- a/relay/ended.go
+++ b/relay/ended.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"peridotusher.example/peridotusher/replicas"
+	"peridotusher.example/peridotusher/tcp"
 )
 
 // ExitMargin is by how much the time since a replica was ready may be longer than known, because the
@@ -91,17 +89,15 @@
 	return e.Removed || e.Leaving && !learned && replicas.HashOf(e.ID, e.StartedAt) == r.Hash(), nil
 }
 
-// hasEnded reports whether a replica refuses connections. A replica that only drops connections
-// accepts the one that is opened to find out, which is kept for a later request.
+// hasEnded reports whether a replica has come to refuse connections. A replica that only drops
+// connections leaves the one open that is opened to find out, which is kept for a later request.
 func (f *Proxy) hasEnded(ctx context.Context, r *replicas.Replica) bool {
-	c, err := dial(ctx, r.Address(), dialTimeout)
-	if err == nil {
-		f.Pool.put(r, c, probedConnTTL)
-		return false
+	open, ended := tcp.HasEnded(ctx, func(ctx context.Context) (*conn, error) { return dial(ctx, r.Address(), dialTimeout) })
+	if open != nil {
+		f.Pool.put(r, open, probedConnTTL)
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
+	if ended {
+		f.markUnreachable(r)
 	}
-	f.markUnreachable(r)
-	return true
+	return ended
 }
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -111,6 +111,46 @@
 	}
 }
 
+// TestKilledReplicaBreaksOffAnswers guards against answers with neither length nor chunks that look
+// complete because the kernel closes the listening socket of a killed replica after its connections, so
+// that the replica seems to accept another one.
+func TestKilledReplicaBreaksOffAnswers(t *testing.T) {
+	const exitTime = 40 * time.Millisecond
+	two := event(1) + event(2)
+	tests := []struct {
+		name     string
+		route    routing.Route
+		answer   string
+		status   int
+		body     string
+		complete bool
+	}{
+		{"stream", streaming, closeHead + two, http.StatusOK, two, false},
+		{"answer", nonIdempotent, plainHead + "hel", http.StatusBadGateway, "failed\n", true},
+		{"long answer", nonIdempotent, plainHead + longBody, http.StatusOK, longBody, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b *fixture
+			b = newFixture(t, tt.route, func(c net.Conn, r *http.Request, body string) bool {
+				b.group.Go(func() error {
+					time.Sleep(exitTime)
+					b.crash("a")
+					return nil
+				})
+				return respond(tt.answer, false)(c, r, body)
+			})
+			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+			if resp == nil || resp.StatusCode != tt.status || complete != tt.complete {
+				t.Errorf("answer = %v, complete %v, want %v", resp, complete, tt.complete)
+			}
+			if diff := cmp.Diff(tt.body, body); diff != "" {
+				t.Errorf("body (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestPlannedExitEndsAnswers guards against answers with neither length nor chunks that are cut off
 // because their replica has exited behind them as planned. Before its drain time is over, or without an
 // announcement, its end is a crash.
--- a/service/ended.go
+++ b/service/ended.go
@@ -4,22 +4,22 @@
 	"context"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"peridotusher.example/peridotusher/tcp"
 )
 
 // endedCheckTimeout bounds the connection attempt that shows whether an endpoint has ended.
 const endedCheckTimeout = 150 * time.Millisecond
 
-// HasEnded reports whether an endpoint refuses connections.
+// HasEnded reports whether an endpoint has come to refuse connections.
 func HasEnded(ctx context.Context, address string) bool {
-	conn, err := (&net.Dialer{Timeout: endedCheckTimeout}).DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close() // nothing was sent on it
+	dialer := net.Dialer{Timeout: endedCheckTimeout}
+	open, ended := tcp.HasEnded(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
+	if open != nil {
+		_ = open.Close() // nothing was sent on it
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return ended
 }
 
 // endedWithEndpoint reports whether an answer without length and chunks was broken off by the end of
--- a/service/ended_test.go
+++ b/service/ended_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
@@ -14,9 +15,9 @@
 	"peridotusher.example/peridotusher/service"
 )
 
-// serveUndelimited answers one call with neither length nor chunks. If ends is set, the endpoint refuses
-// new connections before it closes that of the call.
-func serveUndelimited(t *testing.T, ends bool) string {
+// serveUndelimited answers one call with neither length nor chunks. If ends is set, the endpoint comes to
+// refuse new connections, exitTime after it closes that of the call, or before if that is 0.
+func serveUndelimited(t *testing.T, ends bool, exitTime time.Duration) string {
 	t.Helper()
 	listener := listen(t)
 	var group errgroup.Group
@@ -30,6 +31,10 @@
 			return nil
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwaist") // the caller detects a lost answer
+		if ends && exitTime > 0 {
+			_ = conn.(*net.TCPConn).CloseWrite()
+			time.Sleep(exitTime)
+		}
 		if ends {
 			_ = listener.Close()
 		}
@@ -44,11 +49,16 @@
 }
 
 // TestAnswerThatEndsWithItsEndpointIsBrokenOff guards against a part of an answer that looks complete,
-// because the connections of a crashed endpoint are closed in order.
+// because the connections of a crashed endpoint are closed in order, its listening socket before or behind
+// them.
 func TestAnswerThatEndsWithItsEndpointIsBrokenOff(t *testing.T) {
-	for _, ends := range []bool{false, true} {
+	for _, tt := range []struct {
+		ends     bool
+		exitTime time.Duration
+	}{{false, 0}, {true, 0}, {true, 40 * time.Millisecond}} {
+		ends := tt.ends
 		fetch := service.Request{Method: http.MethodGet, Path: "/profiles/7", Idempotent: true, OwnConnection: true}
-		answer, err := newClient(t, service.Options{}).Call(testContext(t), serveUndelimited(t, ends), fetch)
+		answer, err := newClient(t, service.Options{}).Call(testContext(t), serveUndelimited(t, ends, tt.exitTime), fetch)
 		got, want := "", ""
 		if err != nil {
 			got = peridotusher.AsFailure(err).Verdict().String()
@@ -57,7 +67,7 @@
 			want = peridotusher.Ran.String()
 		}
 		if diff := cmp.Diff(want, got); diff != "" || string(answer.Body) != "waist" {
-			t.Errorf("endpoint ends %v: body %q, verdict (-want +got):\n%s", ends, answer.Body, diff)
+			t.Errorf("endpoint ends %+v: body %q, verdict (-want +got):\n%s", tt, answer.Body, diff)
 		}
 	}
 }
@@ -68,7 +78,7 @@
 	for _, departed := range []bool{false, true} {
 		fetch := service.Request{Method: http.MethodGet, Path: "/profiles/7", Idempotent: true, OwnConnection: true}
 		fetch.Departed = func() bool { return departed }
-		answer, err := newClient(t, service.Options{}).Call(testContext(t), serveUndelimited(t, true), fetch)
+		answer, err := newClient(t, service.Options{}).Call(testContext(t), serveUndelimited(t, true, 0), fetch)
 		if diff := cmp.Diff(departed, err == nil); diff != "" || string(answer.Body) != "waist" {
 			t.Errorf("departed %v: body %q, complete (-want +got):\n%s%v", departed, answer.Body, diff, err)
 		}
--- a/tcp/doc.go
+++ b/tcp/doc.go
@@ -6,6 +6,9 @@
 // therefore lifts the timeout while the peer's receive window is closed, and a Closer keeps a connection
 // open until its peer has received everything.
 //
+// The connections of a process that was killed end like those that a process closes in order. HasEnded
+// tells which it was.
+//
 // # Usage
 //
 //	cfg := net.ListenConfig{KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
