--- a/relay/answer.go
+++ b/relay/answer.go
@@ -186,13 +186,13 @@
 	return body, rest, x.conn.setReadTimeout(0, nil)
 }
 
-// brokeOff reports whether a success that ended after length bytes has to be taken for one that broke
-// off: it has neither length nor chunks, and there is no body or the replica has ended.
+// brokeOff reports whether an answer that ended after length bytes has to be taken for one that broke
+// off: it has neither length nor chunks, and it is a success without a body or the replica has ended.
 func (t *task) brokeOff(ctx context.Context, x *exchange, length int) bool {
-	if x.resp.StatusCode >= http.StatusMultipleChoices || isDelimited(x.resp) || t.r.Method == http.MethodHead {
+	if isDelimited(x.resp) || t.r.Method == http.MethodHead {
 		return false
 	}
-	return length == 0 || t.endedWithReplica(ctx, x)
+	return length == 0 && x.resp.StatusCode < http.StatusMultipleChoices || t.endedWithReplica(ctx, x)
 }
 
 // forwardRest forwards an answer that is larger than maxBufferedAnswer. If it does not end by the
--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -128,6 +128,8 @@
 		{"stream", streaming, closeHead + two, http.StatusOK, two, false},
 		{"answer", nonIdempotent, plainHead + "hel", http.StatusBadGateway, "failed\n", true},
 		{"long answer", nonIdempotent, plainHead + longBody, http.StatusOK, longBody, false},
+		{"error", nonIdempotent, strings.Replace(plainHead, "200 OK", "500 Oops", 1) + "fai", http.StatusBadGateway, "failed\n", true},
+		{"not found", nonIdempotent, strings.Replace(plainHead, "200 OK", "404 No", 1) + "no su", http.StatusBadGateway, "failed\n", true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
