edge: let routers whose seeds are down find each other in the store

Cause: routers learn of each other from seeds and heartbeats only.

Change: of routers that know each other and no live seed, three register in the store with a lease; a router that knows no other reads who is registered, and so do two routers of the fleet every 10 s.

--- a/cmd/peridotusher/platform.go
+++ b/cmd/peridotusher/platform.go
@@ -51,7 +51,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return log.Run(logCtx) })
 	router := &edge.Router{
-		Settings: cfg, SettingsPath: path, Hangup: signals.Hangup(), Source: store, Decode: platform.DecodeDocument,
+		Settings: cfg, SettingsPath: path, Hangup: signals.Hangup(), Source: store, Discovery: store, Decode: platform.DecodeDocument,
 		Dialect: platform.Dialect{}, Log: log, SharesCapacity: platform.SharesCapacity,
 	}
 	if metricsPort != "" {
--- a/edge/router.go
+++ b/edge/router.go
@@ -62,6 +62,8 @@
 	Hangup <-chan os.Signal
 
 	Source Source
+	// Discovery lets routers find each other if their seeds are down; nil for seeds only.
+	Discovery Discovery
 	// Decode parses the source text of a configuration.
 	Decode  func(source []byte) (*routing.Document, error)
 	Dialect relay.Dialect
@@ -137,6 +139,7 @@
 	group.Go(func() error { return r.learnParts(run) })
 	group.Go(func() error { return r.runHousekeeping(run) })
 	group.Go(func() error { return r.followSettings(run) })
+	group.Go(func() error { return r.discover(run) })
 	group.Go(func() error { return r.coordinator.Run(run) })
 	r.Log.Event("start", "router", r.Settings.Name(), "zone", r.Settings.router.zone)
 	select {
