tcp: ask once behind broken connections, for a time behind ended answers

A connection that breaks before anything of an answer is asked about, too, for the quarantines of prompts and chats. There the request waits for the result, and a replica with too many connections resets them: asking for 100 ms would delay the retry and open up to five more connections to such a replica.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -78,7 +78,7 @@
 // recordIfCrashed records a crash if the engine has ended, whose connection broke with an error
 // before it had sent any event. The end of an engine that departs is no crash.
 func (s *chatStream) recordIfCrashed(e peridotusher.Engine, err error) {
-	if s.begun || !quarantine.ClosedByPeer(err) || len(s.sharedParts()) == 0 || isDeparting(s.host.engines, e.ID()) || !service.HasEnded(s.ctx, e.Address()) {
+	if s.begun || !quarantine.ClosedByPeer(err) || len(s.sharedParts()) == 0 || isDeparting(s.host.engines, e.ID()) || !service.HasEnded(s.ctx, e.Address(), 0) {
 		return
 	}
 	s.host.Log.WithFields(logrus.Fields{"request": s.call.Request.ID, "engine": e.ID()}).Warn("engine crashed before the first event")
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -162,7 +162,7 @@
 func (t *task) discardAnswer(x *exchange) {
 	x.drainBody()
 	x.replica.Record(t.proxy.Clock.Now(), answerOutcome(x.resp.StatusCode))
-	t.recordFailure(peridotusher.Fail(peridotusher.Ran, peridotusher.CauseEndpointError, "the replica failed with status %d", x.resp.StatusCode))
+	t.recordFailure(peridotusher.Fail(peridotusher.Ran, peridotusher.CauseEndpointError, "the replica ran the request and answered status %d", x.resp.StatusCode))
 	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.Ran, "status", x.resp.StatusCode)
 }
 
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -24,14 +24,14 @@
 // endedWithReplica reports whether a body that ended with its connection was broken off by a crash of
 // the replica, since the kernel closes the connections of a process that has crashed in order.
 func (t *task) endedWithReplica(ctx context.Context, x *exchange) bool {
-	return !isDelimited(x.resp) && t.proxy.hasCrashed(ctx, x.replica)
+	return !isDelimited(x.resp) && t.proxy.hasCrashed(ctx, x.replica, tcp.CloseTimeout)
 }
 
-// hasCrashed reports whether a replica has ended other than by a planned exit, before which it ends its
-// answers.
-func (f *Proxy) hasCrashed(ctx context.Context, r *replicas.Replica) bool {
+// hasCrashed reports whether a replica has ended, or ends within a time, other than by a planned exit,
+// before which it ends its answers.
+func (f *Proxy) hasCrashed(ctx context.Context, r *replicas.Replica, within time.Duration) bool {
 	leaving := f.leavingFor(r)
-	if f.mayHaveExited(r, leaving) || !f.hasEnded(ctx, r) {
+	if f.mayHaveExited(r, leaving) || !f.hasEnded(ctx, r, within) {
 		return false
 	}
 	planned, err := f.wasDeparting(ctx, r, leaving > 0)
@@ -89,10 +89,11 @@
 	return e.Removed || e.Leaving && !learned && replicas.HashOf(e.ID, e.StartedAt) == r.Hash(), nil
 }
 
-// hasEnded reports whether a replica has come to refuse connections. A replica that only drops
-// connections leaves the one open that is opened to find out, which is kept for a later request.
-func (f *Proxy) hasEnded(ctx context.Context, r *replicas.Replica) bool {
-	open, ended := tcp.HasEnded(ctx, func(ctx context.Context) (*conn, error) { return dial(ctx, r.Address(), dialTimeout) })
+// hasEnded reports whether a replica refuses connections, or comes to refuse them within a time. A replica
+// that only drops connections leaves the one open that is opened to find out, which is kept for a later
+// request.
+func (f *Proxy) hasEnded(ctx context.Context, r *replicas.Replica, within time.Duration) bool {
+	open, ended := tcp.HasEnded(ctx, within, func(ctx context.Context) (*conn, error) { return dial(ctx, r.Address(), dialTimeout) })
 	if open != nil {
 		f.Pool.put(r, open, probedConnTTL)
 	}
--- a/relay/quarantine.go
+++ b/relay/quarantine.go
@@ -78,11 +78,12 @@
 }
 
 // recordIfCrashed records a crash if a replica has crashed, whose connection broke with an error
-// before it had sent anything of the answer.
+// before it had sent anything of the answer. It asks once, since the request waits and a replica with too
+// many connections resets them, too.
 func (t *task) recordIfCrashed(ctx context.Context, r *replicas.Replica, err error) {
 	f := t.proxy
 	parts := t.sharedPartIDs()
-	if f.Quarantine == nil || len(parts) == 0 || !quarantine.ClosedByPeer(err) || !f.hasCrashed(ctx, r) {
+	if f.Quarantine == nil || len(parts) == 0 || !quarantine.ClosedByPeer(err) || !f.hasCrashed(ctx, r, 0) {
 		return
 	}
 	f.Log.Event("crash", "id", t.call.ID, "replica", r.ID(), "parts", quarantine.FormatParts(parts), "after", f.Clock.Now().Sub(t.sentAt))
--- a/service/ended.go
+++ b/service/ended.go
@@ -12,10 +12,10 @@
 // endedCheckTimeout bounds the connection attempt that shows whether an endpoint has ended.
 const endedCheckTimeout = 150 * time.Millisecond
 
-// HasEnded reports whether an endpoint has come to refuse connections.
-func HasEnded(ctx context.Context, address string) bool {
+// HasEnded reports whether an endpoint refuses connections, or comes to refuse them within a time.
+func HasEnded(ctx context.Context, address string, within time.Duration) bool {
 	dialer := net.Dialer{Timeout: endedCheckTimeout}
-	open, ended := tcp.HasEnded(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
+	open, ended := tcp.HasEnded(ctx, within, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", address) })
 	if open != nil {
 		_ = open.Close() // nothing was sent on it
 	}
@@ -30,5 +30,5 @@
 	if isDelimited || r.Method == http.MethodHead || r.Departed != nil && r.Departed() {
 		return false
 	}
-	return HasEnded(ctx, address)
+	return HasEnded(ctx, address, tcp.CloseTimeout)
 }
--- a/tcp/ended.go
+++ b/tcp/ended.go
@@ -9,21 +9,20 @@
 	"github.com/cockroachdb/errors"
 )
 
-const (
-	// closeTimeout is how long a process that was killed may take to close its sockets. The kernel closes
-	// them one after the other, and the listening socket accepts connections until it is closed, too.
-	closeTimeout = 100 * time.Millisecond
-	// redialDelay is the delay between two connections that ask. A process that has as many connections as
-	// it accepts closes each of them.
-	redialDelay = 25 * time.Millisecond
-)
+// CloseTimeout is how long a process that was killed may take to close its sockets. The kernel closes them
+// one after the other, and the listening socket accepts connections until it is closed, too.
+const CloseTimeout = 100 * time.Millisecond
+
+// redialDelay is the delay between two connections that ask. A process that has as many connections as it
+// accepts closes each of them.
+const redialDelay = 25 * time.Millisecond
 
 // HasEnded reports whether the process that listened at an address has ended, behind a connection that
-// it closed: it refuses connections now, or comes to refuse them within closeTimeout. If it goes on, the
-// connection that asks last is returned as open, nil if the process closed it.
-func HasEnded[C net.Conn](ctx context.Context, dial func(ctx context.Context) (C, error)) (open C, ended bool) {
+// it closed: it refuses connections now, or comes to refuse them within a time, which is 0 to ask once. If it
+// goes on, the connection that asks last is returned as open, nil if the process closed it.
+func HasEnded[C net.Conn](ctx context.Context, within time.Duration, dial func(ctx context.Context) (C, error)) (open C, ended bool) {
 	var none C
-	until := time.Now().Add(closeTimeout)
+	until := time.Now().Add(within)
 	for {
 		last := !time.Now().Before(until) || ctx.Err() != nil
 		c, err := dial(ctx)
--- a/tcp/ended_test.go
+++ b/tcp/ended_test.go
@@ -23,9 +23,9 @@
 		"goes on, busy":                {false, false, 0, false, true},
 		"goes on, closes connections":  {true, true, 0, false, true},
 		"has ended":                    {false, false, time.Nanosecond, true, false},
-		"ends":                         {true, false, closeTimeout / 2, true, false},
-		"ends, busy":                   {false, false, closeTimeout / 2, true, false},
-		"ends, connections end before": {true, true, closeTimeout / 2, true, false},
+		"ends":                         {true, false, CloseTimeout / 2, true, false},
+		"ends, busy":                   {false, false, CloseTimeout / 2, true, false},
+		"ends, connections end before": {true, true, CloseTimeout / 2, true, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -47,7 +47,7 @@
 			if tt.endsIn == time.Nanosecond {
 				_ = group.Wait() // accepts nothing, and has closed the listener
 			}
-			open, ended := HasEnded(context.Background(), func(ctx context.Context) (net.Conn, error) {
+			open, ended := HasEnded(context.Background(), CloseTimeout, func(ctx context.Context) (net.Conn, error) {
 				return new(net.Dialer).DialContext(ctx, "tcp", l.Addr().String())
 			})
 			if ended != tt.ended || (open != nil) != tt.open {
