--- a/relay/answer.go
+++ b/relay/answer.go
@@ -83,7 +83,7 @@
 		t.grant.recordShed()
 	}
 	verdict := x.reply.Verdict()
-	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", verdict, "status", x.resp.StatusCode)
+	t.logAttempt(x.replica, verdict, "status", x.resp.StatusCode)
 	t.recordFailure(peridotusher.Fail(verdict, peridotusher.CauseOverloaded, "the replica refused with status %d", x.resp.StatusCode))
 	if t.isFalsePromise(x.resp.StatusCode) {
 		t.recordReplaced(x)
@@ -94,7 +94,7 @@
 // recordFault records an answer that a healthy replica would not send.
 func (t *task) recordFault(x *exchange, format string, args ...any) {
 	t.recordFailure(peridotusher.Fail(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, format, args...))
-	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.MayHaveRun, "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", t.failure)
+	t.logAttempt(x.replica, peridotusher.MayHaveRun, "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", t.failure)
 	x.replica.Record(t.proxy.Clock.Now(), replicas.Failed)
 }
 
@@ -163,7 +163,7 @@
 	x.drainBody()
 	x.replica.Record(t.proxy.Clock.Now(), answerOutcome(x.resp.StatusCode))
 	t.recordFailure(peridotusher.Fail(peridotusher.Ran, peridotusher.CauseEndpointError, "the replica ran the request and answered status %d", x.resp.StatusCode))
-	t.proxy.Log.Event("try", "id", t.call.ID, "replica", x.replica.ID(), "verdict", peridotusher.Ran, "status", x.resp.StatusCode)
+	t.logAttempt(x.replica, peridotusher.Ran, "status", x.resp.StatusCode)
 }
 
 // readBeforeForwarding reads the body up to maxBufferedAnswer; rest reports that there is more.
--- a/relay/cold.go
+++ b/relay/cold.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/replicas"
 )
 
@@ -152,5 +153,5 @@
 func (t *task) recordShareRefusal(r *replicas.Replica) {
 	delete(t.tried, r.ID())
 	t.cold.shareRefusals++
-	t.proxy.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", "not-run", "error", errShareRefused)
+	t.logAttempt(r, peridotusher.NotRun, "error", errShareRefused)
 }
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"peridotusher.example/peridotusher"
@@ -249,109 +248,6 @@
 	}
 }
 
-// announceKeepAlive sets the headers that tell the client whether and how long it may reuse the
-// connection. A client that obeys them sends nothing on a connection that is closed by a stop.
-func (f *Proxy) announceKeepAlive(h http.Header) {
-	if f.stopping() {
-		announceClose(h)
-		return
-	}
-	if seconds := int(f.keepAliveTimeout() / time.Second); seconds > 0 {
-		h.Set("Connection", "keep-alive")
-		h.Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
-	}
-}
-
-// keepAliveTimeout returns how long an idle client connection may be reused: KeepAliveTimeout, or the
-// configured idle timeout if that is shorter.
-func (f *Proxy) keepAliveTimeout() time.Duration {
-	if idle := f.connLimits().Idle; idle > 0 {
-		return min(f.KeepAliveTimeout, idle)
-	}
-	return f.KeepAliveTimeout
-}
-
-// announceClose sets the headers that announce the end of the connection after this answer.
-func announceClose(h http.Header) {
-	h.Del("Keep-Alive")
-	h.Set("Connection", "close")
-}
-
-// prepare validates the request against the configuration and reads its body. If it returns
-// false, it has answered the request.
-func (t *task) prepare() bool {
-	f := t.proxy
-	t.doc = f.Current.Load()
-	if t.doc == nil {
-		t.refuse(http.StatusServiceUnavailable, "no_configuration", retryAfterUnready)
-		return false
-	}
-	route, ok := t.doc.Match(t.r.Host, t.path())
-	if !ok {
-		t.deny(http.StatusNotFound, "no_route")
-		return false
-	}
-	t.route = route
-	if limit := t.doc.Limits.HeaderBytes; limit > 0 && headerBytes(t.r) > limit {
-		t.deny(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
-		return false
-	}
-	if t.doc.RequiresKeys() && !route.Public {
-		holder, ok := t.doc.Organisation(t.call.Key)
-		if !ok {
-			t.deny(http.StatusUnauthorized, "unknown_key")
-			return false
-		}
-		t.organisation = holder
-	}
-	t.setDeadline()
-	if e := f.stopPolicy.Load(); e != nil && !e.Accepts(t.began, t.deadline) {
-		t.refuse(http.StatusServiceUnavailable, "stopping", retryAfterStopping)
-		return false
-	}
-	return t.readBody()
-}
-
-// path returns the path of the request target without decoding it.
-func (t *task) path() string {
-	target := t.r.RequestURI
-	if target == "" || target[0] != '/' {
-		return t.r.URL.EscapedPath()
-	}
-	for i := range len(target) {
-		if target[i] == '?' {
-			return target[:i]
-		}
-	}
-	return target
-}
-
-// setDeadline sets the deadline of the request from the route's timeout and the client's time
-// limit.
-func (t *task) setDeadline() {
-	timeout := t.route.Timeout
-	if p := t.call.ClientTimeout; p > 0 && (timeout <= 0 || p < timeout) {
-		timeout = p
-	}
-	if timeout <= 0 {
-		timeout = defaultRequestTimeout
-	}
-	t.deadline = t.began.Add(timeout)
-	if err := http.NewResponseController(t.w).SetWriteDeadline(time.Now().Add(timeout + writeMargin)); err != nil {
-		t.proxy.Log.Event("socket", "id", t.call.ID, "error", err)
-	}
-}
-
-// pickService picks the service of the request by the weights of the route's services. The same
-// request id always gets the same service.
-func (t *task) pickService() string { return t.route.Service(uniformHash(t.call.ID)) }
-
-// uniformHash hashes a text to a number that is uniformly distributed in [0, 1).
-func uniformHash(text string) float64 {
-	const mantissaBits = 53
-	return float64(xxhash.Sum64String(text)>>(64-mantissaBits)) / (1 << mantissaBits)
-}
-
 // jitter returns a random duration between 3/4 and 5/4 of d.
 func jitter(d time.Duration) time.Duration {
 	return d*3/4 + rand.N(d/2+1)
--- a/relay/task.go
+++ b/relay/task.go
@@ -286,7 +286,7 @@
 	} else {
 		t.countArrival()
 	}
-	f.Log.Event("try", "id", t.call.ID, "replica", r.ID(), "verdict", failure.Verdict(), "cause", failure.Cause(), "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", failure)
+	t.logAttempt(r, failure.Verdict(), "cause", failure.Cause(), "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", failure)
 	switch {
 	case t.r.Context().Err() != nil: // the client disconnected, which is no fault of the replica
 	case failure.Verdict() != peridotusher.NotRun:
@@ -297,6 +297,12 @@
 	}
 }
 
+// logAttempt logs an attempt whose answer the client does not get, with what is known of it beside the
+// verdict.
+func (t *task) logAttempt(r *replicas.Replica, v peridotusher.Verdict, fields ...any) {
+	t.proxy.Log.Event("try", append([]any{"id", t.call.ID, "replica", r.ID(), "verdict", v}, fields...)...)
+}
+
 // headTimeout returns how long a replica may take for the head of its answer before another one
 // is tried; 0 means until the request's deadline.
 func (t *task) headTimeout() time.Duration {
