--- a/edge/discovery.go
+++ b/edge/discovery.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/mesh"
 	"peridotusher.example/peridotusher/pause"
 )
@@ -31,9 +32,9 @@
 // Discovery is where routers find each other if the seeds in their settings are down.
 type Discovery interface {
 	// Register registers the router, or renews its registration, which expires otherwise.
-	Register(ctx context.Context, m mesh.Member) error
+	Register(ctx context.Context, m peridotusher.Member) error
 	// Registered returns the routers that are registered, as they were a few seconds ago at the earliest.
-	Registered(ctx context.Context) ([]mesh.Member, error)
+	Registered(ctx context.Context) ([]peridotusher.Member, error)
 }
 
 // discover keeps the router known to the others, and the others to it, until ctx ends. Routers of which
@@ -51,7 +52,7 @@
 		r.countWakeUp("discovery")
 		now, isAlone := r.clock.Now(), r.node.IsAlone()
 		if !now.Before(renewAt) && r.shouldRegister() {
-			r.recordStoreCall("register", r.Discovery.Register(ctx, r.node.Self))
+			r.recordStoreCall("register", r.Discovery.Register(ctx, r.member()))
 			renewAt = now.Add(registrationInterval)
 		}
 		if isAlone || !now.Before(readAt) && r.node.Rank(discoveryTopic) < maxDiscoverers {
@@ -74,13 +75,19 @@
 	return !r.node.HasLiveSeed() && r.node.Rank(registrationTopic) < maxRegistered
 }
 
+// member returns this router as it registers.
+func (r *Router) member() peridotusher.Member {
+	self := r.node.Self
+	return peridotusher.NewMember(peridotusher.RouterID(self.Name), peridotusher.Zone(self.Zone), self.Address, uint64(self.Incarnation))
+}
+
 // readRegistrations adds the routers that are registered.
 func (r *Router) readRegistrations(ctx context.Context) {
 	registered, err := r.Discovery.Registered(ctx)
 	r.recordStoreCall("registrations", err)
 	known := r.node.RouterCount()
 	for _, m := range registered {
-		r.node.AddMember(m)
+		r.node.AddMember(mesh.Member{Name: string(m.ID()), Zone: string(m.Zone()), Address: m.Address(), Incarnation: int64(m.Incarnation())})
 	}
 	if n := r.node.RouterCount(); n > known {
 		r.Log.Event("discovered", "routers", n-known, "registered", len(registered))
