--- a/relay/streamend_test.go
+++ b/relay/streamend_test.go
@@ -72,6 +72,18 @@
 	}
 }
 
+// checkPost sends a POST request and checks the answer, and whether its body is complete.
+func (b *fixture) checkPost(t *testing.T, status int, want string, wantComplete bool) {
+	t.Helper()
+	resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
+	if resp == nil || resp.StatusCode != status || complete != wantComplete {
+		t.Errorf("answer = %v, complete %v, want %v", resp, complete, wantComplete)
+	}
+	if diff := cmp.Diff(want, body); diff != "" {
+		t.Errorf("body (-want +got):\n%s", diff)
+	}
+}
+
 // TestAnswerThatEndsWithItsReplicaIsBrokenOff guards against answers with neither length nor chunks that
 // look complete because the connections of a crashed replica are closed in order.
 func TestAnswerThatEndsWithItsReplicaIsBrokenOff(t *testing.T) {
@@ -100,13 +112,7 @@
 			}
 			b = newFixture(t, tt.route, scripts...)
 			b.loadOtherReplicas()
-			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
-			if resp == nil || resp.StatusCode != tt.status || complete != tt.complete {
-				t.Errorf("answer = %v, complete %v, want %v", resp, complete, tt.complete)
-			}
-			if diff := cmp.Diff(tt.body, body); diff != "" {
-				t.Errorf("body (-want +got):\n%s", diff)
-			}
+			b.checkPost(t, tt.status, tt.body, tt.complete)
 		})
 	}
 }
@@ -142,13 +148,7 @@
 				})
 				return respond(tt.answer, false)(c, r, body)
 			})
-			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
-			if resp == nil || resp.StatusCode != tt.status || complete != tt.complete {
-				t.Errorf("answer = %v, complete %v, want %v", resp, complete, tt.complete)
-			}
-			if diff := cmp.Diff(tt.body, body); diff != "" {
-				t.Errorf("body (-want +got):\n%s", diff)
-			}
+			b.checkPost(t, tt.status, tt.body, tt.complete)
 		})
 	}
 }
@@ -177,13 +177,7 @@
 			var b *fixture
 			b = newFixture(t, tt.route, endingReplica(&b, true, tt.answer))
 			b.proxy.DrainTime = func() time.Duration { return tt.drain }
-			resp, body, complete := b.send(post("Content-Length: 0\r\n", ""))
-			if resp == nil || resp.StatusCode != http.StatusOK || complete != tt.complete {
-				t.Errorf("answer = %v, complete %v, want %v", resp, complete, tt.complete)
-			}
-			if diff := cmp.Diff(tt.body, body); diff != "" {
-				t.Errorf("body (-want +got):\n%s", diff)
-			}
+			b.checkPost(t, http.StatusOK, tt.body, tt.complete)
 		})
 	}
 }
