httphead: accept as the head of an answer only what is one

Seen: a replica's answer of status 000, or with a blank in the name of a field, came to the client as an answer; with "Content-Length : 2" its body ended elsewhere, and behind 000 other bytes were read as a head.

Cause: http.ReadResponse takes a name with a blank (and does not see the field then) and any three characters that Atoi takes as a status (000, +20, 600); the loop that skips informational answers took 000 for one. net/http's transport, which the own product and the clients of store, hosts, weights and operators use, parses the same way.

Change: httphead.Check decides it in one place: status 100 to 599, names that are tokens, the number of names. httphead.Transport applies it to what an http.Transport reads, informational answers too, whose number it limits, since net/http counts no bytes of those that it hands on. Such bytes are a broken exchange: the request may have run; it is logged with its cause and counted (peridotusher_malformed_answers_total).

Not covered: net/http takes an answer with both a length and chunks for chunks, as RFC 9112 says, and shows neither the fields nor the bytes.

--- a/hosts/client.go
+++ b/hosts/client.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"peridotusher.example/peridotusher/httphead"
 )
 
 const (
@@ -24,7 +26,10 @@
 )
 
 // defaultHTTPClient is used if Client.HTTP is nil. It uses no proxy.
-var defaultHTTPClient = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnTimeout}}
+var defaultHTTPClient = &http.Client{Transport: &httphead.Transport{Base: &http.Transport{
+	IdleConnTimeout:        idleConnTimeout,
+	MaxResponseHeaderBytes: httphead.MaxBytes,
+}}}
 
 // Client reads the host list. Set its fields before the first call.
 type Client struct {
--- a/operator/client.go
+++ b/operator/client.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"peridotusher.example/peridotusher/httphead"
 )
 
 const (
@@ -26,7 +28,10 @@
 var ErrNotFound = errors.New("not found")
 
 // defaultHTTPClient is used by Clients whose HTTP field is nil. It uses no proxy.
-var defaultHTTPClient = &http.Client{Transport: &http.Transport{IdleConnTimeout: 30 * time.Second}}
+var defaultHTTPClient = &http.Client{Transport: &httphead.Transport{Base: &http.Transport{
+	IdleConnTimeout:        30 * time.Second,
+	MaxResponseHeaderBytes: httphead.MaxBytes,
+}}}
 
 // Client queries the routers of a fleet.
 type Client struct {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -180,6 +180,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_cold_sends_total{outcome=%q}", outcome)).Inc()
 }
 
+// countMalformedAnswer counts bytes of a replica that were due to be an answer and are none.
+func (m *Metrics) countMalformedAnswer() {
+	if m != nil {
+		m.set.GetOrCreateCounter("peridotusher_malformed_answers_total").Inc()
+	}
+}
+
 // countBackoff counts a replica that asked for a backoff.
 func (m *Metrics) countBackoff() {
 	if m == nil {
--- a/relay/task.go
+++ b/relay/task.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/httphead"
 	"peridotusher.example/peridotusher/placing"
 	"peridotusher.example/peridotusher/quarantine"
 	"peridotusher.example/peridotusher/replicas"
@@ -289,6 +290,9 @@
 	t.logAttempt(r, failure.Verdict(), "cause", failure.Cause(), "parts", quarantine.FormatParts(t.sharedPartIDs()), "error", failure)
 	switch {
 	case t.r.Context().Err() != nil: // the client disconnected, which is no fault of the replica
+	case errors.Is(failure, httphead.ErrMalformed):
+		f.Metrics.countMalformedAnswer()
+		r.Record(f.Clock.Now(), replicas.Failed)
 	case failure.Verdict() != peridotusher.NotRun:
 		r.Record(f.Clock.Now(), replicas.Failed)
 		t.recordIfCrashed(ctx, r, failure)
--- a/service/call.go
+++ b/service/call.go
@@ -88,9 +88,6 @@
 		return Response{}, sendFailure(ctx, written, err)
 	}
 	defer resp.Body.Close()
-	if err := httphead.Check(resp); err != nil {
-		return Response{}, peridotusher.FailWith(peridotusher.MayHaveRun, peridotusher.CauseEndpointError, err)
-	}
 	if f := Refusal(resp); f != nil {
 		return Response{}, f
 	}
@@ -192,7 +189,11 @@
 	if written {
 		verdict = peridotusher.MayHaveRun
 	}
-	return peridotusher.FailWith(verdict, CauseOf(ctx, peridotusher.CauseEndpointLost), err)
+	cause := peridotusher.CauseEndpointLost
+	if errors.Is(err, httphead.ErrMalformed) {
+		cause = peridotusher.CauseEndpointError
+	}
+	return peridotusher.FailWith(verdict, CauseOf(ctx, cause), err)
 }
 
 // bodyFailure returns the Failure of an answer that broke off after its header. Only
--- a/service/client.go
+++ b/service/client.go
@@ -33,7 +33,7 @@
 type Client struct {
 	opts   Options
 	dialer net.Dialer
-	pooled *http.Transport // for idempotent calls only
+	pooled *httphead.Transport // for idempotent calls only
 	memory *answerMemory
 }
 
@@ -58,20 +58,20 @@
 		opts.AnswerMemory = defaultAnswerMemory
 	}
 	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout}, memory: newAnswerMemory(opts.AnswerMemory)}
-	c.pooled = &http.Transport{
+	c.pooled = &httphead.Transport{Base: &http.Transport{
 		DialContext:           c.dialer.DialContext,
 		DisableCompression:    true,
 		IdleConnTimeout:       opts.IdleTimeout,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
 
 		MaxResponseHeaderBytes: httphead.MaxBytes,
-	}
+	}}
 	return c, c.pooled.CloseIdleConnections, nil
 }
 
 // singleUseTransport returns a transport for one call that must not be repeated, and
 // the guard of its connection.
-func (c *Client) singleUseTransport(check func() error) (*http.Transport, *writeGuard) {
+func (c *Client) singleUseTransport(check func() error) (*httphead.Transport, *writeGuard) {
 	g := &writeGuard{check: check}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -87,5 +87,5 @@
 
 		MaxResponseHeaderBytes: httphead.MaxBytes,
 	}
-	return t, g
+	return &httphead.Transport{Base: t}, g
 }
--- a/store/client.go
+++ b/store/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"peridotusher.example/peridotusher"
+	"peridotusher.example/peridotusher/httphead"
 )
 
 const (
@@ -35,7 +36,7 @@
 // Client calls the key-value service. It is safe for concurrent use.
 type Client struct {
 	cfg       Config
-	transport *http.Transport
+	transport *httphead.Transport
 	preferred atomic.Int64 // index of the address to try first
 	counts    counters
 	revisions revisionHistory
@@ -55,11 +56,13 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.Float64
 	}
-	c := &Client{cfg: cfg, transport: &http.Transport{
+	c := &Client{cfg: cfg, transport: &httphead.Transport{Base: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdleConns,
-	}}
+
+		MaxResponseHeaderBytes: httphead.MaxBytes,
+	}}}
 	c.preferred.Store(int64(cfg.Rand() * float64(len(cfg.Addresses))))
 	return c, c.transport.CloseIdleConnections, nil
 }
--- a/weights/client.go
+++ b/weights/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"peridotusher.example/peridotusher/httphead"
 )
 
 const (
@@ -61,7 +63,7 @@
 func New(base string, timeout time.Duration) (*Client, func()) {
 	// Each call uses a new connection, so that the transport never replays a request: a replayed
 	// reservation would count twice against the rate limit.
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &httphead.Transport{Base: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httphead.MaxBytes}}
 	c := &Client{base, &http.Client{Transport: transport, Timeout: timeout}}
 	return c, transport.CloseIdleConnections
 }
