tcp: do not take an end of file for the end of an answer if a write met the reset

Seen: a replica answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written; the client got the part as a complete answer.

Cause: Linux reports a reset once to a socket. If the goroutine that writes the body gets the error, the next read returns an end of file, as after a close in order. The writer's result was dropped.

Change: tcp.Writes records whether writes of a connection have failed, and tells it behind an end of file; for a write that has not returned yet it looks at the state of the socket. relay asks it for plain answers and streams that end with their connection. The same in service (own product's calls) and engine, whose transport reads the answer also behind a failed write. Ruled out elsewhere: calls between routers state the length of each message, the store's and the operators' answers are JSON that would not parse.

TestEarlyAnswerBesideUpload shows that a complete answer while the upload goes on holds, with a length or ended by a half-close (before, too).

--- a/engine/unpooled.go
+++ b/engine/unpooled.go
@@ -62,6 +62,7 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			limited.inBody = true
+			limited.writeErr = written
 			return resp, nil
 		}
 	}
@@ -75,12 +76,19 @@
 	io.Reader
 	remaining int
 	inBody    bool
+	// writeErr is the error of the write of the request. A reset that it reports is read as an end of file,
+	// which is no end of an answer then.
+	writeErr error
 }
 
 // Read implements io.Reader.
 func (h *headReader) Read(b []byte) (int, error) {
 	if h.inBody {
-		return h.Reader.Read(b)
+		n, err := h.Reader.Read(b)
+		if errors.Is(err, io.EOF) && h.writeErr != nil {
+			err = errors.CombineErrors(io.ErrUnexpectedEOF, h.writeErr)
+		}
+		return n, err
 	}
 	if h.remaining <= 0 {
 		return 0, errHeadTooLong
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -192,7 +192,7 @@
 	if isDelimited(x.resp) || t.r.Method == http.MethodHead {
 		return false
 	}
-	return length == 0 && x.resp.StatusCode < http.StatusMultipleChoices || t.endedWithReplica(ctx, x)
+	return length == 0 && x.resp.StatusCode < http.StatusMultipleChoices || t.brokeOffAtEnd(ctx, x)
 }
 
 // forwardRest forwards an answer that is larger than maxBufferedAnswer. If it does not end by the
@@ -208,7 +208,7 @@
 		if _, writeErr := t.w.Write(buf[:n]); writeErr != nil {
 			t.abortAnswer("client", writeErr)
 		}
-		if errors.Is(err, io.EOF) && t.endedWithReplica(ctx, x) {
+		if errors.Is(err, io.EOF) && t.brokeOffAtEnd(ctx, x) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -40,6 +40,7 @@
 	keepAlive time.Duration
 	hadAnswer bool // whether an earlier answer was read from it
 	acks      *tcp.Acks
+	writes    tcp.Writes
 }
 
 // NewDialer returns a dialer for connections that detect a host that does not respond.
@@ -62,6 +63,13 @@
 
 func (c *conn) unlimitBytes() { c.bounded = false }
 
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) { return c.writes.Write(c.Conn, b) }
+
+// wasReset reports, after the end of the connection was read, whether the replica has reset it while the
+// request was being written.
+func (c *conn) wasReset() bool { return c.writes.HaveFailed(c.acks) }
+
 // Read implements io.Reader within the limits of bytes and time.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.bounded && c.remaining <= 0 {
--- a/relay/ended.go
+++ b/relay/ended.go
@@ -21,10 +21,13 @@
 	Lag() time.Duration
 }
 
-// endedWithReplica reports whether a body that ended with its connection was broken off by a crash of
-// the replica, since the kernel closes the connections of a process that has crashed in order.
-func (t *task) endedWithReplica(ctx context.Context, x *exchange) bool {
-	return !isDelimited(x.resp) && t.proxy.hasCrashed(ctx, x.replica, tcp.CloseTimeout)
+// brokeOffAtEnd reports whether a body that ended with its connection was broken off: by a reset, or by a
+// crash of the replica, since the kernel closes the connections of a process that has crashed in order.
+func (t *task) brokeOffAtEnd(ctx context.Context, x *exchange) bool {
+	if isDelimited(x.resp) {
+		return false
+	}
+	return x.conn.wasReset() || t.proxy.hasCrashed(ctx, x.replica, tcp.CloseTimeout)
 }
 
 // hasCrashed reports whether a replica has ended, or ends within a time, other than by a planned exit,
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -121,7 +121,8 @@
 
 	mu       sync.Mutex
 	received []receivedRequest
-	servers  map[string]*scriptedServer // by replica id
+	early    func(c net.Conn, id string) // answers and ends a connection before the body of its request is read, if set
+	servers  map[string]*scriptedServer  // by replica id
 }
 
 // scriptedServer is the listener of a replica with its open connections.
@@ -258,6 +259,13 @@
 		if err != nil {
 			return
 		}
+		b.mu.Lock()
+		early := b.early
+		b.mu.Unlock()
+		if early != nil {
+			early(c, r.Header.Get("Id"))
+			return
+		}
 		if pause, err := time.ParseDuration(r.Header.Get("Pause")); err == nil {
 			time.Sleep(pause) // the replica is slow to read the body
 		}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -69,7 +69,7 @@
 			err = readErr
 		}
 	}
-	if errors.Is(err, io.EOF) && (!s.isComplete() || t.endedWithReplica(ctx, x)) {
+	if errors.Is(err, io.EOF) && (!s.isComplete() || t.brokeOffAtEnd(ctx, x)) {
 		err = io.ErrUnexpectedEOF
 	}
 	if !errors.Is(err, io.EOF) {
--- a/service/call.go
+++ b/service/call.go
@@ -83,6 +83,9 @@
 	if err != nil {
 		return Response{}, peridotusher.FailWith(peridotusher.NotRun, peridotusher.CauseBadRequest, err)
 	}
+	var connected atomic.Pointer[conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected.Store(info.Conn.(*conn)) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	resp, written, err := c.send(req, r)
 	if err != nil {
 		return Response{}, sendFailure(ctx, written, err)
@@ -92,7 +95,7 @@
 		return Response{}, f
 	}
 	body, err := c.readBody(address, resp.Body, r, cancel)
-	if err == nil && endedWithEndpoint(ctx, address, r, resp) {
+	if err == nil && brokeOffAtEnd(ctx, address, r, resp, connected.Load()) {
 		err = io.ErrUnexpectedEOF
 	}
 	answer := Response{Status: resp.StatusCode, Header: resp.Header, Body: body}
--- a/service/client.go
+++ b/service/client.go
@@ -59,7 +59,9 @@
 	}
 	c := &Client{opts: opts, dialer: net.Dialer{Timeout: opts.DialTimeout}, memory: newAnswerMemory(opts.AnswerMemory)}
 	c.pooled = &httphead.Transport{Base: &http.Transport{
-		DialContext:           c.dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return c.dial(ctx, network, address, nil)
+		},
 		DisableCompression:    true,
 		IdleConnTimeout:       opts.IdleTimeout,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
@@ -75,11 +77,7 @@
 	g := &writeGuard{check: check}
 	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := c.dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &guardedConn{Conn: conn, guard: g}, nil
+			return c.dial(ctx, network, address, g)
 		},
 		DisableCompression:    true,
 		DisableKeepAlives:     true,
--- a/service/ended.go
+++ b/service/ended.go
@@ -22,12 +22,18 @@
 	return ended
 }
 
-// endedWithEndpoint reports whether an answer without length and chunks was broken off by the end of
-// the endpoint: the kernel closes the connections of a process that has crashed in order. An endpoint
-// that has departed ended its answers before.
-func endedWithEndpoint(ctx context.Context, address string, r Request, resp *http.Response) bool {
+// brokeOffAtEnd reports whether an answer without length and chunks was broken off by a reset of its
+// connection, or by the end of the endpoint: the kernel closes the connections of a process that has crashed
+// in order. An endpoint that has departed ended its answers before.
+func brokeOffAtEnd(ctx context.Context, address string, r Request, resp *http.Response, c *conn) bool {
 	isDelimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if isDelimited || r.Method == http.MethodHead || r.Departed != nil && r.Departed() {
+	if isDelimited || r.Method == http.MethodHead {
+		return false
+	}
+	if c != nil && c.wasReset() {
+		return true
+	}
+	if r.Departed != nil && r.Departed() {
 		return false
 	}
 	return HasEnded(ctx, address, tcp.CloseTimeout)
--- a/service/guard.go
+++ b/service/guard.go
@@ -1,9 +1,6 @@
 package service
 
-import (
-	"net"
-	"sync"
-)
+import "sync"
 
 // writeGuard runs a check right before the first byte of a call is written and
 // records whether a byte may have been sent.
@@ -45,17 +42,3 @@
 	}
 	return false, g.refusal
 }
-
-// guardedConn is a connection that asks a guard before each write.
-type guardedConn struct {
-	net.Conn
-	guard *writeGuard
-}
-
-// Write implements net.Conn.
-func (c *guardedConn) Write(b []byte) (int, error) {
-	if err := c.guard.admit(); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(b)
-}
--- a/tcp/acks.go
+++ b/tcp/acks.go
@@ -56,6 +56,12 @@
 	return !ok || !s.hasUnacked()
 }
 
+// IsClosed reports whether the connection is closed in both directions, as after a reset.
+func (a *Acks) IsClosed() bool {
+	s, ok := a.state()
+	return ok && s.closed
+}
+
 // Update lifts TCP_USER_TIMEOUT while the peer has closed the receive window but answers the kernel's
 // probes, and restores it otherwise. It returns IsAcked as of that check, and ErrUnreachable if the peer
 // does not answer the probes.
--- a/tcp/doc.go
+++ b/tcp/doc.go
@@ -6,6 +6,9 @@
 // therefore lifts the timeout while the peer's receive window is closed, and a Closer keeps a connection
 // open until its peer has received everything.
 //
+// The kernel reports a reset once. Writes tells whether a write received the report, so that a read at the
+// same time returned an end of file.
+//
 // The connections of a process that was killed end like those that a process closes in order. HasEnded
 // tells which it was.
 //
