eventlog: bound the length of a value

Clients choose the length of a request's id, and each denied request is a line. A text in a line is cut after 512 bytes now; TestLongTextIsCut. The number of lines was bounded before, by the queue. (The commit also replaces a deprecated field in a test of httphead.)

--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// TestLongTextIsCut guards against lines whose length a client chooses, for example by its request's id.
+func TestLongTextIsCut(t *testing.T) {
+	var out bytes.Buffer
+	log := New(&out)
+	log.Event("denied", "id", strings.Repeat("i", maxTextBytes), "error", errors.New(strings.Repeat("e", 16<<10)))
+	log.flush()
+	_, line, _ := strings.Cut(out.String(), "msg=")
+	want := "denied id=" + strings.Repeat("i", maxTextBytes) + " error=" + strings.Repeat("e", maxTextBytes) + "...\n"
+	if diff := cmp.Diff(want, line); diff != "" {
+		t.Errorf("line (-want +got):\n%s", diff)
+	}
+}
+
 // TestFullQueueDrops queues more events than fit while none are written.
 func TestFullQueueDrops(t *testing.T) {
 	var out bytes.Buffer
--- a/eventlog/format.go
+++ b/eventlog/format.go
@@ -12,6 +12,13 @@
 // pairsField is the field of a logrus entry that holds alternating names and values in order.
 const pairsField = "pairs"
 
+const (
+	// maxTextBytes is the size from which on a text is cut, since clients choose the length of some.
+	maxTextBytes = 512
+	// cutMark ends a text that was cut.
+	cutMark = "..."
+)
+
 // timeFormat is RFC 3339 with milliseconds.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
@@ -68,8 +75,11 @@
 	}
 }
 
-// writeText writes a text, quoted if it could not be parsed unambiguously otherwise.
+// writeText writes a text, quoted if it could not be parsed unambiguously otherwise, up to maxTextBytes.
 func writeText(out *bytes.Buffer, text string) {
+	if len(text) > maxTextBytes {
+		text = text[:maxTextBytes] + cutMark
+	}
 	if needsNoQuotes(text) {
 		out.WriteString(text)
 		return
--- a/httphead/httphead_test.go
+++ b/httphead/httphead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -70,7 +71,8 @@
 			_ = server.Close()
 			return err
 		})
-		transport := &Transport{Base: &http.Transport{Dial: func(string, string) (net.Conn, error) { return client, nil }}}
+		dial := func(context.Context, string, string) (net.Conn, error) { return client, nil }
+		transport := &Transport{Base: &http.Transport{DialContext: dial}}
 		resp, err := transport.RoundTrip(httptest.NewRequest(http.MethodGet, "http://h.example/", nil))
 		if diff := cmp.Diff(want, errors.Is(err, ErrMalformed)); diff != "" {
 			t.Errorf("%q is malformed, %v (-want +got):\n%s", text, err, diff)
