httpserve: account for the heads of requests before they are parsed, and let clients without a request yield

Cause: net/http limits the bytes of a head, 64 KB here, and the configuration's limit was looked at when the whole head had been parsed. A head's cost is its lines: 15 KB of short ones take 300 KB. Nothing bounded the sum, which is connections x cost of one. Connections were limited, but first come, first kept, whatever came on them. The size of a head counted a blank and CR LF in each line, sent or not, so that one request inside the limits got 431.

Change: a Limiter for each listener. Requests reads a connection part by part: no read hands bytes of more than one head or body to net/http, so that its buffers hold none that are not accounted for, pipelined ones included. What is read of a head is charged by lines and bytes before it is parsed, until the request is answered. If the memory (an eighth of the host's, 8 MB at least) or the connections are used up, connections without a whole request yield, the one that waits longest first, then those idle for longer than their clients may use them; a whole request never does. Heads that cost over 32 KB share half of the memory. Refusals before a run: 431 by the size on the wire, 503 with Retry-After, both with Connection: close; counted by reason, one log line a second for each. The same for the callers of the own product ([caller] conns and heads), since tcp.Listener moved to httpserve with it. The garbage collector has a soft limit of three quarters of the host's memory.

Why it works: the bound is on the sum, and the charge (512 bytes a line, 4 a byte) is above what a line takes with its copies for the replica, so that neither more connections nor other forms raise it. No fixed number of lines.

Tests changed: TestConnectionLimit opened connections without a request, which yield now; its connections have got an answer and may be used again, so that those beyond the limit are still to be closed.

--- a/caller/server.go
+++ b/caller/server.go
@@ -85,11 +85,13 @@
 	CachedTokens int // prompt tokens that were found in the engine's cache
 }
 
-// Limits limits the requests that callers may send. A zero Concurrent means no limit.
+// Limits limits the requests that callers may send. A zero Concurrent or Connections means no limit.
 type Limits struct {
 	HeaderBytes   int
 	BodyBytes     int64
 	Concurrent    int
+	Connections   int   // of all callers
+	HeaderMemory  int64 // bytes that the headers of all requests take until they are answered
 	HeaderTimeout time.Duration
 	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
@@ -126,10 +128,9 @@
 func (s *Server) Run(ctx context.Context) error {
 	conns := &httpserve.Conns{Clock: s.Clock}
 	httpServer := &http.Server{
-		Handler:           httpserve.RejectClosed(s.announceStop(s.Handler())),
+		Handler:           httpserve.TrackRequests(s.announceStop(s.Handler())),
 		ReadHeaderTimeout: s.Limits.HeaderTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
-		MaxHeaderBytes:    s.Limits.HeaderBytes,
 		ConnState:         conns.Track,
 		ConnContext:       httpserve.WithConn,
 	}
@@ -144,7 +145,7 @@
 		stopAccepting()
 	})
 	defer cancelStop()
-	return httpserve.UntilDrained(accepting, httpServer, &tcp.Listener{Listener: s.Listener, Closer: closer}, func() error {
+	return httpserve.UntilDrained(accepting, httpServer, &httpserve.Listener{Listener: s.Listener, Closer: closer, Limiter: s.newLimiter()}, func() error {
 		drainCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 		defer cancel()
 		err := conns.Drain(drainCtx, httpserve.Limits{Head: s.Limits.HeaderTimeout, New: idleReuseTime, Idle: idleReuseTime})
--- a/callers/doc.go
+++ b/callers/doc.go
@@ -9,5 +9,7 @@
 //	result := c.Complete(ctx, callers.Completion{Class: "chat", Messages: messages, Tokens: 40, Stream: true})
 //	result = c.Call(ctx, callers.Call{Method: "POST", Path: path, Body: body, Key: key, Want: body})
 //
-// A Caller is used by one goroutine at a time; a Balancer is shared.
+//	err := callers.Crowd{Size: 500, Start: "GET / HTTP/1.1\r\n"}.Run(ctx, address)
+//
+// A Crowd is clients that do not behave, which occupy a server. A Caller is used by one goroutine at a time; a Balancer is shared.
 package callers
--- a/cmd/peridotusher/platform.go
+++ b/cmd/peridotusher/platform.go
@@ -19,6 +19,10 @@
 // memory is scarcer than CPU time.
 const heapGrowth = 50
 
+// memoryShare is the share of the host's memory from which on the garbage collector runs more often, in percent. The
+// rest is for what it does not manage.
+const memoryShare = 75
+
 func platformCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
@@ -36,6 +40,7 @@
 				return err
 			}
 			debug.SetGCPercent(heapGrowth)
+			debug.SetMemoryLimit(cfg.MemoryBytes() / 100 * memoryShare)
 			return runEdge(ctx, cfg, path, cmd.String("metrics"))
 		},
 	}
--- a/edge/router.go
+++ b/edge/router.go
@@ -50,7 +50,9 @@
 	bodyMemoryDivisor = 6
 	// answerMemoryDivisor does the same for answers that slow clients have not read yet.
 	answerMemoryDivisor = 8
-	megabyte            = 1 << 20
+	// headMemoryDivisor does the same for the heads of requests.
+	headMemoryDivisor = 8
+	megabyte          = 1 << 20
 )
 
 // Router is one router process. Its fields are set before Run.
@@ -197,8 +199,9 @@
 		DrainTime:     func() time.Duration { return r.bounds.Load().drainTime },
 		Registry:      &registry{router: r},
 		MaxLoadFactor: s.bounds.maxLoadFactor, Gate: overload.NewGate(r.clock),
-		BodyMemory:     int64(s.router.memoryMB) * megabyte / bodyMemoryDivisor,
-		AnswerMemory:   int64(s.router.memoryMB) * megabyte / answerMemoryDivisor,
+		BodyMemory:     s.MemoryBytes() / bodyMemoryDivisor,
+		HeadMemory:     s.MemoryBytes() / headMemoryDivisor,
+		AnswerMemory:   s.MemoryBytes() / answerMemoryDivisor,
 		MaxConnections: s.router.maxFiles / 2, KeepAliveTimeout: keepAliveTimeout,
 	}
 	r.initAdmission()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -154,6 +154,9 @@
 // StoreAddress returns the address of the platform's store.
 func (s *Settings) StoreAddress() string { return s.store.address }
 
+// MemoryBytes returns the memory of the host in bytes.
+func (s *Settings) MemoryBytes() int64 { return int64(s.router.memoryMB) * megabyte }
+
 // Name returns the router's name.
 func (s *Settings) Name() string { return s.router.name }
 
--- a/entry/new.go
+++ b/entry/new.go
@@ -62,6 +62,8 @@
 			HeaderBytes:   cfg.Caller().Header(),
 			BodyBytes:     int64(cfg.Caller().Body()),
 			Concurrent:    cfg.Caller().Concurrent(),
+			Connections:   cfg.Caller().Conns(),
+			HeaderMemory:  int64(cfg.Caller().Heads()),
 			HeaderTimeout: cfg.Caller().Read(),
 			BodyTimeout:   cfg.Caller().BodyTime(),
 			IdleTimeout:   cfg.Caller().Idle(),
--- a/httphead/httphead.go
+++ b/httphead/httphead.go
@@ -1,8 +1,8 @@
-// Package httphead checks the heads of HTTP answers, and limits the memory that the heads of requests take.
+// Package httphead checks and limits the heads of HTTP answers, and knows which statuses are promises.
 //
 // net/http accepts bytes as the head of an answer that are none: a status like 000 or +20, or a name with a
-// blank in it, so that the line that states the length is not seen. It limits the bytes of a head at most,
-// while a head of short names takes many times its bytes in memory.
+// blank in it, so that the line that states the length is not seen. http.ReadResponse limits nothing,
+// http.Transport only the bytes, and a head of short names takes many times its bytes in memory.
 //
 // # Usage
 //
--- a/httpserve/conns.go
+++ b/httpserve/conns.go
@@ -23,10 +23,13 @@
 // ErrNotDrained means that requests were in flight at the end of a stop.
 var ErrNotDrained = errors.New("requests were in flight at the end of the stop")
 
-// Conn is a connection that can be closed without losing a request. An embedded tcp.ReadGate implements most of
-// it.
+// Conn is a connection that can be closed without losing a request. An embedded tcp.ReadGate and the Requests of
+// a Limiter implement most of it.
 type Conn interface {
 	net.Conn
+	// BeginRequest records that the head of a request was parsed, and the length of its body, -1 if it is in
+	// chunks.
+	BeginRequest(length int64)
 	// MarkIdle records that the request that was read last has been answered.
 	MarkIdle()
 	// IsReceiving reports whether a part of a request was read since MarkIdle.
@@ -210,11 +213,15 @@
 	return c
 }
 
-// RejectClosed returns a handler that serves no request whose connection was closed after it had been read.
-func RejectClosed(next http.Handler) http.Handler {
+// TrackRequests returns a handler that tells each Conn of its requests. It serves no request whose connection
+// was closed after it had been read.
+func TrackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r.Context()); c != nil && c.IsClosed() {
-			panic(http.ErrAbortHandler)
+		if c := ConnOf(r.Context()); c != nil {
+			if c.IsClosed() {
+				panic(http.ErrAbortHandler)
+			}
+			c.BeginRequest(r.ContentLength)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/httpserve/conns_test.go
+++ b/httpserve/conns_test.go
@@ -36,10 +36,10 @@
 	s := &drainedServer{address: l.Addr().String(), stop: stop, result: make(chan error, 1)}
 	s.conns = &Conns{Clock: peridotusher.ClockFunc(func() time.Time { return time.Now().Add(time.Duration(s.suspended.Load())) })}
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	server := &http.Server{Handler: RejectClosed(ok), ConnState: s.conns.Track, ConnContext: WithConn}
+	server := &http.Server{Handler: TrackRequests(ok), ConnState: s.conns.Track, ConnContext: WithConn}
 	var group errgroup.Group
 	group.Go(func() error {
-		s.result <- UntilDrained(ctx, server, &tcp.Listener{Listener: l, Closer: tcp.NewCloser()}, func() error {
+		s.result <- UntilDrained(ctx, server, &Listener{Listener: l, Closer: tcp.NewCloser(), Limiter: newTestLimiter()}, func() error {
 			graceCtx, cancel := context.WithTimeout(context.Background(), grace)
 			defer cancel()
 			return s.conns.Drain(graceCtx, Limits{New: idle, Idle: idle})
@@ -138,7 +138,7 @@
 // TestRequestOfClosedConnIsNotServed guards against requests that are served although their connection was closed after they were read.
 func TestRequestOfClosedConnIsNotServed(t *testing.T) {
 	served := 0
-	h := RejectClosed(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+	h := TrackRequests(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
 	for _, closed := range []bool{false, true} {
 		r, err := http.NewRequestWithContext(WithConn(context.Background(), closableConn{closed: closed}), http.MethodGet, "/", nil)
 		if err != nil {
@@ -164,7 +164,8 @@
 	closed bool
 }
 
-func (closableConn) MarkIdle()         {}
-func (closableConn) IsReceiving() bool { return false }
-func (closableConn) CloseIfIdle()      {}
-func (c closableConn) IsClosed() bool  { return c.closed }
+func (closableConn) BeginRequest(int64) {}
+func (closableConn) MarkIdle()          {}
+func (closableConn) IsReceiving() bool  { return false }
+func (closableConn) CloseIfIdle()       {}
+func (c closableConn) IsClosed() bool   { return c.closed }
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -1,4 +1,9 @@
-// Package httpserve runs an HTTP server until a context ends, and stops one without dropping requests.
+// Package httpserve runs an HTTP server until a context ends, limits what its clients occupy, and stops it without
+// dropping requests.
+//
+// net/http limits the bytes of a head, while a head of short lines takes a hundred times its bytes in memory, and
+// it limits neither the number of connections nor what all of them take. A Limiter limits both, before a head is
+// parsed. Clients that have sent a whole request go before those that have not.
 //
 // http.Server.Shutdown closes a connection as soon as it is idle, whatever its client was told, and drops
 // requests that it reads from then on. Conns closes a connection for being idle only if no part of a request was
@@ -6,15 +11,18 @@
 //
 // # Usage
 //
-//	server := &http.Server{Handler: h}
-//	group.Go(func() error { return httpserve.Until(ctx, server, listener, server.Close) })
+// A server within limits that stops at once:
+//
+//	limiter := &httpserve.Limiter{Clock: clock, MaxConns: 64, HeadMemory: 8 << 20, MaxHeadBytes: func() int { return 16 << 10 }}
+//	group.Go(func() error { return httpserve.UntilLimited(ctx, &http.Server{Handler: h}, listener, limiter) })
 //
 // A server that stops gracefully, whose listener returns connections that implement Conn:
 //
 //	conns := &httpserve.Conns{Clock: clock}
-//	server := &http.Server{Handler: httpserve.RejectClosed(h), ConnState: conns.Track, ConnContext: httpserve.WithConn}
+//	server := &http.Server{Handler: httpserve.TrackRequests(h), ConnState: conns.Track, ConnContext: httpserve.WithConn}
+//	limited := &httpserve.Listener{Listener: listener, Closer: tcp.NewCloser(), Limiter: limiter}
 //	group.Go(func() error {
-//		return httpserve.UntilDrained(ctx, server, listener, func() error { return conns.Drain(grace, limits) })
+//		return httpserve.UntilDrained(ctx, server, limited, func() error { return conns.Drain(grace, limits) })
 //	})
 package httpserve
 
@@ -46,6 +54,15 @@
 	return group.Wait()
 }
 
+// UntilLimited serves on the listener, within the limits of a Limiter, until ctx ends or serving fails. It then
+// closes the server.
+func UntilLimited(ctx context.Context, server *http.Server, l net.Listener, limiter *Limiter) error {
+	conns := &Conns{Clock: limiter.Clock}
+	server.Handler = TrackRequests(server.Handler)
+	server.ConnState, server.ConnContext = conns.Track, WithConn
+	return Until(ctx, server, &Listener{Listener: l, Limiter: limiter}, server.Close)
+}
+
 // UntilDrained serves on the listener until ctx ends or serving fails. It then closes the listener and calls
 // drain, which has to wait for the requests in flight. Requests that arrive on open connections are served until
 // drain returns and the server is closed.
--- /dev/null
+++ b/httpserve/limiter.go
@@ -0,0 +1,164 @@
+package httpserve
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"time"
+
+	"peridotusher.example/peridotusher"
+)
+
+const (
+	// minHeadMemory is the smallest limit of the memory of heads. One head of the shortest lines fits in half of
+	// it if it has 16 KB.
+	minHeadMemory = 8 << 20
+	// byteCost and lineCost are the memory that a byte and a line of a head take until the request is answered. A
+	// line becomes a string, a slice and an entry of a map, and the header is copied for the endpoint.
+	byteCost = 4
+	lineCost = 512
+	// smallHead is the cost up to which a head may use the whole limit. Larger ones share half of it, so that they
+	// leave room for those of ordinary requests.
+	smallHead = 32 << 10
+	// reportInterval is the shortest time between two reports of refusals for the same reason.
+	reportInterval = time.Second
+)
+
+// Refusal is the reason for which a client is refused or disconnected.
+type Refusal string
+
+// The reasons of refusals.
+const (
+	RefusedSize        Refusal = "size"        // the head is too large: status 431
+	RefusedMemory      Refusal = "memory"      // too little memory is left for the head: status 503
+	RefusedYield       Refusal = "yield"       // the connection was closed in favour of another one
+	RefusedConnections Refusal = "connections" // too many connections are open, none of which has to yield
+)
+
+// Limiter limits what the clients of one listener occupy with requests that have not arrived whole: connections,
+// and the memory of heads, which is accounted for before they are parsed. Connections without a whole request
+// yield to others, the one that waits longest first. Its fields are set before use.
+type Limiter struct {
+	Clock peridotusher.Clock
+	// MaxConns is the largest number of open connections.
+	MaxConns int
+	// HeadMemory is the memory in bytes that the heads of requests may take until the requests are answered.
+	HeadMemory int64
+	// MaxHeadBytes returns the size in bytes of the largest head.
+	MaxHeadBytes func() int
+	// IdleReuse is for how long a client may rely on a connection that is idle. It yields to others after that.
+	IdleReuse time.Duration
+	// Count is called for each refusal, Report at intervals with the number of those for a reason since the last
+	// report, to log it. They must not block. Nil disables them.
+	Count  func(reason Refusal)
+	Report func(reason Refusal, number int)
+
+	mu       sync.Mutex
+	open     int
+	used     int64           // cost of all heads in bytes
+	waiting  list.List       // of *Requests without a whole request, the longest waiting first
+	idle     list.List       // of *Requests between two requests, the longest idle first
+	unlogged map[Refusal]int // refusals since the last report
+	loggedAt map[Refusal]time.Time
+}
+
+// Accept admits a new connection, for which another one may be closed. It returns false if there are too many.
+// Attach must be called on the result before the first Read, and Release once the connection is closed.
+func (l *Limiter) Accept(c net.Conn) (*Requests, bool) {
+	yieldAll(l.makeRoom())
+	l.mu.Lock()
+	full := l.open >= l.MaxConns
+	if !full {
+		l.open++
+	}
+	l.mu.Unlock()
+	if full {
+		l.refuse(RefusedConnections)
+		return nil, false
+	}
+	return &Requests{limiter: l, conn: c}, true
+}
+
+// makeRoom returns the connection that has to yield to a new one, if too many are open.
+func (l *Limiter) makeRoom() []*Requests {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open < l.MaxConns {
+		return nil
+	}
+	victim := l.longestWaiting()
+	if victim == nil {
+		return nil
+	}
+	victim.end()
+	return []*Requests{victim}
+}
+
+// longestWaiting returns the connection without a whole request that has to yield first, nil if there is none;
+// l.mu must be held.
+func (l *Limiter) longestWaiting() *Requests {
+	if e := l.waiting.Front(); e != nil {
+		return e.Value.(*Requests)
+	}
+	if e := l.idle.Front(); e != nil {
+		if r := e.Value.(*Requests); l.Clock.Now().Sub(r.idleSince) >= l.IdleReuse {
+			return r
+		}
+	}
+	return nil
+}
+
+// acquire raises the cost of the head that is being received, for which other connections may have to yield. It
+// returns those, and false if the memory does not suffice; l.mu must be held.
+func (l *Limiter) acquire(r *Requests, cost int64) (victims []*Requests, ok bool) {
+	limit := max(l.HeadMemory, minHeadMemory)
+	if cost > smallHead {
+		limit /= 2
+	}
+	more := cost - r.headCost
+	for e := l.waiting.Front(); e != nil && l.used+more > limit; {
+		victim := e.Value.(*Requests)
+		e = e.Next()
+		if victim != r && victim.headCost+victim.requestCost > 0 {
+			victim.end()
+			victims = append(victims, victim)
+		}
+	}
+	if l.used+more > limit {
+		return victims, false
+	}
+	l.used += more
+	r.headCost = cost
+	return victims, true
+}
+
+// refuse counts a refusal and reports the number of them at intervals.
+func (l *Limiter) refuse(reason Refusal) {
+	if l.Count != nil {
+		l.Count(reason)
+	}
+	if l.Report == nil {
+		return
+	}
+	l.mu.Lock()
+	if l.unlogged == nil {
+		l.unlogged, l.loggedAt = make(map[Refusal]int), make(map[Refusal]time.Time)
+	}
+	l.unlogged[reason]++
+	now, number := l.Clock.Now(), 0
+	if at, ok := l.loggedAt[reason]; !ok || now.Sub(at) >= reportInterval {
+		number = l.unlogged[reason]
+		l.unlogged[reason], l.loggedAt[reason] = 0, now
+	}
+	l.mu.Unlock()
+	if number > 0 {
+		l.Report(reason, number)
+	}
+}
+
+// Stats returns the number of open connections and the memory of heads in bytes.
+func (l *Limiter) Stats() (open int, headBytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open, l.used
+}
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -31,7 +31,8 @@
 type clientConn struct {
 	net.Conn
 	tcp.ReadGate
-	buffer    *answerBuffer // nil: writes block until the client reads
+	requests  *httpserve.Requests // reads the connection; set before its first Read
+	buffer    *answerBuffer       // nil: writes block until the client reads
 	acks      *tcp.Acks
 	onClose   func()
 	closeOnce sync.Once
@@ -81,7 +82,16 @@
 }
 
 // Read implements net.Conn.
-func (c *clientConn) Read(b []byte) (int, error) { return c.Receive(c.Conn, b) }
+func (c *clientConn) Read(b []byte) (int, error) { return c.Receive(c.requests, b) }
+
+// BeginRequest implements httpserve.Conn.
+func (c *clientConn) BeginRequest(length int64) { c.requests.BeginRequest(length) }
+
+// MarkIdle implements httpserve.Conn.
+func (c *clientConn) MarkIdle() {
+	c.ReadGate.MarkIdle()
+	c.requests.MarkIdle()
+}
 
 // CloseIfIdle implements httpserve.Conn.
 func (c *clientConn) CloseIfIdle() {
@@ -165,6 +175,9 @@
 // answer would then look complete.
 func (c *clientConn) Close() error {
 	c.Shut()
+	if c.requests != nil {
+		c.requests.End()
+	}
 	if c.endsAnswer.Load() {
 		c.reset()
 		return c.release()
--- a/relay/headers.go
+++ b/relay/headers.go
@@ -32,15 +32,3 @@
 	}
 	return out
 }
-
-// headerBytes returns the size of the request line and headers on the wire.
-func headerBytes(r *http.Request) int {
-	const lineEnd, separator = 2, 2
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineEnd + len("Host: ") + len(r.Host) + lineEnd
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + separator + len(v) + lineEnd
-		}
-	}
-	return n
-}
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -2,32 +2,58 @@
 
 import (
 	"net"
-	"sync/atomic"
+
+	"peridotusher.example/peridotusher/httpserve"
 )
 
-// limitListener closes new connections while too many are open, so that enough file descriptors
-// remain for connections to replicas.
-type limitListener struct {
+// maxRequestHeadBytes is the largest head of a request until a configuration is known, and under one that does
+// not limit it.
+const maxRequestHeadBytes = 64 << 10
+
+// clientListener accepts the connections of clients within limits, so that enough memory and file descriptors
+// remain.
+type clientListener struct {
 	net.Listener
-	maxOpen   int64
-	open      atomic.Int64
-	onRefused func()
+	limiter *httpserve.Limiter
 	// buffer is passed to new connections; nil disables buffering.
 	buffer *answerBuffer
 }
 
 // Accept implements net.Listener.
-func (l *limitListener) Accept() (net.Conn, error) {
+func (l *clientListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if l.open.Add(1) <= l.maxOpen {
-			return newClientConn(c, l.buffer, func() { l.open.Add(-1) }), nil
+		requests, ok := l.limiter.Accept(c)
+		if !ok {
+			_ = c.Close() // nothing was read on it
+			continue
 		}
-		l.open.Add(-1)
-		_ = c.Close() // nothing was read on it
-		l.onRefused()
+		out := newClientConn(c, l.buffer, requests.Release)
+		out.requests = requests
+		requests.Attach(out)
+		return out, nil
+	}
+}
+
+// newLimiter returns the limits of what clients occupy with requests that have not arrived whole.
+func (f *Proxy) newLimiter() *httpserve.Limiter {
+	return &httpserve.Limiter{
+		Clock: f.Clock, MaxConns: f.MaxConnections, HeadMemory: f.HeadMemory, MaxHeadBytes: f.maxHeadBytes,
+		IdleReuse: f.KeepAliveTimeout + keepAliveMargin,
+		Count:     f.Metrics.countRefusedClient,
+		Report: func(reason httpserve.Refusal, number int) {
+			f.Log.Event("refused", "reason", string(reason), "clients", number)
+		},
+	}
+}
+
+// maxHeadBytes returns the size in bytes of the largest head of a request.
+func (f *Proxy) maxHeadBytes() int {
+	if doc := f.Current.Load(); doc != nil && doc.Limits.HeaderBytes > 0 {
+		return doc.Limits.HeaderBytes
 	}
+	return maxRequestHeadBytes
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"peridotusher.example/peridotusher/admission"
+	"peridotusher.example/peridotusher/httpserve"
 )
 
 // maxRoutes and maxServices limit the number of routes and services with metrics of their own.
@@ -202,6 +203,28 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_cut_total{route=%q}", m.routeLabel(route))).Inc()
 }
 
+// countRefusedClient counts a client that is refused or disconnected because of what it sends or leaves out.
+func (m *Metrics) countRefusedClient(reason httpserve.Refusal) {
+	if m != nil {
+		m.set.GetOrCreateCounter(fmt.Sprintf("peridotusher_refused_clients_total{reason=%q}", string(reason))).Inc()
+	}
+}
+
+// registerClients registers gauges of what clients occupy.
+func (m *Metrics) registerClients(l *httpserve.Limiter) {
+	if m == nil {
+		return
+	}
+	m.set.GetOrCreateGauge("peridotusher_client_connections", func() float64 {
+		open, _ := l.Stats()
+		return float64(open)
+	})
+	m.set.GetOrCreateGauge("peridotusher_request_head_bytes", func() float64 {
+		_, used := l.Stats()
+		return float64(used)
+	})
+}
+
 // registerSlowClients registers gauges of the answer buffer.
 func (m *Metrics) registerSlowClients(a *answerBuffer) {
 	if m == nil {
--- a/relay/prepare.go
+++ b/relay/prepare.go
@@ -22,10 +22,6 @@
 		return false
 	}
 	t.route = route
-	if limit := t.doc.Limits.HeaderBytes; limit > 0 && headerBytes(t.r) > limit {
-		t.deny(http.StatusRequestHeaderFieldsTooLarge, "header_too_large")
-		return false
-	}
 	if t.doc.RequiresKeys() && !route.Public {
 		holder, ok := t.doc.Organisation(t.call.Key)
 		if !ok {
--- a/relay/proxy.go
+++ b/relay/proxy.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	// maxRequestHeadBytes is the largest request head that the server reads. The configuration
-	// may set a lower limit, which is checked for each request.
-	maxRequestHeadBytes = 64 << 10
 	// defaultHeaderTimeout limits the time to read a request head until a configuration is
 	// known, maxHeaderTimeout under any configuration.
 	defaultHeaderTimeout = 10 * time.Second
@@ -90,6 +87,8 @@
 	MaxLoadFactor float64
 	// BodyMemory limits the total bytes of request bodies in memory.
 	BodyMemory int64
+	// HeadMemory limits the total memory in bytes that the heads of requests take until the requests are answered.
+	HeadMemory int64
 	// AnswerMemory limits the total bytes of answers that are buffered for slow clients. With 0
 	// nothing is buffered, and replicas wait for the clients.
 	AnswerMemory int64
@@ -127,8 +126,7 @@
 	conns := newLimitedConns(f.Clock)
 	f.conns.Store(conns)
 	server := &http.Server{
-		Handler:           httpserve.RejectClosed(f),
-		MaxHeaderBytes:    maxRequestHeadBytes,
+		Handler:           httpserve.TrackRequests(f),
 		ReadHeaderTimeout: maxHeaderTimeout,
 		ConnState:         conns.Track,
 		ConnContext:       httpserve.WithConn,
@@ -139,7 +137,8 @@
 		buffer = newAnswerBuffer(f.Clock, f.AnswerMemory, f.Log, f.Metrics)
 		f.answerBuffer.Store(buffer)
 	}
-	limited := &limitListener{Listener: l, buffer: buffer, maxOpen: int64(f.MaxConnections), onRefused: func() { f.Log.Event("refused", "connections", f.MaxConnections) }}
+	limited := &clientListener{Listener: l, limiter: f.newLimiter(), buffer: buffer}
+	f.Metrics.registerClients(limited.limiter)
 	group, ctx := errgroup.WithContext(ctx)
 	// Clients are served after ctx ends, until all connections are drained.
 	serving, endServing := context.WithCancel(context.WithoutCancel(ctx))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -248,10 +248,15 @@
 	<-closed
 }
 
-// TestConnectionLimit opens more connections than are allowed: those beyond the limit are closed,
-// and a new one is accepted after another has ended.
+// TestConnectionLimit opens more connections than are allowed, each of which has got an answer and may be used again: those
+// beyond the limit are closed, and a new one is accepted after another has ended. Connections without a request yield, which
+// the tests of httpserve show.
 func TestConnectionLimit(t *testing.T) {
-	b := newFixture(t, nonIdempotent, respond(okAnswer, true))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := newFixtureOn(t, l, func(f *Proxy) { f.KeepAliveTimeout = time.Minute }, nonIdempotent, respond(okAnswer, true))
 	var open []net.Conn
 	for range b.proxy.MaxConnections {
 		c, err := net.Dial("tcp", b.url)
@@ -259,12 +264,12 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = c.Close() }()
+		if resp, _, _ := b.sendOn(c, bufio.NewReader(c), get("")); resp == nil {
+			t.Fatal("a connection within the limit got no answer")
+		}
 		open = append(open, c)
 	}
-	// The last one gets an answer, so all of them have been accepted.
-	if resp, _, _ := b.sendOn(open[len(open)-1], bufio.NewReader(open[len(open)-1]), get("")); resp == nil {
-		t.Fatal("a connection within the limit got no answer")
-	}
+	b.awaitIdle(len(open))
 	if resp, _, _ := b.send(get("")); resp != nil {
 		t.Errorf("a connection beyond the limit was answered %d", resp.StatusCode)
 	}
--- a/settings/fields.go
+++ b/settings/fields.go
@@ -70,6 +70,18 @@
 		Text:    "Requests in flight at this router.",
 		Value:   ini.Of(ini.Int(1, maxCount), func(c *Caller) *int { return &c.concurrent }),
 	},
+	{
+		Name:    "conns",
+		Default: "16384",
+		Text:    "Open connections of callers at this router.",
+		Value:   ini.Of(ini.Int(1, maxCount), func(c *Caller) *int { return &c.conns }),
+	},
+	{
+		Name:    "heads",
+		Default: "67108864",
+		Text:    "Memory that the headers of all requests take until they are answered, in bytes.",
+		Value:   ini.Of(ini.Int(8<<20, 1<<30), func(c *Caller) *int { return &c.heads }),
+	},
 	{
 		Name:    "read",
 		Default: "5s",
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -23,7 +23,7 @@
 	want := &Settings{
 		router: Router{name: "router-a-1", zone: "a", log: "info", settle: 2 * time.Second, drain: time.Minute},
 		caller: Caller{
-			listen: "127.0.0.1:8000", header: 16384, body: 4194304, concurrent: 4096,
+			listen: "127.0.0.1:8000", header: 16384, body: 4194304, concurrent: 4096, conns: 16384, heads: 64 << 20,
 			read: 5 * time.Second, bodytime: 30 * time.Second, idle: time.Minute,
 		},
 		operator: Operator{listen: "127.0.0.1:8001", key: document.HashKey("router-example-operator-key")},
--- a/settings/types.go
+++ b/settings/types.go
@@ -33,6 +33,8 @@
 	header     int
 	body       int
 	concurrent int
+	conns      int
+	heads      int
 	read       time.Duration
 	bodytime   time.Duration
 	idle       time.Duration
@@ -50,6 +52,12 @@
 // Concurrent returns the limit of requests in flight at this router.
 func (c Caller) Concurrent() int { return c.concurrent }
 
+// Conns returns the limit of connections of callers.
+func (c Caller) Conns() int { return c.conns }
+
+// Heads returns the limit in bytes of the memory that request headers take.
+func (c Caller) Heads() int { return c.heads }
+
 // Read returns the time limit for reading a header.
 func (c Caller) Read() time.Duration { return c.read }
 
--- a/tcp/doc.go
+++ b/tcp/doc.go
@@ -18,7 +18,7 @@
 //	l, err := cfg.Listen(ctx, "tcp", address)
 //	...
 //	closer := tcp.NewCloser()
-//	err = server.Serve(&tcp.Listener{Listener: l, Closer: closer})
+//	err = closer.Close(conn, tcp.NewAcks(conn, tcp.UnackedTimeout), func() {})
 //	...
 //	closer.Await(grace)
 //	closer.Stop()
--- a/tcp/gate.go
+++ b/tcp/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"sync"
 )
@@ -14,13 +15,13 @@
 	receiving bool // whether a part of a request was read since MarkIdle
 }
 
-// Receive reads from the gate's connection while the gate is open. Bytes that arrive as it shuts are
+// Receive reads the bytes of the gate's connection from r while the gate is open. Bytes that arrive as it shuts are
 // discarded.
-func (g *ReadGate) Receive(c net.Conn, b []byte) (int, error) {
+func (g *ReadGate) Receive(r io.Reader, b []byte) (int, error) {
 	if g.IsClosed() {
 		return 0, net.ErrClosed
 	}
-	n, err := c.Read(b)
+	n, err := r.Read(b)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.shut {
