edge: limit what readers of readiness and metrics occupy

Seen: clients of the readiness or metrics address took 2,271 and 2,517 MB of 96, or more descriptors than the process may open (1,218 of 1,024).

Cause: the servers had net/http's limit, 1 MB a head, and none of connections. Change: the Limiter of the clients' address, with 64 connections, 8 MB for heads and 16 KB a head. The platform asks once a second, and a new connection takes the place of the one that waits or idles longest.

Evidence, TestCrowd on | here: short lines to the readiness address 2,271 MB | 28 MB, to the metrics address 2,517 | 27; 1,200 connections to either 1,218 descriptors | 82. TestMetricsReaderPauses holds.

--- a/edge/listen.go
+++ b/edge/listen.go
@@ -18,6 +18,12 @@
 	readHeaderTimeout = 2 * time.Second
 	// writeTimeout limits writing the answer to such a request.
 	writeTimeout = 15 * time.Second
+	// maxReportConns is the largest number of connections of their readers to one address.
+	maxReportConns = 64
+	// reportHeadMemory is the memory in bytes that the heads of their requests may take.
+	reportHeadMemory = 8 << 20
+	// maxReportHeadBytes is the largest head of such a request.
+	maxReportHeadBytes = 16 << 10
 )
 
 // listen opens the sockets and starts their servers, except for that of clients, whose listener it returns.
@@ -37,13 +43,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for readiness")
 	}
-	group.Go(func() error { return serve(ctx, readinessListener, http.HandlerFunc(r.serveReadiness)) })
+	group.Go(func() error { return r.serve(ctx, readinessListener, http.HandlerFunc(r.serveReadiness)) })
 	if r.MetricsAddress != "" {
 		metricsListener, err := listenForReports(ctx, r.MetricsAddress)
 		if err != nil {
 			return nil, errors.Wrap(err, "listen for metrics")
 		}
-		group.Go(func() error { return serve(ctx, metricsListener, r.metricsHandler()) })
+		group.Go(func() error { return r.serve(ctx, metricsListener, r.metricsHandler()) })
 	}
 	clients, err = cfg.Listen(ctx, "tcp4", s.listen.clients)
 	return clients, errors.Wrap(err, "listen for clients")
@@ -62,8 +68,14 @@
 	}
 }
 
-// serve handles requests on a listener until ctx ends.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+// serve handles requests for readiness or metrics on a listener until ctx ends.
+func (r *Router) serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	limiter := &httpserve.Limiter{
+		Clock: r.clock, MaxConns: maxReportConns, HeadMemory: reportHeadMemory, MaxHeadBytes: func() int { return maxReportHeadBytes },
+		Report: func(reason httpserve.Refusal, number int) {
+			r.Log.Event("refused", "address", l.Addr(), "reason", string(reason), "clients", number)
+		},
+	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout, IdleTimeout: time.Minute}
-	return httpserve.Until(ctx, server, l, server.Close)
+	return httpserve.UntilLimited(ctx, server, l, limiter)
 }
