operator: limit what operators occupy

Seen: 500 clients that send 900 KB of short lines to the operators' address take 2,319 MB (256 allowed).

--- a/operator/server.go
+++ b/operator/server.go
@@ -18,6 +18,11 @@
 const (
 	// headerTimeout limits reading the header of an operator's request.
 	headerTimeout = 5 * time.Second
+	// maxConns is the largest number of connections of operators, headMemory the memory in bytes that the headers of
+	// their requests may take, and maxHeadBytes the size in bytes of the largest one.
+	maxConns     = 128
+	headMemory   = 8 << 20
+	maxHeadBytes = 16 << 10
 	// addressTimeout limits the query for another router's operator address.
 	addressTimeout = time.Second
 )
@@ -53,7 +58,13 @@
 // Run serves until ctx is canceled.
 func (s *Server) Run(ctx context.Context) error {
 	httpServer := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
-	return httpserve.Until(ctx, httpServer, s.Listener, httpServer.Close)
+	limiter := &httpserve.Limiter{
+		Clock:        peridotusher.ClockFunc(time.Now),
+		MaxConns:     maxConns,
+		HeadMemory:   headMemory,
+		MaxHeadBytes: func() int { return maxHeadBytes },
+	}
+	return httpserve.UntilLimited(ctx, httpServer, s.Listener, limiter)
 }
 
 // Handler returns the routes.
