mesh, peer: bound what connections without a handshake occupy

By reading; no test failed before. The own product's peers accepted any number of connections until their handshakes timed out; the oldest of more than 1,024 is closed now (TestPendingConnsYield).

--- a/mesh/session.go
+++ b/mesh/session.go
@@ -28,10 +28,14 @@
 	maxRequestSize = 64 << 10
 	// maxSessions bounds the number of sessions that are served at once.
 	maxSessions = 8
+	// acceptBacklog bounds the number of streams of a session that wait to be accepted. Each of them can hold a
+	// window of data, and a fetch opens one.
+	acceptBacklog = 1
 )
 
 func sessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
+	cfg.AcceptBacklog = acceptBacklog
 	cfg.EnableKeepAlive = false // a session lasts for one fetch
 	cfg.LogOutput = io.Discard  // errors are returned by the calls
 	return cfg
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -36,8 +36,10 @@
 			pause.For(ctx, n.HeartbeatInterval)
 			continue
 		}
+		done := n.pending.add(conn)
 		n.group.Go(func() error {
-			_ = n.serveConn(ctx, conn, false, nil)
+			defer done()
+			_ = n.serveConn(ctx, conn, false, func(peridotusher.RouterID) { done() })
 			return nil
 		})
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -70,6 +70,7 @@
 	once         sync.Once
 	handlers     map[Kind]HandlerFunc
 	sessions     *sessionTable
+	pending      pendingConns // accepted connections
 	dials        *dialTable
 	askPool      *pool
 	pool         *pool
