httpserve: never refuse the next head while a request is being answered

By reading: net/http reads a byte behind a request while it is answered. With no memory left that byte was refused, the read ended, and net/http cancelled the request in progress. It is charged with the rest of its head now. TestRequestsInProgressDoNotYield, stricter, fails before and passes now, with -race, too. Beside it the two kinds of connections share the Gate.

--- a/httpserve/conns.go
+++ b/httpserve/conns.go
@@ -23,8 +23,7 @@
 // ErrNotDrained means that requests were in flight at the end of a stop.
 var ErrNotDrained = errors.New("requests were in flight at the end of the stop")
 
-// Conn is a connection that can be closed without losing a request. An embedded tcp.ReadGate and the Requests of
-// a Limiter implement most of it.
+// Conn is a connection that can be closed without losing a request. An embedded Gate implements most of it.
 type Conn interface {
 	net.Conn
 	// BeginRequest records that the head of a request was parsed, and the length of its body, -1 if it is in
--- a/httpserve/limiter_test.go
+++ b/httpserve/limiter_test.go
@@ -40,7 +40,11 @@
 		n, _ := io.Copy(io.Discard, r.Body) // the tests check the number
 		if r.URL.Path == "/wait" {
 			s.waiting <- struct{}{}
-			<-s.waiting
+			select {
+			case <-s.waiting:
+			case <-r.Context().Done(): // the server has ended the request
+				panic(http.ErrAbortHandler)
+			}
 		}
 		_, _ = fmt.Fprint(w, r.URL.Path, n)
 	})}
@@ -226,10 +230,17 @@
 	c := dial(t, s.address)
 	mustWrite(t, c, "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n12345G") // and the start of another request
 	<-s.waiting
+	s.limiter.mu.Lock()
+	s.limiter.used += s.limiter.HeadMemory + minHeadMemory // so that none is left
+	s.limiter.mu.Unlock()
+	time.Sleep(50 * time.Millisecond) // so that the start of the other request is read
 	other := dial(t, s.address)
 	if got := exchange(other, bufio.NewReader(other)); got != 0 {
 		t.Errorf("another client's request is answered with %d", got)
 	}
+	s.limiter.mu.Lock()
+	s.limiter.used -= s.limiter.HeadMemory + minHeadMemory
+	s.limiter.mu.Unlock()
 	s.waiting <- struct{}{}
 	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
 		t.Errorf("the request is answered with %v, %v", resp, err)
--- a/httpserve/listener.go
+++ b/httpserve/listener.go
@@ -27,7 +27,8 @@
 			_ = c.Close() // nothing was read on it
 			continue
 		}
-		out := &closingConn{Conn: c, closer: l.Closer, acks: tcp.NewAcks(c, 0), requests: requests}
+		out := &closingConn{Conn: c, closer: l.Closer, acks: tcp.NewAcks(c, 0)}
+		out.Requests = requests
 		requests.Attach(out)
 		return out, nil
 	}
@@ -36,26 +37,16 @@
 // closingConn is a connection that is closed by a Closer. It implements Conn.
 type closingConn struct {
 	net.Conn
-	tcp.ReadGate
-	closer   *tcp.Closer
-	acks     *tcp.Acks
-	requests *Requests
+	Gate
+	closer *tcp.Closer // nil for none
+	acks   *tcp.Acks
 
 	once sync.Once
 	err  error // of Close
 }
 
 // Read implements net.Conn.
-func (c *closingConn) Read(b []byte) (int, error) { return c.Receive(c.requests, b) }
-
-// BeginRequest implements Conn.
-func (c *closingConn) BeginRequest(length int64) { c.requests.BeginRequest(length) }
-
-// MarkIdle implements Conn.
-func (c *closingConn) MarkIdle() {
-	c.ReadGate.MarkIdle()
-	c.requests.MarkIdle()
-}
+func (c *closingConn) Read(b []byte) (int, error) { return c.Gate.Read(b) }
 
 // CloseIfIdle implements Conn.
 func (c *closingConn) CloseIfIdle() {
@@ -67,7 +58,6 @@
 // Close implements net.Conn.
 func (c *closingConn) Close() error {
 	c.Shut()
-	c.requests.End()
 	c.once.Do(func() { c.err = c.closeNow() })
 	return c.err
 }
@@ -75,9 +65,9 @@
 // closeNow closes the connection, through the Closer if there is one.
 func (c *closingConn) closeNow() error {
 	if c.closer != nil {
-		return c.closer.Close(c.Conn, c.acks, c.requests.Release)
+		return c.closer.Close(c.Conn, c.acks, c.Requests.Release)
 	}
-	c.requests.Release()
+	c.Requests.Release()
 	return c.Conn.Close()
 }
 
--- a/httpserve/requests.go
+++ b/httpserve/requests.go
@@ -138,12 +138,13 @@
 	return part, victims, refusal
 }
 
-// chargeHead charges the head for what was read of it; limiter.mu must be held.
+// chargeHead charges the head for what was read of it; limiter.mu must be held. While a request is being answered
+// nothing is charged or refused, which would end that request: the server reads a byte of the next one meanwhile.
 func (r *Requests) chargeHead() (victims []*Requests, refusal Refusal) {
-	if !r.head.started {
+	if !r.head.started || r.answering {
 		return nil, ""
 	}
-	if !r.answering && r.in != &r.limiter.waiting {
+	if r.in != &r.limiter.waiting {
 		r.enter(&r.limiter.waiting)
 	}
 	if r.head.bytes > r.limiter.MaxHeadBytes() {
--- a/relay/clientconn.go
+++ b/relay/clientconn.go
@@ -30,9 +30,8 @@
 // goroutine that serves the connection writes to it, and only that one sets its write deadline.
 type clientConn struct {
 	net.Conn
-	tcp.ReadGate
-	requests  *httpserve.Requests // reads the connection; set before its first Read
-	buffer    *answerBuffer       // nil: writes block until the client reads
+	httpserve.Gate
+	buffer    *answerBuffer // nil: writes block until the client reads
 	acks      *tcp.Acks
 	onClose   func()
 	closeOnce sync.Once
@@ -82,16 +81,7 @@
 }
 
 // Read implements net.Conn.
-func (c *clientConn) Read(b []byte) (int, error) { return c.Receive(c.requests, b) }
-
-// BeginRequest implements httpserve.Conn.
-func (c *clientConn) BeginRequest(length int64) { c.requests.BeginRequest(length) }
-
-// MarkIdle implements httpserve.Conn.
-func (c *clientConn) MarkIdle() {
-	c.ReadGate.MarkIdle()
-	c.requests.MarkIdle()
-}
+func (c *clientConn) Read(b []byte) (int, error) { return c.Gate.Read(b) }
 
 // CloseIfIdle implements httpserve.Conn.
 func (c *clientConn) CloseIfIdle() {
@@ -175,9 +165,6 @@
 // answer would then look complete.
 func (c *clientConn) Close() error {
 	c.Shut()
-	if c.requests != nil {
-		c.requests.End()
-	}
 	if c.endsAnswer.Load() {
 		c.reset()
 		return c.release()
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		out := newClientConn(c, l.buffer, requests.Release)
-		out.requests = requests
+		out.Requests = requests
 		requests.Attach(out)
 		return out, nil
 	}
