httpserve: do not serve a request whose connection was evicted before it began

BeginRequest takes it off the list and tells whether it was evicted, in one step (TestEvictedRequestIsNotServed; the method returned nothing before). Trailers of a body in chunks, up to 4 KB of lines that were charged to nobody, are dropped once the body is read. Operators, callers and readers of readiness and metrics are counted, too. Names: what "yielded" is evicted, as the field calls it; RequestReader, headScanner, chunkScanner.

--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -17,6 +17,7 @@
 		HeadMemory:   s.Limits.HeaderMemory,
 		MaxHeadBytes: func() int { return maxHead },
 		IdleReuse:    idleReuseTime,
+		Count:        s.Refused,
 		Report: func(reason httpserve.Refusal, number int) {
 			s.Log.WithField("reason", string(reason)).WithField("callers", number).Warn("refused callers")
 		},
--- a/caller/request.go
+++ b/caller/request.go
@@ -49,6 +49,7 @@
 		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.Limits.BodyBytes))
+	r.Trailer = nil // not used, and many times its bytes in memory
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, peridotusher.Fail(peridotusher.NotRun, peridotusher.CauseTooLarge, "the body is larger than %d bytes; send less", s.Limits.BodyBytes)
--- a/caller/server.go
+++ b/caller/server.go
@@ -111,6 +111,7 @@
 	Settle   time.Duration // how long a stopping server accepts requests, so that the balancer can notice
 	Drain    time.Duration // longest wait for requests in flight
 	Record   func(Outcome)
+	Refused  func(httpserve.Refusal) // counts callers that are refused or disconnected; nil counts none
 
 	stopping atomic.Bool
 	// answerBy is the time by which requests have to be answered during a stop; nil before it.
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -72,6 +72,7 @@
 func (r *Router) serve(ctx context.Context, l net.Listener, h http.Handler) error {
 	limiter := &httpserve.Limiter{
 		Clock: r.clock, MaxConns: maxReportConns, HeadMemory: reportHeadMemory, MaxHeadBytes: func() int { return maxReportHeadBytes },
+		Count: r.countRefusedReader,
 		Report: func(reason httpserve.Refusal, number int) {
 			r.Log.Event("refused", "address", l.Addr(), "reason", string(reason), "clients", number)
 		},
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,6 +1,10 @@
 package edge
 
-import "fmt"
+import (
+	"fmt"
+
+	"peridotusher.example/peridotusher/httpserve"
+)
 
 // registerMetrics registers gauges of the router's state.
 func (r *Router) registerMetrics() {
@@ -41,6 +45,11 @@
 	r.metricSet.GetOrCreateCounter(fmt.Sprintf("peridotusher_wakes_total{loop=%q}", loop)).Inc()
 }
 
+// countRefusedReader counts a reader of readiness or metrics that is refused or disconnected.
+func (r *Router) countRefusedReader(reason httpserve.Refusal) {
+	r.metricSet.GetOrCreateCounter(fmt.Sprintf("peridotusher_refused_readers_total{reason=%q}", string(reason))).Inc()
+}
+
 // countStoreCall counts a call to the store by its kind and outcome.
 func (r *Router) countStoreCall(call string, err error) {
 	outcome := "ok"
--- a/edge/metrics_test.go
+++ b/edge/metrics_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/go-cmp/cmp"
 	"golang.org/x/sync/errgroup"
 
@@ -71,7 +72,7 @@
 	var group errgroup.Group
 	ctx, stop := context.WithCancel(t.Context())
 	group.Go(func() error {
-		return (&Router{clock: NewClock(), Log: discardLog{}}).serve(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		return (&Router{clock: NewClock(), Log: discardLog{}, metricSet: metrics.NewSet()}).serve(ctx, l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write(make([]byte, size)) // the reader counts the bytes
 		}))
 	})
--- a/entry/host.go
+++ b/entry/host.go
@@ -16,6 +16,7 @@
 	"peridotusher.example/peridotusher/caller"
 	"peridotusher.example/peridotusher/config"
 	"peridotusher.example/peridotusher/engine"
+	"peridotusher.example/peridotusher/httpserve"
 	"peridotusher.example/peridotusher/operator"
 	"peridotusher.example/peridotusher/peer"
 	"peridotusher.example/peridotusher/policies"
@@ -132,6 +133,7 @@
 		Settle:   h.Settle,
 		Drain:    h.Drain,
 		Record:   h.record,
+		Refused:  func(reason httpserve.Refusal) { h.metrics.CountRefusal("callers", reason) },
 	}
 	h.Log.WithFields(logrus.Fields{"router": h.Name, "zone": h.Zone, "callers": h.Caller.Addr()}).Info("router started")
 	err := server.Run(serving)
--- a/httpserve/chunkscan.go
+++ b/httpserve/chunkscanner.go
@@ -15,9 +15,9 @@
 	chunkTrailer                  // the lines behind the last chunk
 )
 
-// chunkScan finds the end of a chunked body. The zero value expects the first byte of a body. It does not check
+// chunkScanner finds the end of a chunked body. The zero value expects the first byte of a body. It does not check
 // the body, which the reader of the body does.
-type chunkScan struct {
+type chunkScanner struct {
 	part   chunkPart
 	left   int64 // of the data, or the size as read so far
 	sized  bool  // whether the digits of the size have ended
@@ -25,7 +25,7 @@
 }
 
 // feed reads more of the body and returns how many bytes belong to it, and whether it ends with them.
-func (s *chunkScan) feed(b []byte) (n int, ended bool) {
+func (s *chunkScanner) feed(b []byte) (n int, ended bool) {
 	for n < len(b) && !ended {
 		if s.part == chunkData {
 			size := int(min(s.left, int64(len(b)-n)))
@@ -48,7 +48,7 @@
 }
 
 // feedLine reads a part of a line without its end.
-func (s *chunkScan) feedLine(line []byte) {
+func (s *chunkScanner) feedLine(line []byte) {
 	switch s.part {
 	case chunkSize:
 		for _, c := range line {
@@ -60,7 +60,7 @@
 }
 
 // feedDigit reads a byte of the line with the size of a chunk, which ends with the first one that is no digit.
-func (s *chunkScan) feedDigit(c byte) {
+func (s *chunkScanner) feedDigit(c byte) {
 	digit := bytes.IndexByte([]byte("0123456789abcdef"), c|0x20)
 	if digit < 0 || c < '0' {
 		s.sized = true
@@ -71,14 +71,14 @@
 }
 
 // endLine reads the end of a line and reports whether it ends the body.
-func (s *chunkScan) endLine() bool {
+func (s *chunkScanner) endLine() bool {
 	switch {
 	case s.part == chunkSize && s.left > 0:
 		s.part = chunkData
 	case s.part == chunkSize:
 		s.part = chunkTrailer
 	case s.part == chunkEnd:
-		*s = chunkScan{}
+		*s = chunkScanner{}
 	case !s.inLine:
 		return true
 	}
--- a/httpserve/conns.go
+++ b/httpserve/conns.go
@@ -27,8 +27,8 @@
 type Conn interface {
 	net.Conn
 	// BeginRequest records that the head of a request was parsed, and the length of its body, -1 if it is in
-	// chunks.
-	BeginRequest(length int64)
+	// chunks. It returns false if the connection was closed before, so that the request must not be served.
+	BeginRequest(length int64) bool
 	// MarkIdle records that the request that was read last has been answered.
 	MarkIdle()
 	// IsReceiving reports whether a part of a request was read since MarkIdle.
@@ -216,11 +216,8 @@
 // was closed after it had been read.
 func TrackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r.Context()); c != nil {
-			if c.IsClosed() {
-				panic(http.ErrAbortHandler)
-			}
-			c.BeginRequest(r.ContentLength)
+		if c := ConnOf(r.Context()); c != nil && (c.IsClosed() || !c.BeginRequest(r.ContentLength)) {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/httpserve/conns_test.go
+++ b/httpserve/conns_test.go
@@ -164,8 +164,8 @@
 	closed bool
 }
 
-func (closableConn) BeginRequest(int64) {}
-func (closableConn) MarkIdle()          {}
-func (closableConn) IsReceiving() bool  { return false }
-func (closableConn) CloseIfIdle()       {}
-func (c closableConn) IsClosed() bool   { return c.closed }
+func (closableConn) BeginRequest(int64) bool { return true }
+func (closableConn) MarkIdle()               {}
+func (closableConn) IsReceiving() bool       { return false }
+func (closableConn) CloseIfIdle()            {}
+func (c closableConn) IsClosed() bool        { return c.closed }
--- a/httpserve/gate.go
+++ b/httpserve/gate.go
@@ -7,14 +7,14 @@
 type Gate struct {
 	tcp.ReadGate
 	// Requests reads the connection. It is set before the first Read.
-	Requests *Requests
+	Requests *RequestReader
 }
 
 // Read implements io.Reader.
 func (g *Gate) Read(b []byte) (int, error) { return g.Receive(g.Requests, b) }
 
 // BeginRequest implements Conn.
-func (g *Gate) BeginRequest(length int64) { g.Requests.BeginRequest(length) }
+func (g *Gate) BeginRequest(length int64) bool { return g.Requests.BeginRequest(length) }
 
 // MarkIdle implements Conn.
 func (g *Gate) MarkIdle() {
--- a/httpserve/headscan.go
+++ b/httpserve/headscanner.go
@@ -2,9 +2,9 @@
 
 import "bytes"
 
-// headScan finds the end of the head of a request and counts what it consists of. The zero value expects the
+// headScanner finds the end of the head of a request and counts what it consists of. The zero value expects the
 // first byte of a head.
-type headScan struct {
+type headScanner struct {
 	bytes   int  // from the first byte that is no line end
 	lines   int  // complete lines
 	inLine  bool // whether the current line has a byte other than its end
@@ -13,7 +13,7 @@
 
 // feed reads more of the head and returns how many bytes belong to it, and whether it ends with them. Line ends
 // before a head belong to it, but are not counted.
-func (s *headScan) feed(b []byte) (n int, ended bool) {
+func (s *headScanner) feed(b []byte) (n int, ended bool) {
 	for n < len(b) {
 		line, _, whole := bytes.Cut(b[n:], []byte{'\n'})
 		size := len(line)
--- a/httpserve/limiter.go
+++ b/httpserve/limiter.go
@@ -31,13 +31,13 @@
 const (
 	RefusedSize        Refusal = "size"        // the head is too large: status 431
 	RefusedMemory      Refusal = "memory"      // too little memory is left for the head: status 503
-	RefusedYield       Refusal = "yield"       // the connection was closed in favour of another one
-	RefusedConnections Refusal = "connections" // too many connections are open, none of which has to yield
+	Evicted            Refusal = "evicted"     // the connection was closed in favour of another one
+	RefusedConnections Refusal = "connections" // too many connections are open, none of which is evicted
 )
 
 // Limiter limits what the clients of one listener occupy with requests that have not arrived whole: connections,
 // and the memory of heads, which is accounted for before they are parsed. Connections without a whole request
-// yield to others, the one that waits longest first. Its fields are set before use.
+// are evicted for others, the one that waits longest first. Its fields are set before use.
 type Limiter struct {
 	Clock peridotusher.Clock
 	// MaxConns is the largest number of open connections.
@@ -46,7 +46,7 @@
 	HeadMemory int64
 	// MaxHeadBytes returns the size in bytes of the largest head.
 	MaxHeadBytes func() int
-	// IdleReuse is for how long a client may rely on a connection that is idle. It yields to others after that.
+	// IdleReuse is for how long a client may rely on a connection that is idle. After that it may be evicted.
 	IdleReuse time.Duration
 	// Count is called for each refusal, Report at intervals with the number of those for a reason since the last
 	// report, to log it. They must not block. Nil disables them.
@@ -56,16 +56,16 @@
 	mu       sync.Mutex
 	open     int
 	used     int64           // cost of all heads in bytes
-	waiting  list.List       // of *Requests without a whole request, the longest waiting first
-	idle     list.List       // of *Requests between two requests, the longest idle first
+	waiting  list.List       // of *RequestReader without a whole request, the longest waiting first
+	idle     list.List       // of *RequestReader between two requests, the longest idle first
 	unlogged map[Refusal]int // refusals since the last report
 	loggedAt map[Refusal]time.Time
 }
 
 // Accept admits a new connection, for which another one may be closed. It returns false if there are too many.
 // Attach must be called on the result before the first Read, and Release once the connection is closed.
-func (l *Limiter) Accept(c net.Conn) (*Requests, bool) {
-	yieldAll(l.makeRoom())
+func (l *Limiter) Accept(c net.Conn) (*RequestReader, bool) {
+	closeEvicted(l.makeRoom())
 	l.mu.Lock()
 	full := l.open >= l.MaxConns
 	if !full {
@@ -76,60 +76,60 @@
 		l.refuse(RefusedConnections)
 		return nil, false
 	}
-	return &Requests{limiter: l, conn: c}, true
+	return &RequestReader{limiter: l, conn: c}, true
 }
 
-// makeRoom returns the connection that has to yield to a new one, if too many are open.
-func (l *Limiter) makeRoom() []*Requests {
+// makeRoom evicts a connection for a new one, if too many are open, and returns it.
+func (l *Limiter) makeRoom() []*RequestReader {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.open < l.MaxConns {
 		return nil
 	}
-	victim := l.longestWaiting()
-	if victim == nil {
+	r := l.longestWaiting()
+	if r == nil {
 		return nil
 	}
-	victim.end()
-	return []*Requests{victim}
+	r.end()
+	return []*RequestReader{r}
 }
 
-// longestWaiting returns the connection without a whole request that has to yield first, nil if there is none;
+// longestWaiting returns the connection without a whole request to evict first, nil if there is none;
 // l.mu must be held.
-func (l *Limiter) longestWaiting() *Requests {
+func (l *Limiter) longestWaiting() *RequestReader {
 	if e := l.waiting.Front(); e != nil {
-		return e.Value.(*Requests)
+		return e.Value.(*RequestReader)
 	}
 	if e := l.idle.Front(); e != nil {
-		if r := e.Value.(*Requests); l.Clock.Now().Sub(r.idleSince) >= l.IdleReuse {
+		if r := e.Value.(*RequestReader); l.Clock.Now().Sub(r.idleSince) >= l.IdleReuse {
 			return r
 		}
 	}
 	return nil
 }
 
-// acquire raises the cost of the head that is being received, for which other connections may have to yield. It
+// acquire raises the cost of the head that is being received, for which other connections may be evicted. It
 // returns those, and false if the memory does not suffice; l.mu must be held.
-func (l *Limiter) acquire(r *Requests, cost int64) (victims []*Requests, ok bool) {
+func (l *Limiter) acquire(r *RequestReader, cost int64) (evicted []*RequestReader, ok bool) {
 	limit := max(l.HeadMemory, minHeadMemory)
 	if cost > smallHead {
 		limit /= 2
 	}
 	more := cost - r.headCost
 	for e := l.waiting.Front(); e != nil && l.used+more > limit; {
-		victim := e.Value.(*Requests)
+		other := e.Value.(*RequestReader)
 		e = e.Next()
-		if victim != r && victim.headCost+victim.requestCost > 0 {
-			victim.end()
-			victims = append(victims, victim)
+		if other != r && other.headCost+other.requestCost > 0 {
+			other.end()
+			evicted = append(evicted, other)
 		}
 	}
 	if l.used+more > limit {
-		return victims, false
+		return evicted, false
 	}
 	l.used += more
 	r.headCost = cost
-	return victims, true
+	return evicted, true
 }
 
 // refuse counts a refusal and reports the number of them at intervals.
--- a/httpserve/limiter_test.go
+++ b/httpserve/limiter_test.go
@@ -163,9 +163,9 @@
 	}
 }
 
-// TestHeadsYield guards against heads without end that keep others from being read: the one that waits longest yields, and a
+// TestHeadsAreEvicted guards against heads without end that keep others from being read: the one that waits longest is evicted, and a
 // request that has arrived whole does not.
-func TestHeadsYield(t *testing.T) {
+func TestHeadsAreEvicted(t *testing.T) {
 	s := startLimited(t, func(l *Limiter) { l.HeadMemory = minHeadMemory })
 	large := "GET /large HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\n", 3000) // over a third of the memory for large ones
 	var conns []net.Conn
@@ -188,12 +188,12 @@
 	}
 	mustWrite(t, conns[3], "\r\n")
 	if resp, err := http.ReadResponse(bufio.NewReader(conns[3]), nil); err != nil || resp.StatusCode != http.StatusOK {
-		t.Errorf("a head that did not yield is answered with %v, %v", resp, err)
+		t.Errorf("a head that was not evicted is answered with %v, %v", resp, err)
 	}
 }
 
-// TestConnsYield guards against clients that shut out others by connections without a whole request.
-func TestConnsYield(t *testing.T) {
+// TestConnsAreEvicted guards against clients that shut out others by connections without a whole request.
+func TestConnsAreEvicted(t *testing.T) {
 	const maxConns = 4
 	tests := map[string]struct {
 		text   string
@@ -224,8 +224,8 @@
 	}
 }
 
-// TestRequestsInProgressDoNotYield guards against requests that are ended for others after they have arrived whole.
-func TestRequestsInProgressDoNotYield(t *testing.T) {
+// TestRequestsInProgressAreNotEvicted guards against requests that are ended for others after they have arrived whole.
+func TestRequestsInProgressAreNotEvicted(t *testing.T) {
 	s := startLimited(t, func(l *Limiter) { l.MaxConns = 1 })
 	c := dial(t, s.address)
 	mustWrite(t, c, "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n12345G") // and the start of another request
@@ -245,7 +245,42 @@
 	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
 		t.Errorf("the request is answered with %v, %v", resp, err)
 	}
-	if diff := cmp.Diff([]int{1, 0}, []int{s.count(RefusedConnections), s.count(RefusedYield)}); diff != "" {
-		t.Errorf("refused connections and those that yielded (-want +got):\n%s", diff)
+	if diff := cmp.Diff([]int{1, 0}, []int{s.count(RefusedConnections), s.count(Evicted)}); diff != "" {
+		t.Errorf("refused and evicted connections (-want +got):\n%s", diff)
+	}
+}
+
+// TestEvictedRequestIsNotServed guards against requests that run though their connection was evicted after their heads had
+// been read, so that nobody gets the answer.
+func TestEvictedRequestIsNotServed(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	l := newTestLimiter()
+	r, ok := l.Accept(server)
+	if !ok {
+		t.Fatal("the connection was not accepted")
+	}
+	r.Attach(server)
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := io.WriteString(client, request)
+		return err
+	})
+	if n, err := r.Read(make([]byte, 1000)); n != len(request) || err != nil {
+		t.Fatalf("%d bytes were read, %v", n, err)
+	}
+	l.MaxConns = 1
+	if _, ok := l.Accept(nil); ok { // nothing is released until the server closes the connection
+		t.Error("a connection beyond the limit was accepted")
+	}
+	if r.BeginRequest(0) {
+		t.Error("the request of an evicted connection is served")
+	}
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	r.Release()
+	if open, used := l.Stats(); open != 0 || used != 0 {
+		t.Errorf("%d connections and %d bytes of heads are left", open, used)
 	}
 }
--- a/httpserve/requests.go
+++ b/httpserve/requestreader.go
@@ -30,18 +30,18 @@
 	phaseChunks       // a body in chunks
 )
 
-// Requests reads the requests of one connection. No Read returns bytes of more than one head or body, so that
+// RequestReader reads the requests of one connection. No Read returns bytes of more than one head or body, so that
 // the server buffers none that are not accounted for. One goroutine reads at a time.
-type Requests struct {
+type RequestReader struct {
 	limiter *Limiter
 	conn    net.Conn
-	client  net.Conn // to which refusals are written, and which is closed if the connection has to yield
+	client  net.Conn // to which refusals are written, and which is closed if the connection is evicted
 	held    []byte   // bytes that were read and belong to a later part
 
 	// What follows is guarded by limiter.mu.
 	phase       phase
-	head        headScan
-	chunks      chunkScan
+	head        headScanner
+	chunks      chunkScanner
 	left        int64 // of a body with a length
 	answering   bool  // whether a request is being answered, or its body read
 	headCost    int64 // of the head that is being received
@@ -49,12 +49,12 @@
 	in          *list.List
 	place       *list.Element // in that list, if it is in one
 	idleSince   time.Time
-	ended       bool // whether it has yielded, was refused or is released
+	ended       bool // whether it was evicted, refused or closed
 	released    bool
 }
 
 // Attach sets the connection as the server knows it, which may be closed in favour of others from now on.
-func (r *Requests) Attach(client net.Conn) {
+func (r *RequestReader) Attach(client net.Conn) {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
 	r.client = client
@@ -62,7 +62,7 @@
 }
 
 // Read implements io.Reader.
-func (r *Requests) Read(b []byte) (int, error) {
+func (r *RequestReader) Read(b []byte) (int, error) {
 	b = r.clip(b)
 	n, err := 0, error(nil)
 	wasHeld := len(r.held) > 0
@@ -74,8 +74,8 @@
 	if n == 0 {
 		return 0, err
 	}
-	part, victims, refusal := r.account(b[:n])
-	yieldAll(victims)
+	part, evicted, refusal := r.account(b[:n])
+	closeEvicted(evicted)
 	if refusal != "" {
 		r.reject(refusal)
 		return 0, io.EOF
@@ -92,7 +92,7 @@
 
 // clip shortens a buffer to the rest of a body with a length. A read before the framing is known, as the server
 // does for the end of the connection behind a request without a body, begins the next head.
-func (r *Requests) clip(b []byte) []byte {
+func (r *RequestReader) clip(b []byte) []byte {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
 	if r.phase == phaseFramed {
@@ -105,12 +105,12 @@
 }
 
 // account accounts for bytes that were read, and returns how many of them belong to the current part. It returns
-// the connections that have to yield, and the reason if the client is refused.
-func (r *Requests) account(b []byte) (part int, victims []*Requests, refusal Refusal) {
+// the connections that were evicted for them, and the reason if the client is refused.
+func (r *RequestReader) account(b []byte) (part int, evicted []*RequestReader, refusal Refusal) {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
 	if r.ended {
-		return 0, nil, RefusedYield
+		return 0, nil, Evicted
 	}
 	switch r.phase {
 	case phaseBody:
@@ -130,17 +130,17 @@
 	if whole {
 		r.phase = phaseFramed
 	}
-	victims, refusal = r.chargeHead()
+	evicted, refusal = r.chargeHead()
 	if refusal != "" {
 		r.ended = true // the server frees what it has parsed once it closes the connection
 		r.leave()
 	}
-	return part, victims, refusal
+	return part, evicted, refusal
 }
 
 // chargeHead charges the head for what was read of it; limiter.mu must be held. While a request is being answered
 // nothing is charged or refused, which would end that request: the server reads a byte of the next one meanwhile.
-func (r *Requests) chargeHead() (victims []*Requests, refusal Refusal) {
+func (r *RequestReader) chargeHead() (evicted []*RequestReader, refusal Refusal) {
 	if !r.head.started || r.answering {
 		return nil, ""
 	}
@@ -150,45 +150,50 @@
 	if r.head.bytes > r.limiter.MaxHeadBytes() {
 		return nil, RefusedSize
 	}
-	victims, ok := r.limiter.acquire(r, int64(r.head.bytes)*byteCost+int64(r.head.lines)*lineCost)
+	evicted, ok := r.limiter.acquire(r, int64(r.head.bytes)*byteCost+int64(r.head.lines)*lineCost)
 	if !ok {
-		return victims, RefusedMemory
+		return evicted, RefusedMemory
 	}
-	return victims, ""
+	return evicted, ""
 }
 
-// BeginRequest records that the head of a request was parsed, and the length of its body, -1 if it is in chunks.
-func (r *Requests) BeginRequest(length int64) {
+// BeginRequest records that the head of a request was parsed, and the length of its body, -1 if it is in chunks. It
+// returns false if the connection was evicted meanwhile, so that the request must not be served.
+func (r *RequestReader) BeginRequest(length int64) bool {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
+	if r.ended {
+		return false
+	}
 	if r.phase == phaseFramed {
 		r.setFraming(length)
 	}
+	return true
 }
 
-// setFraming begins the body of a request; limiter.mu must be held. The connection may yield until the request
-// has arrived whole.
-func (r *Requests) setFraming(length int64) {
+// setFraming begins the body of a request; limiter.mu must be held. The connection may be evicted until the
+// request has arrived whole.
+func (r *RequestReader) setFraming(length int64) {
 	r.requestCost += r.headCost
-	r.headCost, r.head, r.answering = 0, headScan{}, true
+	r.headCost, r.head, r.answering = 0, headScanner{}, true
 	switch {
 	case length == 0:
 		r.endBody()
 	case length > 0:
 		r.phase, r.left = phaseBody, length
 	default:
-		r.phase, r.chunks = phaseChunks, chunkScan{}
+		r.phase, r.chunks = phaseChunks, chunkScanner{}
 	}
 }
 
 // endBody records that the request has arrived whole; limiter.mu must be held.
-func (r *Requests) endBody() {
+func (r *RequestReader) endBody() {
 	r.phase = phaseHead
 	r.leave()
 }
 
 // MarkIdle records that the request that was read last has been answered.
-func (r *Requests) MarkIdle() {
+func (r *RequestReader) MarkIdle() {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
 	if r.ended {
@@ -205,14 +210,14 @@
 }
 
 // End records that no more requests are read. It may be called more than once.
-func (r *Requests) End() {
+func (r *RequestReader) End() {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
 	r.end()
 }
 
 // Release records that the descriptor of the connection is closed. It may be called more than once.
-func (r *Requests) Release() {
+func (r *RequestReader) Release() {
 	r.limiter.mu.Lock()
 	defer r.limiter.mu.Unlock()
 	if r.released {
@@ -224,7 +229,7 @@
 }
 
 // end frees what the connection occupies but its descriptor; limiter.mu must be held.
-func (r *Requests) end() {
+func (r *RequestReader) end() {
 	r.ended = true
 	r.limiter.used -= r.headCost + r.requestCost
 	r.headCost, r.requestCost = 0, 0
@@ -232,30 +237,30 @@
 }
 
 // enter moves the connection to the end of a list; limiter.mu must be held.
-func (r *Requests) enter(l *list.List) {
+func (r *RequestReader) enter(l *list.List) {
 	r.leave()
 	r.in, r.place = l, l.PushBack(r)
 }
 
 // leave removes the connection from the list that it is in; limiter.mu must be held.
-func (r *Requests) leave() {
+func (r *RequestReader) leave() {
 	if r.in != nil {
 		r.in.Remove(r.place)
 		r.in, r.place = nil, nil
 	}
 }
 
-// yieldAll closes connections in favour of others. Their requests have not run.
-func yieldAll(victims []*Requests) {
-	for _, r := range victims {
-		r.limiter.refuse(RefusedYield)
+// closeEvicted closes connections that were evicted. Their requests have not run.
+func closeEvicted(evicted []*RequestReader) {
+	for _, r := range evicted {
+		r.limiter.refuse(Evicted)
 		_ = r.client.Close() // the server notices
 	}
 }
 
 // reject answers a request whose head is refused, before it was parsed, and reads what the client still sends.
-func (r *Requests) reject(reason Refusal) {
-	if reason == RefusedYield {
+func (r *RequestReader) reject(reason Refusal) {
+	if reason == Evicted {
 		return // it is closed already
 	}
 	r.limiter.refuse(reason)
--- a/httpserve/scan_test.go
+++ b/httpserve/scanner_test.go
@@ -26,7 +26,7 @@
 	}
 	for text, want := range tests {
 		for size := 1; size <= len(text); size++ {
-			var s headScan
+			var s headScanner
 			got := scanned{}
 			for ended := false; !ended && got.Length < len(text); {
 				var n int
@@ -58,7 +58,7 @@
 		"trailers": "2\r\nok\r\n0\r\nA: b\r\nC: d\r\n\r\n", "line feeds": "2\nok\n0\n\n", "zeros": "0002\r\nok\r\n000\r\n\r\n",
 	} {
 		for _, size := range []int{1, 2, 3, 7, 1000, len(body) + 4} {
-			var s chunkScan
+			var s chunkScanner
 			at, ended := 0, false
 			for text := body + "GET "; !ended && at < len(text); {
 				var n int
--- a/operator/metrics.go
+++ b/operator/metrics.go
@@ -9,6 +9,7 @@
 
 	"peridotusher.example/peridotusher"
 	"peridotusher.example/peridotusher/caller"
+	"peridotusher.example/peridotusher/httpserve"
 )
 
 // Metrics holds the metrics of one router.
@@ -46,6 +47,11 @@
 	}
 }
 
+// CountRefusal counts a client of an address that is refused or disconnected because of what it sends or leaves out.
+func (m *Metrics) CountRefusal(address string, reason httpserve.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`peridotusher_refused_clients_total{address=%q,reason=%q}`, address, string(reason))).Inc()
+}
+
 // removeOrganisation unregisters the counters of an organisation whose label value was evicted.
 func (m *Metrics) removeOrganisation(organisation string) {
 	label := fmt.Sprintf(`{organisation=%q,`, organisation)
--- a/operator/server.go
+++ b/operator/server.go
@@ -64,6 +64,9 @@
 		HeadMemory:   headMemory,
 		MaxHeadBytes: func() int { return maxHeadBytes },
 	}
+	if s.Metrics != nil {
+		limiter.Count = func(reason httpserve.Refusal) { s.Metrics.CountRefusal("operators", reason) }
+	}
 	return httpserve.UntilLimited(ctx, httpServer, s.Listener, limiter)
 }
 
--- a/peer/pending_test.go
+++ b/peer/pending_test.go
@@ -18,9 +18,9 @@
 	return nil
 }
 
-// TestPendingConnsYield guards against connections without a handshake that use up the descriptors of a router: the oldest one
+// TestPendingConnsAreEvicted guards against connections without a handshake that use up the descriptors of a router: the oldest one
 // is closed for a new one, unless its handshake has ended.
-func TestPendingConnsYield(t *testing.T) {
+func TestPendingConnsAreEvicted(t *testing.T) {
 	var p pendingConns
 	conns := make([]*closeRecorder, maxPendingConns+2)
 	var done []func()
--- a/relay/body.go
+++ b/relay/body.go
@@ -35,6 +35,7 @@
 		t.proxy.Log.Event("socket", "id", t.call.ID, "error", err)
 	}
 	err := t.fill(length, limit)
+	t.r.Trailer = nil // no part of a request that is forwarded, and many times its bytes in memory
 	if err != nil {
 		t.bodyFailed(err)
 		return false
--- a/relay/conns_test.go
+++ b/relay/conns_test.go
@@ -24,11 +24,11 @@
 	return nil
 }
 
-func (c *trackedConn) CloseIfIdle()       { c.closed = c.closed || !c.receiving }
-func (c *trackedConn) BeginRequest(int64) {}
-func (c *trackedConn) MarkIdle()          {}
-func (c *trackedConn) IsReceiving() bool  { return c.receiving }
-func (c *trackedConn) IsClosed() bool     { return c.closed }
+func (c *trackedConn) CloseIfIdle()            { c.closed = c.closed || !c.receiving }
+func (c *trackedConn) BeginRequest(int64) bool { return true }
+func (c *trackedConn) MarkIdle()               {}
+func (c *trackedConn) IsReceiving() bool       { return c.receiving }
+func (c *trackedConn) IsClosed() bool          { return c.closed }
 
 // TestConnectionLimits has connections without a request, idle ones, of which one has received a part of
 // a request, and one with a running request, under changing limits and with a suspension of the process.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -249,7 +249,7 @@
 }
 
 // TestConnectionLimit opens more connections than are allowed, each of which has got an answer and may be used again: those
-// beyond the limit are closed, and a new one is accepted after another has ended. Connections without a request yield, which
+// beyond the limit are closed, and a new one is accepted after another has ended. Connections without a request are evicted, which
 // the tests of httpserve show.
 func TestConnectionLimit(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
