httpserve: read for how long idle connections may be used when it is needed

It is read when a connection is to be evicted now, and takes the configuration's idle timeout into account.

--- a/caller/limiter.go
+++ b/caller/limiter.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"net/http"
+	"time"
 
 	"peridotusher.example/peridotusher/httpserve"
 )
@@ -16,7 +17,7 @@
 		MaxConns:     cmp.Or(s.Limits.Connections, math.MaxInt),
 		HeadMemory:   s.Limits.HeaderMemory,
 		MaxHeadBytes: func() int { return maxHead },
-		IdleReuse:    idleReuseTime,
+		IdleReuse:    func() time.Duration { return idleReuseTime },
 		Count:        s.Refused,
 		Report: func(reason httpserve.Refusal, number int) {
 			s.Log.WithField("reason", string(reason)).WithField("callers", number).Warn("refused callers")
--- a/httpserve/limiter.go
+++ b/httpserve/limiter.go
@@ -46,8 +46,9 @@
 	HeadMemory int64
 	// MaxHeadBytes returns the size in bytes of the largest head.
 	MaxHeadBytes func() int
-	// IdleReuse is for how long a client may rely on a connection that is idle. After that it may be evicted.
-	IdleReuse time.Duration
+	// IdleReuse returns for how long a client may rely on a connection that is idle. After that it may be evicted. Nil
+	// means not at all.
+	IdleReuse func() time.Duration
 	// Count is called for each refusal, Report at intervals with the number of those for a reason since the last
 	// report, to log it. They must not block. Nil disables them.
 	Count  func(reason Refusal)
@@ -101,13 +102,21 @@
 		return e.Value.(*RequestReader)
 	}
 	if e := l.idle.Front(); e != nil {
-		if r := e.Value.(*RequestReader); l.Clock.Now().Sub(r.idleSince) >= l.IdleReuse {
+		if r := e.Value.(*RequestReader); l.Clock.Now().Sub(r.idleSince) >= l.idleReuse() {
 			return r
 		}
 	}
 	return nil
 }
 
+// idleReuse returns for how long a client may rely on a connection that is idle.
+func (l *Limiter) idleReuse() time.Duration {
+	if l.IdleReuse == nil {
+		return 0
+	}
+	return l.IdleReuse()
+}
+
 // acquire raises the cost of the head that is being received, for which other connections may be evicted. It
 // returns those, and false if the memory does not suffice; l.mu must be held.
 func (l *Limiter) acquire(r *RequestReader, cost int64) (evicted []*RequestReader, ok bool) {
--- a/httpserve/limiter_test.go
+++ b/httpserve/limiter_test.go
@@ -207,7 +207,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := startLimited(t, func(l *Limiter) { l.MaxConns, l.IdleReuse = maxConns, time.Minute })
+			s := startLimited(t, func(l *Limiter) { l.MaxConns, l.IdleReuse = maxConns, func() time.Duration { return time.Minute } })
 			for range maxConns {
 				mustWrite(t, dial(t, s.address), tt.text)
 				time.Sleep(20 * time.Millisecond) // so that it is read before the next one
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"peridotusher.example/peridotusher/httpserve"
 )
@@ -42,7 +43,7 @@
 func (f *Proxy) newLimiter() *httpserve.Limiter {
 	return &httpserve.Limiter{
 		Clock: f.Clock, MaxConns: f.MaxConnections, HeadMemory: f.HeadMemory, MaxHeadBytes: f.maxHeadBytes,
-		IdleReuse: f.KeepAliveTimeout + keepAliveMargin,
+		IdleReuse: func() time.Duration { return f.keepAliveTimeout() + keepAliveMargin },
 		Count:     f.Metrics.countRefusedClient,
 		Report: func(reason httpserve.Refusal, number int) {
 			f.Log.Event("refused", "reason", string(reason), "clients", number)
