httpserve: accept within limits in one place

The two listeners of client connections repeated the loop that accepts a connection, asks the limiter and closes what it refuses. Limiter.AcceptFrom has it now. No change of behaviour; the tests of httpserve, caller and relay pass unchanged.

--- a/httpserve/limiter.go
+++ b/httpserve/limiter.go
@@ -80,6 +80,20 @@
 	return &RequestReader{limiter: l, conn: c}, true
 }
 
+// AcceptFrom accepts the next connection of a listener that Accept admits, and closes the others.
+func (l *Limiter) AcceptFrom(listener net.Listener) (net.Conn, *RequestReader, error) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return nil, nil, err
+		}
+		if requests, ok := l.Accept(c); ok {
+			return c, requests, nil
+		}
+		_ = c.Close() // nothing was read on it
+	}
+}
+
 // makeRoom evicts a connection for a new one, if too many are open, and returns it.
 func (l *Limiter) makeRoom() []*RequestReader {
 	l.mu.Lock()
--- a/httpserve/listener.go
+++ b/httpserve/listener.go
@@ -17,21 +17,14 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		requests, ok := l.Limiter.Accept(c)
-		if !ok {
-			_ = c.Close() // nothing was read on it
-			continue
-		}
-		out := &closingConn{Conn: c, closer: l.Closer, acks: tcp.NewAcks(c, 0)}
-		out.Requests = requests
-		requests.Attach(out)
-		return out, nil
+	c, requests, err := l.Limiter.AcceptFrom(l.Listener)
+	if err != nil {
+		return nil, err
 	}
+	out := &closingConn{Conn: c, closer: l.Closer, acks: tcp.NewAcks(c, 0)}
+	out.Requests = requests
+	requests.Attach(out)
+	return out, nil
 }
 
 // closingConn is a connection that is closed by a Closer. It implements Conn.
--- a/relay/limit.go
+++ b/relay/limit.go
@@ -22,21 +22,14 @@
 
 // Accept implements net.Listener.
 func (l *clientListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		requests, ok := l.limiter.Accept(c)
-		if !ok {
-			_ = c.Close() // nothing was read on it
-			continue
-		}
-		out := newClientConn(c, l.buffer, requests.Release)
-		out.Requests = requests
-		requests.Attach(out)
-		return out, nil
+	c, requests, err := l.limiter.AcceptFrom(l.Listener)
+	if err != nil {
+		return nil, err
 	}
+	out := newClientConn(c, l.buffer, requests.Release)
+	out.Requests = requests
+	requests.Attach(out)
+	return out, nil
 }
 
 // newLimiter returns the limits of what clients occupy with requests that have not arrived whole.
