service: trace the connection of a call once

Call and sendPooled each traced the connection, one for the connection itself, one for whether there was any. No change of behaviour; the tests of service and entry pass unchanged.

--- a/service/call.go
+++ b/service/call.go
@@ -86,7 +86,7 @@
 	var connected atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected.Store(info.Conn.(*conn)) }}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, written, err := c.send(req, r)
+	resp, written, err := c.send(req, r, &connected)
 	if err != nil {
 		return Response{}, sendFailure(ctx, written, err)
 	}
@@ -126,11 +126,13 @@
 	return req, nil
 }
 
-// send sends the request and returns the answer with an unread body, or an error and
-// whether any of the request may have been written.
-func (c *Client) send(req *http.Request, r Request) (*http.Response, bool, error) {
+// send sends the request, an idempotent one on a new or a reused connection, and returns the answer with an
+// unread body, or an error and whether any of the request may have been written. connected is set by the
+// request's trace.
+func (c *Client) send(req *http.Request, r Request, connected *atomic.Pointer[conn]) (*http.Response, bool, error) {
 	if r.Idempotent && !r.OwnConnection && r.Check == nil {
-		return c.sendPooled(req)
+		resp, err := c.pooled.RoundTrip(req)
+		return resp, connected.Load() != nil, err
 	}
 	t, g := c.singleUseTransport(r.Check)
 	resp, err := t.RoundTrip(req)
@@ -141,15 +143,6 @@
 	return resp, true, nil
 }
 
-// sendPooled sends an idempotent request on a new or a reused connection.
-func (c *Client) sendPooled(req *http.Request) (*http.Response, bool, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	resp, err := c.pooled.RoundTrip(req)
-	return resp, connected.Load(), err
-}
-
 // readBody reads the body of an answer within the limits of its size and of the memory for answers.
 // cancel cancels the call.
 func (c *Client) readBody(address string, body io.Reader, r Request, cancel context.CancelCauseFunc) ([]byte, error) {
