--- a/review/rig3/bed.go
+++ b/review/rig3/bed.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -58,6 +60,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes []*exec.Cmd
+	routers   map[int]*os.Process // by the last number of their addresses
 	ended     bool
 }
 
@@ -86,7 +89,7 @@
 		return nil, err
 	}
 	b := &bed{
-		router: router, folder: folder, store: newStore(), started: time.Now(), record: out,
+		router: router, folder: folder, store: newStore(), started: time.Now(), record: out, routers: make(map[int]*os.Process),
 		net: fmt.Sprintf("127.%d.%d", 10+rand.IntN(200), 1+rand.IntN(250)),
 	}
 	l, err := net.Listen("tcp4", b.address(1, storePort))
@@ -177,8 +180,25 @@
 	if err != nil {
 		return err
 	}
-	_, err = b.start(log, []string{"PERIDOTUSHER_CONFIG=" + path}, b.router, "platform", "--metrics", fmt.Sprint(metricsPort))
-	return err
+	cmd, err := b.start(log, []string{"PERIDOTUSHER_CONFIG=" + path}, b.router, "platform", "--metrics", fmt.Sprint(metricsPort))
+	if err != nil {
+		return err
+	}
+	b.routers[last] = cmd.Process
+	return nil
+}
+
+// freeze stops a router for a time, during which it calls do.
+func (b *bed) freeze(last int, length time.Duration, do func() error) error {
+	b.note("router %d is frozen (SIGSTOP)", last)
+	until := time.Now().Add(length)
+	if err := b.routers[last].Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	err := do()
+	time.Sleep(time.Until(until))
+	b.note("router %d goes on (SIGCONT)", last)
+	return errors.Join(err, b.routers[last].Signal(syscall.SIGCONT))
 }
 
 // awaitReady waits until a router is ready.
@@ -228,6 +248,17 @@
 	return nil
 }
 
+// runOther starts a server of another writer, which does not beat.
+func (b *bed) runOther(o *replica, self string) (err error) {
+	out, in := io.Pipe()
+	if o.cmd, err = b.start(in, nil, self, "other", o.address); err != nil {
+		return err
+	}
+	go b.noteOutput(o, out)
+	b.note("server %s of another writer at %s", o.id, o.address)
+	return nil
+}
+
 func (b *bed) noteOutput(r *replica, out io.Reader) {
 	lines := bufio.NewScanner(out)
 	for lines.Scan() {
--- a/review/rig3/crash.go
+++ b/review/rig3/crash.go
@@ -12,8 +12,8 @@
 // streams are requests for streams that are being answered.
 type streams struct{ results chan result }
 
-// openStreams sends count requests for streams.
-func (b *bed) openStreams(count int) *streams {
+// openStreams sends count requests for streams, to the routers in turn.
+func (b *bed) openStreams(count int, routers ...int) *streams {
 	s := &streams{results: make(chan result, count)}
 	for i := range count {
 		headers := map[string]string{}
@@ -21,7 +21,7 @@
 			headers[name] = value
 		}
 		headers["X-Prompt-Prefix"] = fmt.Sprintf("%x:800,%x:250", 0x5c1e07a2+i, 0xe4402b7d+i)
-		go func() { s.results <- b.send(11+i%2, "POST", streamPath+"2f", headers, 15*time.Second) }()
+		go func() { s.results <- b.send(routers[i%len(routers)], "POST", streamPath+"2f", headers, 15*time.Second) }()
 	}
 	return s
 }
@@ -52,7 +52,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	s := b.openStreams(streamCount)
+	s := b.openStreams(streamCount, 11, 12)
 	time.Sleep(time.Second)
 	leaving := busiest(all)
 	b.reportDraining(leaving)
@@ -79,7 +79,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	s := b.openStreams(streamCount)
+	s := b.openStreams(streamCount, 11, 12)
 	time.Sleep(time.Second)
 	r := busiest(all)
 	for trouble && !r.isAboutToBeat() {
@@ -105,3 +105,34 @@
 	defer r.mu.Unlock()
 	return time.Since(r.lastBeat) > beatInterval*9/10
 }
+
+// playFreezeCrash freezes a router for 3.5 s. Meanwhile a replica crashes and starts again under its id.
+func playFreezeCrash(b *bed, trouble bool) (verdict, error) {
+	const (
+		frozenRouter = 11
+		frozen       = 3500 * time.Millisecond
+		untilDown    = 300 * time.Millisecond
+		down         = 2 * time.Second
+	)
+	all, err := b.deploy()
+	if err != nil {
+		return verdict{}, err
+	}
+	s := b.openStreams(streamCount, frozenRouter)
+	time.Sleep(time.Second)
+	r := busiest(all)
+	if trouble {
+		err = b.freeze(frozenRouter, frozen, func() error {
+			time.Sleep(untilDown)
+			if err := b.crash(r); err != nil {
+				return err
+			}
+			time.Sleep(down)
+			return b.restartReplica(r)
+		})
+	}
+	if err != nil {
+		return verdict{}, err
+	}
+	return s.judge(streamCount), nil
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -5,6 +5,7 @@
 //
 //	rig3 play CASE --trouble=true --router target/peridotusher --record record.txt
 //	rig3 replica ADDRESS ID
+//	rig3 other ADDRESS
 //
 // Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 package main
@@ -13,6 +14,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -37,6 +40,8 @@
 	"overstay":  playOverstay,
 	"partition": playPartition,
 	"late-beat": playLateBeat,
+	"other":     playOtherWriter,
+	"freeze":    playFreezeCrash,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -45,6 +50,9 @@
 	if len(args) == 3 && args[0] == "replica" {
 		return runReplica(args[1], args[2])
 	}
+	if len(args) == 2 && args[0] == "other" {
+		return runOther(args[1])
+	}
 	if len(args) < 2 || args[0] != "play" {
 		fmt.Fprintln(os.Stderr, "usage: rig3 play CASE [flags]")
 		return exitFailed
@@ -71,11 +79,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	time.AfterFunc(maxPlay, func() {
-		b.note("the case takes too long")
+	giveUp := func(reason string) {
+		b.note("given up: %s", reason)
 		b.end()
 		os.Exit(exitFailed)
-	})
+	}
+	time.AfterFunc(maxPlay, func() { giveUp("the case takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { giveUp((<-signals).String()) }()
 	v, err := play(b, trouble)
 	b.end()
 	if err != nil {
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -57,9 +57,14 @@
 	if err != nil {
 		panic(err) // the values are the rig's own
 	}
+	return s.putText(key, string(data))
+}
+
+// putText writes a key and returns the revision.
+func (s *store) putText(key, value string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.write(key, data, 0)
+	return s.write(key, []byte(value), 0)
 }
 
 // remove removes a key.
