--- a/review/rig3/platform/bed.go
+++ b/review/rig3/platform/bed.go
@@ -338,17 +338,30 @@
 }
 
 // sendLateBeat makes the replica write its entry once, with the next number. The call gets no answer, and the
-// store executes it late.
+// store executes it late: right after the first beat that comes later than the given time.
 func (b *bed) sendLateBeat(r *replica, late time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
 	entry := r.entry()
+	began := time.Now()
 	b.note("replica %s writes seq %d, state %s: no answer of the store", r.id, r.seq, r.state)
-	time.AfterFunc(late, func() {
+	go func() {
+		time.Sleep(late)
+		for last := r.beatAt(); r.beatAt().Equal(last); {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(beatInterval / 30)
 		b.store.put("servers/"+r.id, entry)
-		b.note("the store executes the write of seq %d of %s, state %s, after %v", entry["seq"], r.id, entry["state"], late)
-	})
+		b.note("the store executes the write of seq %d of %s, state %s, after %v", entry["seq"], r.id, entry["state"], time.Since(began))
+	}()
+}
+
+// beatAt returns when the replica wrote its entry last.
+func (r *replica) beatAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastBeat
 }
 
 // reportDraining makes the replica report that it is draining.
--- a/review/rig3/platform/drain.go
+++ b/review/rig3/platform/drain.go
@@ -61,7 +61,7 @@
 func playLateBeat(b *bed, trouble bool) (verdict, error) {
 	const (
 		stableWindow = 3 * time.Second
-		late         = 5000 * time.Millisecond
+		late         = 4300 * time.Millisecond
 		overstay     = 600 * time.Millisecond
 	)
 	all, err := b.deploy()
